--- a/src/main/java/keelwind/Api.java
+++ b/src/main/java/yardusher/Api.java
@@ -1,4 +1,4 @@
-package keelwind;
+package yardusher;
 
 import java.util.List;
 
--- a/src/main/java/keelwind/Policy.java
+++ b/src/main/java/yardusher/Policy.java
@@ -1,4 +1,4 @@
-package keelwind;
+package yardusher;
 
 // Types, events and actions: Api.java. Sections of this module, each with its state:
 //   1 constants and entry   2 quotas: ten-slot rows, admission   3 ceilings: shares held in escrow
@@ -7,7 +7,7 @@
 
 import java.util.*;
 import java.util.function.Consumer;
-import keelwind.Api.*;
+import yardusher.Api.*;
 
 /** The decisions of one gateway; see {@link Api} for the contracts. */
 public final class Policy {
--- a/src/main/java/keelwind/wire/Codec.java
+++ b/src/main/java/yardusher/wire/Codec.java
@@ -1,4 +1,4 @@
-package keelwind.wire;
+package yardusher.wire;
 
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
@@ -8,7 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import keelwind.Api;
+import yardusher.Api;
 
 /** Translates between the wire's messages and the types of {@link Api}. Unknown keys are skipped. */
 final class Codec {
--- a/src/main/java/keelwind/wire/WireHost.java
+++ b/src/main/java/yardusher/wire/WireHost.java
@@ -1,4 +1,4 @@
-package keelwind.wire;
+package yardusher.wire;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
@@ -16,8 +16,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import keelwind.Api;
-import keelwind.Policy;
+import yardusher.Api;
+import yardusher.Policy;
 
 /** Hosts instances of the module on the simulator's wire: a batch a line in, a reply a line out. */
 public final class WireHost {
@@ -30,7 +30,7 @@
     /** Entry point; {@code wirehost} is the only command. */
     public static void main(String[] args) throws IOException {
         if (args.length != 1 || !args[0].equals("wirehost")) {
-            System.err.println("usage: java -jar keelwind.jar wirehost");
+            System.err.println("usage: java -jar yardusher.jar wirehost");
             System.exit(2);
         }
         int status = run(System.in, System.out, System.err);
--- a/src/test/java/keelwind/ExampleTest.java
+++ b/src/test/java/yardusher/ExampleTest.java
@@ -1,4 +1,4 @@
-package keelwind;
+package yardusher;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -8,7 +8,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import keelwind.Api.*;
+import yardusher.Api.*;
 import org.junit.jupiter.api.Test;
 
 /** The README's example of embedding, compiled and run as it stands there. */
@@ -28,7 +28,7 @@
         policy.on(25, new AttemptDone(1, 0, 7, Outcome.SERVED, 20, true, 0, null));
         // end
         assertTrue(actions.contains(new Send(1, 7, 500)), actions.toString());
-        String source = Files.readString(Path.of("src/test/java/keelwind/ExampleTest.java"));
+        String source = Files.readString(Path.of("src/test/java/yardusher/ExampleTest.java"));
         String example = source.substring(source.indexOf("// example\n") + 11, source.indexOf("        // end\n"));
         String readme = Files.readString(Path.of("README.md"));
         assertEquals(example.stripTrailing().stripIndent(),
--- a/src/test/java/keelwind/FleetTest.java
+++ b/src/test/java/yardusher/FleetTest.java
@@ -1,4 +1,4 @@
-package keelwind;
+package yardusher;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -7,7 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import keelwind.Api.*;
+import yardusher.Api.*;
 import org.junit.jupiter.api.Test;
 
 /** Hundreds of gateways through the interface: what a few cannot show. */
--- a/src/test/java/keelwind/PolicyTest.java
+++ b/src/test/java/yardusher/PolicyTest.java
@@ -1,4 +1,4 @@
-package keelwind;
+package yardusher;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -13,7 +13,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Stream;
-import keelwind.Api.*;
+import yardusher.Api.*;
 import org.junit.jupiter.api.Test;
 
 /** Drives the module through its interface, without the bench. */
@@ -556,7 +556,7 @@
 
     @Test
     void theModuleKeepsItsSize() throws IOException {
-        Path module = Path.of("src/main/java/keelwind/Policy.java");
+        Path module = Path.of("src/main/java/yardusher/Policy.java");
         try (Stream<String> lines = Files.lines(module)) {
             List<String> filled = lines.filter(line -> !line.isBlank()).toList();
             assertTrue(filled.size() <= 850, filled.size() + " lines");
--- a/src/test/java/keelwind/wire/WireHostTest.java
+++ b/src/test/java/yardusher/wire/WireHostTest.java
@@ -1,4 +1,4 @@
-package keelwind.wire;
+package yardusher.wire;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -100,13 +100,13 @@
         Result r = run(UP + batch(5, request(9).replace("'grade':0", "'grade':44")));
         assertEquals(0, r.status);
         assertTrue(r.out.get(1).contains("\"event_type\":\"bug\""), r.out.get(1));
-        assertTrue(r.errors.contains("IndexOutOfBounds") && r.errors.contains("at keelwind."), r.errors);
+        assertTrue(r.errors.contains("IndexOutOfBounds") && r.errors.contains("at yardusher."), r.errors);
     }
 
     @Test
     void wrongArgumentsPrintTheUsage() throws Exception {
         Process process = new ProcessBuilder(System.getProperty("java.home") + File.separator + "bin/java", "-cp",
-                System.getProperty("java.class.path"), "keelwind.wire.WireHost", "what").start();
+                System.getProperty("java.class.path"), "yardusher.wire.WireHost", "what").start();
         assertTrue(process.waitFor(60, TimeUnit.SECONDS));
         assertEquals(2, process.exitValue());
         assertTrue(new String(process.getErrorStream().readAllBytes(), StandardCharsets.UTF_8).startsWith("usage:"));
