--- /dev/null
+++ b/src/main/java/yardusher/cli/Config.java
@@ -0,0 +1,66 @@
+package yardusher.cli;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import yardusher.Api;
+import yardusher.net.Sockets;
+import yardusher.wire.Codec;
+
+/** What an ingress is told at its start: the JSON file that RELAY_CONFIG names. */
+public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+        InetSocketAddress peerListen, List<InetSocketAddress> peers, Codec.Fields known, Api.Settings settings,
+        List<String> classes, List<String> plans, List<String> zones, double idleMs, double dialMs) {
+    /** A configuration that cannot be used; the message is one plain line. */
+    public static final class Bad extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        public Bad(String message) { super(message); }
+    }
+
+    public static Config read(String file) throws Bad {
+        try (JsonParser parser = new JsonFactory().createParser(Files.readString(Path.of(file)))) {
+            if (parser.nextToken() == null || !(Codec.read(parser) instanceof Codec.Fields json)) {
+                throw new Bad(file + ": not a JSON object");
+            }
+            return of(json);
+        } catch (IOException e) {
+            String why = e instanceof com.fasterxml.jackson.core.JsonProcessingException j ? "not JSON: "
+                    + j.getOriginalMessage() : "cannot be read";
+            throw new Bad(file + ": " + why.lines().findFirst().orElse(""));
+        } catch (RuntimeException e) {
+            throw new Bad(file + ": " + String.valueOf(e.getMessage()).lines().findFirst().orElse(""));
+        }
+    }
+
+    static Config of(Codec.Fields json) {
+        Codec.Fields settings = json.object("settings");
+        Codec.Fields limits = settings.object("limits");
+        Api.Settings decoded = Codec.settings(settings);
+        List<InetSocketAddress> peers = new ArrayList<>();
+        if (json.has("peers")) {
+            for (Object peer : json.list("peers")) { peers.add(Sockets.address(String.valueOf(peer))); }
+        }
+        List<String> zones = new ArrayList<>();
+        for (Object zone : settings.list("zones")) { zones.add(String.valueOf(zone)); }
+        return new Config(json.text("name"), Sockets.address(json.text("listen")),
+                Sockets.address(json.text("discovery")), seed(json.text("seed")),
+                json.has("limits") ? (int) json.object("limits").number("sockets", 1024) : 1024,
+                json.has("peer_listen") ? Sockets.address(json.text("peer_listen")) : null, peers,
+                json.object("known"), decoded, names(settings, "classes"), names(settings, "contracts"), zones,
+                limits.number("conn_idle_ms", 30_000), limits.number("dial_timeout_ms", 250));
+    }
+
+    private static long seed(String hex) { return Long.parseUnsignedLong(hex, 16); }
+
+    private static List<String> names(Codec.Fields settings, String key) {
+        List<String> names = new ArrayList<>();
+        for (Codec.Fields one : settings.objects(key)) { names.add(one.text("name")); }
+        return names;
+    }
+}
--- /dev/null
+++ b/src/main/java/yardusher/cli/Serve.java
@@ -0,0 +1,150 @@
+package yardusher.cli;
+
+import java.io.IOException;
+import java.time.Instant;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import yardusher.Api;
+import yardusher.clients.PlatformFront;
+import yardusher.core.Counters;
+import yardusher.core.Ingress;
+import yardusher.core.Neighbours;
+import yardusher.core.Turns;
+import yardusher.list.ServiceTable;
+import yardusher.list.Watch;
+import yardusher.net.Sockets;
+import yardusher.peers.PeerSocket;
+import yardusher.servers.RegionPool;
+
+/** One real ingress: all parts put together, from the start to an orderly end. */
+public final class Serve {
+    private static final double ACCEPT_ON_MS = 500;  // after SIGTERM connections keep coming 0.2 to 0.4 s
+    private static final int OWN_DESCRIPTORS = 64;   // of the JVM, the listeners and the watch
+
+    private final Turns turns;
+    private final Sockets sockets;
+    private final Counters counters = new Counters();
+    private final RegionPool pool;
+    private final Ingress ingress;
+    private final PlatformFront front;
+    private final Watch watch;
+    private final PeerSocket peers;
+    private final CountDownLatch drained = new CountDownLatch(1);
+    private final double longestMs;
+
+    public Serve(Config config) throws IOException {
+        turns = new Turns(clock(), this::fault);
+        sockets = new Sockets(turns);
+        int budget = Math.max(64, config.sockets() - OWN_DESCRIPTORS);
+        Api.Settings settings = config.settings();
+        pool = new RegionPool(sockets, counters, settings.report(), config.dialMs(), config.idleMs(), budget * 2 / 5);
+        peers = config.peerListen() == null || !settings.limits().peers() ? null
+                : new PeerSocket(config.peerListen(), config.peers(), turns);
+        Neighbours neighbours = peers == null ? (to, body) -> { } : peers;
+        longestMs = settings.classes().stream().mapToDouble(Api.RequestClass::deadlineMs).max().orElse(1000);
+        Object[] made = new Object[3];
+        IOException[] problem = new IOException[1];
+        turns.turn(() -> {
+            try {
+                Ingress core = new Ingress(settings, config.seed(), turns, pool, neighbours, counters);
+                pool.serve(core);
+                ServiceTable table = new ServiceTable(config.zones(), pool);
+                core.tell(table.take(config.known(), Api.ListKind.CACHED));
+                made[0] = core;
+                made[1] = new Watch(sockets, config.discovery(), table, core);
+                made[2] = new PlatformFront(sockets, config.listen(), core, config.classes(), config.plans(),
+                        budget * 3 / 5);
+            } catch (IOException e) {
+                problem[0] = e;
+            }
+        });
+        if (problem[0] != null) { throw problem[0]; }
+        if (made[2] == null) { throw new IOException("could not start"); }
+        ingress = (Ingress) made[0];
+        watch = (Watch) made[1];
+        front = (PlatformFront) made[2];
+    }
+
+    public Ingress ingress() { return ingress; }
+
+    public Turns turns() { return turns; }
+
+    public PlatformFront front() { return front; }
+
+    /** Milliseconds of Unix time that go on evenly: slots of all ingresses turn together, and nothing goes back. */
+    private static java.util.function.DoubleSupplier clock() {
+        Instant start = Instant.now();
+        double startMs = start.getEpochSecond() * 1e3 + start.getNano() / 1e6;
+        long startNanos = System.nanoTime();
+        return () -> startMs + (System.nanoTime() - startNanos) / 1e6;
+    }
+
+    private void fault(Throwable e) {
+        counters.faults++;
+        if (counters.faults <= 20) { e.printStackTrace(); }
+    }
+
+    public void start() {
+        turns.startTimer();
+        if (peers != null) { peers.start(ingress); }
+        turns.turn(() -> {
+            watch.start();
+            front.answers().open();                  // last: a PING is answered once all else is ready
+        });
+    }
+
+    /** Accepts for a while, answers all that was taken, and returns well before the platform would kill it. */
+    public void drain() throws InterruptedException {
+        turns.turn(() -> turns.deadlines().at(turns.now() + ACCEPT_ON_MS, () -> {
+            front.answers().close();
+            waitForOpen();
+        }));
+        drained.await((long) (ACCEPT_ON_MS + longestMs), TimeUnit.MILLISECONDS);
+    }
+
+    private void waitForOpen() {
+        if (ingress.openCount() == 0 && front.answers().terminalCount() == 0) {
+            drained.countDown();
+        } else {
+            turns.deadlines().at(turns.now() + 20, this::waitForOpen);
+        }
+    }
+
+    public String countersLine() {
+        String[] line = new String[1];
+        turns.turn(() -> line[0] = counters.line(ingress.openCount()));
+        return line[0];
+    }
+
+    public void close() {
+        turns.turn(() -> {
+            watch.stop();
+            front.answers().close();
+        });
+        if (peers != null) { peers.close(); }
+        turns.stop();
+        sockets.shutdown();
+    }
+
+    /** The sub-command: serves until SIGTERM, then drains and exits 0. */
+    static int run(String file) throws IOException, Config.Bad {
+        Config config = Config.read(file);
+        Serve serve = new Serve(config);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            try {
+                serve.drain();
+            } catch (InterruptedException e) { /* the process ends all the same */ }
+            System.err.println(config.name() + " ends: " + serve.countersLine());
+            System.err.flush();
+            Runtime.getRuntime().halt(0);
+        }, "drain"));
+        serve.start();
+        System.err.println(config.name() + " serves at " + config.listen());
+        try {
+            new CountDownLatch(1).await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        return 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/yardusher/core/Attempt.java
@@ -0,0 +1,33 @@
+package yardusher.core;
+
+import yardusher.Api;
+
+/** One sending of a transaction to a region. It ends once, by {@link Ingress#ended}. */
+public final class Attempt {
+    public final Transaction transaction;
+    public final int number;
+    public final long region;
+    public final double sentAt;
+    public final long waitMs;
+    Deadlines.Entry timeOut;
+    boolean over;
+    /** Set by the region's connection: gives the attempt up. */
+    public Runnable giveUp = () -> { };
+    /** Set by the region's connection once the last byte is written: from there on it may have run. */
+    public boolean written;
+
+    Attempt(Transaction transaction, int number, long region, double sentAt, long waitMs) {
+        this.transaction = transaction;
+        this.number = number;
+        this.region = region;
+        this.sentAt = sentAt;
+        this.waitMs = waitMs;
+    }
+
+    public boolean isOver() { return over; }
+
+    /** How an attempt ended; the value is there when it was served. */
+    public record Result(Api.Outcome outcome, byte[] value, double[] load) {
+        public static Result of(Api.Outcome outcome) { return new Result(outcome, null, null); }
+    }
+}
--- /dev/null
+++ b/src/main/java/yardusher/core/Book.java
@@ -0,0 +1,26 @@
+package yardusher.core;
+
+import java.util.Map;
+
+/** Last stage: attempts and transactions that are over leave the books. */
+final class Book {
+    private final Turns turns;
+    private final Map<Long, Transaction> open;
+    private final Counters counters;
+
+    Book(Turns turns, Map<Long, Transaction> open, Counters counters) {
+        this.turns = turns;
+        this.open = open;
+        this.counters = counters;
+    }
+
+    void attempt(Attempt attempt, Attempt.Result result) {
+        attempt.over = true;
+        counters.outcomes[result.outcome().ordinal()]++;
+        turns.deadlines().cancel(attempt.timeOut);
+    }
+
+    void close(Transaction t) {
+        if (open.remove(t.number) != null) { turns.deadlines().cancel(t.lastCall); }
+    }
+}
--- /dev/null
+++ b/src/main/java/yardusher/core/Counters.java
@@ -0,0 +1,37 @@
+package yardusher.core;
+
+import yardusher.Api;
+
+/** What was taken in, sent and answered. Written in turns only. */
+public final class Counters {
+    public long takenIn;
+    public long invalid;
+    public long served;
+    public long refused;
+    public long failed;
+    public long clientsGone;
+    public long attempts;
+    public long lookups;
+    public long connectionsOpened;
+    public long peerOut;
+    public long peerIn;
+    public long listChanges;
+    public long faults;
+    public final long[] outcomes = new long[Api.Outcome.values().length];
+
+    /** One line of names and values. */
+    public String line(int open) {
+        StringBuilder text = new StringBuilder(256);
+        text.append("taken_in=").append(takenIn).append(" served=").append(served).append(" refused=").append(refused)
+                .append(" failed=").append(failed).append(" gone=").append(clientsGone).append(" open=").append(open)
+                .append(" invalid=").append(invalid).append(" limit_queries=").append(lookups)
+                .append(" attempts=").append(attempts);
+        for (Api.Outcome outcome : Api.Outcome.values()) {
+            text.append(' ').append(outcome.name().toLowerCase(java.util.Locale.ROOT)).append('=')
+                    .append(outcomes[outcome.ordinal()]);
+        }
+        return text.append(" connections=").append(connectionsOpened).append(" peer_out=").append(peerOut)
+                .append(" peer_in=").append(peerIn).append(" list_changes=").append(listChanges)
+                .append(" faults=").append(faults).toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/yardusher/core/Ingress.java
@@ -0,0 +1,161 @@
+package yardusher.core;
+
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import yardusher.Api;
+import yardusher.Policy;
+
+/**
+ * The core: transactions, attempts and outcomes, in a chain of stages around the decision module. It knows no
+ * wire. All methods are called within turns.
+ */
+public final class Ingress {
+    /** After the deadline the module's own answer may still come this late; then the core ends it. */
+    private static final double GRACE_MS = 8;
+
+    private final Map<Long, Transaction> open = new HashMap<>();
+    private final ArrayDeque<Api.Action> actions = new ArrayDeque<>();
+    private final Turns turns;
+    private final Api.Settings settings;
+    private final Neighbours neighbours;
+    private final Counters counters;
+    private final Policy module;
+    private final TakeIn takeIn;
+    private final Admit admit;
+    private final Route route;
+    private final Dispatch dispatch;
+    private final Relay relay;
+    private final Book book;
+    private boolean acting;
+
+    public Ingress(Api.Settings settings, long seed, Turns turns, Regions regions, Neighbours neighbours,
+            Counters counters) {
+        this.settings = settings;
+        this.turns = turns;
+        this.neighbours = neighbours;
+        this.counters = counters;
+        module = new Policy(settings, seed, turns.now(), actions::add);
+        takeIn = new TakeIn(turns, open, counters);
+        admit = new Admit(turns, module);
+        route = new Route(regions, settings.limits().maxAttempts());
+        dispatch = new Dispatch(turns, regions, counters, this::ended);
+        relay = new Relay(counters);
+        book = new Book(turns, open, counters);
+        act();
+    }
+
+    public Api.Settings settings() { return settings; }
+
+    public Counters counters() { return counters; }
+
+    public int openCount() { return open.size(); }
+
+    /** A front brings a transaction. Its terminal gets exactly one final answer. */
+    public Transaction take(Order order) {
+        Transaction[] taken = new Transaction[1];
+        Transaction t = takeIn.take(order, () -> overdue(taken[0]), GRACE_MS);
+        taken[0] = t;
+        admit.ask(t);
+        act();
+        return t;
+    }
+
+    /** The terminal left: nothing more is owed. */
+    public void gone(Transaction t) {
+        if (t.answered || t.gone) { return; }
+        t.gone = true;
+        counters.clientsGone++;
+        release(t);
+    }
+
+    /** An attempt ended, as the regions' side saw it. */
+    public void ended(Attempt attempt, Attempt.Result result) {
+        if (attempt.over) { return; }
+        book.attempt(attempt, result);
+        Transaction t = attempt.transaction;
+        if (result.outcome() == Api.Outcome.SERVED) { relay.served(t, result.value()); }
+        boolean finished = t.answered || t.gone;
+        if (finished) { book.close(t); }
+        admit.tell(new Api.AttemptDone(t.number, attempt.number, attempt.region, result.outcome(),
+                turns.now() - attempt.sentAt, finished, 0, result.load()));
+        act();
+    }
+
+    /** The service table changed, or another ingress spoke. */
+    public void tell(Api.Event event) {
+        admit.tell(event);
+        act();
+    }
+
+    private void overdue(Transaction t) {
+        if (t.answered || t.gone) { return; }
+        relay.failed(t, "deadline passed");
+        release(t);
+    }
+
+    /** Nothing is owed any more; an attempt still out is given up by the module. */
+    private void release(Transaction t) {
+        book.close(t);
+        admit.tell(new Api.ClientGone(t.number));
+        act();
+        if (t.attempt != null && !t.attempt.over) { cancel(t, t.attempt.number); }
+    }
+
+    /** Actions run after the module has returned, in the order in which it gave them. */
+    private void act() {
+        if (acting) { return; }
+        acting = true;
+        try {
+            for (Api.Action action; (action = actions.poll()) != null;) { act(action); }
+        } finally {
+            acting = false;
+        }
+    }
+
+    private void act(Api.Action action) {
+        if (action instanceof Api.Send a) {
+            send(open.get(a.id()), a);
+        } else if (action instanceof Api.Refuse a) {
+            Transaction t = open.get(a.id());
+            if (t != null) {
+                relay.shortOnCapacity(t, a.retryAfterMs());
+                book.close(t);
+            }
+        } else if (action instanceof Api.Fail a) {
+            Transaction t = open.get(a.id());
+            if (t != null) {
+                relay.failed(t, "failed");
+                book.close(t);
+            }
+        } else if (action instanceof Api.Cancel a) {
+            Transaction t = open.get(a.id());
+            if (t != null) { cancel(t, a.attempt()); }
+        } else if (action instanceof Api.SetTimer a) {
+            turns.deadlines().at(a.atMs(), () -> tell(new Api.TimerFired(a.token())));
+        } else if (action instanceof Api.Tell a) {
+            counters.peerOut++;
+            neighbours.tell(a.to(), a.body());
+        }
+        // Subscribe asks for nothing: the service table is watched from the start.
+    }
+
+    private void send(Transaction t, Api.Send a) {
+        if (t == null) { return; }
+        if (route.open(t, a.server(), turns.now())) {
+            dispatch.send(t, a.server(), a.timeoutMs());
+            return;
+        }
+        int number = t.attempts++;
+        counters.outcomes[Api.Outcome.NOT_SENT.ordinal()]++;
+        admit.tell(new Api.AttemptDone(t.number, number, a.server(), Api.Outcome.NOT_SENT, 0, t.answered || t.gone, 0,
+                null));
+    }
+
+    private void cancel(Transaction t, int number) {
+        Attempt attempt = t.attempt;
+        if (attempt == null || attempt.over || attempt.number != number) { return; }
+        attempt.giveUp.run();
+        turns.afterwards(() -> ended(attempt, Attempt.Result.of(Api.Outcome.CANCELLED)));
+    }
+}
--- /dev/null
+++ b/src/main/java/yardusher/list/ServiceTable.java
@@ -0,0 +1,98 @@
+package yardusher.list;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import yardusher.Api;
+import yardusher.net.Sockets;
+import yardusher.servers.RegionPool;
+import yardusher.wire.Codec;
+
+/** The service table: discovery's list as it was last told, and what each word of it means to the module. */
+public final class ServiceTable {
+    private static final JsonFactory JSON = new JsonFactory();
+
+    private final List<String> zones;
+    private final RegionPool pool;
+    private final Set<Long> known = new HashSet<>();
+    private long revision;
+
+    public ServiceTable(List<String> zones, RegionPool pool) {
+        this.zones = zones;
+        this.pool = pool;
+    }
+
+    public long revision() { return revision; }
+
+    /** Reads one JSON object of a watch. */
+    public Api.ServerList line(String text) throws IOException {
+        try (JsonParser parser = JSON.createParser(text)) {
+            if (parser.nextToken() == null || !(Codec.read(parser) instanceof Codec.Fields fields)) {
+                throw new IOException("not an object");
+            }
+            return take(fields, null);
+        } catch (RuntimeException e) {
+            throw new IOException("bad entry: " + e.getMessage(), e);
+        }
+    }
+
+    /** Takes news in; {@code as} null goes by the object's own word on whether it is complete. */
+    public Api.ServerList take(Codec.Fields news, Api.ListKind as) {
+        boolean complete = news.flag("complete");
+        List<Api.Server> servers = new ArrayList<>();
+        List<InetSocketAddress> addresses = new ArrayList<>();
+        for (Codec.Fields member : news.objects("members")) { // read whole before anything is changed
+            Api.Readiness readiness = switch (member.text("phase")) {
+                case "Ready" -> Api.Readiness.READY;
+                case "Gone" -> Api.Readiness.GONE;
+                default -> Api.Readiness.DRAINING;   // also a phase not known yet: send it nothing new
+            };
+            servers.add(new Api.Server(id(member.text("id")), zone(member), (int) member.number("cell", 0),
+                    member.number("size", 1), member.number("up_since_ms", 0), readiness));
+            addresses.add(readiness == Api.Readiness.GONE ? null : Sockets.address(member.text("host_port")));
+        }
+        Set<Long> absent = complete ? new HashSet<>(known) : new HashSet<>();
+        for (int i = 0; i < servers.size(); i++) {
+            Api.Server server = servers.get(i);
+            absent.remove(server.id());
+            if (server.readiness() == Api.Readiness.GONE) {
+                forget(server.id());
+                continue;
+            }
+            known.add(server.id());
+            pool.place(server.id(), addresses.get(i));
+            if (server.readiness() == Api.Readiness.DRAINING) { pool.leave(server.id(), false); }
+        }
+        absent.forEach(this::forget);
+        revision = (long) news.number("revision", revision);
+        return new Api.ServerList(as != null ? as : complete ? Api.ListKind.FULL : Api.ListKind.DELTA, servers);
+    }
+
+    private void forget(long id) {
+        known.remove(id);
+        pool.leave(id, true);
+    }
+
+    /** Ids are the same at every ingress; as numbers they fit the module's messages. */
+    static long id(String text) {
+        int dash = text.lastIndexOf('-');
+        try {
+            return Long.parseLong(text.substring(dash + 1), 16) & 0xFFFFFFFFL;
+        } catch (NumberFormatException e) {
+            return text.hashCode() & 0xFFFFFFFFL;
+        }
+    }
+
+    private int zone(Codec.Fields member) {
+        String locality = member.text("locality");
+        for (int i = 0; i < zones.size(); i++) {
+            if (zones.get(i).equals(locality) || zones.get(i).endsWith("-" + locality)) { return i; }
+        }
+        return locality.length() == 1 ? locality.charAt(0) - 'a' : 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/yardusher/list/Watch.java
@@ -0,0 +1,149 @@
+package yardusher.list;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.AsynchronousSocketChannel;
+import java.nio.channels.CompletionHandler;
+import java.nio.charset.StandardCharsets;
+import yardusher.Api;
+import yardusher.core.Counters;
+import yardusher.core.Ingress;
+import yardusher.core.Turns;
+import yardusher.net.Sockets;
+
+/** The watch on discovery: one HTTP answer that stays open. When it ends or falls silent it is asked for anew. */
+public final class Watch {
+    private static final double DIAL_MS = 1000;
+    private static final double SILENT_MS = 6500;    // a line comes every 2 s; later than this it is broken
+    private static final double AGAIN_MS = 100;
+    private static final double AGAIN_MOST_MS = 1000;
+
+    private final Sockets sockets;
+    private final Turns turns;
+    private final InetSocketAddress address;
+    private final ServiceTable table;
+    private final Ingress ingress;
+    private final Counters counters;
+    private double againMs = AGAIN_MS;
+    private Stream stream;
+    private boolean stopped;
+
+    public Watch(Sockets sockets, InetSocketAddress address, ServiceTable table, Ingress ingress) {
+        this.sockets = sockets;
+        this.turns = sockets.turns();
+        this.address = address;
+        this.table = table;
+        this.ingress = ingress;
+        this.counters = ingress.counters();
+    }
+
+    public void start() {
+        if (stopped) { return; }
+        sockets.connect(address, DIAL_MS, channel -> {
+            stream = new Stream(channel);
+            stream.ask();
+        }, this::again);
+    }
+
+    public void stop() {
+        stopped = true;
+        if (stream != null) { stream.close(); }
+    }
+
+    private void again() {
+        if (stopped) { return; }
+        turns.deadlines().at(turns.now() + againMs, this::start);
+        againMs = Math.min(AGAIN_MOST_MS, 2 * againMs);
+    }
+
+    private final class Stream {
+        private final AsynchronousSocketChannel channel;
+        private final ChunkedLines lines = new ChunkedLines();
+        private final ByteBuffer in = ByteBuffer.allocate(8192);
+        private double heardAt = turns.now();
+        private boolean closed;
+
+        Stream(AsynchronousSocketChannel channel) { this.channel = channel; }
+
+        void ask() {
+            String request = "GET /v1/servers?follow=1&since=" + table.revision() + " HTTP/1.1\r\nHost: "
+                    + address.getHostString() + ":" + address.getPort() + "\r\nAccept: application/json\r\n\r\n";
+            write(ByteBuffer.wrap(request.getBytes(StandardCharsets.US_ASCII)));
+            turns.deadlines().at(turns.now() + SILENT_MS, this::watchSilence);
+        }
+
+        private void watchSilence() {
+            if (closed) { return; }
+            double left = heardAt + SILENT_MS - turns.now();
+            if (left > 0) {
+                turns.deadlines().at(turns.now() + left, this::watchSilence);
+            } else {
+                fail();
+            }
+        }
+
+        private void write(ByteBuffer request) {
+            channel.write(request, null, new CompletionHandler<Integer, Void>() {
+                @Override
+                public void completed(Integer count, Void none) {
+                    turns.turn(() -> {
+                        if (closed) { return; }
+                        if (request.hasRemaining()) { write(request); } else { read(); }
+                    });
+                }
+
+                @Override
+                public void failed(Throwable why, Void none) { turns.turn(Stream.this::fail); }
+            });
+        }
+
+        private void read() {
+            in.clear();
+            channel.read(in, null, new CompletionHandler<Integer, Void>() {
+                @Override
+                public void completed(Integer count, Void none) { turns.turn(() -> got(count)); }
+
+                @Override
+                public void failed(Throwable why, Void none) { turns.turn(Stream.this::fail); }
+            });
+        }
+
+        private void got(int count) {
+            if (closed) { return; }
+            if (count < 0) {
+                fail();
+                return;
+            }
+            heardAt = turns.now();
+            try {
+                lines.feed(in.array(), count);
+                for (String line; (line = lines.next()) != null;) {
+                    if (line.isBlank()) { continue; }
+                    Api.ServerList news = table.line(line);
+                    counters.listChanges++;
+                    againMs = AGAIN_MS;
+                    ingress.tell(news);
+                }
+            } catch (IOException e) {
+                System.err.println("service table: " + e.getMessage());
+                fail();
+                return;
+            }
+            if (lines.ended()) { fail(); } else { read(); }
+        }
+
+        private void fail() {
+            if (closed) { return; }
+            close();
+            again();
+        }
+
+        void close() {
+            closed = true;
+            try {
+                channel.close();
+            } catch (IOException e) { /* it is gone either way */ }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/yardusher/net/Link.java
@@ -0,0 +1,166 @@
+package yardusher.net;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.AsynchronousSocketChannel;
+import java.nio.channels.CompletionHandler;
+import java.util.ArrayDeque;
+import yardusher.core.Turns;
+import yardusher.resp.Decoder;
+
+/**
+ * One connection: reads into its decoder and writes what is queued, by completion handlers, each of them a
+ * turn. All methods are called within turns.
+ */
+public final class Link {
+    /** What the owner of a connection is told, each within a turn. */
+    public interface Owner {
+        /** More bytes stand in the decoder. False stops reading until {@link Link#readMore}. */
+        boolean readable(Link link);
+
+        /** All that was queued has been written. */
+        default void written(Link link) { }
+
+        /** The connection has ended from outside; told once, and not after {@link Link#close}. */
+        void ended(Link link);
+    }
+
+    private static final int MOST_QUEUED = 4 << 20;
+
+    private final AsynchronousSocketChannel channel;
+    private final Turns turns;
+    private final Owner owner;
+    private final Decoder decoder = new Decoder();
+    private final ArrayDeque<ByteBuffer> queue = new ArrayDeque<>(4);
+    private int queued;
+    private boolean writing;
+    private boolean reading;
+    private boolean finishing;
+    private boolean closed;
+    private boolean writeFailed;
+
+    public Link(AsynchronousSocketChannel channel, Turns turns, Owner owner) {
+        this.channel = channel;
+        this.turns = turns;
+        this.owner = owner;
+    }
+
+    public Decoder decoder() { return decoder; }
+
+    public boolean isClosed() { return closed; }
+
+    /** Whether it ended in a write: then the last byte was never written. */
+    public boolean writeFailed() { return writeFailed; }
+
+    public boolean isIdle() { return !writing && queue.isEmpty() && decoder.isEmpty(); }
+
+    public void readMore() {
+        if (reading || closed) { return; }
+        reading = true;
+        try {
+            channel.read(decoder.room(), this, READ);
+        } catch (RuntimeException e) {
+            end();
+        }
+    }
+
+    public void write(byte[] bytes) {
+        if (closed) { return; }
+        queue.add(ByteBuffer.wrap(bytes));
+        queued += bytes.length;
+        // Guards against a terminal that asks and never reads: answers would fill the heap.
+        if (queued > MOST_QUEUED) {
+            end();
+        } else if (!writing) {
+            writing = true;
+            turns.afterwards(this::flush); // what one turn queues goes out together
+        }
+    }
+
+    /** Closes once what is queued has been written. */
+    public void finish() {
+        finishing = true;
+        if (!writing && queue.isEmpty()) {
+            close();
+        }
+    }
+
+    public void close() {
+        if (closed) { return; }
+        closed = true;
+        queue.clear();
+        try {
+            channel.close();
+        } catch (IOException e) { /* it is gone either way */ }
+    }
+
+    private void end() {
+        if (closed) { return; }
+        close();
+        owner.ended(this);
+    }
+
+    private void flush() {
+        if (closed) { return; }
+        ByteBuffer first = queue.peek();
+        if (queue.size() > 1) {
+            int size = 0;
+            for (ByteBuffer part : queue) { size += part.remaining(); }
+            first = ByteBuffer.allocate(size);
+            for (ByteBuffer part : queue) { first.put(part); }
+            first.flip();
+            queue.clear();
+            queue.add(first);
+        }
+        try {
+            channel.write(first, this, WRITTEN);
+        } catch (RuntimeException e) {
+            end();
+        }
+    }
+
+    private void read(int count) {
+        reading = false;
+        if (closed) { return; }
+        if (count < 0) {
+            end();
+            return;
+        }
+        decoder.filled(count);
+        if (owner.readable(this) && !closed) { readMore(); }
+    }
+
+    private void wrote(int count) {
+        if (closed) { return; }
+        queued -= count;
+        if (!queue.peek().hasRemaining()) { queue.poll(); }
+        if (!queue.isEmpty()) {
+            flush();
+            return;
+        }
+        writing = false;
+        owner.written(this);
+        if (finishing) { close(); }
+    }
+
+    private static final CompletionHandler<Integer, Link> READ = new CompletionHandler<>() {
+        @Override
+        public void completed(Integer count, Link link) { link.turns.turn(() -> link.read(count)); }
+
+        @Override
+        public void failed(Throwable why, Link link) { link.turns.turn(link::end); }
+    };
+
+    private static final CompletionHandler<Integer, Link> WRITTEN = new CompletionHandler<>() {
+        @Override
+        public void completed(Integer count, Link link) { link.turns.turn(() -> link.wrote(count)); }
+
+        @Override
+        public void failed(Throwable why, Link link) {
+            link.turns.turn(() -> {
+                link.writeFailed = true;
+                link.end();
+            });
+        }
+    };
+}
--- /dev/null
+++ b/src/main/java/yardusher/net/Sockets.java
@@ -0,0 +1,171 @@
+package yardusher.net;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.net.UnknownHostException;
+import java.nio.channels.AsynchronousChannelGroup;
+import java.nio.channels.AsynchronousServerSocketChannel;
+import java.nio.channels.AsynchronousSocketChannel;
+import java.nio.channels.CompletionHandler;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import yardusher.core.Deadlines;
+import yardusher.core.Turns;
+
+/** Opens connections and listens, on one channel group with one thread of its own. */
+public final class Sockets {
+    private final AsynchronousChannelGroup group;
+    private final Turns turns;
+
+    public Sockets(Turns turns) throws IOException {
+        this.turns = turns;
+        // One fixed thread polls and runs the handlers itself; a pool given from outside would cost a hop each.
+        group = AsynchronousChannelGroup.withFixedThreadPool(1, work -> {
+            Thread thread = new Thread(work, "sockets");
+            thread.setDaemon(true);
+            return thread;
+        });
+    }
+
+    public Turns turns() { return turns; }
+
+    /** An address of digits and a port, such as 127.0.0.4:6379. Names are not looked up. */
+    public static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        String host = colon < 0 ? "" : text.substring(0, colon);
+        if (!host.matches("[0-9.]+|\\[[0-9a-fA-F:.]+]")) {
+            throw new IllegalArgumentException("not an address: " + text);
+        }
+        try {
+            return new InetSocketAddress(InetAddress.getByName(host), Integer.parseInt(text.substring(colon + 1)));
+        } catch (UnknownHostException | NumberFormatException e) {
+            throw new IllegalArgumentException("not an address: " + text, e);
+        }
+    }
+
+    /** A listening socket. */
+    public final class Door {
+        private final AsynchronousServerSocketChannel channel;
+        private final Consumer<AsynchronousSocketChannel> guests;
+        private final Predicate<Void> room;
+        private boolean accepting;
+
+        private Door(AsynchronousServerSocketChannel channel, Consumer<AsynchronousSocketChannel> guests,
+                Predicate<Void> room) {
+            this.channel = channel;
+            this.guests = guests;
+            this.room = room;
+        }
+
+        public InetSocketAddress address() throws IOException { return (InetSocketAddress) channel.getLocalAddress(); }
+
+        /** Goes on accepting while there is room; called again when room comes back. */
+        public void open() {
+            // Guards against running out of descriptors: who finds no room waits in the backlog.
+            if (accepting || !channel.isOpen() || !room.test(null)) { return; }
+            accepting = true;
+            channel.accept(this, new CompletionHandler<AsynchronousSocketChannel, Door>() {
+                @Override
+                public void completed(AsynchronousSocketChannel guest, Door door) {
+                    turns.turn(() -> {
+                        accepting = false;
+                        quick(guest);
+                        guests.accept(guest);
+                        open();
+                    });
+                }
+
+                @Override
+                public void failed(Throwable why, Door door) {
+                    turns.turn(() -> {
+                        accepting = false;
+                        turns.deadlines().at(turns.now() + 50, Door.this::open);
+                    });
+                }
+            });
+        }
+
+        public void close() {
+            try {
+                channel.close();
+            } catch (IOException e) { /* it is gone either way */ }
+        }
+    }
+
+    public Door listen(InetSocketAddress at, Consumer<AsynchronousSocketChannel> guests, Predicate<Void> room)
+            throws IOException {
+        AsynchronousServerSocketChannel channel = AsynchronousServerSocketChannel.open(group);
+        channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+        channel.bind(at, 1024);
+        return new Door(channel, guests, room);
+    }
+
+    /** Connects within the time given; one of the two is called, in a turn. The result gives it up. */
+    public Runnable connect(InetSocketAddress to, double withinMs, Consumer<AsynchronousSocketChannel> then,
+            Runnable orElse) {
+        AsynchronousSocketChannel channel;
+        try {
+            channel = AsynchronousSocketChannel.open(group);
+        } catch (IOException e) {
+            turns.afterwards(orElse);
+            return () -> { };
+        }
+        boolean[] over = new boolean[1];
+        Runnable drop = () -> {
+            over[0] = true;
+            shut(channel);
+        };
+        Deadlines.Entry limit = turns.deadlines().at(turns.now() + withinMs, () -> {
+            if (!over[0]) {
+                drop.run();
+                orElse.run();
+            }
+        });
+        channel.connect(to, null, new CompletionHandler<Void, Void>() {
+            @Override
+            public void completed(Void nothing, Void none) {
+                turns.turn(() -> {
+                    turns.deadlines().cancel(limit);
+                    if (over[0]) { return; }
+                    over[0] = true;
+                    quick(channel);
+                    then.accept(channel);
+                });
+            }
+
+            @Override
+            public void failed(Throwable why, Void none) {
+                turns.turn(() -> {
+                    turns.deadlines().cancel(limit);
+                    if (over[0]) { return; }
+                    drop.run();
+                    orElse.run();
+                });
+            }
+        });
+        return () -> {
+            turns.deadlines().cancel(limit);
+            drop.run();
+        };
+    }
+
+    private static void quick(AsynchronousSocketChannel channel) {
+        try {
+            channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+        } catch (IOException e) { /* the first read or write will tell */ }
+    }
+
+    private static void shut(AsynchronousSocketChannel channel) {
+        try {
+            channel.close();
+        } catch (IOException e) { /* it is gone either way */ }
+    }
+
+    public void shutdown() {
+        try {
+            group.shutdownNow();
+        } catch (IOException e) { /* the process ends */ }
+    }
+}
--- /dev/null
+++ b/src/main/java/yardusher/resp/Decoder.java
@@ -0,0 +1,169 @@
+package yardusher.resp;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+/**
+ * The one RESP2 parser, for commands and for replies. Bytes are read into its buffer as they come; a value is
+ * taken out once it is whole. Everything is bounded: line, bulk string, items, depth and the value as a whole.
+ */
+public final class Decoder {
+    /** A bulk string holds no more (PROTOCOL). */
+    public static final int MOST_BULK = 64 * 1024;
+    private static final int MOST_VALUE = MOST_BULK + 8 * 1024;
+    private static final int MOST_ITEMS = 64;
+    private static final int MOST_DEPTH = 4;
+    private static final int MOST_LINE = 512;
+    private static final int SMALL = 1024;
+
+    private byte[] bytes = new byte[SMALL];
+    private int start;
+    private int end;
+    private int at;
+
+    /** Room to read into; what lies there counts only after {@link #filled}. */
+    public ByteBuffer room() {
+        if (start == end) {
+            start = end = 0;
+            if (bytes.length > 16 * SMALL) { bytes = new byte[SMALL]; } // one large value keeps no memory
+        }
+        if (bytes.length - end < SMALL / 4) {
+            if (start > 0) {
+                System.arraycopy(bytes, start, bytes, 0, end - start);
+                end -= start;
+                start = 0;
+            }
+            if (bytes.length - end < SMALL / 4) { bytes = Arrays.copyOf(bytes, bytes.length * 2); }
+        }
+        return ByteBuffer.wrap(bytes, end, bytes.length - end);
+    }
+
+    public void filled(int count) { end += count; }
+
+    public boolean isEmpty() { return start == end; }
+
+    /** The next command as its words, or null while it is not whole. */
+    public byte[][] command() throws Malformed {
+        if (start == end) { return null; }
+        at = start;
+        if (bytes[at] != '*') { throw new Malformed("expected '*'"); }
+        at++;
+        long count = number();
+        if (count == NOT_YET) { return incomplete(); }
+        if (count < 1 || count > MOST_ITEMS) { throw new Malformed("invalid multibulk length"); }
+        byte[][] words = new byte[(int) count][];
+        for (int i = 0; i < count; i++) {
+            if (at == end) { return incomplete(); }
+            if (bytes[at] != '$') { throw new Malformed("expected '$'"); }
+            at++;
+            long length = number();
+            if (length == NOT_YET) { return incomplete(); }
+            if (length < 0) { throw new Malformed("invalid bulk length"); }
+            words[i] = bulk(length);
+            if (words[i] == null) { return incomplete(); }
+        }
+        start = at;
+        return words;
+    }
+
+    /** The next reply, or null while it is not whole. */
+    public Value value() throws Malformed {
+        at = start;
+        Value value = value(0);
+        if (value == null) {
+            incomplete();
+        } else {
+            start = at;
+        }
+        return value;
+    }
+
+    private byte[][] incomplete() throws Malformed {
+        // Guards against a peer that never ends a value: the buffer would grow without bound.
+        if (end - start > MOST_VALUE) { throw new Malformed("value too large"); }
+        return null;
+    }
+
+    private Value value(int depth) throws Malformed {
+        if (at == end) { return null; }
+        if (depth > MOST_DEPTH) { throw new Malformed("nested too deep"); }
+        byte kind = bytes[at++];
+        switch (kind) {
+            case '+', '-' -> {
+                int from = at;
+                int to = line();
+                if (to < 0) { return null; }
+                String text = new String(bytes, from, to - from, StandardCharsets.UTF_8);
+                return kind == '+' ? new Value.Simple(text) : new Value.Failure(text);
+            }
+            case ':' -> {
+                long number = number();
+                return number == NOT_YET ? null : new Value.Whole(number);
+            }
+            case '$' -> {
+                long length = number();
+                if (length == NOT_YET) { return null; }
+                if (length == -1) { return new Value.Bulk(null); }
+                byte[] body = bulk(length);
+                return body == null ? null : new Value.Bulk(body);
+            }
+            case '*' -> {
+                long count = number();
+                if (count == NOT_YET) { return null; }
+                if (count == -1) { return new Value.Many(null); }
+                if (count < 0 || count > MOST_ITEMS) { throw new Malformed("invalid multibulk length"); }
+                List<Value> items = new ArrayList<>((int) count);
+                for (int i = 0; i < count; i++) {
+                    Value item = value(depth + 1);
+                    if (item == null) { return null; }
+                    items.add(item);
+                }
+                return new Value.Many(items);
+            }
+            default -> throw new Malformed("unknown kind of value");
+        }
+    }
+
+    private byte[] bulk(long length) throws Malformed {
+        if (length < 0 || length > MOST_BULK) { throw new Malformed("invalid bulk length"); }
+        if (end - at < length + 2) { return null; }
+        int after = at + (int) length;
+        if (bytes[after] != '\r' || bytes[after + 1] != '\n') { throw new Malformed("bulk string without its end"); }
+        byte[] body = Arrays.copyOfRange(bytes, at, after);
+        at = after + 2;
+        return body;
+    }
+
+    private static final long NOT_YET = Long.MIN_VALUE;
+
+    private long number() throws Malformed {
+        int from = at;
+        int to = line();
+        if (to < 0) { return NOT_YET; }
+        int i = from < to && bytes[from] == '-' ? from + 1 : from;
+        if (i == to || to - i > 18) { throw new Malformed("invalid number"); }
+        long number = 0;
+        for (int k = i; k < to; k++) {
+            int digit = bytes[k] - '0';
+            if (digit < 0 || digit > 9) { throw new Malformed("invalid number"); }
+            number = number * 10 + digit;
+        }
+        return i > from ? -number : number;
+    }
+
+    /** Passes over a line; returns where its text ends, or -1 while it is not whole. */
+    private int line() throws Malformed {
+        for (int i = at; i < end; i++) {
+            if (bytes[i] == '\n') {
+                if (i == at || bytes[i - 1] != '\r') { throw new Malformed("line without CR"); }
+                at = i + 1;
+                return i - 1;
+            }
+            if (i - at > MOST_LINE) { throw new Malformed("line too long"); }
+        }
+        return -1;
+    }
+}
--- /dev/null
+++ b/src/main/java/yardusher/servers/RegionPool.java
@@ -0,0 +1,141 @@
+package yardusher.servers;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import yardusher.Api;
+import yardusher.core.Attempt;
+import yardusher.core.Counters;
+import yardusher.core.Ingress;
+import yardusher.core.Regions;
+import yardusher.net.Sockets;
+
+/**
+ * Connections to all regions. One attempt at a time on each: answers come in order, so a slow one would hold up
+ * those behind it, and giving one up closes the connection. The most recently used is taken first.
+ */
+public final class RegionPool implements Regions {
+    private static final double RETIRED_PART = 0.7;  // of the told idle time: never race the region's own close
+    private static final double UPKEEP_MS = 1000;
+
+    final Sockets sockets;
+    final Counters counters;
+    private final double dialMs;
+    private final double retireMs;
+    private final int mostConnections;
+    final List<Api.Metric> report;
+    private final Map<Long, Place> places = new HashMap<>();
+    private Ingress ingress;
+    int connections;
+
+    /** A region of the service table and the connections that stand idle there. */
+    static final class Place {
+        InetSocketAddress address;
+        final ArrayDeque<RegionLink> idle = new ArrayDeque<>();
+
+        Place(InetSocketAddress address) { this.address = address; }
+    }
+
+    public RegionPool(Sockets sockets, Counters counters, List<Api.Metric> report, double dialMs, double idleMs,
+            int mostConnections) {
+        this.sockets = sockets;
+        this.counters = counters;
+        this.report = report;
+        this.dialMs = dialMs;
+        this.retireMs = idleMs * RETIRED_PART;
+        this.mostConnections = mostConnections;
+        sockets.turns().deadlines().at(sockets.turns().now() + UPKEEP_MS, this::upkeep);
+    }
+
+    public void serve(Ingress core) { ingress = core; }
+
+    /** The service table names a region, at this address now. */
+    public void place(long region, InetSocketAddress address) {
+        Place place = places.computeIfAbsent(region, r -> new Place(address));
+        if (!place.address.equals(address)) {
+            place.address = address;
+            dropIdle(place);
+        }
+    }
+
+    /** A region drains or is gone: what stands idle there is closed at once. */
+    public void leave(long region, boolean forget) {
+        Place place = forget ? places.remove(region) : places.get(region);
+        if (place != null) { dropIdle(place); }
+    }
+
+    private void dropIdle(Place place) {
+        for (RegionLink link; (link = place.idle.poll()) != null;) { link.close(); }
+    }
+
+    @Override
+    public boolean knows(long region) { return places.containsKey(region); }
+
+    @Override
+    public void begin(Attempt attempt, byte[] cargo) {
+        Place place = places.get(attempt.region);
+        RegionLink link = place.idle.pollLast();
+        if (link != null) {
+            link.carry(attempt, cargo);
+            return;
+        }
+        if (connections >= mostConnections && !closeOneIdle()) {
+            // Guards the descriptor limit: past the budget nothing was sent, so the module may go elsewhere.
+            sockets.turns().afterwards(() -> end(attempt, Attempt.Result.of(Api.Outcome.CONNECT_FAILED)));
+            return;
+        }
+        connections++;
+        counters.connectionsOpened++;
+        RegionLink fresh = new RegionLink(this, place, attempt.region);
+        Runnable giveUp = sockets.connect(place.address, dialMs, channel -> {
+            fresh.open(channel);
+            fresh.carry(attempt, cargo);
+        }, () -> {
+            connections--;
+            end(attempt, Attempt.Result.of(Api.Outcome.CONNECT_FAILED));
+        });
+        attempt.giveUp = () -> {
+            connections--;
+            giveUp.run();
+        };
+    }
+
+    private boolean closeOneIdle() {
+        for (Place place : places.values()) {
+            RegionLink oldest = place.idle.pollFirst();
+            if (oldest != null) {
+                oldest.close();
+                return true;
+            }
+        }
+        return false;
+    }
+
+    void end(Attempt attempt, Attempt.Result result) { ingress.ended(attempt, result); }
+
+    /** An attempt ended in order: its connection waits for the next. */
+    void rest(RegionLink link) {
+        link.idleSince = sockets.turns().now();
+        if (places.get(link.region) == link.place) {
+            link.place.idle.addLast(link);
+        } else {
+            link.close();
+        }
+    }
+
+    private void upkeep() {
+        double now = sockets.turns().now();
+        sockets.turns().deadlines().at(now + UPKEEP_MS, this::upkeep);
+        for (Place place : places.values()) {
+            for (Iterator<RegionLink> all = place.idle.iterator(); all.hasNext();) {
+                RegionLink link = all.next();
+                if (now - link.idleSince < retireMs) { break; }
+                all.remove();
+                link.close();
+            }
+        }
+    }
+}
--- a/src/main/java/yardusher/wire/Codec.java
+++ b/src/main/java/yardusher/wire/Codec.java
@@ -11,11 +11,11 @@
 import yardusher.Api;
 
 /** Translates between the wire's messages and the types of {@link Api}. Unknown keys are skipped. */
-final class Codec {
+public final class Codec {
     private Codec() { }
 
     /** Input that is not a legal message; the text says what is wrong. */
-    static final class Malformed extends RuntimeException {
+    public static final class Malformed extends RuntimeException {
         private static final long serialVersionUID = 1L;
 
         Malformed(String message) {
@@ -24,21 +24,21 @@
     }
 
     /** A JSON object with typed access; a needed value that is absent is {@link Malformed}. */
-    static final class Fields {
+    public static final class Fields {
         private final Map<String, Object> values = new HashMap<>();
 
-        double number(String key) {
+        public double number(String key) {
             if (values.get(key) instanceof Number number) {
                 return number.doubleValue();
             }
             throw new Malformed("needs a number in \"" + key + "\"");
         }
 
-        double number(String key, double absent) {
+        public double number(String key, double absent) {
             return values.get(key) == null ? absent : number(key);
         }
 
-        long whole(String key) {
+        public long whole(String key) {
             if (values.get(key) instanceof Number number) {
                 return number.longValue();
             }
@@ -49,25 +49,27 @@
             return (int) whole(key);
         }
 
-        boolean flag(String key) {
+        public boolean has(String key) { return values.get(key) != null; }
+
+        public boolean flag(String key) {
             return Boolean.TRUE.equals(values.get(key));
         }
 
-        String text(String key) {
+        public String text(String key) {
             if (values.get(key) instanceof String text) {
                 return text;
             }
             throw new Malformed("needs a text in \"" + key + "\"");
         }
 
-        Fields object(String key) {
+        public Fields object(String key) {
             if (values.get(key) instanceof Fields fields) {
                 return fields;
             }
             throw new Malformed("needs an object in \"" + key + "\"");
         }
 
-        List<Fields> objects(String key) {
+        public List<Fields> objects(String key) {
             List<Fields> found = new ArrayList<>();
             for (Object item : list(key)) {
                 if (!(item instanceof Fields fields)) {
@@ -78,7 +80,7 @@
             return found;
         }
 
-        List<?> list(String key) {
+        public List<?> list(String key) {
             if (values.get(key) instanceof List<?> list) {
                 return list;
             }
@@ -99,7 +101,7 @@
     }
 
     /** Reads the value at the parser's current token. */
-    static Object read(JsonParser parser) throws IOException {
+    public static Object read(JsonParser parser) throws IOException {
         switch (parser.currentToken()) {
             case START_OBJECT: {
                 Fields fields = new Fields();
@@ -131,7 +133,7 @@
         }
     }
 
-    static Api.Settings settings(Fields config) {
+    public static Api.Settings settings(Fields config) {
         List<Api.RequestClass> classes = new ArrayList<>();
         for (Fields c : config.objects("classes")) {
             Api.Effect effect = switch (c.text("effect")) {
--- a/src/main/java/yardusher/wire/WireHost.java
+++ b/src/main/java/yardusher/wire/WireHost.java
@@ -27,20 +27,8 @@
 
     private WireHost() { }
 
-    /** Entry point; {@code wirehost} is the only command. */
-    public static void main(String[] args) throws IOException {
-        if (args.length != 1 || !args[0].equals("wirehost")) {
-            System.err.println("usage: java -jar yardusher.jar wirehost");
-            System.exit(2);
-        }
-        int status = run(System.in, System.out, System.err);
-        if (status != 0) {
-            System.exit(status);
-        }
-    }
-
     /** Answers batches until the input ends; returns the exit status. */
-    static int run(InputStream in, OutputStream out, PrintStream errors) throws IOException {
+    public static int run(InputStream in, OutputStream out, PrintStream errors) throws IOException {
         BufferedReader lines = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16);
         WireHost host = new WireHost();
         String line;
