--- a/src/main/java/yardusher/cli/Serve.java
+++ b/src/main/java/yardusher/cli/Serve.java
@@ -139,7 +139,7 @@
             Runtime.getRuntime().halt(0);
         }, "drain"));
         serve.start();
-        System.err.println(config.name() + " serves at " + config.listen());
+        System.err.println(config.name() + " serves at " + serve.front.answers().address());
         try {
             new CountDownLatch(1).await();
         } catch (InterruptedException e) {
