Add the limits front: CL.THROTTLE answered by the module, transactions through all stages

Built: Policy.standing, which only looks (no units, no row, no random draw) and shares its arithmetic with admission; the escrow's sums were split for that, with the same order of random draws. Quantity 0 asks it, quantity 1 and more is a transaction and allowed only once served. Queries are bounded by a rate. Refusals now carry advice from the module, 0 where the settings give clients none (limits.retry_after).

--- a/src/main/java/yardusher/Api.java
+++ b/src/main/java/yardusher/Api.java
@@ -108,6 +108,12 @@
     /** Another gateway's message. */
     public record PeerMessage(int from, String body) implements Event { }
 
+    /**
+     * How a customer stands with its quota: the limit and what is left of it, in units; when the units asked
+     * about would fit, 0 for now; and when the whole limit is free again. Times are in milliseconds from now.
+     */
+    public record Standing(double limit, double remaining, double retryAfterMs, double resetMs) { }
+
     /** What a gateway does. */
     public sealed interface Action permits Send, Cancel, Refuse, Fail, SetTimer, Tell, Subscribe { }
 
--- a/src/main/java/yardusher/Policy.java
+++ b/src/main/java/yardusher/Policy.java
@@ -239,19 +239,71 @@
         Plan plan = c.plan;
         if (plan.openCap() > 0 && c.open() >= plan.openCap()) { return false; }
         if (plan.ratePerS() > 0) {
-            double limit = plan.burst();
-            // Unseen so far: others may have let in the whole burst unheard. One request always fits, since a
-            // quota too small to divide would refuse everybody.
-            boolean unseen = now - startedAt < c.windowMs && !informed(c);
-            if (unseen) { limit = Math.max(limit / c.spread, Math.min(limit, settings.mostUnits())); }
             double[] others = c.others(-1);
-            double used = others[SLOTS] + c.mine.sum();
-            double unheard = unheard(c, others[SLOTS + 1]);
-            if (used + units > Math.min(limit, plan.burst() - unheard) + 1e-9) { return false; }
+            double unheard = random.nextDouble() * unheard(c, others[SLOTS + 1]);
+            double limit = Math.min(firstLimit(c), plan.burst() - unheard);
+            if (others[SLOTS] + c.mine.sum() + units > limit + 1e-9) { return false; }
         }
         return escrowHolds(c, units);
     }
 
+    /**
+     * The limit, and what of it an unseen customer gets in its first window: others may have let in the whole
+     * burst unheard. One request always fits, since a quota too small to divide would refuse everybody.
+     */
+    private double firstLimit(Customer c) {
+        double limit = c.plan.burst();
+        boolean unseen = now - startedAt < c.windowMs && !informed(c);
+        return unseen ? Math.max(limit / c.spread, Math.min(limit, settings.mostUnits())) : limit;
+    }
+
+    /**
+     * How a customer stands, and when these units would fit if nothing more came in. Only looks: no units are
+     * taken, no row is made and no random number drawn, so asking changes no later decision.
+     */
+    public Standing standing(double nowMs, long id, int planIndex, double units, int first, int gateways) {
+        now = Math.max(now, nowMs);
+        Customer c = customers.get(id);
+        if (c == null || c.planIndex != planIndex) {
+            c = new Customer(id, planIndex);
+            c.reachedBy(first, gateways);
+        }
+        double[] others = c.others(-1);
+        double limit = c.plan.burst(), room = Double.POSITIVE_INFINITY, wait = 0;
+        if (c.plan.ratePerS() > 0) { // of what is not heard of yet, half is the likeliest
+            limit = Math.min(firstLimit(c), c.plan.burst() - unheard(c, others[SLOTS + 1]) / 2);
+            room = limit - others[SLOTS] - c.mine.sum();
+            wait = fitsIn(c, units, limit);
+        }
+        if (c.plan.openCap() > 0) { room = Math.min(room, c.plan.openCap() - c.open()); }
+        if (c.plan.ceilingRate() > 0) {
+            double share = escrowShare(c), left = escrowLevel(c, share) - escrowLeast(c, share);
+            room = Math.min(room, left);
+            wait = Math.max(wait, (units - left) / (share * c.plan.ceilingRate()) * 1000);
+        }
+        double reset = fitsIn(c, c.plan.burst(), c.plan.burst());
+        return new Standing(c.plan.burst(), Math.max(0, room), Math.max(0, wait), reset);
+    }
+
+    /** How long until the oldest slots that drop make room for these units; a whole window where none does. */
+    private double fitsIn(Customer c, double units, double limit) {
+        double[] others = c.others(-1);
+        double over = others[SLOTS] + c.mine.sum() + units - limit, wait = 0;
+        for (int age = SLOTS - 1; age >= 0 && over > 1e-9; age--) {
+            over -= others[age] + c.mine.slots[c.index(age)];
+            wait = (c.head + SLOTS - age) * c.slotMs - now;
+        }
+        return wait;
+    }
+
+    /** Honest advice with a refusal: when the quota has room again, or else the next look at the pressure. */
+    private double advice(Customer c, Request q) {
+        double most = settings.limits().maxRetryAfterMs();
+        if (most <= 0) { return 0; }
+        double wait = standing(now, q.customer(), q.plan(), q.units(), c.first, c.spread).retryAfterMs();
+        return Math.min(most, Math.max(1, wait > 0 ? wait : SWEEP_MS));
+    }
+
     /** Whether news of the customer came, or would have: from a small set that spoke, a large one by now. */
     private boolean informed(Customer c) {
         if (c.newsAt >= c.bornAt || c.spread == 1) { return true; }
@@ -265,13 +317,13 @@
     /**
      * Danger: all gateways see the same room and fill it before they hear of each other. What the others were
      * asked since the last news is known from its rate, but not who came first: this request's place among
-     * those is drawn at random, and only what lies before it needs room. Works for sets of any size; harms
-     * when the others' demand has just stopped.
+     * those is drawn at random by the caller, and only what lies before it needs room. Works for sets of any
+     * size; harms when the others' demand has just stopped.
      */
     private double unheard(Customer c, double askedByOthers) {
         double usual = c.direct() || c.rank >= 0 ? c.slotMs / 2 : Math.max(c.passEvery(), c.newsEvery);
         double staleness = Math.min(c.windowMs, Math.max(usual, now - c.newsAt));
-        return random.nextDouble() * askedByOthers * staleness / c.windowMs;
+        return askedByOthers * staleness / c.windowMs;
     }
 
     private boolean tight(Customer c) {
@@ -294,16 +346,26 @@
     // set, while peers are heard and less than the quota is asked, a busy one may overdraw: the counts hold.
 
     private boolean escrowHolds(Customer c, double units) {
-        Plan plan = c.plan;
-        if (plan.ceilingRate() <= 0) { return true; }
-        double asked = c.others(-1)[SLOTS + 1] + c.asked(c.mine);
-        boolean calm = c.direct() && now - heardAt < c.windowMs && asked < plan.burst();
-        double share = (calm ? 1 + OVERDRAWN : 1.0) / c.spread;
-        double earned = Math.min(share, c.lastShare) * plan.ceilingRate() * (now - c.levelAt) / 1000;
-        c.level = Math.min(plan.ceilingBurst() / c.spread, c.level + earned);
+        if (c.plan.ceilingRate() <= 0) { return true; }
+        double share = escrowShare(c);
+        c.level = escrowLevel(c, share);
         c.levelAt = now; c.lastShare = share;
-        double overdrawn = (share - 1.0 / c.spread) * plan.ceilingBurst();
-        return c.level - units >= -plan.ceilingSlack() / (2 * c.spread) - overdrawn;
+        return c.level - units >= escrowLeast(c, share);
+    }
+
+    private double escrowShare(Customer c) {
+        double asked = c.others(-1)[SLOTS + 1] + c.asked(c.mine);
+        boolean calm = c.direct() && now - heardAt < c.windowMs && asked < c.plan.burst();
+        return (calm ? 1 + OVERDRAWN : 1.0) / c.spread;
+    }
+
+    private double escrowLevel(Customer c, double share) {
+        double earned = Math.min(share, c.lastShare) * c.plan.ceilingRate() * (now - c.levelAt) / 1000;
+        return Math.min(c.plan.ceilingBurst() / c.spread, c.level + earned);
+    }
+
+    private double escrowLeast(Customer c, double share) {
+        return -c.plan.ceilingSlack() / (2 * c.spread) - (share - 1.0 / c.spread) * c.plan.ceilingBurst();
     }
 
     // ---- 4 gossip: rows and sums between gateways -----------------------------------------------
@@ -750,8 +812,7 @@
         Host host = admitted ? choose(held) : null;
         if (host == null) {
             changed(c, false);
-            // No advice to wait: clients told to wait return after their aim, worth nothing, and take quota.
-            out.accept(new Refuse(q.id(), 0));
+            out.accept(new Refuse(q.id(), advice(c, q)));
             return;
         }
         c.count(q.units());
@@ -884,7 +945,7 @@
         requests.remove(q.id());
         boolean harmless = held.ranOn == null || held.of.effect() == Effect.IDEMPOTENT
                 || held.of.effect() == Effect.DEDUPLICATED && held.of.group() == Group.ALL;
-        out.accept(harmless && now < q.dueMs() ? new Refuse(q.id(), 0) : new Fail(q.id()));
+        out.accept(harmless && now < q.dueMs() ? new Refuse(q.id(), advice(held.customer, q)) : new Fail(q.id()));
     }
 
     private void clientGone(long id) {
--- /dev/null
+++ b/src/main/java/yardusher/cli/Asking.java
@@ -0,0 +1,42 @@
+package yardusher.cli;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.ByteBuffer;
+import yardusher.net.Sockets;
+import yardusher.resp.Decoder;
+import yardusher.resp.Encoder;
+import yardusher.resp.Malformed;
+import yardusher.resp.Value;
+
+/** Asks one RESP command and waits for its answer: for sub-commands, which have nothing else to do. */
+public final class Asking {
+    private Asking() { }
+
+    public static Value ask(String address, int withinMs, String... words) throws IOException {
+        try (Socket socket = new Socket()) {
+            socket.connect(Sockets.address(address), withinMs);
+            socket.setSoTimeout(withinMs);
+            Encoder command = new Encoder(128).array(words.length);
+            for (String word : words) { command.bulk(word); }
+            socket.getOutputStream().write(command.toBytes());
+            InputStream in = socket.getInputStream();
+            Decoder decoder = new Decoder();
+            for (Value answer;;) {
+                ByteBuffer room = decoder.room();
+                int count = in.read(room.array(), room.position(), room.remaining());
+                if (count < 0) { throw new IOException(address + " closed without an answer"); }
+                decoder.filled(count);
+                if ((answer = decoder.value()) != null) { return answer; }
+            }
+        } catch (SocketTimeoutException e) {
+            throw new IOException(address + " does not answer", e);
+        } catch (java.net.ConnectException e) {
+            throw new IOException("nothing listens at " + address, e);
+        } catch (Malformed e) {
+            throw new IOException(address + " does not speak RESP: " + e.getMessage(), e);
+        }
+    }
+}
--- a/src/main/java/yardusher/cli/Config.java
+++ b/src/main/java/yardusher/cli/Config.java
@@ -56,6 +56,18 @@
                 limits.number("conn_idle_ms", 30_000), limits.number("dial_timeout_ms", 250));
     }
 
+    /** How many regions the configuration knows; an entry that cannot be used is an IllegalArgumentException. */
+    int members() {
+        int count = 0;
+        for (Codec.Fields member : known.objects("members")) {
+            Sockets.address(member.text("host_port"));
+            member.text("id");
+            member.text("phase");
+            count++;
+        }
+        return count;
+    }
+
     private static long seed(String hex) { return Long.parseUnsignedLong(hex, 16); }
 
     private static List<String> names(Codec.Fields settings, String key) {
--- a/src/main/java/yardusher/cli/Serve.java
+++ b/src/main/java/yardusher/cli/Serve.java
@@ -1,6 +1,8 @@
 package yardusher.cli;
 
 import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Instant;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -10,6 +12,8 @@
 import yardusher.core.Ingress;
 import yardusher.core.Neighbours;
 import yardusher.core.Turns;
+import yardusher.limits.LimitsConfig;
+import yardusher.limits.LimitsFront;
 import yardusher.list.ServiceTable;
 import yardusher.list.Watch;
 import yardusher.net.Sockets;
@@ -27,12 +31,14 @@
     private final RegionPool pool;
     private final Ingress ingress;
     private final PlatformFront front;
+    private final LimitsFront limitsFront;
     private final Watch watch;
     private final PeerSocket peers;
     private final CountDownLatch drained = new CountDownLatch(1);
     private final double longestMs;
 
-    public Serve(Config config) throws IOException {
+    /** Takes the limits front's file, or null where it is off. */
+    public Serve(Config config, LimitsConfig limits) throws IOException {
         turns = new Turns(clock(), this::fault);
         sockets = new Sockets(turns);
         int budget = Math.max(64, config.sockets() - OWN_DESCRIPTORS);
@@ -42,8 +48,8 @@
                 : new PeerSocket(config.peerListen(), config.peers(), turns);
         Neighbours neighbours = peers == null ? (to, body) -> { } : peers;
         longestMs = settings.classes().stream().mapToDouble(Api.RequestClass::deadlineMs).max().orElse(1000);
-        Object[] made = new Object[3];
-        IOException[] problem = new IOException[1];
+        Object[] made = new Object[4];
+        Exception[] problem = new Exception[1];
         turns.turn(() -> {
             try {
                 Ingress core = new Ingress(settings, config.seed(), turns, pool, neighbours, counters);
@@ -53,16 +59,19 @@
                 made[0] = core;
                 made[1] = new Watch(sockets, config.discovery(), table, core);
                 made[2] = new PlatformFront(sockets, config.listen(), core, config.classes(), config.plans(),
-                        budget * 3 / 5);
-            } catch (IOException e) {
+                        budget * 3 / 5 - (limits == null ? 0 : LimitsFront.MOST_TERMINALS));
+                made[3] = limits == null ? null
+                        : new LimitsFront(sockets, core, limits, config.classes(), config.plans(), config.seed());
+            } catch (IOException | RuntimeException e) {
                 problem[0] = e;
             }
         });
-        if (problem[0] != null) { throw problem[0]; }
-        if (made[2] == null) { throw new IOException("could not start"); }
+        if (problem[0] instanceof IOException e) { throw e; }
+        if (problem[0] instanceof RuntimeException e) { throw e; }
         ingress = (Ingress) made[0];
         watch = (Watch) made[1];
         front = (PlatformFront) made[2];
+        limitsFront = (LimitsFront) made[3];
     }
 
     public Ingress ingress() { return ingress; }
@@ -71,6 +80,8 @@
 
     public PlatformFront front() { return front; }
 
+    public LimitsFront limitsFront() { return limitsFront; }
+
     /** Milliseconds of Unix time that go on evenly: slots of all ingresses turn together, and nothing goes back. */
     private static java.util.function.DoubleSupplier clock() {
         Instant start = Instant.now();
@@ -89,6 +100,7 @@
         if (peers != null) { peers.start(ingress); }
         turns.turn(() -> {
             watch.start();
+            if (limitsFront != null) { limitsFront.answers().open(); }
             front.answers().open();                  // last: a PING is answered once all else is ready
         });
     }
@@ -96,14 +108,20 @@
     /** Accepts for a while, answers all that was taken, and returns well before the platform would kill it. */
     public void drain() throws InterruptedException {
         turns.turn(() -> turns.deadlines().at(turns.now() + ACCEPT_ON_MS, () -> {
-            front.answers().close();
+            closeFronts();
             waitForOpen();
         }));
         drained.await((long) (ACCEPT_ON_MS + longestMs), TimeUnit.MILLISECONDS);
     }
 
+    private void closeFronts() {
+        front.answers().close();
+        if (limitsFront != null) { limitsFront.answers().close(); }
+    }
+
     private void waitForOpen() {
-        if (ingress.openCount() == 0 && front.answers().terminalCount() == 0) {
+        if (ingress.openCount() == 0 && front.answers().terminalCount() == 0
+                && (limitsFront == null || limitsFront.answers().terminalCount() == 0)) {
             drained.countDown();
         } else {
             turns.deadlines().at(turns.now() + 20, this::waitForOpen);
@@ -112,24 +130,30 @@
 
     public String countersLine() {
         String[] line = new String[1];
-        turns.turn(() -> line[0] = counters.line(ingress.openCount()));
+        turns.turn(() -> line[0] = ingress.countersLine());
         return line[0];
     }
 
     public void close() {
         turns.turn(() -> {
             watch.stop();
-            front.answers().close();
+            closeFronts();
         });
         if (peers != null) { peers.close(); }
         turns.stop();
         sockets.shutdown();
     }
 
+    /** Whether the limits file opens the front at all. A plain look, so that the platform's start loads no parser. */
+    private static boolean listens(Path limitsFile) throws IOException {
+        return limitsFile != null && Files.exists(limitsFile)
+                && Files.readString(limitsFile).lines().anyMatch(line -> line.strip().startsWith("listen"));
+    }
+
     /** The sub-command: serves until SIGTERM, then drains and exits 0. */
-    static int run(String file) throws IOException, Config.Bad {
+    static int run(String file, Path limitsFile) throws IOException, Config.Bad {
         Config config = Config.read(file);
-        Serve serve = new Serve(config);
+        Serve serve = new Serve(config, listens(limitsFile) ? LimitsConfig.read(limitsFile) : null);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             try {
                 serve.drain();
@@ -139,7 +163,8 @@
             Runtime.getRuntime().halt(0);
         }, "drain"));
         serve.start();
-        System.err.println(config.name() + " serves at " + serve.front.answers().address());
+        System.err.println(config.name() + " serves at " + serve.front.answers().address()
+                + (serve.limitsFront == null ? "" : ", limits at " + serve.limitsFront.answers().address()));
         try {
             new CountDownLatch(1).await();
         } catch (InterruptedException e) {
--- a/src/main/java/yardusher/clients/PlatformFront.java
+++ b/src/main/java/yardusher/clients/PlatformFront.java
@@ -37,7 +37,7 @@
         if (Call.is(words)) {
             call(words, slot);
         } else {
-            slot.answer(Answers.common(words));
+            slot.answer(Answers.common(words, ingress::countersLine));
         }
     }
 
--- a/src/main/java/yardusher/core/Counters.java
+++ b/src/main/java/yardusher/core/Counters.java
@@ -27,7 +27,7 @@
                 .append(" invalid=").append(invalid).append(" limit_queries=").append(lookups)
                 .append(" attempts=").append(attempts);
         for (Api.Outcome outcome : Api.Outcome.values()) {
-            text.append(' ').append(outcome.name().toLowerCase(java.util.Locale.ROOT)).append('=')
+            text.append(" attempts_").append(outcome.name().toLowerCase(java.util.Locale.ROOT)).append('=')
                     .append(outcomes[outcome.ordinal()]);
         }
         return text.append(" connections=").append(connectionsOpened).append(" peer_out=").append(peerOut)
--- a/src/main/java/yardusher/core/Ingress.java
+++ b/src/main/java/yardusher/core/Ingress.java
@@ -49,6 +49,8 @@
 
     public Counters counters() { return counters; }
 
+    public String countersLine() { return counters.line(open.size()); }
+
     public int openCount() { return open.size(); }
 
     /** A front brings a transaction. Its terminal gets exactly one final answer. */
@@ -61,6 +63,12 @@
         return t;
     }
 
+    /** How a customer stands: asks the module only, takes nothing and reaches no region. */
+    public Api.Standing standing(long customer, int plan, double units, int first, int spread) {
+        counters.lookups++;
+        return module.standing(turns.now(), customer, plan, units, first, spread);
+    }
+
     /** The terminal left: nothing more is owed. */
     public void gone(Transaction t) {
         if (t.answered || t.gone) { return; }
--- /dev/null
+++ b/src/main/java/yardusher/limits/LimitsFront.java
@@ -0,0 +1,198 @@
+package yardusher.limits;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.SplittableRandom;
+import yardusher.Api;
+import yardusher.core.Ingress;
+import yardusher.core.Order;
+import yardusher.core.Terminal;
+import yardusher.net.Answers;
+import yardusher.net.Sockets;
+import yardusher.resp.Call;
+import yardusher.resp.Encoder;
+
+/**
+ * The front that answers RESP commands for limits, as redis-cell's CL.THROTTLE. Quantity 0 asks the module and
+ * changes nothing; quantity 1 and more is a transaction through all stages, allowed only once it was sent on
+ * and served. No limit is worked out here: every figure is the module's.
+ */
+public final class LimitsFront implements Answers.Commands {
+    /** Connections held at the most. */
+    public static final int MOST_TERMINALS = 64;
+    private static final int MOST_OPEN = 128;        // transactions of this front at once
+
+    private final Ingress ingress;
+    private final LimitsConfig config;
+    private final List<String> plans;
+    private final int classIndex;
+    private final Sockets sockets;
+    private final SplittableRandom ids;
+    private final Answers answers;
+    private double queries;
+    private double queriesAt;
+    private int open;
+
+    public LimitsFront(Sockets sockets, Ingress ingress, LimitsConfig config, List<String> classNames,
+            List<String> planNames, long seed) throws IOException {
+        this.sockets = sockets;
+        this.ingress = ingress;
+        this.config = config;
+        this.plans = planNames;
+        this.classIndex = classNames.indexOf(config.className());
+        check(config, classNames, planNames, ingress.settings().gateways());
+        this.ids = new SplittableRandom(seed ^ 0x6C696D697473L);
+        this.queries = config.queriesPerS();
+        this.queriesAt = sockets.turns().now();
+        this.answers = new Answers(sockets, config.listen(), MOST_TERMINALS, this);
+    }
+
+    /** Whether the file fits the settings: classes, plans and sets that exist. */
+    public static void check(LimitsConfig config, List<String> classNames, List<String> planNames, int ingresses) {
+        if (!classNames.contains(config.className())) {
+            throw new IllegalArgumentException("limits: unknown class " + config.className());
+        }
+        config.partners().forEach((key, partner) -> check(key, partner, planNames, ingresses));
+        if (config.others() != null) { check("others", config.others(), planNames, ingresses); }
+    }
+
+    private static void check(String key, LimitsConfig.Partner partner, List<String> planNames, int ingresses) {
+        if (!planNames.contains(partner.plan())) {
+            throw new IllegalArgumentException("limits: " + key + " has the unknown plan " + partner.plan());
+        }
+        if (partner.first() >= ingresses || partner.spread() > ingresses) {
+            throw new IllegalArgumentException("limits: " + key + " names more ingresses than there are");
+        }
+    }
+
+    public Answers answers() { return answers; }
+
+    @Override
+    public void command(byte[][] words, Answers.Slot slot) {
+        if (!new String(words[0], StandardCharsets.ISO_8859_1).toUpperCase(Locale.ROOT).equals("CL.THROTTLE")) {
+            slot.answer(Answers.common(words, ingress::countersLine));
+            return;
+        }
+        try {
+            Throttle asked = Throttle.of(words);
+            LimitsConfig.Partner partner = config.partner(asked.key());
+            if (partner == null) { throw new IllegalArgumentException("no such partner"); }
+            int plan = plans.indexOf(partner.plan());
+            Api.Plan limits = ingress.settings().plans().get(plan);
+            if (!asked.agreesWith(limits)) { throw new IllegalArgumentException(contradiction(partner, limits)); }
+            if (asked.quantity() == 0) {
+                query(partner, plan, slot);
+            } else {
+                use(asked, partner, plan, slot);
+            }
+        } catch (IllegalArgumentException e) {
+            ingress.counters().invalid++;
+            error(slot, e.getMessage());
+        }
+    }
+
+    @Override
+    public void gone(Answers.Slot slot) {
+        if (slot.transaction != null) {
+            open--;
+            ingress.gone(slot.transaction);
+        }
+    }
+
+    private static String contradiction(LimitsConfig.Partner partner, Api.Plan limits) {
+        long period = limits.ratePerS() >= 5 ? 1 : 60;
+        return "limits contradict the plan " + partner.plan() + ": max_burst " + (Throttle.limit(limits) - 1) + ", count "
+                + Math.max(1, Math.round(limits.ratePerS() * period)) + " in a period of " + period;
+    }
+
+    private void query(LimitsConfig.Partner partner, int plan, Answers.Slot slot) {
+        // Guards place-order against a flood of questions: past this rate they cost next to nothing.
+        double now = sockets.turns().now();
+        queries = Math.min(config.queriesPerS(), queries + config.queriesPerS() * (now - queriesAt) / 1000);
+        queriesAt = now;
+        if (queries < 1) {
+            error(slot, "too many limit queries, come back in " + (long) Math.ceil((1 - queries) * 1000 / config.queriesPerS()) + " ms");
+            return;
+        }
+        queries--;
+        Api.Standing standing = ingress.standing(partner.customer(), plan, 1, partner.first(), partner.spread());
+        slot.answer(told(standing, standing.retryAfterMs() > 0 || standing.remaining() < 1));
+    }
+
+    private void use(Throttle asked, LimitsConfig.Partner partner, int plan, Answers.Slot slot) {
+        double most = ingress.settings().mostUnits();
+        if (asked.quantity() > most) {
+            throw new IllegalArgumentException("quantity is at most " + (long) most);
+        }
+        if (open >= MOST_OPEN) {
+            error(slot, "too many limit commands at once");
+            return;
+        }
+        boolean safe = ingress.settings().classes().get(classIndex).effect() == Api.Effect.IDEMPOTENT;
+        String list = "c=" + config.className() + ",t=" + partner.plan() + ",d=" + config.waitMs()
+                + (safe ? "" : ",k=" + id()) + ",units=" + asked.quantity() + ",spread=" + partner.spread() + ",first="
+                + partner.first();
+        Call call = Call.of(new byte[][] {ascii(safe ? "CALL.GET" : "CALL.POST"),
+            ascii(String.format("%016x", partner.customer())), ascii(id()), ascii(list)});
+        open++;
+        slot.transaction = ingress.take(new Order(classIndex, plan, partner.customer(), asked.quantity(),
+                partner.first(), partner.spread(), config.waitMs(), call, new Reply(slot, partner, plan, asked.quantity())));
+        if (slot.isAnswered()) { slot.transaction = null; }
+    }
+
+    private final class Reply implements Terminal {
+        private final Answers.Slot slot;
+        private final LimitsConfig.Partner partner;
+        private final int plan;
+        private final int quantity;
+
+        Reply(Answers.Slot slot, LimitsConfig.Partner partner, int plan, int quantity) {
+            this.slot = slot;
+            this.partner = partner;
+            this.plan = plan;
+            this.quantity = quantity;
+        }
+
+        @Override
+        public void served(byte[] value) {
+            open--;
+            slot.answer(told(standing(), false));
+        }
+
+        @Override
+        public void shortOnCapacity(long retryAfterMs) {
+            open--;
+            Api.Standing standing = standing();
+            slot.answer(told(new Api.Standing(standing.limit(), standing.remaining(),
+                    Math.max(standing.retryAfterMs(), retryAfterMs), standing.resetMs()), true));
+        }
+
+        @Override
+        public void failed(String why) {
+            open--;
+            error(slot, why);
+        }
+
+        private Api.Standing standing() {
+            return ingress.standing(partner.customer(), plan, quantity, partner.first(), partner.spread());
+        }
+    }
+
+    /** redis-cell's answer: limited, limit, remaining, seconds to retry (-1 when allowed), seconds to reset. */
+    private static byte[] told(Api.Standing standing, boolean limited) {
+        long retry = limited ? Math.max(1, (long) Math.ceil(standing.retryAfterMs() / 1000)) : -1;
+        return new Encoder(48).array(5).whole(limited ? 1 : 0).whole((long) Math.floor(standing.limit() + 1e-9))
+                .whole((long) Math.floor(standing.remaining() + 1e-9)).whole(retry)
+                .whole((long) Math.ceil(standing.resetMs() / 1000)).toBytes();
+    }
+
+    private static void error(Answers.Slot slot, String why) {
+        slot.answer(new Encoder(96).failure("ERR " + why).toBytes());
+    }
+
+    private String id() { return String.format("%016x", ids.nextLong()); }
+
+    private static byte[] ascii(String text) { return text.getBytes(StandardCharsets.US_ASCII); }
+}
--- a/src/main/java/yardusher/net/Answers.java
+++ b/src/main/java/yardusher/net/Answers.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashSet;
 import java.util.Locale;
 import java.util.Set;
+import java.util.function.Supplier;
 import yardusher.core.Transaction;
 import yardusher.resp.Encoder;
 import yardusher.resp.Malformed;
@@ -54,12 +55,13 @@
         for (TerminalLink terminal : new ArrayList<>(terminals)) { terminal.closeIfIdle(); }
     }
 
-    /** Answers to what every RESP client may ask. */
-    public static byte[] common(byte[][] words) {
+    /** Answers to what every RESP client may ask; INFO gives the counters. */
+    public static byte[] common(byte[][] words, Supplier<String> counters) {
         String name = new String(words[0], StandardCharsets.ISO_8859_1).toUpperCase(Locale.ROOT);
         Encoder out = new Encoder(48);
         return switch (name) {
             case "PING" -> words.length > 1 ? out.bulk(words[1]).toBytes() : out.simple("PONG").toBytes();
+            case "INFO" -> out.bulk(counters.get()).toBytes();
             case "CLIENT", "SELECT" -> out.simple("OK").toBytes();
             default -> out.failure("ERR unknown command").toBytes();
         };
