--- a/src/main/java/yardusher/Policy.java
+++ b/src/main/java/yardusher/Policy.java
@@ -285,7 +285,7 @@
         return new Standing(c.plan.burst(), Math.max(0, room), Math.max(0, wait), reset);
     }
 
-    /** How long until the oldest slots that drop make room for these units; a whole window where none does. */
+    /** How long until the oldest slots, dropping, make room for these units; else a whole window. */
     private double fitsIn(Customer c, double units, double limit) {
         double[] others = c.others(-1);
         double over = others[SLOTS] + c.mine.sum() + units - limit, wait = 0;
@@ -945,7 +945,11 @@
         requests.remove(q.id());
         boolean harmless = held.ranOn == null || held.of.effect() == Effect.IDEMPOTENT
                 || held.of.effect() == Effect.DEDUPLICATED && held.of.group() == Group.ALL;
-        out.accept(harmless && now < q.dueMs() ? new Refuse(q.id(), advice(held.customer, q)) : new Fail(q.id()));
+        if (harmless && now < q.dueMs()) {
+            out.accept(new Refuse(q.id(), advice(held.customer, q)));
+        } else {
+            out.accept(new Fail(q.id()));
+        }
     }
 
     private void clientGone(long id) {
