--- /dev/null
+++ b/src/main/java/yardusher/agent/Agent.java
@@ -0,0 +1,131 @@
+package yardusher.agent;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import yardusher.core.Turns;
+import yardusher.net.Answers;
+import yardusher.net.Sockets;
+import yardusher.resp.Encoder;
+
+/**
+ * Manages many instances on this machine, from one file. It listens for RESP commands: AGENT.STATUS, and
+ * AGENT.START, AGENT.STOP and AGENT.RESTART, each for one name or for all. Restarting all goes one at a time,
+ * the next once the one before answers again.
+ */
+public final class Agent implements Answers.Commands {
+    private final Turns turns;
+    private final Sockets sockets;
+    private final Map<String, Instance> instances = new LinkedHashMap<>();
+    private final ArrayDeque<Instance> rolling = new ArrayDeque<>();
+    private final Answers answers;
+    private final long stopMs;
+    private final CountDownLatch over = new CountDownLatch(1);
+    private boolean ending;
+
+    public Agent(AgentConfig config) throws IOException {
+        long start = System.nanoTime();
+        turns = new Turns(() -> (System.nanoTime() - start) / 1e6, Throwable::printStackTrace);
+        sockets = new Sockets(turns);
+        stopMs = config.stopMs();
+        for (AgentConfig.Entry entry : config.instances()) {
+            instances.put(entry.name(), new Instance(entry, config, sockets, this::changed));
+        }
+        answers = new Answers(sockets, Sockets.address(config.control()), 16, this);
+    }
+
+    public java.net.InetSocketAddress address() throws IOException { return answers.address(); }
+
+    public void start() {
+        turns.startTimer();
+        turns.turn(() -> {
+            instances.values().forEach(Instance::start);
+            answers.open();
+        });
+    }
+
+    /** Stops all instances and waits for their ends. */
+    public void close() throws InterruptedException {
+        turns.turn(() -> {
+            ending = true;
+            rolling.clear();
+            answers.close();
+            instances.values().forEach(instance -> instance.stop(false));
+            changed();
+        });
+        over.await(stopMs + 2000, TimeUnit.MILLISECONDS);
+        turns.stop();
+        sockets.shutdown();
+    }
+
+    private void changed() {
+        if (ending && instances.values().stream().allMatch(Instance::isOver)) { over.countDown(); }
+        Instance now = rolling.peek();
+        if (now != null && now.state() == Instance.State.READY) {
+            rolling.poll();
+            turns.afterwards(this::roll);
+        }
+    }
+
+    private void roll() {
+        if (!rolling.isEmpty()) { rolling.peek().stop(true); }
+    }
+
+    @Override
+    public void command(byte[][] words, Answers.Slot slot) {
+        String name = new String(words[0], StandardCharsets.ISO_8859_1).toUpperCase(Locale.ROOT);
+        if (!name.startsWith("AGENT.")) {
+            slot.answer(Answers.common(words, () -> String.join("\n", statuses())));
+            return;
+        }
+        List<Instance> chosen = new ArrayList<>();
+        for (int i = 1; i < words.length; i++) {
+            Instance instance = instances.get(new String(words[i], StandardCharsets.UTF_8));
+            if (instance == null) {
+                slot.answer(new Encoder(48).failure("ERR no such instance").toBytes());
+                return;
+            }
+            chosen.add(instance);
+        }
+        if (chosen.isEmpty()) { chosen.addAll(instances.values()); }
+        switch (name) {
+            case "AGENT.STATUS" -> {
+                Encoder out = new Encoder(256).array(chosen.size());
+                chosen.forEach(instance -> out.bulk(instance.status()));
+                slot.answer(out.toBytes());
+                return;
+            }
+            case "AGENT.START" -> chosen.forEach(Instance::start);
+            case "AGENT.STOP" -> {
+                boolean stopsHead = chosen.contains(rolling.peek());
+                rolling.removeAll(chosen);
+                chosen.forEach(instance -> instance.stop(false));
+                if (stopsHead) { roll(); }
+            }
+            case "AGENT.RESTART" -> {
+                boolean idle = rolling.isEmpty();
+                chosen.removeAll(rolling);
+                rolling.addAll(chosen);
+                if (idle) { roll(); }
+            }
+            default -> {
+                slot.answer(new Encoder(48).failure("ERR unknown command").toBytes());
+                return;
+            }
+        }
+        slot.answer(new Encoder(16).simple("OK").toBytes());
+    }
+
+    @Override
+    public void gone(Answers.Slot slot) { /* nothing is under way for it */ }
+
+    private Collection<String> statuses() { return instances.values().stream().map(Instance::status).toList(); }
+}
--- /dev/null
+++ b/src/main/java/yardusher/agent/Instance.java
@@ -0,0 +1,160 @@
+package yardusher.agent;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import yardusher.core.Deadlines;
+import yardusher.core.Turns;
+import yardusher.net.Link;
+import yardusher.net.Sockets;
+import yardusher.resp.Encoder;
+import yardusher.resp.Malformed;
+import yardusher.resp.Value;
+
+/** One managed instance: started, watched until it answers PING, started again with backoff when it crashes. */
+final class Instance {
+    private static final double PING_MS = 100;
+    private static final double BACKOFF_MS = 200;
+    private static final double BACKOFF_MOST_MS = 10_000;
+    private static final double STEADY_MS = 10_000;  // who lived so long starts again without delay
+
+    enum State { STOPPED, STARTING, READY, STOPPING, BACKOFF }
+
+    final AgentConfig.Entry entry;
+    private final AgentConfig config;
+    private final Sockets sockets;
+    private final Turns turns;
+    private final InetSocketAddress address;
+    private final Runnable changed;
+    private State state = State.STOPPED;
+    private Process process;
+    private double startedAt;
+    private double backoffMs = BACKOFF_MS;
+    private int restarts;
+    private boolean startAgain;
+    private Deadlines.Entry pending;
+
+    Instance(AgentConfig.Entry entry, AgentConfig config, Sockets sockets, Runnable changed) {
+        this.entry = entry;
+        this.config = config;
+        this.sockets = sockets;
+        this.turns = sockets.turns();
+        this.changed = changed;
+        this.address = Sockets.address(entry.address());
+    }
+
+    State state() { return state; }
+
+    String status() {
+        return entry.name() + " " + state.name().toLowerCase(Locale.ROOT) + " address=" + entry.address() + " pid="
+                + (process == null ? "-" : process.pid()) + " restarts=" + restarts + " up_s="
+                + (process == null ? 0 : (long) ((turns.now() - startedAt) / 1000));
+    }
+
+    void start() {
+        if (state == State.STOPPING) {
+            startAgain = true;
+            return;
+        }
+        if (process != null) { return; }
+        turns.deadlines().cancel(pending);
+        List<String> command = new ArrayList<>(config.command());
+        command.addAll(List.of("serve", entry.config(), "--limits", entry.limits()));
+        startedAt = turns.now();
+        Process begun;
+        try {
+            begun = new ProcessBuilder(command).redirectInput(ProcessBuilder.Redirect.from(new java.io.File("/dev/null")))
+                    .redirectOutput(ProcessBuilder.Redirect.INHERIT).redirectError(ProcessBuilder.Redirect.INHERIT).start();
+        } catch (IOException e) {
+            System.err.println("agent: " + entry.name() + " cannot be started: " + e.getMessage());
+            backOff();
+            return;
+        }
+        process = begun;
+        become(State.STARTING);
+        begun.onExit().thenRun(() -> turns.turn(() -> exited(begun)));
+        ping(begun);
+    }
+
+    /** Asks it to end with SIGTERM, so that it answers what it has taken; kills it when it does not. */
+    void stop(boolean again) {
+        startAgain = again;
+        turns.deadlines().cancel(pending);
+        if (process == null) {
+            become(State.STOPPED);
+            if (again) { start(); }
+            return;
+        }
+        if (state == State.STOPPING) { return; }
+        become(State.STOPPING);
+        Process ending = process;
+        ending.destroy();
+        pending = turns.deadlines().at(turns.now() + config.stopMs(), ending::destroyForcibly);
+    }
+
+    private void exited(Process ended) {
+        if (ended != process) { return; }
+        process = null;
+        turns.deadlines().cancel(pending);
+        if (state == State.STOPPING) {
+            become(State.STOPPED);
+            if (startAgain) {
+                startAgain = false;
+                restarts++;
+                start();
+            }
+            return;
+        }
+        System.err.println("agent: " + entry.name() + " ended by itself with " + ended.exitValue());
+        if (turns.now() - startedAt > STEADY_MS) { backoffMs = BACKOFF_MS; }
+        backOff();
+    }
+
+    /** Guards against a crash loop that takes the machine: each crash soon after a start doubles the wait. */
+    private void backOff() {
+        become(State.BACKOFF);
+        pending = turns.deadlines().at(turns.now() + backoffMs, () -> {
+            restarts++;
+            start();
+        });
+        backoffMs = Math.min(BACKOFF_MOST_MS, 2 * backoffMs);
+    }
+
+    private void become(State next) {
+        state = next;
+        changed.run();
+    }
+
+    private void ping(Process of) {
+        if (of != process || state != State.STARTING) { return; }
+        Runnable again = () -> turns.deadlines().at(turns.now() + PING_MS, () -> ping(of));
+        sockets.connect(address, 1000, channel -> {
+            Link link = new Link(channel, turns, new Link.Owner() {
+                @Override
+                public boolean readable(Link from) {
+                    try {
+                        Value answer = from.decoder().value();
+                        if (answer == null) { return true; }
+                        from.close();
+                        boolean pong = answer instanceof Value.Simple simple && simple.text().equals("PONG");
+                        if (pong && of == process && state == State.STARTING) { become(State.READY); } else { again.run(); }
+                    } catch (Malformed e) {
+                        from.close();
+                        again.run();
+                    }
+                    return false;
+                }
+
+                @Override
+                public void ended(Link from) { again.run(); }
+            });
+            link.write(new Encoder(16).array(1).bulk("PING").toBytes());
+            link.readMore();
+        }, again);
+    }
+
+    /** For the agent's own end: true once nothing of it runs any more. */
+    boolean isOver() { return process == null; }
+}
--- /dev/null
+++ b/src/main/java/yardusher/cli/AgentCommand.java
@@ -0,0 +1,77 @@
+package yardusher.cli;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CountDownLatch;
+import yardusher.agent.Agent;
+import yardusher.agent.AgentConfig;
+import yardusher.resp.Value;
+
+/** The sub-command agent: without a running agent, start becomes one; all else asks the running one. */
+final class AgentCommand {
+    private static final int PATIENCE_MS = 5000;
+
+    private AgentCommand() { }
+
+    static int run(List<String> words) throws IOException {
+        if (words.size() < 2 || !List.of("start", "status", "restart", "stop").contains(words.get(0))) {
+            throw new IllegalArgumentException("usage: yardusher agent start|status|restart|stop FILE [NAME ...]");
+        }
+        AgentConfig config = AgentConfig.read(Path.of(words.get(1)));
+        List<String> names = words.subList(2, words.size());
+        for (String name : names) {
+            if (config.instances().stream().noneMatch(entry -> entry.name().equals(name))) {
+                throw new IllegalArgumentException("no instance " + name + " in " + words.get(1));
+            }
+        }
+        if (words.get(0).equals("start") && names.isEmpty()) { return supervise(config); }
+        List<String> command = new ArrayList<>(List.of("AGENT." + words.get(0).toUpperCase(Locale.ROOT)));
+        command.addAll(names);
+        Value answer = Asking.ask(config.control(), PATIENCE_MS, command.toArray(new String[0]));
+        if (answer instanceof Value.Failure failure) { throw new IOException(failure.text()); }
+        if (answer instanceof Value.Many many && many.items() != null) { return status(config, many.items()); }
+        System.out.println("ok");
+        return 0;
+    }
+
+    /** A line an instance; where it is ready, with its counters. Exit 1 when one is not ready. */
+    private static int status(AgentConfig config, List<Value> lines) {
+        int status = 0;
+        for (Value line : lines) {
+            String text = line instanceof Value.Bulk bulk ? bulk.text() : "?";
+            String[] words = text.split(" ");
+            boolean ready = words.length > 2 && words[1].equals("ready");
+            if (!ready) { status = 1; }
+            System.out.println(text);
+            try {
+                if (ready && Asking.ask(words[2].substring("address=".length()), PATIENCE_MS, "INFO") instanceof Value.Bulk info) {
+                    System.out.println("  " + info.text());
+                }
+            } catch (IOException e) {
+                System.out.println("  " + e.getMessage());
+            }
+        }
+        return status;
+    }
+
+    private static int supervise(AgentConfig config) throws IOException {
+        Agent agent = new Agent(config);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            try {
+                agent.close();
+            } catch (InterruptedException e) { /* the process ends all the same */ }
+            Runtime.getRuntime().halt(0);
+        }, "end"));
+        agent.start();
+        System.err.println("agent listens at " + agent.address() + ", " + config.instances().size() + " instances");
+        try {
+            new CountDownLatch(1).await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        return 0;
+    }
+}
--- a/src/main/java/yardusher/cli/Main.java
+++ b/src/main/java/yardusher/cli/Main.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.List;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
@@ -11,6 +12,7 @@
 import org.apache.commons.cli.ParseException;
 import yardusher.limits.LimitsConfig;
 import yardusher.limits.LimitsFront;
+import yardusher.nginx.Importer;
 import yardusher.resp.Value;
 import yardusher.wire.WireHost;
 
@@ -51,17 +53,19 @@
             options.addOption(Option.builder("u").longOpt("upstream").hasArg().argName("NAME").build());
             options.addOption(Option.builder().longOpt("strict").build());
         }
-        CommandLine line = new DefaultParser().parse(options, args, true);
-        List<String> rest = line.getArgList().subList(Math.min(1, line.getArgList().size()), line.getArgList().size());
-        for (String word : rest) {
-            if (word.startsWith("-")) { throw new IllegalArgumentException("unknown option " + word + "; " + USAGE); }
-        }
+        String[] words = Arrays.copyOfRange(args, Math.min(1, args.length), args.length);
+        CommandLine line = new DefaultParser().parse(options, words);
+        List<String> rest = line.getArgList();
         switch (command) {
             case "serve" -> {
                 atMost(rest, 0, 1);
                 String file = rest.isEmpty() ? System.getenv("RELAY_CONFIG") : rest.get(0);
                 if (file == null) { throw new Config.Bad("serve needs a configuration: name a file or set RELAY_CONFIG"); }
-                return Serve.run(file, Path.of(line.getOptionValue("limits", "deploy/limits.toml")));
+                String limits = line.getOptionValue("limits", "deploy/limits.toml");
+                if (line.hasOption("limits") && !limits.equals("none") && !Files.exists(Path.of(limits))) {
+                    throw new Config.Bad(limits + ": cannot be read");
+                }
+                return Serve.run(file, limits.equals("none") ? null : Path.of(limits));
             }
             case "simhost" -> {
                 atMost(rest, 0, 0);
@@ -76,6 +80,11 @@
                 atMost(rest, 1, 1);
                 return check(rest.get(0), line.getOptionValue("limits"));
             }
+            case "agent" -> { return AgentCommand.run(rest); }
+            case "import" -> {
+                atMost(rest, 1, 1);
+                return importNginx(rest.get(0), line);
+            }
             case "limits" -> {
                 atMost(rest, 5, 6);
                 return limits(rest);
@@ -103,6 +112,30 @@
         return 0;
     }
 
+    /** Writes the configuration; what could not be taken over goes to standard error, a line each. */
+    private static int importNginx(String file, CommandLine line) throws IOException {
+        String text;
+        try {
+            text = Files.readString(Path.of(file));
+        } catch (IOException e) {
+            throw new IllegalArgumentException(file + ": cannot be read", e);
+        }
+        Importer.Result result;
+        try {
+            result = Importer.run(text, line.getOptionValue("upstream"));
+        } catch (IllegalArgumentException e) {
+            throw new IllegalArgumentException(file + ": " + e.getMessage(), e);
+        }
+        for (String note : result.notes()) { System.err.println(file + ": " + note); }
+        if (line.hasOption("strict") && !result.notes().isEmpty()) { return 1; }
+        if (line.hasOption("output")) {
+            Files.writeString(Path.of(line.getOptionValue("output")), result.json());
+        } else {
+            System.out.print(result.json());
+        }
+        return 0;
+    }
+
     /** Asks one limit of a running ingress and prints the five figures in words. */
     private static int limits(List<String> words) throws IOException {
         String[] command = words.toArray(new String[0]);
