--- a/src/main/java/yardusher/Policy.java
+++ b/src/main/java/yardusher/Policy.java
@@ -3,7 +3,7 @@
 // Types, events and actions: Api.java. Sections of this module, each with its state:
 //   1 constants and entry   2 quotas: ten-slot rows, admission   3 ceilings: shares held in escrow
 //   4 gossip: rows and sums between gateways   5 servers: list, health, choice   6 attempts   7 pressure
-// The mechanism of sections 2 and 4 is that of the quotas README named in docs/design.md.
+// The mechanism of sections 2 and 4 is that of the Tarantool quotas README; see README.md, The decisions.
 
 import java.util.*;
 import java.util.function.Consumer;
--- a/src/main/java/yardusher/core/Ingress.java
+++ b/src/main/java/yardusher/core/Ingress.java
@@ -58,8 +58,15 @@
         Transaction[] taken = new Transaction[1];
         Transaction t = takeIn.take(order, () -> overdue(taken[0]), GRACE_MS);
         taken[0] = t;
-        admit.ask(t);
-        act();
+        try {
+            admit.ask(t);
+            act();
+        } catch (RuntimeException e) {
+            // Guards against a fault in one decision that leaves its terminal, and all behind it, unanswered.
+            counters.faults++;
+            relay.failed(t, "internal");
+            book.close(t);
+        }
         return t;
     }
 
--- a/src/main/java/yardusher/net/Sockets.java
+++ b/src/main/java/yardusher/net/Sockets.java
@@ -105,14 +105,16 @@
     /** Connects within the time given; one of the two is called, in a turn. The result gives it up. */
     public Runnable connect(InetSocketAddress to, double withinMs, Consumer<AsynchronousSocketChannel> then,
             Runnable orElse) {
+        boolean[] over = new boolean[1];
         AsynchronousSocketChannel channel;
         try {
             channel = AsynchronousSocketChannel.open(group);
-        } catch (IOException e) {
-            turns.afterwards(orElse);
-            return () -> { };
+        } catch (IOException e) {                    // no descriptor left: as if nobody had answered
+            turns.afterwards(() -> {
+                if (!over[0]) { orElse.run(); }
+            });
+            return () -> over[0] = true;
         }
-        boolean[] over = new boolean[1];
         Runnable drop = () -> {
             over[0] = true;
             shut(channel);
