Limits front: a sent-on failure is an error, and a flood of queries waits in its connection

Checked by reading LimitsFront.Reply: when a region failed or timed out and the module then refused, the partner was told limited=1, though it had room. Ruled out the module: a refusal is right on the platform, where a repeat is harmless. Cause: the terminal could not tell. Now the core says whether an attempt may have run, and that is an -ERR. Also: queries over the rate were each parsed and answered; now that terminal's reading pauses for 50 ms.

--- a/src/main/java/yardusher/clients/PlatformFront.java
+++ b/src/main/java/yardusher/clients/PlatformFront.java
@@ -70,7 +70,7 @@
         public void served(byte[] value) { slot.answer(new Encoder(value.length + 16).bulk(value).toBytes()); }
 
         @Override
-        public void shortOnCapacity(long retryAfterMs) {
+        public void shortOnCapacity(long retryAfterMs, boolean mayHaveRun) {
             slot.answer(retryAfterMs <= 0 ? BUSY : new Encoder(24).failure("BUSY " + retryAfterMs).toBytes());
         }
 
--- a/src/main/java/yardusher/core/Book.java
+++ b/src/main/java/yardusher/core/Book.java
@@ -16,6 +16,7 @@
 
     void attempt(Attempt attempt, Attempt.Result result) {
         attempt.over = true;
+        attempt.transaction.mayHaveRun |= !result.outcome().neverRan();
         counters.outcomes[result.outcome().ordinal()]++;
         turns.deadlines().cancel(attempt.timeOut);
     }
--- a/src/main/java/yardusher/core/Relay.java
+++ b/src/main/java/yardusher/core/Relay.java
@@ -16,7 +16,7 @@
     void shortOnCapacity(Transaction t, double retryAfterMs) {
         if (first(t)) {
             counters.refused++;
-            t.order.terminal().shortOnCapacity((long) Math.ceil(retryAfterMs));
+            t.order.terminal().shortOnCapacity((long) Math.ceil(retryAfterMs), t.mayHaveRun);
         }
     }
 
--- a/src/main/java/yardusher/core/Terminal.java
+++ b/src/main/java/yardusher/core/Terminal.java
@@ -4,8 +4,11 @@
 public interface Terminal {
     void served(byte[] value);
 
-    /** Short-on-capacity reply: a repeat is harmless; come again after that time, 0 for no advice. */
-    void shortOnCapacity(long retryAfterMs);
+    /**
+     * Short-on-capacity reply: a repeat is harmless; come again after that time, 0 for no advice. It may have run
+     * when an attempt was sent on and failed or timed out before the module gave up.
+     */
+    void shortOnCapacity(long retryAfterMs, boolean mayHaveRun);
 
     void failed(String why);
 }
--- a/src/main/java/yardusher/core/Transaction.java
+++ b/src/main/java/yardusher/core/Transaction.java
@@ -10,6 +10,7 @@
     Attempt attempt;
     boolean answered;
     boolean gone;
+    boolean mayHaveRun;
     Deadlines.Entry lastCall;
 
     Transaction(long number, Order order, double arrivedAt) {
--- a/src/main/java/yardusher/limits/LimitsFront.java
+++ b/src/main/java/yardusher/limits/LimitsFront.java
@@ -22,6 +22,7 @@
 public final class LimitsFront implements Answers.Commands {
     /** Connections held at the most. */
     public static final int MOST_TERMINALS = 64;
+    private static final double FLOOD_PAUSE_MS = 50; // the flood waits in its own connection
     private static final int MOST_OPEN = 128;        // transactions of this front at once
 
     private final Ingress ingress;
@@ -113,6 +114,7 @@
         queries = Math.min(config.queriesPerS(), queries + config.queriesPerS() * (now - queriesAt) / 1000);
         queriesAt = now;
         if (queries < 1) {
+            slot.pauseReading(FLOOD_PAUSE_MS);
             error(slot, "too many limit queries, come back in " + (long) Math.ceil((1 - queries) * 1000 / config.queriesPerS()) + " ms");
             return;
         }
@@ -162,8 +164,13 @@
         }
 
         @Override
-        public void shortOnCapacity(long retryAfterMs) {
+        public void shortOnCapacity(long retryAfterMs, boolean mayHaveRun) {
             open--;
+            if (mayHaveRun) {
+                // Guards against "limited" for a partner with room: this was a failure or a time-out of a region.
+                error(slot, "sent on and not served, come back in " + retryAfterMs + " ms");
+                return;
+            }
             Api.Standing standing = standing();
             slot.answer(told(new Api.Standing(standing.limit(), standing.remaining(),
                     Math.max(standing.retryAfterMs(), retryAfterMs), standing.resetMs()), true));
--- a/src/main/java/yardusher/net/Answers.java
+++ b/src/main/java/yardusher/net/Answers.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.function.Supplier;
 import yardusher.core.Transaction;
+import yardusher.core.Turns;
 import yardusher.resp.Encoder;
 import yardusher.resp.Malformed;
 
@@ -32,6 +33,7 @@
 
     private final Commands commands;
     private final int mostTerminals;
+    private final Turns turns;
     private final Sockets.Door door;
     private final Set<TerminalLink> terminals = new LinkedHashSet<>();
     private boolean closing;
@@ -39,6 +41,7 @@
     public Answers(Sockets sockets, InetSocketAddress at, int mostTerminals, Commands commands) throws IOException {
         this.commands = commands;
         this.mostTerminals = mostTerminals;
+        this.turns = sockets.turns();
         door = sockets.listen(at, channel -> new TerminalLink(channel, sockets), nothing -> terminals.size() < mostTerminals);
     }
 
@@ -78,6 +81,9 @@
 
         public boolean isAnswered() { return bytes != null; }
 
+        /** Reads no more of this terminal's commands for a while. */
+        public void pauseReading(double ms) { terminal.pause(ms); }
+
         public void answer(byte[] answer) {
             if (bytes != null) { return; }
             bytes = answer;
@@ -90,6 +96,7 @@
         private final Link link;
         private final ArrayDeque<Slot> slots = new ArrayDeque<>(2);
         private boolean lost;
+        private boolean paused;
 
         TerminalLink(AsynchronousSocketChannel channel, Sockets sockets) {
             link = new Link(channel, sockets.turns(), this);
@@ -100,7 +107,7 @@
         @Override
         public boolean readable(Link from) {
             try {
-                while (!lost && slots.size() < MOST_UNANSWERED) {
+                while (!lost && !paused && slots.size() < MOST_UNANSWERED) {
                     byte[][] words = link.decoder().command();
                     if (words == null) { return true; }
                     Slot slot = new Slot(this);
@@ -117,6 +124,15 @@
             return false;
         }
 
+        void pause(double ms) {
+            if (paused) { return; }
+            paused = true;
+            turns.deadlines().at(turns.now() + ms, () -> {
+                paused = false;
+                if (!link.isClosed() && readable(link)) { link.readMore(); }
+            });
+        }
+
         void send() {
             boolean full = slots.size() >= MOST_UNANSWERED;
             while (!slots.isEmpty() && slots.peek().bytes != null) { link.write(slots.poll().bytes); }
--- a/src/test/java/yardusher/story/LimitsStoryTest.java
+++ b/src/test/java/yardusher/story/LimitsStoryTest.java
@@ -135,6 +135,18 @@
         assertThat(client.ask("CL.THROTTLE", "north", "7", "19", "10", "1")).startsWith("-ERR");
         next(region.seen);
         next(region.ends);
+        region.script = command -> Region.says("ERR failed"); // runs and fails: the partner still has room
+        String told = client.ask("CL.THROTTLE", "wide", "7", "19", "10", "1");
+        assertThat(told).startsWith("-ERR");
+        assertThat(throttle("wide", "0")[0]).isZero();
+    }
+
+    @Test
+    void aRegionThatTurnsAwayIsARefusalThatSaysWhenToComeBack() throws Exception {
+        region.script = command -> Region.says("BUSY");
+        long[] told = throttle("north", "1");
+        assertThat(told[0]).isEqualTo(1);
+        assertThat(told[3]).isPositive();
     }
 
     @Test
@@ -142,8 +154,16 @@
         close();
         region = new Region();
         start(1);
-        throttle("north", "0");
-        assertThat(client.ask("CL.THROTTLE", "north", "7", "19", "10", "0")).startsWith("-ERR too many limit queries");
+        for (int i = 0; i < 60; i++) { client.send("CL.THROTTLE", "north", "7", "19", "10", "0"); }
+        assertThat(client.told()).isEqualTo("0 8 8 -1 0");
+        assertThat(client.told()).startsWith("-ERR too many limit queries");
+        try (Client shop = new Client(serve.front().answers().address())) { // while the flood waits
+            shop.send("CALL.POST", "0000000000000099", "1", "c=place-order,t=plus,d=5000,k=1,units=2,spread=1,first=0");
+            assertThat(shop.told()).isEqualTo("made here");
+            assertThat(serve.countersLine()).containsPattern("limit_queries=[12] ");
+        }
+        client.close();
+        client = new Client(serve.limitsFront().answers().address());
         assertThat(throttle("north", "1")[0]).isZero(); // transactions are not counted as queries
     }
 
