Count a small set's silence as unheard use for one slot at most

Cause: Policy.unheard let staleness grow with the age of the last news up to a whole window, though a peer of a small set tells what it lets in within half a slot; while all refuse, nothing is told and all go on refusing. The new PolicyTest lets in 8 of 8 after a peer's flood has passed; without the change 4. The window's own refusals are the design's and stay.

--- a/src/main/java/yardusher/Policy.java
+++ b/src/main/java/yardusher/Policy.java
@@ -321,11 +321,13 @@
      * Danger: all gateways see the same room and fill it before they hear of each other. What the others were
      * asked since the last news is known from its rate, but not who came first: this request's place among
      * those is drawn at random by the caller, and only what lies before it needs room. Works for sets of any
-     * size; harms when the others' demand has just stopped.
+     * size; harms when the others' demand has just stopped. A small set tells what it lets in within half a
+     * slot, so its longer silence means that nothing was, and counts for one slot at most.
      */
     private double unheard(Customer c, double askedByOthers) {
         double usual = c.direct() || c.rank >= 0 ? c.slotMs / 2 : Math.max(c.passEvery(), c.newsEvery);
-        double staleness = Math.min(c.windowMs, Math.max(usual, now - c.newsAt));
+        double silent = c.direct() ? Math.min(c.slotMs, now - c.newsAt) : now - c.newsAt;
+        double staleness = Math.min(c.windowMs, Math.max(usual, silent));
         return askedByOthers * staleness / c.windowMs;
     }
 
--- a/src/test/java/yardusher/PolicyTest.java
+++ b/src/test/java/yardusher/PolicyTest.java
@@ -192,6 +192,16 @@
         assertTrue(c.admitted(15, QUOTA, 1, 2) > 5);
     }
 
+    @Test
+    void theSilenceOfASmallSetIsNotTakenForUseUnheard() {
+        Gateway a = new Gateway(0, 2, 0, TWO);
+        Gateway b = new Gateway(1, 2, 0, TWO);
+        run(600, Set.of(), a, b);
+        b.admitted(40, QUOTA, 1, 2);                 // a flood, told and dropped from the window since
+        run(1700, Set.of(), a, b);
+        assertEquals(8, a.admitted(8, QUOTA, 1, 2));
+    }
+
     @Test
     void countsOfAPeerLeaveRoomForTheRestAlone() {
         Gateway a = new Gateway(0, 2, 0, TWO);
