--- a/src/main/java/yardusher/agent/AgentConfig.java
+++ b/src/main/java/yardusher/agent/AgentConfig.java
@@ -1,15 +1,10 @@
 package yardusher.agent;
 
-import com.electronwill.nightconfig.core.UnmodifiableConfig;
-import com.electronwill.nightconfig.core.io.ParsingException;
-import com.electronwill.nightconfig.toml.TomlParser;
-import java.io.IOException;
-import java.io.Reader;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import yardusher.file.Toml;
 import yardusher.net.Sockets;
 
 /** The agent's file: where it listens, how instances are started, and which there are. */
@@ -21,24 +16,14 @@
     private static final Set<String> INSTANCE_KEYS = Set.of("name", "address", "config", "limits");
 
     /** Reads the file; an {@link IllegalArgumentException} says in one line what is wrong with it. */
-    public static AgentConfig read(Path file) {
-        try (Reader text = Files.newBufferedReader(file)) {
-            return of(new TomlParser().parse(text));
-        } catch (IOException e) {
-            throw new IllegalArgumentException(file + ": cannot be read", e);
-        } catch (ParsingException | ClassCastException | IllegalArgumentException e) {
-            throw new IllegalArgumentException(file + ": " + String.valueOf(e.getMessage()).lines().findFirst().orElse(""), e);
-        }
-    }
+    public static AgentConfig read(Path file) { return Toml.read(file, AgentConfig::of); }
 
-    private static AgentConfig of(UnmodifiableConfig toml) {
-        only(toml, KEYS);
+    private static AgentConfig of(Toml toml) {
+        toml.only(KEYS);
         List<Entry> entries = new ArrayList<>();
-        List<UnmodifiableConfig> tables = toml.getOrElse("instance", List.of());
-        for (UnmodifiableConfig one : tables) {
-            only(one, INSTANCE_KEYS);
-            Entry entry = new Entry(text(one, "name"), text(one, "address"), text(one, "config"),
-                    one.contains("limits") ? text(one, "limits") : "none");
+        for (Toml one : toml.tables("instance")) {
+            one.only(INSTANCE_KEYS);
+            Entry entry = new Entry(one.text("name"), one.text("address"), one.text("config"), one.text("limits", "none"));
             Sockets.address(entry.address());
             if (!entry.name().matches("[A-Za-z0-9._-]{1,64}")) { throw new IllegalArgumentException("bad name " + entry.name()); }
             if (entries.stream().anyMatch(other -> other.name().equals(entry.name()))) {
@@ -47,14 +32,11 @@
             entries.add(entry);
         }
         if (entries.isEmpty()) { throw new IllegalArgumentException("names no instance"); }
-        String control = text(toml, "control");
+        String control = toml.text("control");
         Sockets.address(control);
-        List<Object> words = toml.getOrElse("command", List.of());
-        List<String> command = new ArrayList<>();
-        for (Object word : words) { command.add((String) word); }
-        Number stopMs = toml.getOrElse("stop_ms", 10_000);
-        if (stopMs.longValue() < 1 || stopMs.longValue() > 600_000) { throw new IllegalArgumentException("bad stop_ms"); }
-        return new AgentConfig(control, command.isEmpty() ? ownCommand() : command, stopMs.longValue(), entries);
+        List<String> command = toml.texts("command");
+        return new AgentConfig(control, command.isEmpty() ? ownCommand() : command,
+                toml.whole("stop_ms", 10_000, 1, 600_000), entries);
     }
 
     /** This very program, with the flags of a small ingress. */
@@ -66,15 +48,4 @@
                 : List.of("-cp", program, "yardusher.cli.Main"));
         return command;
     }
-
-    private static String text(UnmodifiableConfig from, String key) {
-        if (from.get(key) instanceof String text) { return text; }
-        throw new IllegalArgumentException("needs a text in " + key);
-    }
-
-    private static void only(UnmodifiableConfig table, Set<String> keys) {
-        for (String key : table.valueMap().keySet()) {
-            if (!keys.contains(key)) { throw new IllegalArgumentException("unknown key " + key); }
-        }
-    }
 }
--- a/src/main/java/yardusher/limits/LimitsConfig.java
+++ b/src/main/java/yardusher/limits/LimitsConfig.java
@@ -1,17 +1,11 @@
 package yardusher.limits;
 
-import com.electronwill.nightconfig.core.UnmodifiableConfig;
-import com.electronwill.nightconfig.core.io.ParsingException;
-import com.electronwill.nightconfig.toml.TomlParser;
-import java.io.IOException;
-import java.io.Reader;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import yardusher.file.Toml;
 import yardusher.net.Sockets;
 
 /**
@@ -28,37 +22,28 @@
     private static final Set<String> PARTNER_KEYS = Set.of("key", "customer", "plan", "first", "spread");
 
     /** Reads the file; an {@link IllegalArgumentException} says in one line what is wrong with it. */
-    public static LimitsConfig read(Path file) {
-        try (Reader text = Files.newBufferedReader(file)) {
-            return of(new TomlParser().parse(text));
-        } catch (IOException e) {
-            throw new IllegalArgumentException(file + ": cannot be read", e);
-        } catch (ParsingException | ClassCastException | IllegalArgumentException e) {
-            throw new IllegalArgumentException(file + ": " + String.valueOf(e.getMessage()).lines().findFirst().orElse(""), e);
-        }
-    }
+    public static LimitsConfig read(Path file) { return Toml.read(file, LimitsConfig::of); }
 
-    private static LimitsConfig of(UnmodifiableConfig toml) {
-        only(toml, KEYS);
-        String listen = text(toml, "listen", "");
+    private static LimitsConfig of(Toml toml) {
+        toml.only(KEYS);
+        String listen = toml.text("listen", "");
         Map<String, Partner> partners = new HashMap<>();
-        List<UnmodifiableConfig> tables = toml.getOrElse("partner", List.of());
-        for (UnmodifiableConfig one : tables) {
-            only(one, PARTNER_KEYS);
-            String key = text(one, "key", null);
-            Partner partner = partner(one, customer(text(one, "customer", null)));
-            if (partners.put(key, partner) != null) { throw new IllegalArgumentException("partner " + key + " stands twice"); }
+        for (Toml one : toml.tables("partner")) {
+            one.only(PARTNER_KEYS);
+            String key = one.text("key");
+            if (partners.put(key, partner(one, customer(one.text("customer")))) != null) {
+                throw new IllegalArgumentException("partner " + key + " stands twice");
+            }
         }
-        UnmodifiableConfig others = toml.get("others");
-        if (others != null) { only(others, Set.of("plan", "first", "spread")); }
-        return new LimitsConfig(listen.isEmpty() ? null : Sockets.address(listen), text(toml, "class", "lookup"),
-                whole(toml, "wait_ms", 1000, 1, 600_000), whole(toml, "queries_per_s", 200, 1, 1_000_000), partners,
+        Toml others = toml.table("others");
+        if (others != null) { others.only(Set.of("plan", "first", "spread")); }
+        return new LimitsConfig(listen.isEmpty() ? null : Sockets.address(listen), toml.text("class", "lookup"),
+                toml.whole("wait_ms", 1000, 1, 600_000), toml.whole("queries_per_s", 200, 1, 1_000_000), partners,
                 others == null ? null : partner(others, -1));
     }
 
-    private static Partner partner(UnmodifiableConfig one, long customer) {
-        return new Partner(customer, text(one, "plan", null), whole(one, "first", 0, 0, 10_000),
-                whole(one, "spread", 1, 1, 10_000));
+    private static Partner partner(Toml one, long customer) {
+        return new Partner(customer, one.text("plan"), one.whole("first", 0, 0, 10_000), one.whole("spread", 1, 1, 10_000));
     }
 
     /** The partner of a key: by name, or, where others are let in, by the customer's number itself. */
@@ -77,27 +62,4 @@
         if (number < 0 || number >= 1L << 33) { throw new IllegalArgumentException("bad customer \"" + hex + "\""); }
         return number;
     }
-
-    private static String text(UnmodifiableConfig from, String key, String absent) {
-        Object value = from.get(key);
-        if (value == null && absent != null) { return absent; }
-        if (value instanceof String text) { return text; }
-        throw new IllegalArgumentException("needs a text in " + key);
-    }
-
-    private static int whole(UnmodifiableConfig from, String key, int absent, int least, int most) {
-        Object value = from.get(key);
-        if (value == null) { return absent; }
-        if (value instanceof Number number && number.doubleValue() == number.intValue() && number.intValue() >= least
-                && number.intValue() <= most) {
-            return number.intValue();
-        }
-        throw new IllegalArgumentException(key + " must be a whole number from " + least + " to " + most);
-    }
-
-    private static void only(UnmodifiableConfig table, Set<String> keys) {
-        for (String key : table.valueMap().keySet()) {
-            if (!keys.contains(key)) { throw new IllegalArgumentException("unknown key " + key); }
-        }
-    }
 }
