--- a/src/test/java/yardusher/story/PeersStoryTest.java
+++ b/src/test/java/yardusher/story/PeersStoryTest.java
@@ -11,8 +11,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
+import yardusher.cli.Serve;
 import yardusher.core.Turns;
+import yardusher.limits.LimitsConfig;
 import yardusher.peers.PeerSocket;
 
 /** Datagrams between ingresses. */
@@ -27,6 +30,52 @@
                 .isInstanceOf(ClassNotFoundException.class);
     }
 
+    @Test
+    void aQuotaHoldsOverTwoIngressesThatSpeakOverRealDatagrams() throws Exception {
+        InetAddress here = InetAddress.getByName("127.0.0.1");
+        int[] ports = new int[2];
+        try (DatagramSocket a = new DatagramSocket(0, here); DatagramSocket b = new DatagramSocket(0, here)) {
+            ports[0] = a.getLocalPort();
+            ports[1] = b.getLocalPort();
+        }
+        LimitsConfig limits = new LimitsConfig(new InetSocketAddress(here, 0), "lookup", 1000, 100_000,
+                Map.of("wide", new LimitsConfig.Partner(17, "basis", 0, 2)), null);
+        Serve[] serves = new Serve[2];
+        StandIn.Client[] clients = new StandIn.Client[2];
+        try (StandIn.Region region = new StandIn.Region()) {
+            for (int i = 0; i < 2; i++) {
+                int me = i;
+                serves[i] = StandIn.ingress(json -> json.replace("\"me\": 0", "\"me\": " + me)
+                        .replace("\"peer_listen\": \"127.0.0.1:0\"", "\"peer_listen\": \"127.0.0.1:" + ports[me] + "\"")
+                        .replace("127.0.0.1:1\"", "127.0.0.1:" + ports[0] + "\"")
+                        .replace("127.0.0.1:2\"", "127.0.0.1:" + ports[1] + "\""), "127.0.0.1:9", limits,
+                        StandIn.member("s-1", region.address(), "Ready"));
+                clients[i] = new StandIn.Client(serves[i].limitsFront().answers().address());
+            }
+            for (StandIn.Client client : clients) { await(client, "0 8 8 .*"); } // each has been greeted by the other
+            for (int i = 0; i < 6; i++) { clients[0].ask("CL.THROTTLE", "wide", "7", "19", "10"); }
+            assertThat(region.seen).hasSize(6);
+            await(clients[1], "[01] 8 [012] .*");    // has heard of them
+            for (int i = 0; i < 10; i++) { clients[1].ask("CL.THROTTLE", "wide", "7", "19", "10"); }
+            assertThat(region.seen).hasSizeBetween(6, 8);
+        } finally {
+            for (int i = 0; i < 2; i++) {
+                if (clients[i] != null) { clients[i].close(); }
+                if (serves[i] != null) { serves[i].close(); }
+            }
+        }
+    }
+
+    /** Asks until the standing is as wanted; bounded, and on what the ingress says. */
+    private static void await(StandIn.Client client, String wanted) throws Exception {
+        long until = System.nanoTime() + StandIn.PATIENCE_S * 1_000_000_000L;
+        for (String told;;) {
+            if ((told = client.ask("CL.THROTTLE", "wide", "7", "19", "10", "0")).matches(wanted)) { return; }
+            if (System.nanoTime() > until) { throw new AssertionError(told); }
+            Thread.sleep(5);
+        }
+    }
+
     @Test
     void aDatagramOverTheLimitIsNeverSentAndTheNextOneIs() throws Exception {
         InetAddress here = InetAddress.getByName("127.0.0.1");
--- a/src/test/java/yardusher/story/StandIn.java
+++ b/src/test/java/yardusher/story/StandIn.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.function.UnaryOperator;
 import java.util.stream.Collectors;
 import yardusher.cli.Config;
 import yardusher.cli.Serve;
@@ -233,7 +234,12 @@
 
     /** An ingress with these regions known, in this process, on ports of its own. */
     static Serve ingress(String discovery, LimitsConfig limits, String... members) throws Exception {
-        String json = Files.readString(Path.of("src/test/resources/ingress.json"))
+        return ingress(json -> json, discovery, limits, members);
+    }
+
+    static Serve ingress(UnaryOperator<String> edit, String discovery, LimitsConfig limits, String... members)
+            throws Exception {
+        String json = edit.apply(Files.readString(Path.of("src/test/resources/ingress.json")))
                 .replace("127.0.0.1:9\"", discovery + "\"")
                 .replace("\"members\": []", "\"members\": [" + String.join(",", members) + "]");
         Path file = Files.createTempFile("ingress", ".json");
