Let silent and idle terminals give way, end what is owed whole, and reload on SIGHUP

Ruled out: memory (30 of 128 MB), CPU (0.2 to 0.3 s in a second at most). At fault: Answers, whose predicate shut the door at mostTerminals while nothing ever closed a connection with nothing open; Link.finish, which closed with unread bytes and so reset the connection under its own error line; Serve.run, which left SIGHUP to its default; Watch, which had one address for good and no watch while asking anew. Now the longest silent or idle terminal makes room, half commands end with an error after 2 s, a last answer is followed by the end of output and a bounded drain, one connection gets 32 commands a turn, and a new watch replaces the old once it speaks.

--- a/src/main/java/yardusher/cli/Config.java
+++ b/src/main/java/yardusher/cli/Config.java
@@ -56,6 +56,14 @@
                 limits.number("conn_idle_ms", 30_000), limits.number("dial_timeout_ms", 250));
     }
 
+    /** Whether all that holds from the start to the end is the same in another reading of the file. */
+    boolean sameBut(Config next) {
+        return name.equals(next.name) && listen.equals(next.listen) && sockets == next.sockets
+                && java.util.Objects.equals(peerListen, next.peerListen) && peers.equals(next.peers)
+                && settings.equals(next.settings) && classes.equals(next.classes) && plans.equals(next.plans)
+                && zones.equals(next.zones) && idleMs == next.idleMs && dialMs == next.dialMs;
+    }
+
     /** How many regions the configuration knows; an entry that cannot be used is an IllegalArgumentException. */
     int members() {
         int count = 0;
--- a/src/main/java/yardusher/cli/Serve.java
+++ b/src/main/java/yardusher/cli/Serve.java
@@ -6,6 +6,7 @@
 import java.time.Instant;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import sun.misc.Signal;
 import yardusher.Api;
 import yardusher.clients.PlatformFront;
 import yardusher.core.Counters;
@@ -36,9 +37,11 @@
     private final PeerSocket peers;
     private final CountDownLatch drained = new CountDownLatch(1);
     private final double longestMs;
+    private Config config;                           // as it was last read
 
     /** Takes the limits front's file, or null where it is off. */
     public Serve(Config config, LimitsConfig limits) throws IOException {
+        this.config = config;
         turns = new Turns(clock(), this::fault);
         sockets = new Sockets(turns);
         int budget = Math.max(64, config.sockets() - OWN_DESCRIPTORS);
@@ -105,6 +108,27 @@
         });
     }
 
+    /**
+     * Takes over what a configuration file read anew can change while all goes on: where discovery is found. The
+     * counter is not asked by these decisions. A file that cannot be used changes nothing. The result says which.
+     */
+    public String reload(String file) {
+        Config next;
+        try {
+            next = Config.read(file);
+        } catch (Config.Bad e) {
+            return "keeps its configuration: " + e.getMessage();
+        }
+        String[] done = new String[1];
+        turns.turn(() -> {
+            watch.move(next.discovery());
+            boolean more = !config.sameBut(next);
+            config = next;
+            done[0] = "reloaded: discovery at " + next.discovery() + (more ? "; the rest of the file waits for a restart" : "");
+        });
+        return done[0];
+    }
+
     /** Accepts for a while, answers all that was taken, and returns well before the platform would kill it. */
     public void drain() throws InterruptedException {
         turns.turn(() -> turns.deadlines().at(turns.now() + ACCEPT_ON_MS, () -> {
@@ -162,6 +186,8 @@
             System.err.flush();
             Runtime.getRuntime().halt(0);
         }, "drain"));
+        // Before the first PING is answered: the default of this signal would end the process.
+        Signal.handle(new Signal("HUP"), hup -> System.err.println(config.name() + " " + serve.reload(file)));
         serve.start();
         System.err.println(config.name() + " serves at " + serve.front.answers().address()
                 + (serve.limitsFront == null ? "" : ", limits at " + serve.limitsFront.answers().address()));
--- a/src/main/java/yardusher/list/Watch.java
+++ b/src/main/java/yardusher/list/Watch.java
@@ -8,25 +8,33 @@
 import java.nio.charset.StandardCharsets;
 import yardusher.Api;
 import yardusher.core.Counters;
+import yardusher.core.Deadlines;
 import yardusher.core.Ingress;
 import yardusher.core.Turns;
 import yardusher.net.Sockets;
 
-/** The watch on discovery: one HTTP answer that stays open. When it ends or falls silent it is asked for anew. */
+/**
+ * The watch on discovery: one HTTP answer that stays open. When it ends or falls silent, or discovery is to be found
+ * at another address, it is asked for anew; the old one is heard until the new one has spoken.
+ */
 public final class Watch {
     private static final double DIAL_MS = 1000;
-    private static final double SILENT_MS = 6500;    // a line comes every 2 s; later than this it is broken
+    private static final double SILENT_MS = 3000;    // a line comes every 2 s; later than this it is broken
     private static final double AGAIN_MS = 100;
     private static final double AGAIN_MOST_MS = 1000;
 
     private final Sockets sockets;
     private final Turns turns;
-    private final InetSocketAddress address;
     private final ServiceTable table;
     private final Ingress ingress;
     private final Counters counters;
+    private InetSocketAddress address;
     private double againMs = AGAIN_MS;
-    private Stream stream;
+    private boolean moved;                           // nothing has been told by the present address yet
+    private Stream told;                             // the one that has spoken
+    private Stream next;                             // the one that is to follow it
+    private Runnable dial;                           // gives up the connection under way
+    private Deadlines.Entry pending;
     private boolean stopped;
 
     public Watch(Sockets sockets, InetSocketAddress address, ServiceTable table, Ingress ingress) {
@@ -39,21 +47,47 @@
     }
 
     public void start() {
-        if (stopped) { return; }
-        sockets.connect(address, DIAL_MS, channel -> {
-            stream = new Stream(channel);
-            stream.ask();
-        }, this::again);
+        pending = null;
+        if (stopped || dial != null || next != null) { return; }
+        dial = sockets.connect(address, DIAL_MS, channel -> {
+            dial = null;
+            next = new Stream(channel);
+            next.ask();
+        }, () -> {
+            dial = null;
+            again();
+        });
+    }
+
+    /** Discovery is found there from now on. */
+    public void move(InetSocketAddress to) {
+        if (stopped || to.equals(address)) { return; }
+        address = to;
+        moved = true;                                // its versions are its own: the whole list is asked for
+        drop();
+        againMs = AGAIN_MS;
+        start();
     }
 
     public void stop() {
         stopped = true;
-        if (stream != null) { stream.close(); }
+        drop();
+        if (told != null) { told.close(); }
+    }
+
+    /** Gives up what is under way for a new watch. */
+    private void drop() {
+        turns.deadlines().cancel(pending);
+        if (dial != null) { dial.run(); }
+        dial = null;
+        if (next != null) { next.close(); }
+        next = null;
     }
 
     private void again() {
-        if (stopped) { return; }
-        turns.deadlines().at(turns.now() + againMs, this::start);
+        if (stopped || dial != null || next != null) { return; }
+        turns.deadlines().cancel(pending);
+        pending = turns.deadlines().at(turns.now() + againMs, this::start);
         againMs = Math.min(AGAIN_MOST_MS, 2 * againMs);
     }
 
@@ -67,7 +101,7 @@
         Stream(AsynchronousSocketChannel channel) { this.channel = channel; }
 
         void ask() {
-            String request = "GET /v1/servers?follow=1&since=" + table.revision() + " HTTP/1.1\r\nHost: "
+            String request = "GET /v1/servers?follow=1&since=" + (moved ? 0 : table.revision()) + " HTTP/1.1\r\nHost: "
                     + address.getHostString() + ":" + address.getPort() + "\r\nAccept: application/json\r\n\r\n";
             write(ByteBuffer.wrap(request.getBytes(StandardCharsets.US_ASCII)));
             turns.deadlines().at(turns.now() + SILENT_MS, this::watchSilence);
@@ -78,9 +112,16 @@
             double left = heardAt + SILENT_MS - turns.now();
             if (left > 0) {
                 turns.deadlines().at(turns.now() + left, this::watchSilence);
-            } else {
+                return;
+            }
+            if (this == next) {
                 fail();
+                return;
             }
+            // Guards against a list that stands still behind a broken path: asked anew, and heard meanwhile.
+            heardAt = turns.now();
+            turns.deadlines().at(turns.now() + SILENT_MS, this::watchSilence);
+            start();
         }
 
         private void write(ByteBuffer request) {
@@ -119,6 +160,7 @@
             try {
                 lines.feed(in.array(), count);
                 for (String line; (line = lines.next()) != null;) {
+                    if (this == next) { takeOver(); }
                     if (line.isBlank()) { continue; }
                     Api.ServerList news = table.line(line);
                     counters.listChanges++;
@@ -133,9 +175,19 @@
             if (lines.ended()) { fail(); } else { read(); }
         }
 
+        /** It has spoken: the one before is heard no more. */
+        private void takeOver() {
+            if (told != null) { told.close(); }
+            told = this;
+            next = null;
+            moved = false;
+        }
+
         private void fail() {
             if (closed) { return; }
             close();
+            if (this == next) { next = null; }
+            if (this == told) { told = null; }
             again();
         }
 
--- a/src/main/java/yardusher/net/Answers.java
+++ b/src/main/java/yardusher/net/Answers.java
@@ -30,19 +30,38 @@
     }
 
     private static final int MOST_UNANSWERED = 64; // on one connection; more are read when some are answered
+    private static final int MOST_UNREAD = 256 * 1024; // bytes of answers that the terminal has not taken yet
+    private static final int TURN_COMMANDS = 32;   // of one connection in one turn; then it is the others' turn
+    private static final double NEXT_TURN_MS = 1;
+    private static final double SILENT_MS = 2000;  // to the end of a connection's first command, or of any begun
+    private static final double IDLE_MS = 2000;    // a connection with nothing open may be closed after this
+    private static final double CALM_IDLE_MS = 10_000; // and is, where there is room for others
+    private static final double SILENT_WAY_MS = 30; // where no room is left, these give way to a newcomer:
+    private static final double IDLE_WAY_MS = 250; // who connected and said nothing, then who is idle
+    private static final double AGAIN_MS = 10;
+    private static final double UPKEEP_MS = 100;
 
     private final Commands commands;
     private final int mostTerminals;
     private final Turns turns;
     private final Sockets.Door door;
     private final Set<TerminalLink> terminals = new LinkedHashSet<>();
+    /** Terminals with nothing open, the longest so first: those that never ended a command, and the others. */
+    private final Set<TerminalLink> silent = new LinkedHashSet<>();
+    private final Set<TerminalLink> idle = new LinkedHashSet<>();
+    /** Connections that get their last bytes. They still hold descriptors, so they have a bound too. */
+    private final Set<Link> leaving = new LinkedHashSet<>();
+    private final int mostLeaving;
+    private boolean looksAgain;
     private boolean closing;
 
     public Answers(Sockets sockets, InetSocketAddress at, int mostTerminals, Commands commands) throws IOException {
         this.commands = commands;
-        this.mostTerminals = mostTerminals;
+        this.mostLeaving = Math.max(2, mostTerminals / 5);
+        this.mostTerminals = Math.max(1, mostTerminals - mostLeaving);
         this.turns = sockets.turns();
-        door = sockets.listen(at, channel -> new TerminalLink(channel, sockets), nothing -> terminals.size() < mostTerminals);
+        door = sockets.listen(at, channel -> new TerminalLink(channel, sockets), nothing -> room());
+        turns.deadlines().at(turns.now() + UPKEEP_MS, this::upkeep);
     }
 
     public InetSocketAddress address() throws IOException { return door.address(); }
@@ -51,6 +70,53 @@
 
     public int terminalCount() { return terminals.size(); }
 
+    /**
+     * Whether one more terminal finds room. Guards the usual clients against connections that are kept and not
+     * used: the one that said nothing for longest gives way, instead of a shut door for all.
+     */
+    private boolean room() {
+        if (terminals.size() < mostTerminals) { return true; }
+        TerminalLink longest = first(silent, SILENT_WAY_MS);
+        if (longest == null) { longest = first(idle, IDLE_WAY_MS); }
+        if (longest == null) {
+            if (!looksAgain && !closing) {
+                looksAgain = true;
+                turns.deadlines().at(turns.now() + AGAIN_MS, () -> {
+                    looksAgain = false;
+                    door.open();
+                });
+            }
+            return false;
+        }
+        longest.drop();
+        return true;
+    }
+
+    private TerminalLink first(Set<TerminalLink> of, double quietMs) {
+        TerminalLink first = of.isEmpty() ? null : of.iterator().next();
+        return first != null && turns.now() - first.quietSince >= quietMs ? first : null;
+    }
+
+    /** Closes what has been silent or idle too long, and what never ends a command it has begun. */
+    private void upkeep() {
+        double now = turns.now();
+        turns.deadlines().at(now + UPKEEP_MS, this::upkeep);
+        boolean crowded = terminals.size() > mostTerminals / 2;
+        reap(silent, now - SILENT_MS, now - SILENT_MS);
+        reap(idle, now - (crowded ? IDLE_MS : CALM_IDLE_MS), now - SILENT_MS);
+        if (!closing) { door.open(); }
+    }
+
+    private void reap(Set<TerminalLink> of, double quietBefore, double begunBefore) {
+        for (TerminalLink terminal : new ArrayList<>(of)) {
+            if (terminal.begunAt < begunBefore) {
+                terminal.lose("command not ended");
+            } else if (terminal.quietSince < quietBefore) {
+                terminal.drop();
+            }
+        }
+    }
+
     /** Accepts no more; connections are closed as soon as all they asked is answered. */
     public void close() {
         closing = true;
@@ -95,41 +161,72 @@
     private final class TerminalLink implements Link.Owner {
         private final Link link;
         private final ArrayDeque<Slot> slots = new ArrayDeque<>(2);
+        private double quietSince = turns.now();
+        private double begunAt = Double.POSITIVE_INFINITY; // when the command now being read began
         private boolean lost;
         private boolean paused;
+        private boolean stalled;                   // it does not take its answers, so no more commands are read
 
         TerminalLink(AsynchronousSocketChannel channel, Sockets sockets) {
             link = new Link(channel, sockets.turns(), this);
             terminals.add(this);
+            silent.add(this);
             link.readMore();
         }
 
         @Override
         public boolean readable(Link from) {
             try {
-                while (!lost && !paused && slots.size() < MOST_UNANSWERED) {
+                for (int taken = 0; mayRead(); taken++) {
+                    if (taken == TURN_COMMANDS) {
+                        // Guards the others against one that sends hundreds of commands at once.
+                        pause(NEXT_TURN_MS);
+                        return false;
+                    }
                     byte[][] words = link.decoder().command();
-                    if (words == null) { return true; }
+                    if (words == null) {
+                        if (link.decoder().isEmpty()) {
+                            begunAt = Double.POSITIVE_INFINITY;
+                        } else if (begunAt == Double.POSITIVE_INFINITY || taken > 0) {
+                            begunAt = turns.now();
+                        }
+                        return true;
+                    }
+                    begunAt = Double.POSITIVE_INFINITY;
+                    silent.remove(this);
+                    idle.remove(this);
                     Slot slot = new Slot(this);
                     slots.add(slot);
                     commands.command(words, slot);
                 }
             } catch (Malformed e) {
-                // Framing is lost: what came before is still answered in order, then the connection closes.
-                lost = true;
-                Slot slot = new Slot(this);
-                slots.add(slot);
-                slot.answer(new Encoder(64).failure("ERR Protocol error: " + e.getMessage()).toBytes());
+                lose(e.getMessage());
             }
+            stalled |= link.queued() >= MOST_UNREAD;
             return false;
         }
 
+        private boolean mayRead() {
+            return !lost && !paused && !link.isClosed() && slots.size() < MOST_UNANSWERED && link.queued() < MOST_UNREAD;
+        }
+
+        /** Framing is lost: what came before is still answered in order, then the connection closes. */
+        void lose(String why) {
+            lost = true;
+            begunAt = Double.POSITIVE_INFINITY;
+            silent.remove(this);
+            idle.remove(this);
+            Slot slot = new Slot(this);
+            slots.add(slot);
+            slot.answer(new Encoder(64).failure("ERR Protocol error: " + why).toBytes());
+        }
+
         void pause(double ms) {
             if (paused) { return; }
             paused = true;
             turns.deadlines().at(turns.now() + ms, () -> {
                 paused = false;
-                if (!link.isClosed() && readable(link)) { link.readMore(); }
+                if (mayRead() && readable(link)) { link.readMore(); }
             });
         }
 
@@ -137,20 +234,39 @@
             boolean full = slots.size() >= MOST_UNANSWERED;
             while (!slots.isEmpty() && slots.peek().bytes != null) { link.write(slots.poll().bytes); }
             if (link.isClosed()) { return; }
-            if (lost && slots.isEmpty()) {
-                leave();
-                link.finish();
-            } else if (full && slots.size() < MOST_UNANSWERED && readable(link)) {
-                link.readMore();
+            if (slots.isEmpty()) {
+                if (lost || closing) {
+                    finish();
+                    return;
+                }
+                quietSince = turns.now();
+                idle.add(this);
             }
-            closeIfIdle();
+            if (full && mayRead() && readable(link)) { link.readMore(); }
+        }
+
+        @Override
+        public void written(Link from) {
+            if (!stalled || !mayRead()) { return; }
+            stalled = false;
+            if (readable(link)) { link.readMore(); }
         }
 
         void closeIfIdle() {
-            if (closing && slots.isEmpty()) {
-                leave();
-                link.finish();
-            }
+            if (closing && slots.isEmpty()) { finish(); }
+        }
+
+        /** Nothing is open here: closed at once. */
+        void drop() {
+            leave();
+            link.close();
+        }
+
+        private void finish() {
+            leave();
+            leaving.add(link);
+            link.finish(() -> leaving.remove(link));
+            if (leaving.size() > mostLeaving) { leaving.iterator().next().close(); }
         }
 
         @Override
@@ -166,6 +282,8 @@
         }
 
         private void leave() {
+            silent.remove(this);
+            idle.remove(this);
             if (terminals.remove(this) && !closing && terminals.size() == mostTerminals - 1) { door.open(); }
         }
     }
--- a/src/main/java/yardusher/net/Link.java
+++ b/src/main/java/yardusher/net/Link.java
@@ -5,6 +5,7 @@
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.channels.CompletionHandler;
 import java.util.ArrayDeque;
+import yardusher.core.Deadlines;
 import yardusher.core.Turns;
 import yardusher.resp.Decoder;
 
@@ -26,6 +27,10 @@
     }
 
     private static final int MOST_QUEUED = 4 << 20;
+    private static final long MOST_DRAINED = 96L << 20;
+    private static final double DRAIN_MS = 3000;
+    /** What drained bytes go into: nobody looks at them, so all connections share it, without a copy. */
+    private static final ByteBuffer SCRATCH = ByteBuffer.allocateDirect(64 * 1024);
 
     private final AsynchronousSocketChannel channel;
     private final Turns turns;
@@ -36,6 +41,10 @@
     private boolean writing;
     private boolean reading;
     private boolean finishing;
+    private boolean draining;
+    private long drained;
+    private Deadlines.Entry drainEnd;
+    private Runnable whenClosed = () -> { };
     private boolean closed;
     private boolean writeFailed;
 
@@ -52,20 +61,25 @@
     /** Whether it ended in a write: then the last byte was never written. */
     public boolean writeFailed() { return writeFailed; }
 
-    public boolean isIdle() { return !writing && queue.isEmpty() && decoder.isEmpty(); }
+    /** Bytes that wait to be written. */
+    public int queued() { return queued; }
 
     public void readMore() {
-        if (reading || closed) { return; }
+        if (reading || closed || draining) { return; }
+        read(decoder.room());
+    }
+
+    private void read(ByteBuffer room) {
         reading = true;
         try {
-            channel.read(decoder.room(), this, READ);
+            channel.read(room, this, READ);
         } catch (RuntimeException e) {
             end();
         }
     }
 
     public void write(byte[] bytes) {
-        if (closed) { return; }
+        if (closed || finishing) { return; }
         queue.add(ByteBuffer.wrap(bytes));
         queued += bytes.length;
         // Guards against a terminal that asks and never reads: answers would fill the heap.
@@ -77,11 +91,39 @@
         }
     }
 
-    /** Closes once what is queued has been written. */
-    public void finish() {
+    /**
+     * Closes once what is queued has been written and the peer has ended too. Guards against a close with unread
+     * bytes: it would reset the connection and destroy the last answer on its way. What still comes is dropped,
+     * and a peer that never ends is cut off after a time and a number of bytes. The owner is told nothing more.
+     */
+    public void finish(Runnable then) {
+        if (closed) {
+            then.run();
+            return;
+        }
+        whenClosed = then;
         finishing = true;
-        if (!writing && queue.isEmpty()) {
+        drainEnd = turns.deadlines().at(turns.now() + DRAIN_MS, this::close);
+        if (!writing && queue.isEmpty()) { drain(); }
+    }
+
+    private void drain() {
+        draining = true;
+        try {
+            channel.shutdownOutput();
+        } catch (IOException e) {
             close();
+            return;
+        }
+        if (!reading) { read(SCRATCH.duplicate()); }
+    }
+
+    private void drained(int count) {
+        drained += Math.max(0, count);
+        if (count < 0 || drained > MOST_DRAINED) {
+            close();
+        } else {
+            read(SCRATCH.duplicate());
         }
     }
 
@@ -89,6 +131,8 @@
         if (closed) { return; }
         closed = true;
         queue.clear();
+        turns.deadlines().cancel(drainEnd);
+        turns.afterwards(whenClosed);
         try {
             channel.close();
         } catch (IOException e) { /* it is gone either way */ }
@@ -96,8 +140,9 @@
 
     private void end() {
         if (closed) { return; }
+        boolean owned = !finishing;
         close();
-        owner.ended(this);
+        if (owned) { owner.ended(this); }
     }
 
     private void flush() {
@@ -122,11 +167,16 @@
     private void read(int count) {
         reading = false;
         if (closed) { return; }
+        if (draining) {
+            drained(count);
+            return;
+        }
         if (count < 0) {
-            end();
+            if (!finishing) { end(); }
             return;
         }
         decoder.filled(count);
+        if (finishing) { return; }
         if (owner.readable(this) && !closed) { readMore(); }
     }
 
@@ -139,8 +189,11 @@
             return;
         }
         writing = false;
-        owner.written(this);
-        if (finishing) { close(); }
+        if (finishing) {
+            drain();
+        } else {
+            owner.written(this);
+        }
     }
 
     private static final CompletionHandler<Integer, Link> READ = new CompletionHandler<>() {
--- a/src/main/java/yardusher/net/Sockets.java
+++ b/src/main/java/yardusher/net/Sockets.java
@@ -64,8 +64,10 @@
         /** Goes on accepting while there is room; called again when room comes back. */
         public void open() {
             // Guards against running out of descriptors: who finds no room waits in the backlog.
-            if (accepting || !channel.isOpen() || !room.test(null)) { return; }
-            accepting = true;
+            if (accepting || !channel.isOpen()) { return; }
+            accepting = true;                        // also while room is made, which may open the door again
+            accepting = room.test(null);
+            if (!accepting) { return; }
             channel.accept(this, new CompletionHandler<AsynchronousSocketChannel, Door>() {
                 @Override
                 public void completed(AsynchronousSocketChannel guest, Door door) {
--- a/src/test/java/yardusher/story/StandIn.java
+++ b/src/test/java/yardusher/story/StandIn.java
@@ -128,6 +128,7 @@
     /** Discovery's agent: holds each watch open and sends the lines it is given to the newest. */
     static final class Discovery extends Listener {
         final BlockingQueue<String> asked = new LinkedBlockingQueue<>();
+        final BlockingQueue<String> ends = new LinkedBlockingQueue<>();
         private volatile Socket newest;
 
         Discovery() throws IOException { }
@@ -157,6 +158,9 @@
                 head.setLength(0);
             }
         }
+
+        @Override
+        void left(Socket guest) { ends.add("left"); }
     }
 
     /** A terminal. */
