End at the ingress what no client sends and what no region answers

A trace of the first replies shows spoilt ones as bad lengths, noise, a whole number, bulk strings without an end; values start with a tag that is not the request's id, so a value cannot be told from another request's by looking at it. Checked and ruled out: the parser lets no bad framing through; all 54 were well framed.

--- a/src/main/java/yardusher/agent/Agent.java
+++ b/src/main/java/yardusher/agent/Agent.java
@@ -83,7 +83,7 @@
     public void command(byte[][] words, Answers.Slot slot) {
         String name = new String(words[0], StandardCharsets.ISO_8859_1).toUpperCase(Locale.ROOT);
         if (!name.startsWith("AGENT.")) {
-            slot.answer(Answers.common(words, () -> String.join("\n", statuses())));
+            Answers.common(words, () -> String.join("\n", statuses()), slot);
             return;
         }
         List<Instance> chosen = new ArrayList<>();
--- a/src/main/java/yardusher/limits/LimitsFront.java
+++ b/src/main/java/yardusher/limits/LimitsFront.java
@@ -73,7 +73,7 @@
     @Override
     public void command(byte[][] words, Answers.Slot slot) {
         if (!new String(words[0], StandardCharsets.ISO_8859_1).toUpperCase(Locale.ROOT).equals("CL.THROTTLE")) {
-            slot.answer(Answers.common(words, ingress::countersLine));
+            Answers.common(words, ingress::countersLine, slot);
             return;
         }
         try {
@@ -90,7 +90,7 @@
             }
         } catch (IllegalArgumentException e) {
             ingress.counters().invalid++;
-            error(slot, e.getMessage());
+            slot.reject(e.getMessage());
         }
     }
 
@@ -132,12 +132,14 @@
             error(slot, "too many limit commands at once");
             return;
         }
-        boolean safe = ingress.settings().classes().get(classIndex).effect() == Api.Effect.IDEMPOTENT;
+        Api.Effect effect = ingress.settings().classes().get(classIndex).effect();
+        boolean safe = effect == Api.Effect.IDEMPOTENT;
         String list = "c=" + config.className() + ",t=" + partner.plan() + ",d=" + config.waitMs()
-                + (safe ? "" : ",k=" + id()) + ",units=" + asked.quantity() + ",spread=" + partner.spread() + ",first="
+                + (effect == Api.Effect.DEDUPLICATED ? ",k=" + id() : "") + ",units=" + asked.quantity() + ",spread=" + partner.spread() + ",first="
                 + partner.first();
-        Call call = Call.of(new byte[][] {ascii(safe ? "CALL.GET" : "CALL.POST"),
-            ascii(String.format("%016x", partner.customer())), ascii(id()), ascii(list)});
+        byte[] customer = ascii(String.format("%016x", partner.customer()));
+        Call call = Call.of(safe ? new byte[][] {ascii("CALL.GET"), customer, ascii(id()), ascii(list)}
+                : new byte[][] {ascii("CALL.POST"), customer, ascii(id()), ascii(list), new byte[0]});
         open++;
         slot.transaction = ingress.take(new Order(classIndex, plan, partner.customer(), asked.quantity(),
                 partner.first(), partner.spread(), config.waitMs(), call, new Reply(slot, partner, plan, asked.quantity())));
--- a/src/main/java/yardusher/net/Answers.java
+++ b/src/main/java/yardusher/net/Answers.java
@@ -33,6 +33,8 @@
     private static final int MOST_UNREAD = 256 * 1024; // bytes of answers that the terminal has not taken yet
     private static final int TURN_COMMANDS = 32;   // of one connection in one turn; then it is the others' turn
     private static final double NEXT_TURN_MS = 1;
+    private static final int MOST_REJECTED = 16;   // commands on one connection that mean nothing
+    private static final double REJECTED_MS = 5;   // the next is read so much later, for each before it
     private static final double SILENT_MS = 2000;  // to the end of a connection's first command, or of any begun
     private static final double IDLE_MS = 2000;    // a connection with nothing open may be closed after this
     private static final double CALM_IDLE_MS = 10_000; // and is, where there is room for others
@@ -124,16 +126,15 @@
         for (TerminalLink terminal : new ArrayList<>(terminals)) { terminal.closeIfIdle(); }
     }
 
-    /** Answers to what every RESP client may ask; INFO gives the counters. */
-    public static byte[] common(byte[][] words, Supplier<String> counters) {
-        String name = new String(words[0], StandardCharsets.ISO_8859_1).toUpperCase(Locale.ROOT);
+    /** Answers what every RESP client may ask; INFO gives the counters. */
+    public static void common(byte[][] words, Supplier<String> counters, Slot slot) {
         Encoder out = new Encoder(48);
-        return switch (name) {
-            case "PING" -> words.length > 1 ? out.bulk(words[1]).toBytes() : out.simple("PONG").toBytes();
-            case "INFO" -> out.bulk(counters.get()).toBytes();
-            case "CLIENT", "SELECT" -> out.simple("OK").toBytes();
-            default -> out.failure("ERR unknown command").toBytes();
-        };
+        switch (new String(words[0], StandardCharsets.ISO_8859_1).toUpperCase(Locale.ROOT)) {
+            case "PING" -> slot.answer(words.length > 1 ? out.bulk(words[1]).toBytes() : out.simple("PONG").toBytes());
+            case "INFO" -> slot.answer(out.bulk(counters.get()).toBytes());
+            case "CLIENT", "SELECT" -> slot.answer(out.simple("OK").toBytes());
+            default -> slot.reject("unknown command");
+        }
     }
 
     /** The place of one answer on its connection. */
@@ -150,7 +151,24 @@
         /** Reads no more of this terminal's commands for a while. */
         public void pauseReading(double ms) { terminal.pause(ms); }
 
+        /**
+         * Answers a command that means nothing. Guards the usual clients against one that sends the same again as
+         * soon as it is turned away: the answer comes at once, but each such command puts off reading the next one
+         * longer, and after some the connection ends.
+         */
+        public void reject(String why) {
+            terminal.rejected++;
+            if (terminal.rejected >= MOST_REJECTED) { terminal.lost = true; }
+            terminal.pause(REJECTED_MS * terminal.rejected);
+            put(new Encoder(64).failure("ERR " + why).toBytes());
+        }
+
         public void answer(byte[] answer) {
+            terminal.rejected = 0;
+            put(answer);
+        }
+
+        private void put(byte[] answer) {
             if (bytes != null) { return; }
             bytes = answer;
             transaction = null;
@@ -163,6 +181,7 @@
         private final ArrayDeque<Slot> slots = new ArrayDeque<>(2);
         private double quietSince = turns.now();
         private double begunAt = Double.POSITIVE_INFINITY; // when the command now being read began
+        private int rejected;
         private boolean lost;
         private boolean paused;
         private boolean stalled;                   // it does not take its answers, so no more commands are read
@@ -218,7 +237,7 @@
             idle.remove(this);
             Slot slot = new Slot(this);
             slots.add(slot);
-            slot.answer(new Encoder(64).failure("ERR Protocol error: " + why).toBytes());
+            slot.put(new Encoder(64).failure("ERR Protocol error: " + why).toBytes());
         }
 
         void pause(double ms) {
--- a/src/main/java/yardusher/resp/Call.java
+++ b/src/main/java/yardusher/resp/Call.java
@@ -1,6 +1,7 @@
 package yardusher.resp;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import yardusher.core.Cargo;
 
 /**
@@ -11,8 +12,12 @@
     private static final byte[] GET = "CALL.GET".getBytes(StandardCharsets.US_ASCII);
     private static final byte[] POST = "CALL.POST".getBytes(StandardCharsets.US_ASCII);
 
+    private static final int MOST_LIST = 512;
+
     private final byte[][] words;
     private final String list;
+    public final long id;
+    public final String key;
     public final long customer;
     public final String className;
     public final String plan;
@@ -21,10 +26,12 @@
     public final int spread;
     public final int first;
 
-    private Call(byte[][] words, String list, long customer, String className, String plan, long waitMs,
+    private Call(byte[][] words, String list, long id, String key, long customer, String className, String plan, long waitMs,
             double units, int spread, int first) {
         this.words = words;
         this.list = list;
+        this.id = id;
+        this.key = key;
         this.customer = customer;
         this.className = className;
         this.plan = plan;
@@ -40,66 +47,90 @@
     /** Whether it is the form for classes that are safe to repeat. */
     public boolean isGet() { return word(words[0], GET); }
 
-    /** Reads a command; an {@link IllegalArgumentException} says what is wrong with it. */
+    /** Whether it brings a body. */
+    public boolean hasBody() { return words.length == 5; }
+
+    /**
+     * Reads a command; an {@link IllegalArgumentException} says what is wrong with it. Guards the regions, which
+     * take a form that no client sends as a fault of the ingress: every word is read to its end.
+     */
     public static Call of(byte[][] words) {
         if (words.length < 4 || words.length > 5) { throw new IllegalArgumentException("wrong number of arguments"); }
-        long customer = hex(words[1]);
-        if (words[2].length == 0 || words[2].length > 64) { throw new IllegalArgumentException("bad request id"); }
-        if (words[3].length > 512) { throw new IllegalArgumentException("list too long"); }
+        long customer = hex(words[1], "customer");
+        if (customer < 0 || customer >= 1L << 33) { throw new IllegalArgumentException("bad customer"); }
+        long id = hex(words[2], "request id");
+        if (words[3].length > MOST_LIST) { throw new IllegalArgumentException("list too long"); }
         String list = new String(words[3], StandardCharsets.ISO_8859_1);
         String c = null;
         String t = null;
+        String k = null;
         long d = -1;
-        double units = 1;
-        int spread = 1;
-        int first = 0;
-        for (int from = 0; from < list.length();) {
+        double units = 0;
+        int spread = -1;
+        int first = -1;
+        int seen = 0;
+        for (int from = 0; from <= list.length();) {
             int comma = list.indexOf(',', from);
             int to = comma < 0 ? list.length() : comma;
             int is = list.indexOf('=', from);
-            if (is < 0 || is > to) { throw new IllegalArgumentException("bad list"); }
-            String value = list.substring(is + 1, to);
-            switch (list.substring(from, is)) {
+            if (is < 0 || is >= to - 1) { throw new IllegalArgumentException("bad list"); }
+            String name = list.substring(from, is);
+            String value = visible(list.substring(is + 1, to));
+            int bit = 1 << NAMES.indexOf(name);
+            if (!NAMES.contains(name)) { throw new IllegalArgumentException("unknown name in list"); }
+            if ((seen & bit) != 0) { throw new IllegalArgumentException("a name stands twice in the list"); }
+            seen |= bit;
+            switch (name) {
                 case "c" -> c = value;
                 case "t" -> t = value;
+                case "k" -> k = value;
                 case "d" -> d = whole(value, 600_000);
                 case "units" -> units = units(value);
                 case "spread" -> spread = (int) whole(value, 10_000);
                 case "first" -> first = (int) whole(value, 10_000);
-                default -> { }
+                default -> whole(value, 1);          // r
             }
             from = to + 1;
         }
-        if (c == null || t == null || d < 0) { throw new IllegalArgumentException("c, t and d are needed"); }
-        return new Call(words, list, customer, c, t, d, units, spread, first);
+        if (c == null || t == null || d < 1) { throw new IllegalArgumentException("c, t and d are needed"); }
+        if (units <= 0 || spread < 0 || first < 0) { throw new IllegalArgumentException("units, spread and first are needed"); }
+        if (k != null) { hex(k.getBytes(StandardCharsets.ISO_8859_1), "k"); }
+        return new Call(words, list, id, k, customer, c, t, d, units, spread, first);
+    }
+
+    private static final List<String> NAMES = List.of("c", "t", "d", "k", "units", "spread", "first", "r");
+
+    private static String visible(String value) {
+        for (int i = 0; i < value.length(); i++) {
+            if (value.charAt(i) <= ' ' || value.charAt(i) > '~') { throw new IllegalArgumentException("bad list"); }
+        }
+        return value;
     }
 
     private static double units(String value) {
-        try {
-            double units = Double.parseDouble(value);
-            if (units >= 0 && units <= 1e6) { return units; }
-        } catch (NumberFormatException e) { /* said below */ }
-        throw new IllegalArgumentException("bad units");
+        if (value.length() > 12 || !value.matches("[0-9]+(\\.[0-9]+)?")) { throw new IllegalArgumentException("bad units"); }
+        return Double.parseDouble(value);
     }
 
     private static long whole(String value, long most) {
-        long number = -1;
-        try {
-            number = Long.parseLong(value);
-        } catch (NumberFormatException e) { /* said below */ }
-        if (number < 0 || number > most) { throw new IllegalArgumentException("bad number in list"); }
+        long number = 0;
+        for (int i = 0; i < value.length(); i++) {
+            int digit = value.charAt(i) - '0';
+            number = number * 10 + digit;
+            if (digit < 0 || digit > 9 || number > most) { throw new IllegalArgumentException("bad number in list"); }
+        }
         return number;
     }
 
-    private static long hex(byte[] digits) {
-        if (digits.length == 0 || digits.length > 16) { throw new IllegalArgumentException("bad customer"); }
+    /** Sixteen digits, as every number of this protocol is written. */
+    private static long hex(byte[] digits, String what) {
         long number = 0;
         for (byte b : digits) {
-            int digit = Character.digit(b, 16);
-            if (digit < 0) { throw new IllegalArgumentException("bad customer"); }
+            int digit = b >= '0' && b <= '9' ? b - '0' : b >= 'a' && b <= 'f' ? b - 'a' + 10 : -1;
+            if (digit < 0) { throw new IllegalArgumentException("bad " + what); }
             number = number << 4 | digit;
         }
-        if (number < 0 || number >= 1L << 33) { throw new IllegalArgumentException("bad customer"); }
+        if (digits.length != 16) { throw new IllegalArgumentException("bad " + what); }
         return number;
     }
 
@@ -115,7 +146,7 @@
     @Override
     public byte[] encoded(long wait) {
         int size = 96 + list.length() + (words.length > 4 ? words[4].length : 0);
-        Encoder out = new Encoder(size).array(words.length).bulk(words[0]).bulk(words[1]).bulk(words[2]);
+        Encoder out = new Encoder(size).array(words.length).bulk(isGet() ? GET : POST).bulk(words[1]).bulk(words[2]);
         int d = list.startsWith("d=") ? 0 : list.indexOf(",d=") + 1;
         int end = list.indexOf(',', d);
         String told = list.substring(0, d) + "d=" + wait + (end < 0 ? "" : list.substring(end));
--- a/src/main/java/yardusher/servers/RegionPool.java
+++ b/src/main/java/yardusher/servers/RegionPool.java
@@ -20,6 +20,7 @@
 public final class RegionPool implements Regions {
     private static final double RETIRED_PART = 0.7;  // of the told idle time: never race the region's own close
     private static final double UPKEEP_MS = 1000;
+    private static final double SETTLED_MS = 30;     // a connection rests so long before it is used again
 
     final Sockets sockets;
     final Counters counters;
@@ -77,7 +78,7 @@
     @Override
     public void begin(Attempt attempt, byte[] cargo) {
         Place place = places.get(attempt.region);
-        RegionLink link = place.idle.pollLast();
+        RegionLink link = settled(place);
         if (link != null) {
             link.carry(attempt, cargo);
             return;
@@ -103,6 +104,22 @@
         };
     }
 
+    /**
+     * The most recently used connection that has rested. Guards against a second copy or noise right behind an
+     * answer: it would be taken for the answer to what is written next.
+     */
+    private RegionLink settled(Place place) {
+        double before = sockets.turns().now() - SETTLED_MS;
+        for (Iterator<RegionLink> all = place.idle.descendingIterator(); all.hasNext();) {
+            RegionLink link = all.next();
+            if (link.idleSince <= before) {
+                all.remove();
+                return link;
+            }
+        }
+        return null;
+    }
+
     private boolean closeOneIdle() {
         for (Place place : places.values()) {
             RegionLink oldest = place.idle.pollFirst();
--- a/src/test/java/yardusher/story/StandIn.java
+++ b/src/test/java/yardusher/story/StandIn.java
@@ -87,6 +87,7 @@
     static final class Region extends Listener {
         final BlockingQueue<String> seen = new LinkedBlockingQueue<>();
         final BlockingQueue<String> ends = new LinkedBlockingQueue<>();
+        volatile Socket last;                        // the connection of the last command
         volatile Function<String, byte[]> script = command -> served("made here");
 
         Region() throws IOException { }
@@ -108,6 +109,7 @@
                 List<String> parts = new ArrayList<>();
                 for (byte[] word : words) { parts.add(new String(word, StandardCharsets.UTF_8)); }
                 String command = String.join(" ", parts);
+                last = guest;
                 seen.add(command);
                 byte[] answer = script.apply(command);
                 if (answer != null) { guest.getOutputStream().write(answer); }
