Judge a quota by its store, replayed from the ten slots, and forget who came once

Customers were kept for 60 windows and 8 looked after in 0.4 s, so 20 a second left at the most; servers never left. Checked: refusals spread over all regions and moments, with regions half busy; ruled out pressure, health and ceilings (basis and plus have none). At fault: Policy.withinPlan, which compared the sum of a whole window with the burst. The store refills all the time: after a burst the window gave nothing for its whole length, the store gives the rate. Now a slot that drops is booked on the level before the window and the ten slots, still the sum of all gateways' counts, are replayed on it. Policy.sweepCustomers, hosts: forgotten when the store is full again, and when a server is gone.

--- a/src/main/java/yardusher/Policy.java
+++ b/src/main/java/yardusher/Policy.java
@@ -34,6 +34,7 @@
     private static final double COMMON = 0.75;       // part of the servers that fail by no fault of their own
     private static final double BUSY = 0.7;          // part of all servers' limits at which shedding starts
     private static final double LATE = 0.35;         // part of the aim that answers take, likewise
+    private static final double DEBT = 1;            // bursts sent beyond the store that are made good
     private static final double LEAST = 0.2;         // least limit of a server: one attempt, then a pause
     private static final double FIRST = 20;          // first limit of a server, over all gateways
     private static final long SWEEP = 0, FLUSH = 1;  // timer tokens; a request's is its id + 2
@@ -125,6 +126,7 @@
         double usedAt = now, passAt, newsAt = Double.NEGATIVE_INFINITY, newsEvery;
         double toldAt = Double.NEGATIVE_INFINITY, tellAt = Double.POSITIVE_INFINITY;
         boolean fresh, news;                         // own changes, others' changes not yet told
+        double base;                                 // the store's level before the ten slots
         double level, levelAt = now, lastShare;      // the ceiling's escrow (section 3)
 
         Customer(long id, int planIndex) {
@@ -132,6 +134,8 @@
             plan = settings.plans().get(planIndex);
             windowMs = plan.ratePerS() > 0 ? plan.burst() / plan.ratePerS() * 1000 : 1000; // as the source
             slotMs = windowMs / SLOTS; head = (long) Math.floor(now / slotMs);
+            // What was used before a start is not known: as if the store had been empty a window ago.
+            base = now - startedAt < windowMs ? plan.burst() / SLOTS : plan.burst();
         }
 
         void reachedBy(int firstGateway, int gateways) {
@@ -166,16 +170,34 @@
             int steps = (int) Math.min(SLOTS, slot - head);
             for (int i = 1; i <= steps; i++) {
                 int at = (int) Math.floorMod(slot - steps + i, (long) SLOTS);
+                double told = 0, passed = 0;
+                for (Row row : rows) { told += row.slots[at]; row.slots[at] = 0; }
+                for (Row row : sums) { passed = Math.max(passed, row.slots[at]); row.slots[at] = 0; }
+                base = refilled(base, mine.slots[at] + Math.max(told, passed), 1);
                 mine.slots[at] = 0;
-                for (Row row : rows) { row.slots[at] = 0; }
-                for (Row row : sums) { row.slots[at] = 0; }
             }
-            head = slot;
+            base = refilled(base, 0, slot - head - steps); head = slot;
             rows.removeIf(row -> row.sum() == 0 && (row.open == 0 || now - row.openAt > windowMs)
                     && now - row.askedAt > windowMs); // empty rows are dropped
             sums.removeIf(row -> now - row.askedAt > windowMs);
         }
 
+        /** The store after so many slots, in the first of which units were taken. */
+        double refilled(double level, double units, double slots) {
+            double left = Math.max(-DEBT * plan.burst(), level - units);
+            return Math.min(plan.burst(), left + plan.ratePerS() * slotMs / 1000 * slots);
+        }
+
+        /** What the store holds now: its level before the ten slots, and what these took and gave since. */
+        double room(double[] others) {
+            double room = base;
+            for (int age = SLOTS - 1; age >= 0; age--) {
+                double part = age > 0 ? 1 : now / slotMs - head;
+                room = refilled(room, others[age] + mine.slots[index(age)], part);
+            }
+            return room;
+        }
+
         int index(int age) { return (int) Math.floorMod(head - age, (long) SLOTS); }
 
         /** Units of the others by age: as their rows tell, or as the fullest sums passed on do. */
@@ -240,21 +262,21 @@
         if (plan.openCap() > 0 && c.open() >= plan.openCap()) { return false; }
         if (plan.ratePerS() > 0) {
             double[] others = c.others(-1);
-            double unheard = random.nextDouble() * unheard(c, others[SLOTS + 1]);
-            double limit = Math.min(firstLimit(c), plan.burst() - unheard);
-            if (others[SLOTS] + c.mine.sum() + units > limit + 1e-9) { return false; }
+            if (units > roomFor(c, others, random.nextDouble()) + 1e-9) { return false; }
         }
         return escrowHolds(c, units);
     }
 
     /**
-     * The limit, and what of it an unseen customer gets in its first window: others may have let in the whole
-     * burst unheard. One request always fits, since a quota too small to divide would refuse everybody.
+     * What the store holds less this part of what is not heard of yet; of an unseen customer, in its first
+     * window, no more than this gateway's share of the limit: others may have let in the whole burst unheard.
+     * One request always fits, since a quota too small to divide would refuse everybody.
      */
-    private double firstLimit(Customer c) {
-        double limit = c.plan.burst();
-        boolean unseen = now - startedAt < c.windowMs && !informed(c);
-        return unseen ? Math.max(limit / c.spread, Math.min(limit, settings.mostUnits())) : limit;
+    private double roomFor(Customer c, double[] others, double part) {
+        double limit = c.plan.burst(), room = c.room(others) - part * unheard(c, others[SLOTS + 1]);
+        if (now - startedAt >= c.windowMs || informed(c)) { return room; }
+        double share = Math.max(limit / c.spread, Math.min(limit, settings.mostUnits()));
+        return Math.min(Math.max(room, share), share - others[SLOTS] - c.mine.sum());
     }
 
     /**
@@ -269,11 +291,11 @@
             c.reachedBy(first, gateways);
         }
         double[] others = c.others(-1);
-        double limit = c.plan.burst(), room = Double.POSITIVE_INFINITY, wait = 0;
+        double room = Double.POSITIVE_INFINITY, wait = 0, reset = 0;
         if (c.plan.ratePerS() > 0) { // of what is not heard of yet, half is the likeliest
-            limit = Math.min(firstLimit(c), c.plan.burst() - unheard(c, others[SLOTS + 1]) / 2);
-            room = limit - others[SLOTS] - c.mine.sum();
-            wait = fitsIn(c, units, limit);
+            room = roomFor(c, others, 0.5);
+            wait = Math.max(0, units - room) / c.plan.ratePerS() * 1000;
+            reset = (c.plan.burst() - c.room(others)) / c.plan.ratePerS() * 1000;
         }
         if (c.plan.openCap() > 0) { room = Math.min(room, c.plan.openCap() - c.open()); }
         if (c.plan.ceilingRate() > 0) {
@@ -281,21 +303,9 @@
             room = Math.min(room, left);
             wait = Math.max(wait, (units - left) / (share * c.plan.ceilingRate()) * 1000);
         }
-        double reset = fitsIn(c, c.plan.burst(), c.plan.burst());
         return new Standing(c.plan.burst(), Math.max(0, room), Math.max(0, wait), reset);
     }
 
-    /** How long until the oldest slots, dropping, make room for these units; else a whole window. */
-    private double fitsIn(Customer c, double units, double limit) {
-        double[] others = c.others(-1);
-        double over = others[SLOTS] + c.mine.sum() + units - limit, wait = 0;
-        for (int age = SLOTS - 1; age >= 0 && over > 1e-9; age--) {
-            over -= others[age] + c.mine.slots[c.index(age)];
-            wait = (c.head + SLOTS - age) * c.slotMs - now;
-        }
-        return wait;
-    }
-
     /**
      * Honest advice with a refusal: when the quota has room again, or else the next look at the pressure. It
      * used to be none, since clients told to wait come back after their aim; measured, the two are alike.
@@ -338,9 +348,11 @@
 
     /** Looks after the customers that wait longest for it; forgets those long unused. */
     private void sweepCustomers() {
-        for (int i = Math.min(SWEPT, customers.size()); i > 0; i--) {
+        for (int i = Math.min(Math.max(SWEPT, customers.size() / 25), customers.size()); i > 0; i--) {
             Customer c = customers.remove(customers.keySet().iterator().next());
-            boolean kept = now - c.usedAt < 60 * c.windowMs || c.mine.open > 0 || c.used() > 0;
+            // Many come only once: gone when the store is full again. An escrow would have to be earned anew.
+            boolean kept = c.plan.ceilingRate() > 0 && now - c.usedAt < 60 * c.windowMs || c.mine.open > 0
+                    || c.used() > 0 || c.base < c.plan.burst();
             if (kept) { customers.put(c.id, c); }
         }
     }
@@ -627,7 +639,7 @@
         final long id;
         int zone, cell, open;
         double size = 1, startedAt;
-        boolean ready, down;                         // down: failed to connect or lost connections
+        boolean ready, gone, down;                   // down: failed to connect or lost connections
         final int[] failures = new int[classMs.length];
         final double[] outUntil = new double[classMs.length], blame = new double[classMs.length];
         double blamedAt = now;
@@ -648,13 +660,14 @@
     private void serverList(ServerList list) {
         if (list.kind() == ListKind.FAILED && settings.askMembership()) { askAt = now + 1000; }
         if (list.kind() == ListKind.FULL || list.kind() == ListKind.CACHED) {
-            hosts.values().forEach(host -> host.ready = false);
+            hosts.values().forEach(host -> { host.ready = false; host.gone = true; });
         }
         for (Server server : list.servers()) {
             Host host = hosts.computeIfAbsent(server.id(), Host::new);
             host.zone = server.zone(); host.cell = server.cell();
             host.size = server.size() > 0 ? server.size() : 1;
             host.ready = server.readiness() == Readiness.READY;
+            host.gone = server.readiness() == Readiness.GONE;
             if (host.ready && server.startedAtMs() > host.startedAt) {
                 host.startedAt = server.startedAtMs();
                 host.coldSince = Math.max(host.coldSince, server.startedAtMs());
@@ -771,6 +784,7 @@
             askAt = Double.POSITIVE_INFINITY;
             out.accept(new Subscribe());
         }
+        hosts.values().removeIf(host -> host.gone && host.open == 0); // new ones have new numbers
         Arrays.fill(outCount, 0);
         for (Host host : ready) {
             host.ratio += now - host.sampledAt > 5 * SWEEP_MS ? 0.05 * (1 - host.ratio) : 0; // old ones fade
