Hold single lost and hanging attempts against no region; keep only connections that hold

Traced by reason: first all regions "down" after single lost connections, then shed 0.8 to 0.9 with 0 to 3 attempts out anywhere: load was ghosts (2 to 5 a region, fading over 5 s) against limits cut from 6 to 1, while answers took a tenth of their aim. Checked: 345 to 458 requests went to kept connections that were reset at once, under 0.5 s idle; 220 attempts hung to their end on new connections, with the socket in the kernel ESTABLISHED at both ends and nothing to read. Ruled out: lost events of ours, the time connections stood idle, quotas, CPU. At fault: Policy.judge, which took one lost connection for a region that is down; Policy.failed and accuse, which counted failures without their share; judge and checkAttempt, which charged a region for one hanging attempt and held it to the end of its aim while the region answered all others; RegionPool.begin, which kept connections whatever became of them. The new tests fail without their changes.

--- a/src/main/java/yardusher/Policy.java
+++ b/src/main/java/yardusher/Policy.java
@@ -25,12 +25,13 @@
     private static final double SWEEP_MS = 400;      // upkeep of servers and pressure
     private static final int SWEPT = 8;              // customers looked after a sweep: never all of them
     private static final double OVERDRAWN = 1;       // shares of a ceiling that may be overdrawn in calm
-    private static final double RETRY_PART = 0.1;    // further attempts earned by each first one
+    private static final double RETRY_PART = 0.2;    // further attempts earned by each first one
     private static final double RETRY_MOST = 10;     // and saved up at most
     private static final double EJECT_MS = 500;      // first ejection; doubles up to EJECT_MOST_MS
     private static final double EJECT_MOST_MS = 8000;
     private static final int BLAMED = 3;             // failures in a row, or of all gateways in BLAME_MS
     private static final double BLAME_MS = 2000;
+    private static final double FAILING = 0.2;       // weight of one answer in how a server fares
     private static final double COMMON = 0.75;       // part of the servers that fail by no fault of their own
     private static final double BUSY = 0.7;          // part of all servers' limits at which shedding starts
     private static final double LATE = 0.35;         // part of the aim that answers take, likewise
@@ -641,6 +642,7 @@
         double size = 1, startedAt;
         boolean ready, gone, down;                   // down: failed to connect or lost connections
         final int[] failures = new int[classMs.length];
+        final double[] failing = new double[classMs.length]; // part of its answers that fail, lately
         final double[] outUntil = new double[classMs.length], blame = new double[classMs.length];
         double blamedAt = now;
         double ghosts;                               // given up here, maybe still worked on there
@@ -650,7 +652,10 @@
         double fullUntil, coldSince = Double.NEGATIVE_INFINITY;
         double queue, busy = 0.5, reportedAt = Double.NEGATIVE_INFINITY;
 
-        Host(long id) { this.id = id; }
+        Host(long id) {
+            this.id = id;
+            Arrays.fill(failing, 0.5);               // not known yet
+        }
 
         double load() { return open + ghosts; }
 
@@ -732,14 +737,18 @@
         host.down |= down;
         for (int i = down ? 0 : k; i < (down ? classMs.length : k + 1); i++) {
             host.failures[i]++;
-            if (!down && host.failures[i] < BLAMED) { continue; }
+            host.failing[i] += FAILING * (1 - host.failing[i]);
+            if (!down && (host.failures[i] < BLAMED || !faulty(host, i))) { continue; }
             double most = Math.min(EJECT_MOST_MS, EJECT_MS * (1 << Math.min(4, host.failures[i] - 1)));
             host.outUntil[i] = Math.max(host.outUntil[i], now + most);
         }
         // Danger: in overload all time out, and giving some up overloads the rest; others must be quick.
-        if (!down && fleetPart < LATE) { accuse(host, k); }
+        if (!down && fleetPart < LATE && faulty(host, k)) { accuse(host, k); }
     }
 
+    /** Danger: where all servers lose a part of their answers, counts alone put all of them out. */
+    private boolean faulty(Host host, int k) { return host.failing[k] > 0.4; }
+
     /** Danger: one gateway of hundreds sees too few answers to tell that a server fails one class or all. */
     private void accuse(Host host, int k) {
         int gateways = settings.gateways();
@@ -759,7 +768,7 @@
 
     /** A server is out for a class; who did not know passes it on once, to some that it speaks to next. */
     private void verdict(Host host, int k) {
-        if (host.outUntil[k] > now + EJECT_MOST_MS / 4) { return; }
+        if (host.outUntil[k] > now + EJECT_MOST_MS / 4 || host.failing[k] < 0.2) { return; }
         host.outUntil[k] = now + EJECT_MOST_MS / 2;
         for (int i = 0; i < NEIGHBOURS; i++) { verdicts.add(new Fault(OUT, host.id, k)); }
     }
@@ -767,7 +776,7 @@
     private void answered(Host host, int k) {
         if (host.down) { host.coldSince = now; }     // back before the list says so: as cold as any other
         if (host.down) { Arrays.fill(host.failures, 0); }
-        host.down = false; host.failures[k] = 0;
+        host.down = false; host.failures[k] = 0; host.failing[k] *= 1 - FAILING;
         host.outUntil[k] = 0;
     }
 
@@ -799,6 +808,7 @@
     private double retryTokens = RETRY_MOST;
     private final double[] classMs;                  // usual latency of each class
     private double typicalMs = 100, fleetPart, fleetAt;
+    private double hanging;                          // part of the attempts that hang by themselves, lately
     private final double ghostMs;                    // how long work given up counts as still there
 
     private static final class Held {
@@ -867,13 +877,15 @@
     }
 
     /**
-     * Half the aim has passed: on a server that showed no life since the send, start over elsewhere. Danger:
-     * one of hundreds of gateways has nothing else out there, so silence tells less.
+     * Half the aim has passed: on a server that showed no life since the send, start over elsewhere; also
+     * where only this attempt hangs while all else is quick, as some did lately. Danger: one of hundreds of
+     * gateways has nothing else out there, so silence tells less.
      */
     private void checkAttempt(long id) {
         Held held = requests.get(id);
         if (held == null || held.gone || held.begun
-                || now - held.sentAt < held.of.aimMs() / 2 - 1 || held.last.quietSince > held.sentAt
+                || now - held.sentAt < held.of.aimMs() / 2 - 1
+                || held.last.quietSince > held.sentAt && !(hanging > 0.02 && alone(held))
                 || held.last.open < 2 && now - held.sentAt < 3 * classMs[held.request.classIndex()]
                         && now >= held.last.outUntil[held.request.classIndex()]
                 || retryTokens < 1 || held.attempts >= settings.limits().maxAttempts()) {
@@ -882,6 +894,12 @@
         if (settings.limits().mayCancel()) { out.accept(new Cancel(id, held.attempts - 1)); }
     }
 
+    /** Whether an attempt hangs by itself: its server has answered others since, and all are quick. */
+    private boolean alone(Held held) {
+        return held.last.quietSince > held.sentAt && fleetPart < 0.25
+                && now - held.sentAt > 3 * classMs[held.request.classIndex()];
+    }
+
     private void attemptDone(AttemptDone e) {
         Held held = requests.get(e.id());
         if (held == null || e.attempt() != held.attempts - 1) { return; }
@@ -906,7 +924,7 @@
         int k = held.request.classIndex();
         switch (e.outcome()) {
             case SERVED -> {
-                host.quietSince = now;
+                host.quietSince = now; hanging *= 0.99;
                 answered(host, k);
                 classMs[k] += 0.03 * (e.tookMs() - classMs[k]);
                 typicalMs += 0.03 * (e.tookMs() - typicalMs);
@@ -920,10 +938,14 @@
                 failed(host, k, false);
             }
             case REJECTED -> host.fullUntil = now + 2 * typicalMs;
-            case CONNECT_FAILED, CONNECTION_LOST -> failed(host, k, true);
+            case CONNECT_FAILED -> failed(host, k, true);
+            // Danger: servers that cut single connections, all of them held to be down. One that is down
+            // refuses the next connection too, at no risk; so a lost one is a failure like any other.
+            case CONNECTION_LOST -> failed(host, k, false);
             case TIMED_OUT, CANCELLED -> {
                 if (host.quietSince <= held.sentAt) { failed(host, k, false); }
-                host.ghosts++;
+                host.ghosts += alone(held) ? 0 : 1;
+                hanging += alone(held) ? 0.01 * (1 - hanging) : 0;
                 sample(host, Math.max(1, e.tookMs() / classMs[k]), held);
             }
             default -> { }
--- a/src/main/java/yardusher/agent/Agent.java
+++ b/src/main/java/yardusher/agent/Agent.java
@@ -18,7 +18,7 @@
 
 /**
  * Manages many instances on this machine, from one file. It listens for RESP commands: AGENT.STATUS, and
- * AGENT.START, AGENT.STOP and AGENT.RESTART, each for one name or for all. Restarting all goes one at a time,
+ * AGENT.START, AGENT.STOP, AGENT.RESTART and AGENT.RELOAD, each for one name or for all. Restarting all goes one at a time,
  * the next once the one before answers again.
  */
 public final class Agent implements Answers.Commands {
@@ -104,6 +104,7 @@
                 return;
             }
             case "AGENT.START" -> chosen.forEach(Instance::start);
+            case "AGENT.RELOAD" -> chosen.forEach(Instance::reload);
             case "AGENT.STOP" -> {
                 boolean stopsHead = chosen.contains(rolling.peek());
                 rolling.removeAll(chosen);
--- a/src/main/java/yardusher/agent/Instance.java
+++ b/src/main/java/yardusher/agent/Instance.java
@@ -34,6 +34,7 @@
     private double backoffMs = BACKOFF_MS;
     private int restarts;
     private boolean startAgain;
+    private boolean reloads;                         // as soon as it is ready
     private Deadlines.Entry pending;
 
     Instance(AgentConfig.Entry entry, AgentConfig config, Sockets sockets, Runnable changed) {
@@ -63,6 +64,7 @@
         List<String> command = new ArrayList<>(config.command());
         command.addAll(List.of("serve", entry.config(), "--limits", entry.limits()));
         startedAt = turns.now();
+        reloads = false;
         Process begun;
         try {
             begun = new ProcessBuilder(command).redirectInput(ProcessBuilder.Redirect.from(new java.io.File("/dev/null")))
@@ -94,6 +96,20 @@
         pending = turns.deadlines().at(turns.now() + config.stopMs(), ending::destroyForcibly);
     }
 
+    /**
+     * Asks it to read its configuration anew. Guards one that has only just begun: until it answers, the signal
+     * would still end it.
+     */
+    void reload() {
+        reloads = state == State.STARTING;
+        if (state != State.READY) { return; }        // who starts later reads the new file anyway
+        try {
+            new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).inheritIO().start();
+        } catch (IOException e) {
+            System.err.println("agent: " + entry.name() + " cannot be told to reload: " + e.getMessage());
+        }
+    }
+
     private void exited(Process ended) {
         if (ended != process) { return; }
         process = null;
@@ -124,6 +140,7 @@
 
     private void become(State next) {
         state = next;
+        if (next == State.READY && reloads) { reload(); }
         changed.run();
     }
 
--- a/src/main/java/yardusher/cli/AgentCommand.java
+++ b/src/main/java/yardusher/cli/AgentCommand.java
@@ -17,8 +17,8 @@
     private AgentCommand() { }
 
     static int run(List<String> words) throws IOException {
-        if (words.size() < 2 || !List.of("start", "status", "restart", "stop").contains(words.get(0))) {
-            throw new IllegalArgumentException("usage: yardusher agent start|status|restart|stop FILE [NAME ...]");
+        if (words.size() < 2 || !List.of("start", "status", "restart", "reload", "stop").contains(words.get(0))) {
+            throw new IllegalArgumentException("usage: yardusher agent start|status|restart|reload|stop FILE [NAME ...]");
         }
         AgentConfig config = AgentConfig.read(Path.of(words.get(1)));
         List<String> names = words.subList(2, words.size());
--- a/src/main/java/yardusher/cli/Main.java
+++ b/src/main/java/yardusher/cli/Main.java
@@ -19,7 +19,7 @@
 /** The command line. Bad arguments and configurations: one plain line on standard error, exit 2. */
 public final class Main {
     public static final String VERSION = "0.1.0";
-    private static final String USAGE = "usage: yardusher serve [CONFIG] | simhost | version | agent start|status|restart|"
+    private static final String USAGE = "usage: yardusher serve [CONFIG] | simhost | version | agent start|status|restart|reload|"
             + "stop FILE [NAME] | import NGINX_FILE | limits HOST:PORT KEY MAX_BURST COUNT PERIOD [QUANTITY] | check FILE";
 
     private Main() { }
--- a/src/main/java/yardusher/cli/Serve.java
+++ b/src/main/java/yardusher/cli/Serve.java
@@ -124,6 +124,7 @@
             watch.move(next.discovery());
             boolean more = !config.sameBut(next);
             config = next;
+            counters.reloads++;
             done[0] = "reloaded: discovery at " + next.discovery() + (more ? "; the rest of the file waits for a restart" : "");
         });
         return done[0];
--- a/src/main/java/yardusher/core/Counters.java
+++ b/src/main/java/yardusher/core/Counters.java
@@ -16,6 +16,7 @@
     public long peerOut;
     public long peerIn;
     public long listChanges;
+    public long reloads;
     public long faults;
     public final long[] outcomes = new long[Api.Outcome.values().length];
 
@@ -32,6 +33,7 @@
         }
         return text.append(" connections=").append(connectionsOpened).append(" peer_out=").append(peerOut)
                 .append(" peer_in=").append(peerIn).append(" list_changes=").append(listChanges)
+                .append(" reloads=").append(reloads)
                 .append(" faults=").append(faults).toString();
     }
 }
--- a/src/main/java/yardusher/list/ServiceTable.java
+++ b/src/main/java/yardusher/list/ServiceTable.java
@@ -6,7 +6,9 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import yardusher.Api;
 import yardusher.net.Sockets;
@@ -19,7 +21,7 @@
 
     private final List<String> zones;
     private final RegionPool pool;
-    private final Set<Long> known = new HashSet<>();
+    private final Map<Long, InetSocketAddress> known = new LinkedHashMap<>();
     private long revision;
 
     public ServiceTable(List<String> zones, RegionPool pool) {
@@ -56,7 +58,8 @@
                     member.number("size", 1), member.number("up_since_ms", 0), readiness));
             addresses.add(readiness == Api.Readiness.GONE ? null : Sockets.address(member.text("host_port")));
         }
-        Set<Long> absent = complete ? new HashSet<>(known) : new HashSet<>();
+        replaced(servers, addresses);
+        Set<Long> absent = complete ? new HashSet<>(known.keySet()) : new HashSet<>();
         for (int i = 0; i < servers.size(); i++) {
             Api.Server server = servers.get(i);
             absent.remove(server.id());
@@ -64,7 +67,7 @@
                 forget(server.id());
                 continue;
             }
-            known.add(server.id());
+            known.put(server.id(), addresses.get(i));
             pool.place(server.id(), addresses.get(i));
             if (server.readiness() == Api.Readiness.DRAINING) { pool.leave(server.id(), false); }
         }
@@ -73,6 +76,25 @@
         return new Api.ServerList(as != null ? as : complete ? Api.ListKind.FULL : Api.ListKind.DELTA, servers);
     }
 
+    /**
+     * Guards against attempts for a region that has gone which reach the one that has its address now: where a new
+     * id comes at the address of a known one that these news do not name, the known one is gone.
+     */
+    private void replaced(List<Api.Server> servers, List<InetSocketAddress> addresses) {
+        Set<Long> named = new HashSet<>();
+        for (Api.Server server : servers) { named.add(server.id()); }
+        for (int i = servers.size() - 1; i >= 0; i--) {
+            InetSocketAddress address = addresses.get(i);
+            if (address == null || known.containsKey(servers.get(i).id())) { continue; }
+            known.forEach((id, at) -> {
+                if (at.equals(address) && named.add(id)) {
+                    servers.add(new Api.Server(id, 0, 0, 1, 0, Api.Readiness.GONE));
+                    addresses.add(null);
+                }
+            });
+        }
+    }
+
     private void forget(long id) {
         known.remove(id);
         pool.leave(id, true);
--- a/src/main/java/yardusher/servers/RegionLink.java
+++ b/src/main/java/yardusher/servers/RegionLink.java
@@ -22,6 +22,8 @@
     private Link link;
     private Attempt attempt;
     private Deadlines.Entry wholeBy;
+    private boolean used;
+    private boolean kept;                            // the attempt found it used by one before
 
     RegionLink(RegionPool pool, RegionPool.Place place, long region) {
         this.pool = pool;
@@ -36,6 +38,8 @@
 
     void carry(Attempt next, byte[] cargo) {
         attempt = next;
+        kept = used;
+        used = true;
         // From here on it may have run. A write that fails takes this back; a break in between does not.
         next.written = true;
         next.giveUp = this::close;
@@ -79,6 +83,7 @@
         Attempt ended = attempt;
         attempt = null;
         ended.giveUp = () -> { };
+        pool.noteLost(kept, false);
         if (from.decoder().isEmpty()) {
             pool.rest(this);
         } else {
@@ -96,6 +101,7 @@
         Attempt ended = attempt;
         attempt = null;
         if (ended != null) {
+            pool.noteLost(kept, true);
             ended.written = !from.writeFailed();
             pool.end(ended, Attempt.Result.of(ended.written ? Api.Outcome.CONNECTION_LOST : Api.Outcome.CONNECT_FAILED));
         }
--- a/src/main/java/yardusher/servers/RegionPool.java
+++ b/src/main/java/yardusher/servers/RegionPool.java
@@ -21,6 +21,9 @@
     private static final double RETIRED_PART = 0.7;  // of the told idle time: never race the region's own close
     private static final double UPKEEP_MS = 1000;
     private static final double SETTLED_MS = 30;     // a connection rests so long before it is used again
+    private static final double NOTED = 0.05;        // weight of one attempt in what connections are held to lose
+    private static final double WORSE = 0.05;        // kept ones may lose so much more than new ones
+    private static final int LOOKS = 8;              // else one in so many attempts tries a kept one all the same
 
     final Sockets sockets;
     final Counters counters;
@@ -29,6 +32,9 @@
     private final int mostConnections;
     final List<Api.Metric> report;
     private final Map<Long, Place> places = new HashMap<>();
+    private double keptLost;                         // part of the attempts lost, lately, on kept connections
+    private double newLost;                          // and on new ones
+    private int begun;
     private Ingress ingress;
     int connections;
 
@@ -78,7 +84,7 @@
     @Override
     public void begin(Attempt attempt, byte[] cargo) {
         Place place = places.get(attempt.region);
-        RegionLink link = settled(place);
+        RegionLink link = ++begun % LOOKS == 0 || !keepingLoses() ? settled(place) : null;
         if (link != null) {
             link.carry(attempt, cargo);
             return;
@@ -104,6 +110,18 @@
         };
     }
 
+    /** How an attempt's connection ended, or that it did not. */
+    void noteLost(boolean kept, boolean lost) {
+        double now = lost ? 1 : 0;
+        if (kept) { keptLost += NOTED * (now - keptLost); } else { newLost += NOTED * (now - newLost); }
+    }
+
+    /**
+     * Guards against regions, or what stands before them, that reset a kept connection at its next request: each
+     * time it may have run. A new connection costs a handshake, and one that is refused proves that nothing ran.
+     */
+    private boolean keepingLoses() { return keptLost > newLost + WORSE; }
+
     /**
      * The most recently used connection that has rested. Guards against a second copy or noise right behind an
      * answer: it would be taken for the answer to what is written next.
@@ -128,7 +146,7 @@
                 return true;
             }
         }
-        return false;
+        return keptLost > newLost + WORSE;
     }
 
     void end(Attempt attempt, Attempt.Result result) { ingress.ended(attempt, result); }
@@ -136,7 +154,8 @@
     /** An attempt ended in order: its connection waits for the next. */
     void rest(RegionLink link) {
         link.idleSince = sockets.turns().now();
-        if (places.get(link.region) == link.place) {
+        boolean enough = keepingLoses() && !link.place.idle.isEmpty();
+        if (places.get(link.region) == link.place && !enough) {
             link.place.idle.addLast(link);
         } else {
             link.close();
--- a/src/test/java/yardusher/PolicyTest.java
+++ b/src/test/java/yardusher/PolicyTest.java
@@ -230,6 +230,45 @@
         assertTrue(steady >= 90 && steady <= 105, "admitted " + steady);
     }
 
+    @Test
+    void serversThatLoseSomeAnswersAreNotHeldToBeDown() {
+        Gateway g = new Gateway(0, 4, 0, TWO);
+        int refused = 0;
+        for (int i = 0; i < 400; i++) {              // every sixth answer is lost, at either server
+            g.runTo(2000 + 50 * i);
+            long id = g.ask(0, NONE, 5000 + i, 1);
+            for (Send send; (send = g.sent(id)) != null && g.sends(id) <= 6;) {
+                int attempt = (int) g.sends(id) - 1;
+                boolean lost = i % 6 == 0 && attempt == 0;
+                g.now += 5;
+                g.on(new AttemptDone(id, attempt, send.server(), lost ? Outcome.CONNECTION_LOST : Outcome.SERVED, 5, !lost, 0, null));
+                if (!lost || g.sends(id) == attempt + 1) { break; }
+            }
+            refused += g.actions.stream().anyMatch(x -> x instanceof Refuse r && r.id() == id) ? 1 : 0;
+        }
+        assertTrue(refused <= 4, "refused " + refused);
+    }
+
+    @Test
+    void anAttemptThatHangsAloneStartsOverWhereSomeHungLately() {
+        Gateway g = new Gateway(0, 1, 0, TWO);
+        g.runTo(2000);
+        boolean over = false;
+        for (int i = 0; i < 20 && !over; i++) {
+            long hung = g.ask(0, NONE, 7000 + i, 1);
+            double until = g.now + 490;
+            for (int n = 0; g.now < until; n++) {    // both servers answer all others at once
+                g.runTo(Math.min(until, g.now + 10));
+                assertTrue(g.admits(NONE, 8000 + 100 * i + n, 1));
+            }
+            g.runTo(until + 20);
+            over = g.actions.stream().anyMatch(x -> x instanceof Cancel c && c.id() == hung);
+            Send last = g.sent(hung);
+            g.on(new AttemptDone(hung, (int) g.sends(hung) - 1, last.server(), over ? Outcome.CANCELLED : Outcome.TIMED_OUT, 510, false, 0, null));
+        }
+        assertTrue(over, "held to its end each time");
+    }
+
     @Test
     void customersSeenOnceAndServersGoneAreForgotten() throws Exception {
         Gateway g = new Gateway(0, 1, 0, TWO);
--- a/src/test/java/yardusher/story/SpoiltStoryTest.java
+++ b/src/test/java/yardusher/story/SpoiltStoryTest.java
@@ -6,9 +6,13 @@
 
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -140,6 +144,27 @@
         }
     }
 
+    @Test
+    void whereKeptConnectionsAreCutAtTheirNextRequestNewOnesAreUsed() throws Exception {
+        Set<Socket> used = ConcurrentHashMap.newKeySet();
+        region.script = command -> {
+            if (used.add(region.last)) { return Region.served("made here"); }
+            try {
+                region.last.close();
+            } catch (java.io.IOException e) { /* closed it is */ }
+            return null;
+        };
+        try (Client client = client()) {
+            for (int i = 0; i < 60; i++) {
+                client.lookup(1000 + i, 2000);
+                Thread.sleep(35);                    // so that connections have rested and could be used again
+            }
+        }
+        Matcher lost = Pattern.compile("attempts_connection_lost=(\\d+)").matcher(serve.countersLine());
+        assertThat(lost.find()).isTrue();
+        assertThat(Integer.parseInt(lost.group(1))).isBetween(1, 15);
+    }
+
     @Test
     void aReportThatCannotBeReadLeavesTheAnswerAsItIs() throws Exception {
         for (String report : new String[] {"util=NaN,queue=1,qps=2", "util=-1,queue=1,qps=2", "queue=1", "util", "\u0001\u0002", "util=1e999,queue=0,qps=0"}) {
