Close the longest idle connection where many are idle, so that clients keep some for requests

Checked: a trace of refusals by reason shows that the module refused 245 to 757 in 5 s and was asked for a third of the tries; the rest never came. A trace of terminals: 153 of 154 places taken, 125 of them idle, 50 to 85 commands a second where 110 to 140 were due. At fault: Answers.upkeep, which let an idle connection stand for 2 s. Clients that open a new one for each request and keep the old then have all they may hold, a third of the descriptors, idle: 128 in 2 s is 64 requests a second. Now, past a quarter of the places idle, the longest idle of at least 100 ms closes. The story fails without it.

--- a/src/main/java/yardusher/net/Answers.java
+++ b/src/main/java/yardusher/net/Answers.java
@@ -40,6 +40,7 @@
     private static final double CALM_IDLE_MS = 10_000; // and is, where there is room for others
     private static final double SILENT_WAY_MS = 30; // where no room is left, these give way to a newcomer:
     private static final double IDLE_WAY_MS = 250; // who connected and said nothing, then who is idle
+    private static final double SHORT_IDLE_MS = 100; // where many are idle, the longest so is closed after this
     private static final double AGAIN_MS = 10;
     private static final double UPKEEP_MS = 100;
 
@@ -54,6 +55,7 @@
     /** Connections that get their last bytes. They still hold descriptors, so they have a bound too. */
     private final Set<Link> leaving = new LinkedHashSet<>();
     private final int mostLeaving;
+    private final int mostIdle;
     private boolean looksAgain;
     private boolean closing;
 
@@ -61,6 +63,7 @@
         this.commands = commands;
         this.mostLeaving = Math.max(2, mostTerminals / 5);
         this.mostTerminals = Math.max(1, mostTerminals - mostLeaving);
+        this.mostIdle = Math.max(1, this.mostTerminals / 4);
         this.turns = sockets.turns();
         door = sockets.listen(at, channel -> new TerminalLink(channel, sockets), nothing -> room());
         turns.deadlines().at(turns.now() + UPKEEP_MS, this::upkeep);
@@ -260,6 +263,10 @@
                 }
                 quietSince = turns.now();
                 idle.add(this);
+                // Guards clients that use a new connection for each request and keep the old one: what they hold
+                // idle is out of what they may hold at all, and they would find none left for their requests.
+                TerminalLink longest = idle.size() > mostIdle ? first(idle, SHORT_IDLE_MS) : null;
+                if (longest != null) { longest.drop(); }
             }
             if (full && mayRead() && readable(link)) { link.readMore(); }
         }
--- a/src/test/java/yardusher/story/ConnectionStoryTest.java
+++ b/src/test/java/yardusher/story/ConnectionStoryTest.java
@@ -67,6 +67,30 @@
         }
     }
 
+    @Test
+    void whoUsesANewConnectionForEachRequestIsNotLeftWithOldOnesAlone() throws Exception {
+        start(512);
+        List<Client> kept = new ArrayList<>();
+        try {
+            for (int i = 0; i < 60; i++) {           // there is room for all of them at once
+                Client client = new Client(serve.front().answers().address());
+                kept.add(client);
+                client.ask("PING");
+            }
+            long begun = System.nanoTime();
+            while (System.nanoTime() - begun < 150_000_000L) { kept.get(59).ask("PING"); }
+            for (int i = 0; i < 20; i++) {
+                Client client = new Client(serve.front().answers().address());
+                kept.add(client);
+                client.ask("PING");
+            }
+            kept.get(0).socket.setSoTimeout(1000);   // closed by those that came, long before anything is crowded
+            assertThat(kept.get(0).ended()).isTrue();
+        } finally {
+            for (Client client : kept) { client.close(); }
+        }
+    }
+
     @Test
     void whoSaysNothingOrHalfACommandIsClosedOnBothFronts() throws Exception {
         start(1024);
