--- a/src/main/java/yardusher/agent/AgentConfig.java
+++ b/src/main/java/yardusher/agent/AgentConfig.java
@@ -9,11 +9,11 @@
 
 /** The agent's file: where it listens, how instances are started, and which there are. */
 public record AgentConfig(String control, List<String> command, long stopMs, List<Entry> instances) {
-    /** One instance: its name, its address, and its configuration and limits files. */
-    public record Entry(String name, String address, String config, String limits) { }
+    /** One instance: its name, its address, and its configuration, limits and settings files. */
+    public record Entry(String name, String address, String config, String limits, String settings) { }
 
     private static final Set<String> KEYS = Set.of("control", "command", "stop_ms", "instance");
-    private static final Set<String> INSTANCE_KEYS = Set.of("name", "address", "config", "limits");
+    private static final Set<String> INSTANCE_KEYS = Set.of("name", "address", "config", "limits", "settings");
 
     /** Reads the file; an {@link IllegalArgumentException} says in one line what is wrong with it. */
     public static AgentConfig read(Path file) { return Toml.read(file, AgentConfig::of); }
@@ -23,7 +23,8 @@
         List<Entry> entries = new ArrayList<>();
         for (Toml one : toml.tables("instance")) {
             one.only(INSTANCE_KEYS);
-            Entry entry = new Entry(one.text("name"), one.text("address"), one.text("config"), one.text("limits", "none"));
+            Entry entry = new Entry(one.text("name"), one.text("address"), one.text("config"), one.text("limits", "none"),
+                    one.text("settings", "none"));
             Sockets.address(entry.address());
             if (!entry.name().matches("[A-Za-z0-9._-]{1,64}")) { throw new IllegalArgumentException("bad name " + entry.name()); }
             if (entries.stream().anyMatch(other -> other.name().equals(entry.name()))) {
--- a/src/main/java/yardusher/agent/Instance.java
+++ b/src/main/java/yardusher/agent/Instance.java
@@ -62,7 +62,7 @@
         if (process != null) { return; }
         turns.deadlines().cancel(pending);
         List<String> command = new ArrayList<>(config.command());
-        command.addAll(List.of("serve", entry.config(), "--limits", entry.limits()));
+        command.addAll(List.of("serve", entry.config(), "--limits", entry.limits(), "--settings", entry.settings()));
         startedAt = turns.now();
         reloads = false;
         Process begun;
--- a/src/main/java/yardusher/cli/Main.java
+++ b/src/main/java/yardusher/cli/Main.java
@@ -14,13 +14,14 @@
 import yardusher.limits.LimitsFront;
 import yardusher.nginx.Importer;
 import yardusher.resp.Value;
+import yardusher.settings.Settings;
 import yardusher.wire.WireHost;
 
 /** The command line. Bad arguments and configurations: one plain line on standard error, exit 2. */
 public final class Main {
     public static final String VERSION = "0.1.0";
     private static final String USAGE = "usage: yardusher serve [CONFIG] | simhost | version | agent start|status|restart|reload|"
-            + "stop FILE [NAME] | import NGINX_FILE | limits HOST:PORT KEY MAX_BURST COUNT PERIOD [QUANTITY] | check FILE";
+            + "stop FILE [NAME] | import NGINX_FILE | limits HOST:PORT KEY MAX_BURST COUNT PERIOD [QUANTITY] | check FILE | orders list|show|open|verify|export FOLDER";
 
     private Main() { }
 
@@ -47,7 +48,9 @@
         Options options = new Options();
         if (command.equals("serve") || command.equals("check")) {
             options.addOption(Option.builder().longOpt("limits").hasArg().argName("FILE").build());
+            options.addOption(Option.builder().longOpt("settings").hasArg().argName("FILE").build());
         }
+        if (command.equals("orders")) { OrdersCommand.options(options); }
         if (command.equals("import")) {
             options.addOption(Option.builder("o").longOpt("output").hasArg().argName("FILE").build());
             options.addOption(Option.builder("u").longOpt("upstream").hasArg().argName("NAME").build());
@@ -65,7 +68,7 @@
                 if (line.hasOption("limits") && !limits.equals("none") && !Files.exists(Path.of(limits))) {
                     throw new Config.Bad(limits + ": cannot be read");
                 }
-                return Serve.run(file, limits.equals("none") ? null : Path.of(limits));
+                return Serve.run(file, limits.equals("none") ? null : Path.of(limits), settings(line));
             }
             case "simhost" -> {
                 atMost(rest, 0, 0);
@@ -78,8 +81,9 @@
             }
             case "check" -> {
                 atMost(rest, 1, 1);
-                return check(rest.get(0), line.getOptionValue("limits"));
+                return check(rest.get(0), line.getOptionValue("limits"), settings(line));
             }
+            case "orders" -> { return OrdersCommand.run(line); }
             case "agent" -> { return AgentCommand.run(rest); }
             case "import" -> {
                 atMost(rest, 1, 1);
@@ -93,12 +97,22 @@
         }
     }
 
+    /** The file of our own settings: the one named, else deploy/yardusher.toml where it is there; null for none. */
+    private static Path settings(CommandLine line) throws Config.Bad {
+        String named = line.getOptionValue("settings");
+        if ("none".equals(named)) { return null; }
+        Path file = Path.of(named == null ? "deploy/yardusher.toml" : named);
+        if (Files.exists(file)) { return file; }
+        if (named != null) { throw new Config.Bad(named + ": cannot be read"); }
+        return null;
+    }
+
     private static void atMost(List<String> words, int least, int most) {
         if (words.size() < least || words.size() > most) { throw new IllegalArgumentException(USAGE); }
     }
 
     /** Reads a configuration as serve would, and the limits file against it. */
-    private static int check(String file, String limitsFile) throws Config.Bad {
+    private static int check(String file, String limitsFile, Path settingsFile) throws Config.Bad {
         Config config = Config.read(file);
         config.members();
         Path limits = Path.of(limitsFile == null ? "deploy/limits.toml" : limitsFile);
@@ -107,8 +121,11 @@
         if (there) {
             LimitsFront.check(LimitsConfig.read(limits), config.classes(), config.plans(), config.settings().gateways());
         }
+        Settings own = Settings.read(settingsFile);
         System.out.println(file + ": good: " + config.name() + " at " + config.listen() + ", " + config.members()
-                + " regions known" + (there ? "; " + limits + ": good" : ""));
+                + " regions known" + (there ? "; " + limits + ": good" : "")
+                + (settingsFile == null ? "" : "; " + settingsFile + ": good, journal " + (own.journal() == null ? "off" : "in "
+                        + own.journal().folder().resolve(config.name()))));
         return 0;
     }
 
--- a/src/main/java/yardusher/cli/Serve.java
+++ b/src/main/java/yardusher/cli/Serve.java
@@ -13,18 +13,23 @@
 import yardusher.core.Counters;
 import yardusher.core.Ingress;
 import yardusher.core.Neighbours;
+import yardusher.core.OrderLog;
 import yardusher.core.Turns;
+import yardusher.journal.Journal;
 import yardusher.limits.LimitsConfig;
 import yardusher.limits.LimitsFront;
 import yardusher.list.ServiceTable;
 import yardusher.list.Watch;
+import yardusher.log.Logs;
 import yardusher.net.Sockets;
 import yardusher.peers.PeerSocket;
 import yardusher.servers.RegionPool;
+import yardusher.settings.Settings;
 
 /** One real ingress: all parts put together, from the start to an orderly end. */
 public final class Serve {
     private static final double ACCEPT_ON_MS = 500;  // after SIGTERM connections keep coming 0.2 to 0.4 s
+    private static final long JOURNAL_END_MS = 2000; // at the end, for a slow disk to take the last outcomes
     private static final int OWN_DESCRIPTORS = 64;   // of the JVM, the listeners and the watch
 
     private final Turns turns;
@@ -35,16 +40,17 @@
     private final PlatformFront front;
     private final LimitsFront limitsFront;
     private final Watch watch;
+    private final Journal journal;                   // null where it is off
     private final PeerSocket peers;
     private final CountDownLatch drained = new CountDownLatch(1);
     private final double longestMs;
     private Config config;                           // as it was last read
 
     /** Takes the limits front's file, or null where it is off. */
-    public Serve(Config config, LimitsConfig limits) throws IOException { this(config, limits, clock()); }
+    public Serve(Config config, LimitsConfig limits) throws IOException { this(config, limits, Settings.OFF, clock()); }
 
     /** The clock gives milliseconds of Unix time and never goes back. */
-    public Serve(Config config, LimitsConfig limits, DoubleSupplier clock) throws IOException {
+    public Serve(Config config, LimitsConfig limits, Settings own, DoubleSupplier clock) throws IOException {
         this.config = config;
         turns = new Turns(clock, this::fault);
         sockets = new Sockets(turns);
@@ -53,13 +59,15 @@
         pool = new RegionPool(sockets, counters, settings.report(), config.dialMs(), config.idleMs(), budget * 2 / 5);
         peers = config.peerListen() == null || !settings.limits().peers() ? null
                 : new PeerSocket(config.peerListen(), config.peers(), turns);
+        journal = own.journal() == null ? null : journal(own);
+        if (journal != null) { counters.more = () -> " " + journal.line(); }
         Neighbours neighbours = peers == null ? (to, body) -> { } : peers;
         longestMs = settings.classes().stream().mapToDouble(Api.RequestClass::deadlineMs).max().orElse(1000);
         Object[] made = new Object[4];
         Exception[] problem = new Exception[1];
         turns.turn(() -> {
             try {
-                Ingress core = new Ingress(settings, config.seed(), turns, pool, neighbours, counters);
+                Ingress core = new Ingress(settings, config.seed(), turns, pool, neighbours, counters, journal == null ? OrderLog.NONE : journal);
                 pool.serve(core);
                 ServiceTable table = new ServiceTable(config.zones(), pool);
                 core.tell(table.take(config.known(), Api.ListKind.CACHED));
@@ -169,10 +177,25 @@
             closeFronts();
         });
         if (peers != null) { peers.close(); }
+        endJournal();
         turns.stop();
         sockets.shutdown();
     }
 
+    /** A folder that cannot be used is as wrong as a setting that cannot. */
+    private Journal journal(Settings own) {
+        try {
+            return Journal.open(own.journal(), config.name(), config.settings(), config.classes(), config.plans(), turns,
+                    Logs.of(own.log(), config.name()));
+        } catch (IOException e) {
+            throw new IllegalArgumentException("journal.folder " + e.getMessage(), e);
+        }
+    }
+
+    private void endJournal() {
+        if (journal != null) { journal.close(JOURNAL_END_MS); }
+    }
+
     /** Whether the limits file opens the front at all. A plain look, so that the platform's start loads no parser. */
     private static boolean listens(Path limitsFile) throws IOException {
         return limitsFile != null && Files.exists(limitsFile)
@@ -180,13 +203,15 @@
     }
 
     /** The sub-command: serves until SIGTERM, then drains and exits 0. */
-    static int run(String file, Path limitsFile) throws IOException, Config.Bad {
+    static int run(String file, Path limitsFile, Path settingsFile) throws IOException, Config.Bad {
         Config config = Config.read(file);
-        Serve serve = new Serve(config, listens(limitsFile) ? LimitsConfig.read(limitsFile) : null);
+        Serve serve = new Serve(config, listens(limitsFile) ? LimitsConfig.read(limitsFile) : null, Settings.read(settingsFile),
+                clock());
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             try {
                 serve.drain();
             } catch (InterruptedException e) { /* the process ends all the same */ }
+            serve.endJournal();
             System.err.println(config.name() + " ends: " + serve.countersLine());
             System.err.flush();
             Runtime.getRuntime().halt(0);
--- a/src/main/java/yardusher/core/Attempt.java
+++ b/src/main/java/yardusher/core/Attempt.java
@@ -11,6 +11,8 @@
     public final long waitMs;
     Deadlines.Entry timeOut;
     boolean over;
+    /** Whether it has left for the regions' side; till then it is parked, and never ran. */
+    boolean begun;
     /** Set by the region's connection: gives the attempt up. */
     public Runnable giveUp = () -> { };
     /** Set by the region's connection once the last byte is written: from there on it may have run. */
@@ -26,6 +28,9 @@
 
     public boolean isOver() { return over; }
 
+    /** Whether bytes of it may have gone out. */
+    public boolean mayHaveGone() { return begun && written; }
+
     /** How an attempt ended; the value is there when it was served. */
     public record Result(Api.Outcome outcome, byte[] value, double[] load) {
         public static Result of(Api.Outcome outcome) { return new Result(outcome, null, null); }
--- a/src/main/java/yardusher/core/Book.java
+++ b/src/main/java/yardusher/core/Book.java
@@ -7,8 +7,10 @@
     private final Turns turns;
     private final Map<Long, Transaction> open;
     private final Counters counters;
+    private final OrderLog log;
 
-    Book(Turns turns, Map<Long, Transaction> open, Counters counters) {
+    Book(Turns turns, Map<Long, Transaction> open, Counters counters, OrderLog log) {
+        this.log = log;
         this.turns = turns;
         this.open = open;
         this.counters = counters;
@@ -19,6 +21,7 @@
         attempt.transaction.mayHaveRun |= !result.outcome().neverRan();
         counters.outcomes[result.outcome().ordinal()]++;
         turns.deadlines().cancel(attempt.timeOut);
+        if (attempt.transaction.recorded) { log.ended(attempt, result.outcome()); }
     }
 
     void close(Transaction t) {
--- a/src/main/java/yardusher/core/Cargo.java
+++ b/src/main/java/yardusher/core/Cargo.java
@@ -1,7 +1,13 @@
 package yardusher.core;
 
-/** What a region is handed for a transaction. The core never looks inside. */
+/** What a region is handed for a transaction. The core never looks inside, but for what names it. */
 public interface Cargo {
     /** The cargo's bytes, telling the region how long its answer is waited for. */
     byte[] encoded(long waitMs);
+
+    /** The request's id, as the region is told it. */
+    long id();
+
+    /** The idempotency key as the region is told it, in 16 hex digits; null where the class has none. */
+    String key();
 }
--- a/src/main/java/yardusher/core/Counters.java
+++ b/src/main/java/yardusher/core/Counters.java
@@ -18,6 +18,8 @@
     public long listChanges;
     public long reloads;
     public long faults;
+    /** What else the line tells; empty for nothing. */
+    public java.util.function.Supplier<String> more = () -> "";
     public final long[] outcomes = new long[Api.Outcome.values().length];
 
     /** One line of names and values. */
@@ -34,6 +36,6 @@
         return text.append(" connections=").append(connectionsOpened).append(" peer_out=").append(peerOut)
                 .append(" peer_in=").append(peerIn).append(" list_changes=").append(listChanges)
                 .append(" reloads=").append(reloads)
-                .append(" faults=").append(faults).toString();
+                .append(" faults=").append(faults).append(more.get()).toString();
     }
 }
--- a/src/main/java/yardusher/core/Dispatch.java
+++ b/src/main/java/yardusher/core/Dispatch.java
@@ -1,6 +1,7 @@
 package yardusher.core;
 
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import yardusher.Api;
 
 /** Fourth stage, send: the attempt goes out, and its time-out stands among the deadlines. */
@@ -8,9 +9,15 @@
     private final Turns turns;
     private final Regions regions;
     private final Counters counters;
+    private final OrderLog log;
+    private final Consumer<Transaction> unrecorded;
     private final BiConsumer<Attempt, Attempt.Result> ended;
 
-    Dispatch(Turns turns, Regions regions, Counters counters, BiConsumer<Attempt, Attempt.Result> ended) {
+    /** {@code unrecorded} is told of a transaction whose attempt may not go out since its intent has no record. */
+    Dispatch(Turns turns, Regions regions, Counters counters, OrderLog log, Consumer<Transaction> unrecorded,
+            BiConsumer<Attempt, Attempt.Result> ended) {
+        this.log = log;
+        this.unrecorded = unrecorded;
         this.turns = turns;
         this.regions = regions;
         this.counters = counters;
@@ -24,7 +31,25 @@
         t.attempt = attempt;
         counters.attempts++;
         attempt.timeOut = turns.deadlines().at(now + wait, () -> expire(attempt));
-        regions.begin(attempt, t.order.cargo().encoded(attempt.waitMs));
+        if (!t.recorded) {
+            begin(attempt, attempt.waitMs);
+            return;
+        }
+        log.intend(attempt, may -> {
+            if (attempt.over) { return; }            // given up while it was parked
+            if (!may) {
+                unrecorded.accept(t);
+            } else if (!regions.knows(region)) {     // left the service table while it was parked
+                ended.accept(attempt, Attempt.Result.of(Api.Outcome.NOT_SENT));
+            } else {
+                begin(attempt, (long) Math.max(1, Math.ceil(now + wait - turns.now())));
+            }
+        });
+    }
+
+    private void begin(Attempt attempt, long waitMs) {
+        attempt.begun = true;
+        regions.begin(attempt, attempt.transaction.order.cargo().encoded(waitMs));
     }
 
     private void expire(Attempt attempt) {
--- a/src/main/java/yardusher/core/Ingress.java
+++ b/src/main/java/yardusher/core/Ingress.java
@@ -20,6 +20,7 @@
     private final Api.Settings settings;
     private final Neighbours neighbours;
     private final Counters counters;
+    private final OrderLog log;
     private final Policy module;
     private final TakeIn takeIn;
     private final Admit admit;
@@ -30,7 +31,8 @@
     private boolean acting;
 
     public Ingress(Api.Settings settings, long seed, Turns turns, Regions regions, Neighbours neighbours,
-            Counters counters) {
+            Counters counters, OrderLog log) {
+        this.log = log;
         this.settings = settings;
         this.turns = turns;
         this.neighbours = neighbours;
@@ -39,9 +41,9 @@
         takeIn = new TakeIn(turns, open, counters);
         admit = new Admit(turns, module);
         route = new Route(regions, settings.limits().maxAttempts());
-        dispatch = new Dispatch(turns, regions, counters, this::ended);
-        relay = new Relay(counters);
-        book = new Book(turns, open, counters);
+        dispatch = new Dispatch(turns, regions, counters, log, this::unrecorded, this::ended);
+        relay = new Relay(counters, log);
+        book = new Book(turns, open, counters, log);
         act();
     }
 
@@ -58,6 +60,13 @@
         Transaction[] taken = new Transaction[1];
         Transaction t = takeIn.take(order, () -> overdue(taken[0]), GRACE_MS);
         taken[0] = t;
+        OrderLog.Admission admission = log.take(t);
+        t.recorded = admission == OrderLog.Admission.RECORDED;
+        if (admission == OrderLog.Admission.REFUSED) {
+            relay.shortOnCapacity(t, Math.min(log.retryAfterMs(), settings.limits().maxRetryAfterMs()));
+            book.close(t);
+            return t;
+        }
         try {
             admit.ask(t);
             act();
@@ -81,6 +90,7 @@
         if (t.answered || t.gone) { return; }
         t.gone = true;
         counters.clientsGone++;
+        if (t.recorded) { log.answered(t, OrderLog.Answer.GONE); }
         release(t);
     }
 
@@ -97,6 +107,21 @@
         act();
     }
 
+    /** The socket has taken an attempt's last byte. */
+    public void written(Attempt attempt) {
+        if (attempt.transaction.recorded && !attempt.over) { log.written(attempt); }
+    }
+
+    /** An intent could not be recorded: what is not recorded is not sent, and is given up at once. */
+    private void unrecorded(Transaction t) {
+        if (t.mayHaveRun) {
+            relay.failed(t, "no record can be made");
+        } else {
+            relay.shortOnCapacity(t, Math.min(log.retryAfterMs(), settings.limits().maxRetryAfterMs()));
+        }
+        ended(t.attempt, Attempt.Result.of(Api.Outcome.NOT_SENT));
+    }
+
     /** The service table changed, or another ingress spoke. */
     public void tell(Api.Event event) {
         admit.tell(event);
--- a/src/main/java/yardusher/core/Relay.java
+++ b/src/main/java/yardusher/core/Relay.java
@@ -3,34 +3,39 @@
 /** Fifth stage: the one final answer goes to the terminal. */
 final class Relay {
     private final Counters counters;
+    private final OrderLog log;
 
-    Relay(Counters counters) { this.counters = counters; }
+    Relay(Counters counters, OrderLog log) {
+        this.counters = counters;
+        this.log = log;
+    }
 
     void served(Transaction t, byte[] value) {
-        if (first(t)) {
+        if (first(t, OrderLog.Answer.SERVED)) {
             counters.served++;
             t.order.terminal().served(value);
         }
     }
 
     void shortOnCapacity(Transaction t, double retryAfterMs) {
-        if (first(t)) {
+        if (first(t, OrderLog.Answer.SHORT_ON_CAPACITY)) {
             counters.refused++;
             t.order.terminal().shortOnCapacity((long) Math.ceil(retryAfterMs), t.mayHaveRun);
         }
     }
 
     void failed(Transaction t, String why) {
-        if (first(t)) {
+        if (first(t, OrderLog.Answer.FAILED)) {
             counters.failed++;
             t.order.terminal().failed(why);
         }
     }
 
     /** Guards against a second final answer, and one to a terminal that has left. */
-    private static boolean first(Transaction t) {
+    private boolean first(Transaction t, OrderLog.Answer answer) {
         boolean first = !t.answered && !t.gone;
         t.answered = true;
+        if (first && t.recorded) { log.answered(t, answer); }
         return first;
     }
 }
--- a/src/main/java/yardusher/core/Transaction.java
+++ b/src/main/java/yardusher/core/Transaction.java
@@ -11,6 +11,8 @@
     boolean answered;
     boolean gone;
     boolean mayHaveRun;
+    /** Whether the order log records it; all it is told after the taking in goes by this. */
+    boolean recorded;
     Deadlines.Entry lastCall;
 
     Transaction(long number, Order order, double arrivedAt) {
--- a/src/main/java/yardusher/file/Toml.java
+++ b/src/main/java/yardusher/file/Toml.java
@@ -9,18 +9,23 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.Function;
 
 /** A table of a TOML file with typed access; every complaint is an IllegalArgumentException in one plain line. */
 public final class Toml {
     private final UnmodifiableConfig table;
+    private final String prefix;                     // of keys in complaints, such as "journal."
 
-    private Toml(UnmodifiableConfig table) { this.table = table; }
+    private Toml(UnmodifiableConfig table, String prefix) {
+        this.table = table;
+        this.prefix = prefix;
+    }
 
     /** Reads a file and makes of it what the caller wants; complaints name the file. */
     public static <T> T read(Path file, Function<Toml, T> into) {
         try (Reader text = Files.newBufferedReader(file)) {
-            return into.apply(new Toml(new TomlParser().parse(text)));
+            return into.apply(new Toml(new TomlParser().parse(text), ""));
         } catch (IOException e) {
             throw new IllegalArgumentException(file + ": cannot be read", e);
         } catch (ParsingException | ClassCastException | IllegalArgumentException e) {
@@ -32,14 +37,14 @@
     public Toml only(Set<String> keys) {
         for (UnmodifiableConfig.Entry entry : table.entrySet()) {
             String key = entry.getKey();
-            if (!keys.contains(key)) { throw new IllegalArgumentException("unknown key " + key); }
+            if (!keys.contains(key)) { throw new IllegalArgumentException("unknown key " + prefix + key + ", allowed are " + String.join(", ", new TreeSet<>(keys))); }
         }
         return this;
     }
 
     public String text(String key) {
         if (table.get(key) instanceof String text) { return text; }
-        throw new IllegalArgumentException("needs a text in " + key);
+        throw new IllegalArgumentException("needs a text in " + prefix + key);
     }
 
     public String text(String key, String absent) { return table.get(key) == null ? absent : text(key); }
@@ -51,7 +56,15 @@
                 && number.intValue() <= most) {
             return number.intValue();
         }
-        throw new IllegalArgumentException(key + " must be a whole number from " + least + " to " + most);
+        throw new IllegalArgumentException(prefix + key + " must be a whole number from " + least + " to " + most);
+    }
+
+    /** One of a few words. */
+    public String choice(String key, String absent, String... allowed) {
+        Object value = table.get(key);
+        if (value == null) { return absent; }
+        if (List.of(allowed).contains(value)) { return (String) value; }
+        throw new IllegalArgumentException(prefix + key + " must be one of " + String.join(", ", allowed));
     }
 
     public List<String> texts(String key) {
@@ -62,12 +75,14 @@
     /** The tables of an array of tables; empty where it is left out. */
     public List<Toml> tables(String key) {
         List<UnmodifiableConfig> tables = table.getOrElse(key, List.of());
-        return tables.stream().map(Toml::new).toList();
+        return tables.stream().map(one -> new Toml(one, prefix + key + ".")).toList();
     }
 
     /** One table, or null where it is left out. */
     public Toml table(String key) {
-        UnmodifiableConfig one = table.get(key);
-        return one == null ? null : new Toml(one);
+        Object one = table.get(key);
+        if (one == null) { return null; }
+        if (one instanceof UnmodifiableConfig found) { return new Toml(found, prefix + key + "."); }
+        throw new IllegalArgumentException(prefix + key + " must be a table");
     }
 }
--- /dev/null
+++ b/src/main/java/yardusher/journal/Entry.java
@@ -0,0 +1,41 @@
+package yardusher.journal;
+
+import java.util.List;
+import yardusher.Api;
+import yardusher.core.OrderLog;
+
+/** One record of the journal. Times are microseconds of Unix time; an order's number is unique within its life. */
+sealed interface Entry {
+    long atUs();
+
+    /** What an order is, as it was taken in. {@code keyed} is false where the class has no idempotency key. */
+    record Facts(long id, boolean keyed, long key, long customer, int classIndex, int plan, double units) { }
+
+    /** First of a segment: who writes here, and the names of the classes and plans that entries give by index. */
+    record Opened(long atUs, long life, String name, List<String> classes, List<String> plans) implements Entry { }
+
+    /** An order that was open when the segment began, with all that was known of it. */
+    record Carried(long atUs, long life, long order, Facts facts, OrderLog.Answer answer, List<Order.Try> tries)
+            implements Entry { }
+
+    record SnapshotEnd(long atUs, long count) implements Entry { }
+
+    record Taken(long atUs, long order, Facts facts) implements Entry { }
+
+    /** An attempt is about to be sent. It names the order's facts again, so that it stands for itself. */
+    record Intended(long atUs, long order, int attempt, long region, Facts facts) implements Entry { }
+
+    /** The socket has taken the attempt's last byte. */
+    record Written(long atUs, long order, int attempt) implements Entry { }
+
+    /** {@code mayHaveGone} is false where no byte of the attempt can have left whole. */
+    record Ended(long atUs, long order, int attempt, Api.Outcome outcome, boolean mayHaveGone) implements Entry { }
+
+    record Answered(long atUs, long order, OrderLog.Answer answer) implements Entry { }
+
+    /** A later life found the order open. */
+    record Closed(long atUs, long life, long order) implements Entry { }
+
+    /** So many orders went on unrecorded and so many records were lost since the last entry. */
+    record Gap(long atUs, long orders, long lost) implements Entry { }
+}
--- /dev/null
+++ b/src/main/java/yardusher/journal/Journal.java
@@ -0,0 +1,323 @@
+package yardusher.journal;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import yardusher.Api;
+import yardusher.core.Attempt;
+import yardusher.core.Deadlines;
+import yardusher.core.Ids;
+import yardusher.core.OrderLog;
+import yardusher.core.Transaction;
+import yardusher.core.Turns;
+import yardusher.log.Events;
+
+/**
+ * The journal of sent orders: what is told of transactions that must not run twice is written ahead to segment files.
+ * An attempt is parked until its intent is as durable as configured. Used in turns, none of which waits: entries gather
+ * in a batch, which goes to the writing thread at the turn's end where an attempt waits for it, or a little later;
+ * while one batch is written the next gathers, and all that wait in it share its write.
+ */
+public final class Journal implements OrderLog {
+    /** Entries that gather at the most; further ones are lost, and counted. */
+    static final int MOST_GATHERED = 20_000;
+    private static final double RETRY_MS = 100;      // after a write that failed; doubles
+    private static final double RETRY_MOST_MS = 2000;
+    private static final double LOOK_MS = 1000;      // while there is no room, it is looked for
+
+    /** Whether intents can be recorded now. */
+    enum Health { GOOD, FULL, STALLED, FAILING }
+
+    /** Figures for operators. */
+    public static final class Counts {
+        public long entries;
+        public long batches;
+        public long refused;
+        public long unrecorded;
+        public long lost;
+        public long failures;
+        public long stalls;
+    }
+
+    private record Waiter(Attempt attempt, Consumer<Boolean> then) { }
+
+    private static final class Batch {
+        final List<Entry> entries = new ArrayList<>();
+        final List<Waiter> waiters = new ArrayList<>();
+    }
+
+    private final Turns turns;
+    private final Api.Settings site;
+    private final JournalSettings settings;
+    private final Segments segments;
+    private final Scribe scribe;
+    private final Events events;
+    private final Counts counts = new Counts();
+    private final List<String> found;
+    private Batch gathering = new Batch();
+    private Batch spare = new Batch();
+    private Batch flying;
+    private boolean handsOver;                       // at this turn's end
+    private Deadlines.Entry flushAt;
+    private Deadlines.Entry stallAt;
+    private Deadlines.Entry lookAt;
+    private double retryMs = RETRY_MS;
+    private Health health = Health.GOOD;
+    private long gapOrders;
+    private long gapLost;
+
+    /**
+     * Opens the folder, finds what the last life left open and begins a new life. Reads and writes the disk, so it is
+     * called before the first turn. {@code events} gets whatever an operator should know.
+     *
+     * @throws IOException in one plain line where the folder cannot be used or another process uses it
+     */
+    public static Journal open(JournalSettings settings, String instance, Api.Settings site, List<String> classes,
+            List<String> plans, Turns turns, Events events) throws IOException {
+        return open(Folder.writing(settings.folder().resolve(instance), instance), settings, instance, site, classes, plans,
+                turns, events);
+    }
+
+    static Journal open(Storage storage, JournalSettings settings, String instance, Api.Settings site,
+            List<String> classes, List<String> plans, Turns turns, Events events) throws IOException {
+        try {
+            Recovery.Found found = Recovery.run(storage, turns.now());
+            Indexer indexer = new Indexer(storage, instance);
+            Segments segments = new Segments(storage, settings, found,
+                    new Entry.Opened(0, new Ids().next(), instance, classes, plans), turns::now, indexer::build);
+            for (Retention.Sealed one : found.sealed()) { indexer.build(one.number()); }
+            return new Journal(turns, site, settings, segments, found, events, instance);
+        } catch (IOException e) {
+            storage.close();
+            throw new IOException(settings.folder().resolve(instance) + ": cannot be written: " + e.getMessage(), e);
+        }
+    }
+
+    private Journal(Turns turns, Api.Settings site, JournalSettings settings, Segments segments, Recovery.Found found,
+            Events events, String instance) {
+        this.turns = turns;
+        this.site = site;
+        this.settings = settings;
+        this.segments = segments;
+        this.events = events;
+        this.found = found.notes();
+        scribe = new Scribe(segments, settings, instance);
+        for (String note : found.notes()) { events.warn("journal recovery", "note", note); }
+        long unknown = found.open().orders().stream()
+                .filter(order -> order.tries.stream().anyMatch(one -> one.outcome == null)).count();
+        events.info("journal opened", "segments", found.sealed().size(), "read", found.segmentsRead(), "bytes_read",
+                found.bytesRead(), "open", found.open().size(), "unknown", unknown, "durability",
+                settings.durability().name().toLowerCase(java.util.Locale.ROOT));
+    }
+
+    @Override
+    public Admission take(Transaction t) {
+        if (site.classes().get(t.order.classIndex()).effect() == Api.Effect.IDEMPOTENT) { return Admission.UNRECORDED; }
+        if (!records()) {
+            if (settings.refuses()) {
+                counts.refused++;
+                return Admission.REFUSED;
+            }
+            unrecorded();
+            return Admission.UNRECORDED;
+        }
+        gather(new Entry.Taken(nowUs(), t.number, facts(t)));
+        return Admission.RECORDED;
+    }
+
+    /** Whether an intent can be recorded as durable as settings say, as far as is known now. */
+    private boolean records() {
+        return health == Health.GOOD && gathering.entries.size() < MOST_GATHERED / 2
+                && scribe.unsyncedMs() < settings.windowMs() + settings.stallMs();
+    }
+
+    @Override
+    public void intend(Attempt attempt, Consumer<Boolean> then) {
+        Transaction t = attempt.transaction;
+        if (!records()) {
+            unrecordedIntent(then);
+            return;
+        }
+        gather(new Entry.Intended(nowUs(), t.number, attempt.number, attempt.region, facts(t)));
+        gathering.waiters.add(new Waiter(attempt, then));
+        if (flying == null && !handsOver) {
+            handsOver = true;
+            turns.afterwards(this::handOver);        // all that this turn gathers shares the write
+        }
+    }
+
+    private void unrecordedIntent(Consumer<Boolean> then) {
+        if (settings.refuses()) { counts.refused++; } else { unrecorded(); }
+        then.accept(!settings.refuses());
+    }
+
+    private void unrecorded() {
+        counts.unrecorded++;
+        gapOrders++;
+    }
+
+    @Override
+    public void written(Attempt attempt) {
+        gather(new Entry.Written(nowUs(), attempt.transaction.number, attempt.number));
+    }
+
+    @Override
+    public void ended(Attempt attempt, Api.Outcome outcome) {
+        gather(new Entry.Ended(nowUs(), attempt.transaction.number, attempt.number, outcome, attempt.mayHaveGone()));
+    }
+
+    @Override
+    public void answered(Transaction t, Answer answer) { gather(new Entry.Answered(nowUs(), t.number, answer)); }
+
+    @Override
+    public double retryAfterMs() { return settings.retryAfterMs(); }
+
+    private long nowUs() { return (long) (turns.now() * 1e3); }
+
+    private static Entry.Facts facts(Transaction t) {
+        String key = t.order.cargo().key();
+        return new Entry.Facts(t.order.cargo().id(), key != null, key == null ? 0 : Long.parseUnsignedLong(key, 16),
+                t.order.customer(), t.order.classIndex(), t.order.plan(), t.order.units());
+    }
+
+    private void gather(Entry entry) {
+        // Guards the heap while the disk hangs: outcomes past this bound are lost, and the loss is recorded.
+        if (gathering.entries.size() >= MOST_GATHERED) {
+            counts.lost++;
+            gapLost++;
+            return;
+        }
+        gathering.entries.add(entry);
+        counts.entries++;
+        if (flying == null && flushAt == null) {
+            flushAt = turns.deadlines().at(turns.now() + settings.flushMs(), this::handOver);
+        }
+    }
+
+    private void handOver() {
+        handsOver = false;
+        turns.deadlines().cancel(flushAt);
+        flushAt = null;
+        if (flying != null || gathering.entries.isEmpty()) { return; }
+        flying = gathering;
+        gathering = spare;
+        spare = null;
+        stallAt = turns.deadlines().at(turns.now() + settings.stallMs(), this::stalled);
+        submit(flying);
+    }
+
+    private void submit(Batch batch) {
+        counts.batches++;
+        scribe.submit(() -> {
+            Segments.Result result = segments.append(batch.entries);
+            if (result.written()) { scribe.wrote(); }
+            turns.turn(() -> completed(batch, result));
+        });
+    }
+
+    private void completed(Batch batch, Segments.Result result) {
+        turns.deadlines().cancel(stallAt);
+        if (!result.written()) {
+            counts.failures++;
+            become(Health.FAILING, result.why().getMessage());
+            withdraw(batch);
+            withdraw(gathering);
+            turns.deadlines().at(turns.now() + retryMs, () -> submit(batch));
+            retryMs = Math.min(RETRY_MOST_MS, 2 * retryMs);
+            return;                                  // it goes on flying: nothing may overtake it
+        }
+        retryMs = RETRY_MS;
+        become(result.full() ? Health.FULL : Health.GOOD, result.full() ? "no room" : "");
+        List<Waiter> waiters = new ArrayList<>(batch.waiters);
+        batch.entries.clear();
+        batch.waiters.clear();
+        spare = batch;
+        flying = null;
+        for (Waiter waiter : waiters) { waiter.then.accept(true); }
+        if (gapOrders + gapLost > 0) {
+            gather(new Entry.Gap(nowUs(), gapOrders, gapLost));
+            gapOrders = 0;
+            gapLost = 0;
+        }
+        if (!gathering.waiters.isEmpty()) {
+            handOver();
+        } else if (!gathering.entries.isEmpty() && flushAt == null) {
+            flushAt = turns.deadlines().at(turns.now() + settings.flushMs(), this::handOver);
+        }
+    }
+
+    /** The disk hangs: what waits for it has waited long enough. */
+    private void stalled() {
+        counts.stalls++;
+        become(Health.STALLED, "a write has taken " + (long) settings.stallMs() + " ms");
+        if (flying != null) { withdraw(flying); }
+        withdraw(gathering);
+    }
+
+    /** Intents that are not recorded in time: given up at once, or sent on and the gap counted, as settings say. */
+    private void withdraw(Batch batch) {
+        List<Waiter> waiters = new ArrayList<>(batch.waiters);
+        batch.waiters.clear();
+        for (Waiter waiter : waiters) {
+            if (!waiter.attempt.isOver()) { unrecordedIntent(waiter.then); }
+        }
+    }
+
+    private void become(Health next, String why) {
+        if (next == health) { return; }
+        health = next;
+        Object[] pairs = {"health", next.name().toLowerCase(java.util.Locale.ROOT), "why", why, "then",
+            settings.refuses() ? "refuse" : "unjournaled", "refused", counts.refused, "unrecorded", counts.unrecorded, "lost",
+            counts.lost};
+        if (next == Health.GOOD) { events.info("journal good again", pairs); } else { events.warn("journal cannot record orders", pairs); }
+        if (next == Health.FULL && lookAt == null) { look(); }
+    }
+
+    private void look() {
+        lookAt = turns.deadlines().at(turns.now() + LOOK_MS, () -> {
+            lookAt = null;
+            if (health != Health.FULL) { return; }
+            scribe.submit(() -> {
+                boolean full = segments.recheck();
+                turns.turn(() -> {
+                    if (health != Health.FULL) { return; }
+                    if (full) { look(); } else { become(Health.GOOD, ""); }
+                });
+            });
+        });
+    }
+
+    Health health() { return health; }
+
+    /** Figures; read in turns. */
+    public Counts counts() { return counts; }
+
+    /** What recovery had to say of the files. */
+    public List<String> recoveryNotes() { return found; }
+
+    /** One line of names and values, for INFO. */
+    public String line() {
+        return "journal=" + health.name().toLowerCase(java.util.Locale.ROOT) + " journal_entries=" + counts.entries + " journal_batches="
+                + counts.batches + " journal_refused=" + counts.refused + " journal_unrecorded=" + counts.unrecorded
+                + " journal_lost=" + (counts.lost + segments.unwritable()) + " journal_failures=" + counts.failures + " journal_stalls=" + counts.stalls;
+    }
+
+    /** Writes and syncs all that was told, and ends; false where the disk did not take it in time. Not in a turn. */
+    public boolean close(long withinMs) {
+        turns.turn(this::handOver);
+        boolean ended = scribe.end(withinMs);
+        // Entries of the last turns: the writing thread has ended, so they are written here.
+        turns.turn(() -> {
+            if (ended && flying == null && !gathering.entries.isEmpty()) { segments.append(gathering.entries); }
+        });
+        if (!ended) { return false; }
+        try {
+            segments.close();
+            return true;
+        } catch (IOException e) {
+            events.warn("journal not synced at its end", "why", e.getMessage());
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/yardusher/journal/Order.java
@@ -0,0 +1,114 @@
+package yardusher.journal;
+
+import java.util.ArrayList;
+import java.util.List;
+import yardusher.Api;
+import yardusher.core.OrderLog;
+
+/** What the journal knows of one order. Written by {@link OrderBook}; a reader must not change it. */
+final class Order {
+    /** What can be said of an order or of one attempt, from the weakest to the strongest word. */
+    enum State {
+        NEVER_SENT("never sent"), REFUSED("refused by the region"), INTENDED("intended, may have been sent"),
+        SENT("sent"), ANSWERED("answered");
+
+        final String text;
+
+        State(String text) { this.text = text; }
+
+        /** The state's name on the command line. */
+        String flag() { return name().toLowerCase(java.util.Locale.ROOT).replace('_', '-'); }
+    }
+
+    /** One attempt. Times of 0: it has not happened, or its record was lost. */
+    static final class Try {
+        int attempt;
+        long region;
+        long intendedUs;
+        long writtenUs;
+        long endedUs;
+        Api.Outcome outcome;
+        boolean mayHaveGone;
+
+        Try(int attempt) { this.attempt = attempt; }
+
+        State state() {
+            if (outcome == Api.Outcome.SERVED || outcome == Api.Outcome.SERVER_ERROR) { return State.ANSWERED; }
+            if (outcome == Api.Outcome.REJECTED) { return State.REFUSED; }
+            if (outcome != null && !mayHaveGone) { return State.NEVER_SENT; }
+            return writtenUs > 0 ? State.SENT : State.INTENDED;
+        }
+    }
+
+    final long life;
+    final long number;
+    long takenUs;
+    Entry.Facts facts;                               // null where every record that tells it was lost
+    final List<Try> tries = new ArrayList<>(1);
+    OrderLog.Answer answer;
+    long answeredUs;
+    long closedUs;                                   // when a later life found it open
+    String instance = "";
+    String className = "";
+    String plan = "";
+
+    Order(long life, long number) {
+        this.life = life;
+        this.number = number;
+    }
+
+    /** The strongest that can be said of any attempt. */
+    State state() {
+        State most = State.NEVER_SENT;
+        for (Try one : tries) {
+            State state = one.state();
+            if (state.compareTo(most) > 0) { most = state; }
+        }
+        return most;
+    }
+
+    /** The attempt that {@link #state} speaks of; null where there is none. */
+    Try strongest() {
+        Try most = null;
+        for (Try one : tries) {
+            if (most == null || one.state().compareTo(most.state()) >= 0) { most = one; }
+        }
+        return most;
+    }
+
+    /** Whether nothing more can be told of it: it has its answer and no attempt is out. */
+    boolean isOver() {
+        if (closedUs > 0) { return true; }
+        if (answer == null) { return false; }
+        for (Try one : tries) {
+            if (one.outcome == null) { return false; }
+        }
+        return true;
+    }
+
+    /** Whether its end is lost: a later life closed it, and an attempt may have run with no word of how it ended. */
+    boolean isUnknown() {
+        return closedUs > 0 && tries.stream().anyMatch(one -> one.outcome == null);
+    }
+
+    Try attempt(int number) {
+        for (Try one : tries) {
+            if (one.attempt == number) { return one; }
+        }
+        Try one = new Try(number);
+        tries.add(one);
+        return one;
+    }
+
+    /** The earliest time that any record gives. */
+    long firstUs() {
+        if (takenUs > 0) { return takenUs; }
+        long first = answeredUs > 0 ? answeredUs : closedUs;
+        for (Try one : tries) {
+            for (long at : new long[] {one.intendedUs, one.writtenUs, one.endedUs}) {
+                if (at > 0 && (first == 0 || at < first)) { first = at; }
+            }
+        }
+        return first;
+    }
+}
--- /dev/null
+++ b/src/main/java/yardusher/journal/Query.java
@@ -0,0 +1,51 @@
+package yardusher.journal;
+
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Which orders are asked for. Values that are left out ask for all; times are microseconds of Unix time and speak of when
+ * the order came in, from the first to before the second.
+ */
+record Query(Map<SegmentIndex.Field, Long> values, Set<Order.State> states, boolean unknownOnly, boolean openOnly,
+        long fromUs, long toUs) {
+    static final Query ALL = new Query(Map.of(), Set.of(), false, false, 0, Long.MAX_VALUE);
+
+    Query {
+        values = values.isEmpty() ? Map.of() : new EnumMap<>(values);
+    }
+
+    boolean wants(Order order) {
+        long at = order.firstUs();
+        return at >= fromUs && at < toUs && (states.isEmpty() || states.contains(order.state()))
+                && (!unknownOnly || order.isUnknown()) && (!openOnly || !order.isOver() || order.isUnknown())
+                && values.entrySet().stream().allMatch(wanted -> has(order, wanted.getKey(), wanted.getValue()));
+    }
+
+    private static boolean has(Order order, SegmentIndex.Field field, long value) {
+        if (field == SegmentIndex.Field.REGION) { return order.tries.stream().anyMatch(one -> one.region == value); }
+        if (order.facts == null) { return false; }
+        return switch (field) {
+            case KEY -> order.facts.keyed() && order.facts.key() == value;
+            case CUSTOMER -> order.facts.customer() == value;
+            default -> order.facts.id() == value;
+        };
+    }
+
+    /** Whether a block of an index may hold anything of an order that is asked for. */
+    boolean reads(SegmentIndex index, int block) {
+        if (!index.within(block, from(), to())) { return false; }
+        for (Map.Entry<SegmentIndex.Field, Long> wanted : values.entrySet()) {
+            if (!index.mayHold(block, wanted.getKey(), wanted.getValue())) { return false; }
+        }
+        return true;
+    }
+
+    /** An order's records lie no further apart than the longest deadline that a command may have, and a bit. */
+    private static final long LONGEST_US = 660_000_000L;
+
+    long from() { return Math.max(0, fromUs - LONGEST_US); }
+
+    long to() { return toUs > Long.MAX_VALUE - LONGEST_US ? Long.MAX_VALUE : toUs + LONGEST_US; }
+}
--- /dev/null
+++ b/src/main/java/yardusher/journal/SegmentIndex.java
@@ -0,0 +1,206 @@
+package yardusher.journal;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.zip.CRC32C;
+
+/**
+ * Which parts of a sealed segment speak of a key, a customer, an id or a region, and when. A segment is cut into blocks of
+ * about 64 KiB at frame boundaries; for each block there is its offset and the span of its times, and for each value
+ * the blocks that hold any record of an order with it. A value is held as 31 bits of a hash, so a block may be read in vain
+ * and never be missed.
+ */
+final class SegmentIndex {
+    /** What an order can be looked up by. */
+    enum Field { KEY, CUSTOMER, ID, REGION }
+
+    private static final long MAGIC = 0x59444A4944580001L; // YDJIDX and format version 1
+    private static final int BLOCK_BYTES = 64 * 1024;
+    private static final int MOST_BLOCKS = 1 << 16;
+    private static final String HALF = ".part";
+
+    private final long[] offsets;                    // of blocks, and the end
+    private final long[] earliestUs;
+    private final long[] latestUs;
+    private final long[] postings;                   // hash << 32 | block, sorted
+
+    private SegmentIndex(long[] offsets, long[] earliestUs, long[] latestUs, long[] postings) {
+        this.offsets = offsets;
+        this.earliestUs = earliestUs;
+        this.latestUs = latestUs;
+        this.postings = postings;
+    }
+
+    int blocks() { return earliestUs.length; }
+
+    long start(int block) { return offsets[block]; }
+
+    long end(int block) { return offsets[block + 1]; }
+
+    boolean within(int block, long fromUs, long toUs) { return earliestUs[block] < toUs && latestUs[block] >= fromUs; }
+
+    /** Whether a block may hold a record of an order with this value. */
+    boolean mayHold(int block, Field field, long value) {
+        return Arrays.binarySearch(postings, (long) hash(field, value) << 32 | block) >= 0;
+    }
+
+    private static int hash(Field field, long value) {
+        long z = (value + field.ordinal() + 1) * 0x9E3779B97F4A7C15L;
+        z = (z ^ z >>> 32) * 0xD6E8FEB86659FD93L;
+        return (int) (z >>> 33);
+    }
+
+    /** Reads a segment once and writes its index beside it, whole or not at all. */
+    static void build(Storage storage, long segment) throws IOException {
+        List<long[]> blocks = new ArrayList<>();     // offset, earliest, latest
+        Postings postings = new Postings();
+        Map<Key, long[]> valuesOf = new HashMap<>(); // of each order: the hashes to post its records under
+        long life = 0;
+        long end;
+        try (Storage.Source source = storage.open(Frames.name(segment))) {
+            Frames.Reader reader = new Frames.Reader(source, segment, (from, to, torn) -> { });
+            long[] block = null;
+            for (Entry entry; (entry = reader.next()) != null;) {
+                if (block == null || reader.frameAt() - block[0] >= BLOCK_BYTES && blocks.size() < MOST_BLOCKS) {
+                    block = new long[] {reader.frameAt(), Long.MAX_VALUE, 0};
+                    blocks.add(block);
+                }
+                if (entry.atUs() > 0) {
+                    block[1] = Math.min(block[1], entry.atUs());
+                    block[2] = Math.max(block[2], entry.atUs());
+                }
+                if (entry instanceof Entry.Opened opened) { life = opened.life(); }
+                post(entry, life, blocks.size() - 1, valuesOf, postings);
+            }
+            end = reader.position();
+        }
+        write(storage, segment, blocks, end, postings.sorted());
+    }
+
+    private record Key(long life, long order) { }
+
+    private static void post(Entry entry, long life, int block, Map<Key, long[]> valuesOf, Postings postings) {
+        if (entry instanceof Entry.Carried e && e.facts() != null) {
+            long[] values = values(e.facts(), e.tries().stream().mapToLong(one -> one.region).toArray());
+            valuesOf.put(new Key(e.life(), e.order()), values);
+            postings.add(values, block);
+        } else if (entry instanceof Entry.Taken e) {
+            long[] values = values(e.facts());
+            valuesOf.put(new Key(life, e.order()), values);
+            postings.add(values, block);
+        } else if (entry instanceof Entry.Intended e) {
+            long[] values = values(e.facts(), e.region());
+            long[] before = valuesOf.get(new Key(life, e.order()));
+            if (before != null && before.length > 4) { // an earlier attempt's region goes on standing for the order
+                long[] all = Arrays.copyOf(values, values.length + before.length - 3);
+                System.arraycopy(before, 3, all, values.length, before.length - 3);
+                values = all;
+            }
+            valuesOf.put(new Key(life, e.order()), values);
+            postings.add(values, block);
+        } else {
+            Key key = entry instanceof Entry.Written e ? new Key(life, e.order()) : entry instanceof Entry.Ended e ? new Key(life, e.order())
+                    : entry instanceof Entry.Answered e ? new Key(life, e.order())
+                    : entry instanceof Entry.Closed e ? new Key(e.life(), e.order()) : null;
+            long[] values = key == null ? null : valuesOf.get(key);
+            if (values != null) { postings.add(values, block); }
+        }
+    }
+
+    private static long[] values(Entry.Facts facts, long... regions) {
+        long[] values = new long[3 + regions.length];
+        values[0] = facts.keyed() ? hash(Field.KEY, facts.key()) : -1;
+        values[1] = hash(Field.CUSTOMER, facts.customer());
+        values[2] = hash(Field.ID, facts.id());
+        for (int i = 0; i < regions.length; i++) { values[3 + i] = hash(Field.REGION, regions[i]); }
+        return values;
+    }
+
+    /** A growing array of postings; one block's repeats are dropped when sorted. */
+    private static final class Postings {
+        private long[] items = new long[1024];
+        private int count;
+
+        void add(long[] hashes, int block) {
+            for (long hash : hashes) {
+                if (hash < 0) { continue; }
+                if (count == items.length) { compact(); }
+                items[count++] = hash << 32 | block;
+            }
+        }
+
+        private void compact() {
+            items = sorted();
+            count = items.length;
+            items = Arrays.copyOf(items, Math.max(1024, count * 2));
+        }
+
+        long[] sorted() {
+            Arrays.sort(items, 0, count);
+            int kept = 0;
+            for (int i = 0; i < count; i++) {
+                if (kept == 0 || items[i] != items[kept - 1]) { items[kept++] = items[i]; }
+            }
+            return Arrays.copyOf(items, kept);
+        }
+    }
+
+    private static void write(Storage storage, long segment, List<long[]> blocks, long end, long[] postings)
+            throws IOException {
+        ByteBuffer out = ByteBuffer.allocate(8 + 4 + 4 + blocks.size() * 24 + 8 + postings.length * 6 + 4);
+        out.putLong(MAGIC).putInt(blocks.size()).putInt(postings.length);
+        for (long[] block : blocks) { out.putLong(block[0]).putLong(block[1]).putLong(block[2]); }
+        out.putLong(end);
+        for (long posting : postings) { out.putInt((int) (posting >>> 32)).putShort((short) posting); }
+        out.putInt(sum(segment, out.array(), out.position()));
+        out.flip();
+        String name = Frames.indexName(segment);
+        storage.delete(name + HALF);
+        try (Storage.Appender file = storage.create(name + HALF)) {
+            while (out.hasRemaining()) { file.write(out); }
+        }
+        storage.rename(name + HALF, name);
+    }
+
+    private static int sum(long segment, byte[] bytes, int length) {
+        CRC32C sum = new CRC32C();
+        for (int shift = 56; shift >= 0; shift -= 8) { sum.update((int) (segment >>> shift)); }
+        sum.update(bytes, 0, length);
+        return (int) sum.getValue();
+    }
+
+    /** Reads an index; null where there is none, or none that can be trusted. */
+    static SegmentIndex read(Storage storage, long segment) {
+        try (Storage.Source source = storage.open(Frames.indexName(segment))) {
+            long size = source.size();
+            if (size < 28 || size > 1 << 30) { return null; }
+            ByteBuffer in = ByteBuffer.allocate((int) size);
+            while (in.hasRemaining() && source.read(in, in.position()) > 0) { /* the rest follows */ }
+            in.flip();
+            if (in.remaining() != size || in.getInt((int) size - 4) != sum(segment, in.array(), (int) size - 4)
+                    || in.getLong() != MAGIC) {
+                return null;
+            }
+            int blocks = in.getInt();
+            long[] postings = new long[in.getInt()];
+            long[] offsets = new long[blocks + 1];
+            long[] earliest = new long[blocks];
+            long[] latest = new long[blocks];
+            for (int i = 0; i < blocks; i++) {
+                offsets[i] = in.getLong();
+                earliest[i] = in.getLong();
+                latest[i] = in.getLong();
+            }
+            offsets[blocks] = in.getLong();
+            for (int i = 0; i < postings.length; i++) { postings[i] = (long) in.getInt() << 32 | in.getShort() & 0xFFFF; }
+            return new SegmentIndex(offsets, earliest, latest, postings);
+        } catch (IOException | RuntimeException e) {
+            return null;
+        }
+    }
+}
--- a/src/main/java/yardusher/list/ServiceTable.java
+++ b/src/main/java/yardusher/list/ServiceTable.java
@@ -101,7 +101,7 @@
     }
 
     /** Ids are the same at every ingress; as numbers they fit the module's messages. */
-    static long id(String text) {
+    public static long id(String text) {
         int dash = text.lastIndexOf('-');
         try {
             return Long.parseLong(text.substring(dash + 1), 16) & 0xFFFFFFFFL;
--- /dev/null
+++ b/src/main/java/yardusher/log/Logs.java
@@ -0,0 +1,11 @@
+package yardusher.log;
+
+/** Gives a process its events' way out. */
+public final class Logs {
+    private Logs() { }
+
+    /** Plain where the settings are null: then no class of a logging library is loaded. */
+    public static Events of(LogSettings settings, String instance) {
+        return settings == null ? Events.plain(instance) : Structured.of(settings, instance);
+    }
+}
--- a/src/main/java/yardusher/resp/Call.java
+++ b/src/main/java/yardusher/resp/Call.java
@@ -143,6 +143,12 @@
         return true;
     }
 
+    @Override
+    public long id() { return id; }
+
+    @Override
+    public String key() { return key; }
+
     @Override
     public byte[] encoded(long wait) {
         int size = 96 + list.length() + (words.length > 4 ? words[4].length : 0);
--- a/src/main/java/yardusher/servers/RegionLink.java
+++ b/src/main/java/yardusher/servers/RegionLink.java
@@ -93,6 +93,11 @@
         return true;
     }
 
+    @Override
+    public void written(Link from) {
+        if (attempt != null) { pool.written(attempt); }
+    }
+
     @Override
     public void ended(Link from) {
         pool.connections--;
--- a/src/main/java/yardusher/servers/RegionPool.java
+++ b/src/main/java/yardusher/servers/RegionPool.java
@@ -149,6 +149,8 @@
         return false;
     }
 
+    void written(Attempt attempt) { ingress.written(attempt); }
+
     void end(Attempt attempt, Attempt.Result result) { ingress.ended(attempt, result); }
 
     /** An attempt ended in order: its connection waits for the next. */
--- /dev/null
+++ b/src/main/java/yardusher/settings/Settings.java
@@ -0,0 +1,37 @@
+package yardusher.settings;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Set;
+import yardusher.file.Toml;
+import yardusher.journal.JournalSettings;
+import yardusher.log.LogSettings;
+
+/**
+ * Our own settings, deploy/yardusher.toml: a table for each subsystem, which is off where its table is left out. The
+ * platform's file says nothing of them.
+ */
+public record Settings(JournalSettings journal, LogSettings log) {
+    /** Everything off. */
+    public static final Settings OFF = new Settings(null, null);
+    private static final Set<String> TABLES = Set.of("journal", "log");
+
+    /**
+     * Reads a file; null and a file that says nothing are {@link #OFF}, and load no parser.
+     *
+     * @throws IllegalArgumentException in one plain line that names the file, the key and what is allowed
+     */
+    public static Settings read(Path file) {
+        if (file == null || isSilent(file)) { return OFF; }
+        return Toml.read(file, toml -> new Settings(JournalSettings.of(toml.only(TABLES)), LogSettings.of(toml)));
+    }
+
+    private static boolean isSilent(Path file) {
+        try {
+            return Files.readString(file).lines().map(String::strip).allMatch(line -> line.isEmpty() || line.startsWith("#"));
+        } catch (IOException e) {
+            throw new IllegalArgumentException(file + ": cannot be read", e);
+        }
+    }
+}
