--- a/src/main/java/yardusher/core/Attempt.java
+++ b/src/main/java/yardusher/core/Attempt.java
@@ -9,6 +9,8 @@
     public final long region;
     public final double sentAt;
     public final long waitMs;
+    /** For the order log alone: whether its intent is told. */
+    public boolean noted;
     Deadlines.Entry timeOut;
     boolean over;
     /** Whether it has left for the regions' side; till then it is parked, and never ran. */
--- a/src/main/java/yardusher/core/Transaction.java
+++ b/src/main/java/yardusher/core/Transaction.java
@@ -13,6 +13,8 @@
     boolean mayHaveRun;
     /** Whether the order log records it; all it is told after the taking in goes by this. */
     boolean recorded;
+    /** For the order log alone: whether it has told of this transaction yet. */
+    public boolean noted;
     Deadlines.Entry lastCall;
 
     Transaction(long number, Order order, double arrivedAt) {
--- a/src/main/java/yardusher/file/Toml.java
+++ b/src/main/java/yardusher/file/Toml.java
@@ -59,6 +59,12 @@
         throw new IllegalArgumentException(prefix + key + " must be a whole number from " + least + " to " + most);
     }
 
+    public boolean flag(String key, boolean absent) {
+        Object value = table.get(key);
+        if (value == null || value instanceof Boolean) { return value == null ? absent : (Boolean) value; }
+        throw new IllegalArgumentException(prefix + key + " must be true or false");
+    }
+
     /** One of a few words. */
     public String choice(String key, String absent, String... allowed) {
         Object value = table.get(key);
--- a/src/main/java/yardusher/journal/Entry.java
+++ b/src/main/java/yardusher/journal/Entry.java
@@ -20,10 +20,11 @@
 
     record SnapshotEnd(long atUs, long count) implements Entry { }
 
+    /** An order of which no attempt was intended. */
     record Taken(long atUs, long order, Facts facts) implements Entry { }
 
-    /** An attempt is about to be sent. It names the order's facts again, so that it stands for itself. */
-    record Intended(long atUs, long order, int attempt, long region, Facts facts) implements Entry { }
+    /** An attempt is about to be sent. It tells of its order again, so that it stands for itself. */
+    record Intended(long atUs, long order, int attempt, long region, Facts facts, long takenUs) implements Entry { }
 
     /** The socket has taken the attempt's last byte. */
     record Written(long atUs, long order, int attempt) implements Entry { }
--- a/src/main/java/yardusher/journal/EntryCodec.java
+++ b/src/main/java/yardusher/journal/EntryCodec.java
@@ -30,6 +30,7 @@
             facts(out, e.facts());
             out.writeUInt32(10, e.attempt());
             out.writeUInt64(11, e.region());
+            out.writeUInt64(22, e.atUs() - e.takenUs());
         } else if (entry instanceof Entry.Written e) {
             head(out, WRITTEN, e.atUs(), e.order());
             out.writeUInt32(10, e.attempt());
@@ -126,6 +127,7 @@
         long count = 0;
         long lost = 0;
         List<Order.Try> tries = List.of();
+        long parkedUs = 0;
         for (int tag; (tag = in.readTag()) != 0;) {
             switch (WireFormat.getTagFieldNumber(tag)) {
                 case 1 -> kind = in.readUInt32();
@@ -155,6 +157,7 @@
                 case 19 -> count = in.readUInt64();
                 case 20 -> lost = in.readUInt64();
                 case 21 -> tries = with(tries, tried(in));
+                case 22 -> parkedUs = in.readUInt64();
                 default -> in.skipField(tag);
             }
         }
@@ -164,7 +167,7 @@
             case CARRIED -> new Entry.Carried(atUs, life, order, facts, answer == 0 ? null : answer(answer), tries);
             case SNAPSHOT_END -> new Entry.SnapshotEnd(atUs, count);
             case TAKEN -> new Entry.Taken(atUs, order, needed(facts));
-            case INTENDED -> new Entry.Intended(atUs, order, attempt, region, needed(facts));
+            case INTENDED -> new Entry.Intended(atUs, order, attempt, region, needed(facts), atUs - parkedUs);
             case WRITTEN -> new Entry.Written(atUs, order, attempt);
             case ENDED -> new Entry.Ended(atUs, order, attempt, outcome(outcome), mayHaveGone);
             case ANSWERED -> new Entry.Answered(atUs, order, answer(answer));
--- a/src/main/java/yardusher/journal/Journal.java
+++ b/src/main/java/yardusher/journal/Journal.java
@@ -35,6 +35,7 @@
         public long batches;
         public long refused;
         public long unrecorded;
+        public long untried;
         public long lost;
         public long failures;
         public long stalls;
@@ -59,8 +60,10 @@
     private Batch spare = new Batch();
     private Batch flying;
     private boolean handsOver;                       // at this turn's end
+    // Two deadlines that run on and are seldom set: one of each batch's own would wake the deadlines' thread each time.
     private Deadlines.Entry flushAt;
     private Deadlines.Entry stallAt;
+    private double flyingSince;
     private Deadlines.Entry lookAt;
     private double retryMs = RETRY_MS;
     private Health health = Health.GOOD;
@@ -122,8 +125,7 @@
             unrecorded();
             return Admission.UNRECORDED;
         }
-        gather(new Entry.Taken(nowUs(), t.number, facts(t)));
-        return Admission.RECORDED;
+        return Admission.RECORDED;                   // told with its first intent, which comes in this turn or never
     }
 
     /** Whether an intent can be recorded as durable as settings say, as far as is known now. */
@@ -139,7 +141,8 @@
             unrecordedIntent(then);
             return;
         }
-        gather(new Entry.Intended(nowUs(), t.number, attempt.number, attempt.region, facts(t)));
+        attempt.noted = gather(new Entry.Intended(nowUs(), t.number, attempt.number, attempt.region, facts(t), takenUs(t)));
+        t.noted |= attempt.noted;
         gathering.waiters.add(new Waiter(attempt, then));
         if (flying == null && !handsOver) {
             handsOver = true;
@@ -159,20 +162,31 @@
 
     @Override
     public void written(Attempt attempt) {
-        gather(new Entry.Written(nowUs(), attempt.transaction.number, attempt.number));
+        if (attempt.noted) { gather(new Entry.Written(nowUs(), attempt.transaction.number, attempt.number)); }
     }
 
     @Override
     public void ended(Attempt attempt, Api.Outcome outcome) {
+        if (!attempt.noted) { return; }              // sent on unrecorded: the gap tells of it
         gather(new Entry.Ended(nowUs(), attempt.transaction.number, attempt.number, outcome, attempt.mayHaveGone()));
     }
 
     @Override
-    public void answered(Transaction t, Answer answer) { gather(new Entry.Answered(nowUs(), t.number, answer)); }
+    public void answered(Transaction t, Answer answer) {
+        if (!t.noted) {
+            // Guards the folder's room against a flood beyond a quota: what was never tried is counted, not told.
+            counts.untried++;
+            if (!settings.untriedToo()) { return; }
+            gather(new Entry.Taken(takenUs(t), t.number, facts(t)));
+        }
+        gather(new Entry.Answered(nowUs(), t.number, answer));
+    }
 
     @Override
     public double retryAfterMs() { return settings.retryAfterMs(); }
 
+    private static long takenUs(Transaction t) { return (long) (t.arrivedAt * 1e3); }
+
     private long nowUs() { return (long) (turns.now() * 1e3); }
 
     private static Entry.Facts facts(Transaction t) {
@@ -181,29 +195,27 @@
                 t.order.customer(), t.order.classIndex(), t.order.plan(), t.order.units());
     }
 
-    private void gather(Entry entry) {
+    private boolean gather(Entry entry) {
         // Guards the heap while the disk hangs: outcomes past this bound are lost, and the loss is recorded.
         if (gathering.entries.size() >= MOST_GATHERED) {
             counts.lost++;
             gapLost++;
-            return;
+            return false;
         }
         gathering.entries.add(entry);
         counts.entries++;
-        if (flying == null && flushAt == null) {
-            flushAt = turns.deadlines().at(turns.now() + settings.flushMs(), this::handOver);
-        }
+        if (flying == null) { flushSoon(); }
+        return true;
     }
 
     private void handOver() {
         handsOver = false;
-        turns.deadlines().cancel(flushAt);
-        flushAt = null;
         if (flying != null || gathering.entries.isEmpty()) { return; }
         flying = gathering;
         gathering = spare;
         spare = null;
-        stallAt = turns.deadlines().at(turns.now() + settings.stallMs(), this::stalled);
+        flyingSince = turns.now();
+        if (stallAt == null) { stallAt = turns.deadlines().at(flyingSince + settings.stallMs(), this::watch); }
         submit(flying);
     }
 
@@ -217,7 +229,6 @@
     }
 
     private void completed(Batch batch, Segments.Result result) {
-        turns.deadlines().cancel(stallAt);
         if (!result.written()) {
             counts.failures++;
             become(Health.FAILING, result.why().getMessage());
@@ -242,8 +253,28 @@
         }
         if (!gathering.waiters.isEmpty()) {
             handOver();
-        } else if (!gathering.entries.isEmpty() && flushAt == null) {
-            flushAt = turns.deadlines().at(turns.now() + settings.flushMs(), this::handOver);
+        } else if (!gathering.entries.isEmpty()) {
+            flushSoon();
+        }
+    }
+
+    private void flushSoon() {
+        if (flushAt != null) { return; }
+        flushAt = turns.deadlines().at(turns.now() + settings.flushMs(), () -> {
+            flushAt = null;
+            handOver();
+        });
+    }
+
+    /** Looks whether a batch has been with the writing thread for too long. */
+    private void watch() {
+        stallAt = null;
+        if (flying == null || health == Health.STALLED) { return; }
+        double due = flyingSince + settings.stallMs();
+        if (due <= turns.now() && health != Health.FAILING) {
+            stalled();
+        } else {
+            stallAt = turns.deadlines().at(Math.max(due, turns.now() + settings.flushMs()), this::watch);
         }
     }
 
@@ -300,7 +331,7 @@
     public String line() {
         return "journal=" + health.name().toLowerCase(java.util.Locale.ROOT) + " journal_entries=" + counts.entries + " journal_batches="
                 + counts.batches + " journal_refused=" + counts.refused + " journal_unrecorded=" + counts.unrecorded
-                + " journal_lost=" + (counts.lost + segments.unwritable()) + " journal_failures=" + counts.failures + " journal_stalls=" + counts.stalls;
+                + " journal_untried=" + counts.untried + " journal_lost=" + (counts.lost + segments.unwritable()) + " journal_failures=" + counts.failures + " journal_stalls=" + counts.stalls;
     }
 
     /** Writes and syncs all that was told, and ends; false where the disk did not take it in time. Not in a turn. */
--- a/src/main/java/yardusher/journal/JournalSettings.java
+++ b/src/main/java/yardusher/journal/JournalSettings.java
@@ -10,7 +10,7 @@
  */
 public record JournalSettings(Path folder, Durability durability, double windowMs, double flushMs, double stallMs,
         long segmentBytes, long mostBytes, int reserveBytes, double keepHours, double keepLeastMinutes, boolean refuses,
-        double retryAfterMs) {
+        double retryAfterMs, boolean untriedToo) {
     /** What an intent survives before its attempt goes out. */
     public enum Durability {
         /** The end of the process, by any signal. */
@@ -22,7 +22,8 @@
     }
 
     private static final Set<String> KEYS = Set.of("folder", "durability", "window_ms", "flush_ms", "stall_ms", "segment_kb",
-            "max_mb", "reserve_kb", "keep_hours", "keep_least_minutes", "when_full", "retry_after_ms");
+            "max_mb", "reserve_kb", "keep_hours", "keep_least_minutes", "when_full", "retry_after_ms",
+            "record_untried");
 
     /** Reads the table; an IllegalArgumentException names the key and what is allowed. Null where it is left out. */
     public static JournalSettings of(Toml file) {
@@ -36,7 +37,8 @@
                 (1L << 20) * table.whole("max_mb", 1024, 1, 1 << 20), 1024 * table.whole("reserve_kb", 256, 64, 65_536),
                 table.whole("keep_hours", 72, 1, 100_000), table.whole("keep_least_minutes", 60, 0, 1_000_000),
                 table.choice("when_full", "refuse", "refuse", "unjournaled").equals("refuse"),
-                table.whole("retry_after_ms", 500, 1, 60_000));
+                table.whole("retry_after_ms", 500, 1, 60_000),
+                table.flag("record_untried", false));
         if (settings.mostBytes < 2 * settings.segmentBytes + settings.reserveBytes) {
             throw new IllegalArgumentException("journal.max_mb must hold two segments of segment_kb and reserve_kb");
         }
--- a/src/main/java/yardusher/journal/OrderBook.java
+++ b/src/main/java/yardusher/journal/OrderBook.java
@@ -46,6 +46,7 @@
             Order.Try one = order.attempt(e.attempt());
             one.intendedUs = e.atUs();
             one.region = e.region();
+            order.takenUs = e.takenUs();
             return order;
         }
         if (entry instanceof Entry.Written e) {
--- a/src/test/java/yardusher/journal/CrashTest.java
+++ b/src/test/java/yardusher/journal/CrashTest.java
@@ -23,7 +23,7 @@
     private static final Entry.Opened WHO = new Entry.Opened(0, 77, "n0", List.of("lookup", "place-order"), List.of("basis"));
 
     static JournalSettings settings(JournalSettings.Durability durability, int segmentBytes, boolean refuses) {
-        return new JournalSettings(Path.of("none"), durability, 50, 5, 200, segmentBytes, 1 << 20, 1024, 72, 60, refuses, 500);
+        return new JournalSettings(Path.of("none"), durability, 50, 5, 200, segmentBytes, 1 << 20, 1024, 72, 60, refuses, 500, true);
     }
 
     /** A life written to a disk: its entries in order, and after how many changes of the disk each batch was acknowledged. */
@@ -48,7 +48,7 @@
                     batch.add(new Entry.Taken(us, orders, facts(orders)));
                 } else if (o[2] == 0 && random.nextInt(4) > 0) {
                     o[2] = 1;
-                    batch.add(new Entry.Intended(us, o[0], (int) o[1]++, random.nextInt(5), facts(o[0])));
+                    batch.add(new Entry.Intended(us, o[0], (int) o[1]++, random.nextInt(5), facts(o[0]), us - 5));
                 } else if (o[2] == 1) {
                     o[2] = 2;
                     batch.add(new Entry.Written(us, o[0], (int) o[1] - 1));
@@ -234,7 +234,7 @@
         for (int i = 1; i <= 300; i++) {
             disk.failures = random.nextInt(4) == 0 ? 1 + random.nextInt(2) : 0;
             disk.syncFailures = random.nextInt(6) == 0 ? 1 : 0;
-            List<Entry> batch = List.of(new Entry.Taken(i, i, facts(i)), new Entry.Intended(i, i, 0, 1, facts(i)));
+            List<Entry> batch = List.of(new Entry.Taken(i, i, facts(i)), new Entry.Intended(i, i, 0, 1, facts(i), i));
             while (!segments.append(batch).written()) { segments.recheck(); } // as the journal does: again until it stands
             told.addAll(batch);
         }
--- a/src/test/java/yardusher/journal/JournalStoryTest.java
+++ b/src/test/java/yardusher/journal/JournalStoryTest.java
@@ -269,7 +269,7 @@
     void aFolderIsReadMergedListedAndVerifiedAsPeopleAskAndHeldByOneWriter() throws Exception {
         start(true, JournalSettings.Durability.PROCESS);
         Config config = Config.read("src/test/resources/ingress.json");
-        JournalSettings settings = new JournalSettings(folder, JournalSettings.Durability.PROCESS, 50, 5, 200, 1 << 20, 1 << 24, 4096, 72, 60, true, 500);
+        JournalSettings settings = new JournalSettings(folder, JournalSettings.Durability.PROCESS, 50, 5, 200, 1 << 20, 1 << 24, 4096, 72, 60, true, 500, false);
         for (String name : new String[] {"n0", "n1"}) {
             Journal own = Journal.open(settings, name, config.settings(), config.classes(), config.plans(), turns, Events.plain(name));
             assertThatThrownBy(() -> Journal.open(settings, name, config.settings(), List.of(), List.of(), turns, Events.plain(name)))
