--- a/src/main/java/yardusher/journal/Indexer.java
+++ b/src/main/java/yardusher/journal/Indexer.java
@@ -25,6 +25,15 @@
         thread = one;
     }
 
+    /** Writes the index of a segment that has just been sealed. Called from any thread; returns at once. */
+    void write(long segment, SegmentIndex.Builder index, long end) {
+        thread.execute(() -> {
+            try {
+                index.write(storage, segment, end);
+            } catch (IOException e) { /* no room: readers do without */ }
+        });
+    }
+
     /** Builds a sealed segment's index where there is none yet. Called from any thread; returns at once. */
     void build(long segment) {
         thread.execute(() -> {
--- a/src/main/java/yardusher/journal/Journal.java
+++ b/src/main/java/yardusher/journal/Journal.java
@@ -88,7 +88,7 @@
             Recovery.Found found = Recovery.run(storage, turns.now());
             Indexer indexer = new Indexer(storage, instance);
             Segments segments = new Segments(storage, settings, found,
-                    new Entry.Opened(0, new Ids().next(), instance, classes, plans), turns::now, indexer::build);
+                    new Entry.Opened(0, new Ids().next(), instance, classes, plans), turns::now, indexer);
             for (Retention.Sealed one : found.sealed()) { indexer.build(one.number()); }
             return new Journal(turns, site, settings, segments, found, events, instance);
         } catch (IOException e) {
--- a/src/main/java/yardusher/journal/Order.java
+++ b/src/main/java/yardusher/journal/Order.java
@@ -48,6 +48,7 @@
     OrderLog.Answer answer;
     long answeredUs;
     long closedUs;                                   // when a later life found it open
+    int firstBlock = -1;                             // where the segment being written or read tells of it first
     String instance = "";
     String className = "";
     String plan = "";
--- a/src/main/java/yardusher/journal/OrderBook.java
+++ b/src/main/java/yardusher/journal/OrderBook.java
@@ -107,6 +107,12 @@
         return index < names.size() ? names.get(index) : Integer.toString(index);
     }
 
+    /** Where the segment that begins tells of an order that is held. */
+    void begins(long ofLife, long number, int block) {
+        Order order = orders.get(new Key(ofLife, number));
+        if (order != null) { order.firstBlock = block; }
+    }
+
     void remove(Order order) { orders.remove(new Key(order.life, order.number)); }
 
     /** As the entries came; changes with the book. */
--- a/src/main/java/yardusher/journal/Query.java
+++ b/src/main/java/yardusher/journal/Query.java
@@ -23,6 +23,12 @@
                 && values.entrySet().stream().allMatch(wanted -> has(order, wanted.getKey(), wanted.getValue()));
     }
 
+    /** Whether an order may turn out to be asked for: its region may still be one of a later attempt. */
+    boolean mayWant(Order order) {
+        return values.entrySet().stream().allMatch(wanted -> has(order, wanted.getKey(), wanted.getValue())
+                || wanted.getKey() == SegmentIndex.Field.REGION && order.facts != null && !order.isOver());
+    }
+
     private static boolean has(Order order, SegmentIndex.Field field, long value) {
         if (field == SegmentIndex.Field.REGION) { return order.tries.stream().anyMatch(one -> one.region == value); }
         if (order.facts == null) { return false; }
@@ -43,7 +49,7 @@
     }
 
     /** An order's records lie no further apart than the longest deadline that a command may have, and a bit. */
-    private static final long LONGEST_US = 660_000_000L;
+    static final long LONGEST_US = 660_000_000L;
 
     long from() { return Math.max(0, fromUs - LONGEST_US); }
 
--- a/src/main/java/yardusher/journal/Scan.java
+++ b/src/main/java/yardusher/journal/Scan.java
@@ -67,7 +67,9 @@
         for (int i = 0; i < 64; i++) {
             Entry entry = entry();
             if (entry == null) { return false; }
-            book.apply(entry);
+            Order order = book.apply(entry);
+            // By a value an order is found where it is told first; what speaks of others is not kept.
+            if (order != null && !query.values().isEmpty() && !query.mayWant(order)) { book.remove(order); }
         }
         return true;
     }
@@ -106,7 +108,7 @@
     private boolean nextBlock() throws IOException {
         while (source != null && index != null && block < index.blocks()) {
             int at = block++;
-            if (!query.reads(index, at)) { continue; }
+            if (!query.reads(index, at) && (query.values().isEmpty() || !awaited(at))) { continue; }
             blocksRead++;
             reader = new Frames.Reader(source, segment, this::passOver, index.start(at), index.end(at));
             return true;
@@ -114,6 +116,14 @@
         return false;
     }
 
+    /** Whether an order that is asked for goes on in the blocks that follow. */
+    private boolean awaited(int at) {
+        for (Order order : book.orders()) {
+            if (!order.isOver() && index.begins(at) - order.firstUs() < Query.LONGEST_US) { return true; }
+        }
+        return false;
+    }
+
     private void passOver(long from, long to, boolean torn) { damaged += to - from; }
 
     @Override
--- a/src/main/java/yardusher/journal/SegmentIndex.java
+++ b/src/main/java/yardusher/journal/SegmentIndex.java
@@ -4,15 +4,13 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.zip.CRC32C;
 
 /**
  * Which parts of a sealed segment speak of a key, a customer, an id or a region, and when. A segment is cut into blocks of
  * about 64 KiB at frame boundaries; for each block there is its offset and the span of its times, and for each value
- * the blocks that hold any record of an order with it. A value is held as 31 bits of a hash, so a block may be read in vain
+ * the blocks where orders with it are told. A value is held as 31 bits of a hash, so a block may be read in vain
  * and never be missed.
  */
 final class SegmentIndex {
@@ -38,6 +36,8 @@
 
     int blocks() { return earliestUs.length; }
 
+    long begins(int block) { return earliestUs[block]; }
+
     long start(int block) { return offsets[block]; }
 
     long end(int block) { return offsets[block + 1]; }
@@ -57,68 +57,69 @@
 
     /** Reads a segment once and writes its index beside it, whole or not at all. */
     static void build(Storage storage, long segment) throws IOException {
-        List<long[]> blocks = new ArrayList<>();     // offset, earliest, latest
-        Postings postings = new Postings();
-        Map<Key, long[]> valuesOf = new HashMap<>(); // of each order: the hashes to post its records under
-        long life = 0;
-        long end;
+        Builder builder = new Builder();
+        OrderBook book = new OrderBook();
         try (Storage.Source source = storage.open(Frames.name(segment))) {
             Frames.Reader reader = new Frames.Reader(source, segment, (from, to, torn) -> { });
-            long[] block = null;
             for (Entry entry; (entry = reader.next()) != null;) {
-                if (block == null || reader.frameAt() - block[0] >= BLOCK_BYTES && blocks.size() < MOST_BLOCKS) {
-                    block = new long[] {reader.frameAt(), Long.MAX_VALUE, 0};
-                    blocks.add(block);
-                }
-                if (entry.atUs() > 0) {
-                    block[1] = Math.min(block[1], entry.atUs());
-                    block[2] = Math.max(block[2], entry.atUs());
-                }
-                if (entry instanceof Entry.Opened opened) { life = opened.life(); }
-                post(entry, life, blocks.size() - 1, valuesOf, postings);
+                Order order = book.apply(entry);
+                builder.add(entry, reader.frameAt(), order);
+                if (order != null && order.isOver()) { book.remove(order); }
             }
-            end = reader.position();
+            builder.write(storage, segment, reader.position());
         }
-        write(storage, segment, blocks, end, postings.sorted());
     }
 
-    private record Key(long life, long order) { }
-
-    private static void post(Entry entry, long life, int block, Map<Key, long[]> valuesOf, Postings postings) {
-        if (entry instanceof Entry.Carried e && e.facts() != null) {
-            long[] values = values(e.facts(), e.tries().stream().mapToLong(one -> one.region).toArray());
-            valuesOf.put(new Key(e.life(), e.order()), values);
-            postings.add(values, block);
-        } else if (entry instanceof Entry.Taken e) {
-            long[] values = values(e.facts());
-            valuesOf.put(new Key(life, e.order()), values);
-            postings.add(values, block);
-        } else if (entry instanceof Entry.Intended e) {
-            long[] values = values(e.facts(), e.region());
-            long[] before = valuesOf.get(new Key(life, e.order()));
-            if (before != null && before.length > 4) { // an earlier attempt's region goes on standing for the order
-                long[] all = Arrays.copyOf(values, values.length + before.length - 3);
-                System.arraycopy(before, 3, all, values.length, before.length - 3);
-                values = all;
+    /**
+     * Gathers a segment's index while it is written or read. What an order is looked up by is posted where it is told, at
+     * its first entry here; a reader goes on from there until the order is over.
+     */
+    static final class Builder {
+        private final List<long[]> blocks = new ArrayList<>(); // offset, earliest, latest
+        private final Postings postings = new Postings();
+
+        /** An entry whose frame begins at an offset, and the order it speaks of; null for none. */
+        void add(Entry entry, long offset, Order order) {
+            long[] block = blocks.isEmpty() ? null : blocks.get(blocks.size() - 1);
+            if (block == null || offset - block[0] >= BLOCK_BYTES && blocks.size() < MOST_BLOCKS) {
+                block = new long[] {offset, Long.MAX_VALUE, 0};
+                blocks.add(block);
+            }
+            if (entry.atUs() > 0) {
+                block[1] = Math.min(block[1], entry.atUs());
+                block[2] = Math.max(block[2], entry.atUs());
+            }
+            int at = blocks.size() - 1;
+            if (entry instanceof Entry.Carried e) {
+                order.firstBlock = at;
+                if (e.facts() != null) { post(e.facts(), at); }
+                for (Order.Try one : e.tries()) { postings.add(hash(Field.REGION, one.region), at); }
+            } else if (entry instanceof Entry.Taken e) {
+                order.firstBlock = at;
+                post(e.facts(), at);
+            } else if (entry instanceof Entry.Intended e) {
+                if (e.attempt() == 0 || order.firstBlock < 0) {
+                    order.firstBlock = at;
+                    post(e.facts(), at);
+                }
+                postings.add(hash(Field.REGION, e.region()), order.firstBlock);
             }
-            valuesOf.put(new Key(life, e.order()), values);
-            postings.add(values, block);
-        } else {
-            Key key = entry instanceof Entry.Written e ? new Key(life, e.order()) : entry instanceof Entry.Ended e ? new Key(life, e.order())
-                    : entry instanceof Entry.Answered e ? new Key(life, e.order())
-                    : entry instanceof Entry.Closed e ? new Key(e.life(), e.order()) : null;
-            long[] values = key == null ? null : valuesOf.get(key);
-            if (values != null) { postings.add(values, block); }
         }
-    }
 
-    private static long[] values(Entry.Facts facts, long... regions) {
-        long[] values = new long[3 + regions.length];
-        values[0] = facts.keyed() ? hash(Field.KEY, facts.key()) : -1;
-        values[1] = hash(Field.CUSTOMER, facts.customer());
-        values[2] = hash(Field.ID, facts.id());
-        for (int i = 0; i < regions.length; i++) { values[3 + i] = hash(Field.REGION, regions[i]); }
-        return values;
+        private void post(Entry.Facts facts, int block) {
+            if (facts.keyed()) { postings.add(hash(Field.KEY, facts.key()), block); }
+            postings.add(hash(Field.CUSTOMER, facts.customer()), block);
+            postings.add(hash(Field.ID, facts.id()), block);
+        }
+
+        /** The file was cut back to a size: what was told of the rest no longer stands there. */
+        void cut(long size) {
+            while (!blocks.isEmpty() && blocks.get(blocks.size() - 1)[0] >= size) { blocks.remove(blocks.size() - 1); }
+        }
+
+        void write(Storage storage, long segment, long end) throws IOException {
+            SegmentIndex.write(storage, segment, blocks, end, postings.sorted());
+        }
     }
 
     /** A growing array of postings; one block's repeats are dropped when sorted. */
@@ -126,12 +127,9 @@
         private long[] items = new long[1024];
         private int count;
 
-        void add(long[] hashes, int block) {
-            for (long hash : hashes) {
-                if (hash < 0) { continue; }
-                if (count == items.length) { compact(); }
-                items[count++] = hash << 32 | block;
-            }
+        void add(int hash, int block) {
+            if (count == items.length) { compact(); }
+            items[count++] = (long) hash << 32 | block;
         }
 
         private void compact() {
--- a/src/main/java/yardusher/journal/Segments.java
+++ b/src/main/java/yardusher/journal/Segments.java
@@ -5,7 +5,6 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import java.util.zip.CRC32C;
 
@@ -24,8 +23,9 @@
     private final DoubleSupplier clockMs;
     private final Retention retention;
     private final Entry.Opened who;
-    private final Consumer<Long> whenSealed;
+    private final Indexer indexer;
     private final OrderBook book = new OrderBook();
+    private SegmentIndex.Builder index = new SegmentIndex.Builder(); // of the active segment
     private final List<Retention.Sealed> sealed;
     private final ByteBuffer out = ByteBuffer.allocate(64 * 1024);
     private final CRC32C sum = new CRC32C();
@@ -34,6 +34,7 @@
     private long last;                               // the highest number a segment was ever begun with
     private long number;                             // of the active segment
     private long size;
+    private long[] offsets = new long[64];           // of the entries of the batch written last
     private boolean reserveHeld;
     private boolean full;
     private volatile long unwritable;
@@ -44,12 +45,12 @@
      * @throws IOException where the first segment cannot be written: nothing would be recorded
      */
     Segments(Storage storage, JournalSettings settings, Recovery.Found found, Entry.Opened who, DoubleSupplier clockMs,
-            Consumer<Long> whenSealed) throws IOException {
+            Indexer indexer) throws IOException {
         this.storage = storage;
         this.settings = settings;
         this.clockMs = clockMs;
         this.who = who;
-        this.whenSealed = whenSealed;
+        this.indexer = indexer;
         retention = new Retention(settings);
         sealed = new ArrayList<>(found.sealed());
         last = found.last();
@@ -82,10 +83,6 @@
                 return new Result(false, true, again);
             }
         }
-        for (Entry entry : batch) {
-            Order order = book.apply(entry);
-            if (order != null && order.isOver()) { book.remove(order); }
-        }
         return new Result(true, isFull(), null);
     }
 
@@ -103,12 +100,17 @@
         long good = size;
         Storage.Appender file = active;
         try {
-            size += put(file, number, batch);
+            size += put(file, number, batch, size);
         } catch (IOException e) {
             undo(file, good);
             throw e;
         }
         if (settings.durability() == JournalSettings.Durability.MACHINE) { force(file); }
+        for (int i = 0; i < batch.size(); i++) {
+            Order order = book.apply(batch.get(i));
+            index.add(batch.get(i), offsets[i], order);
+            if (order != null && order.isOver()) { book.remove(order); }
+        }
         if (size + total() > settings.mostBytes() - settings.reserveBytes()) { retire(); }
     }
 
@@ -118,12 +120,16 @@
         return total;
     }
 
-    private long put(Storage.Appender file, long segment, List<Entry> batch) throws IOException {
+    /** Writes entries from an offset on, and notes where each begins. */
+    private long put(Storage.Appender file, long segment, List<Entry> batch, long offset) throws IOException {
+        if (offsets.length < batch.size()) { offsets = new long[batch.size() * 2]; }
         long before = 0;
+        int count = 0;
         out.clear();
         for (Entry entry : batch) {
             if (out.remaining() < Frames.HEAD_BYTES + Frames.MOST_PAYLOAD) { before += flush(file); }
             int at = out.position();
+            offsets[count++] = offset + before + at;
             try {
                 Frames.put(segment, entry, out, sum);
             } catch (IOException e) {
@@ -191,6 +197,7 @@
         if (old != null && lasting && !spoilt) { force(old); }
         Storage.Appender file = null;
         long length = Frames.MAGIC_BYTES;
+        SegmentIndex.Builder begun = new SegmentIndex.Builder();
         try {
             file = storage.create(Frames.name(next));
             ByteBuffer magic = ByteBuffer.allocate(Frames.MAGIC_BYTES);
@@ -200,7 +207,14 @@
             List<Entry> head = new ArrayList<>(snapshot.size() + 1);
             head.add(new Entry.Opened(nowUs(), who.life(), who.name(), who.classes(), who.plans()));
             head.addAll(snapshot);
-            length += put(file, next, head);
+            length += put(file, next, head, length);
+            // The book stays as it is: it holds what the head tells, and of orders of earlier lives nothing.
+            OrderBook told = new OrderBook();
+            for (int i = 0; i < head.size(); i++) {
+                Order order = told.apply(head.get(i));
+                begun.add(head.get(i), offsets[i], order);
+                if (head.get(i) instanceof Entry.Carried e) { book.begins(e.life(), e.order(), order.firstBlock); }
+            }
             if (lasting) {
                 file.force();
                 storage.forceNames();
@@ -211,8 +225,10 @@
         }
         long sealedNumber = number;
         long sealedSize = size;
+        SegmentIndex.Builder sealedIndex = index;
         active = file;
         number = next;
+        index = begun;
         size = length;
         spoilt = false;
         if (old != null) {
@@ -220,7 +236,7 @@
                 old.close();
             } catch (IOException e) { /* written and forced as far as it goes */ }
             sealed.add(new Retention.Sealed(sealedNumber, sealedSize, clockMs.getAsDouble()));
-            whenSealed.accept(sealedNumber);
+            indexer.write(sealedNumber, sealedIndex, sealedSize);
             retire();
         }
     }
--- a/src/test/java/yardusher/journal/CrashTest.java
+++ b/src/test/java/yardusher/journal/CrashTest.java
@@ -33,7 +33,7 @@
         Random random = new Random(seed);
         FaultyDisk disk = new FaultyDisk();
         double[] now = {1_000_000};
-        Segments segments = new Segments(disk, settings(durability, 1500, true), Recovery.run(disk, now[0]), WHO, () -> now[0], n -> { });
+        Segments segments = new Segments(disk, settings(durability, 1500, true), Recovery.run(disk, now[0]), WHO, () -> now[0], new Indexer(disk, "test"));
         List<Entry> told = new ArrayList<>();
         List<int[]> acknowledged = new ArrayList<>();
         List<long[]> open = new ArrayList<>();       // order, attempts, whether one is out
@@ -114,7 +114,7 @@
         }
         // The next life begins, carries what was open, closed, and a third finds nothing open.
         new Segments(disk, settings(JournalSettings.Durability.PROCESS, 1500, true), found, new Entry.Opened(0, 78, "n0", List.of(), List.of()),
-                () -> 2e6, n -> { }).close();
+                () -> 2e6, new Indexer(disk, "test")).close();
         assertThat(Recovery.run(disk, 2e6).open().size()).isZero();
         assertThat(Verify.run(disk, false, bytes -> { }).unknown()).isEqualTo(found.open().orders().stream()
                 .filter(order -> order.tries.stream().anyMatch(one -> one.outcome == null)).count());
@@ -229,7 +229,7 @@
         Random random = new Random(11);
         FaultyDisk disk = new FaultyDisk();
         Segments segments = new Segments(disk, settings(JournalSettings.Durability.MACHINE, 1500, true), Recovery.run(disk, 0), WHO,
-                () -> 1e6, n -> { });
+                () -> 1e6, new Indexer(disk, "test"));
         List<Entry> told = new ArrayList<>();
         for (int i = 1; i <= 300; i++) {
             disk.failures = random.nextInt(4) == 0 ? 1 + random.nextInt(2) : 0;
