Edge idempotency keys at one ingress: repeats wait for the first or get its answer

Need: a traveller's app asks for the same place-order again within a second; only the regions dropped the repeat, and only within 5 s.

Change: package keys. KeyedIntake stands between the fronts and the core, which is now an Intake of Stays: a key leads, waits, or is answered from what is held; one transaction at a time for each key. Commands keys stats|show; settings in the table keys, off by default.

--- a/src/main/java/yardusher/cli/Main.java
+++ b/src/main/java/yardusher/cli/Main.java
@@ -83,6 +83,7 @@
                 atMost(rest, 1, 1);
                 return check(rest.get(0), line.getOptionValue("limits"), settings(line));
             }
+            case "keys" -> { return keys(rest); }
             case "orders" -> { return OrdersCommand.run(line); }
             case "agent" -> { return AgentCommand.run(rest); }
             case "import" -> {
@@ -153,6 +154,20 @@
         return 0;
     }
 
+    /** Asks a running ingress of this machine about its keys. */
+    private static int keys(List<String> words) throws IOException {
+        boolean stats = words.size() == 2 && words.get(0).equals("stats");
+        if (!stats && !(words.size() == 3 && words.get(0).equals("show"))) {
+            throw new IllegalArgumentException("usage: yardusher keys stats HOST:PORT | show HOST:PORT KEY");
+        }
+        Value answer = stats ? Asking.ask(words.get(1), 10_000, "KEYS.STATS") : Asking.ask(words.get(1), 10_000, "KEYS.SHOW", words.get(2));
+        if (!(answer instanceof Value.Bulk told)) {
+            throw new IOException(answer instanceof Value.Failure failure ? failure.text() + "; are keys on there?" : "not an answer about keys");
+        }
+        System.out.println(stats ? told.text().replace(' ', '\n') : told.text());
+        return 0;
+    }
+
     /** Asks one limit of a running ingress and prints the five figures in words. */
     private static int limits(List<String> words) throws IOException {
         String[] command = words.toArray(new String[0]);
--- a/src/main/java/yardusher/cli/Serve.java
+++ b/src/main/java/yardusher/cli/Serve.java
@@ -16,6 +16,7 @@
 import yardusher.core.OrderLog;
 import yardusher.core.Turns;
 import yardusher.journal.Journal;
+import yardusher.keys.KeyedIntake;
 import yardusher.limits.LimitsConfig;
 import yardusher.limits.LimitsFront;
 import yardusher.list.ServiceTable;
@@ -40,6 +41,7 @@
     private final PlatformFront front;
     private final LimitsFront limitsFront;
     private final Watch watch;
+    private final KeyedIntake keys;                  // null where it is off
     private final Journal journal;                   // null where it is off
     private final PeerSocket peers;
     private final CountDownLatch drained = new CountDownLatch(1);
@@ -60,10 +62,13 @@
         peers = config.peerListen() == null || !settings.limits().peers() ? null
                 : new PeerSocket(config.peerListen(), config.peers(), turns);
         journal = own.journal() == null ? null : journal(own);
-        if (journal != null) { counters.more = () -> " " + journal.line(); }
+        if (journal != null) {
+            counters.more = () -> " " + journal.line();
+            if (own.keys() != null) { journal.recordPrints(); }
+        }
         Neighbours neighbours = peers == null ? (to, body) -> { } : peers;
         longestMs = settings.classes().stream().mapToDouble(Api.RequestClass::deadlineMs).max().orElse(1000);
-        Object[] made = new Object[4];
+        Object[] made = new Object[5];
         Exception[] problem = new Exception[1];
         turns.turn(() -> {
             try {
@@ -73,7 +78,9 @@
                 core.tell(table.take(config.known(), Api.ListKind.CACHED));
                 made[0] = core;
                 made[1] = new Watch(sockets, config.discovery(), table, core);
-                made[2] = new PlatformFront(sockets, config.listen(), core, config.classes(), config.plans(),
+                if (own.keys() != null) { made[4] = keyed(own, core); }
+                made[2] = new PlatformFront(sockets, config.listen(), core, made[4] == null ? core : (KeyedIntake) made[4],
+                        config.classes(), config.plans(),
                         budget * 3 / 5 - (limits == null ? 0 : LimitsFront.MOST_TERMINALS));
                 made[3] = limits == null ? null
                         : new LimitsFront(sockets, core, limits, config.classes(), config.plans());
@@ -87,6 +94,12 @@
         watch = (Watch) made[1];
         front = (PlatformFront) made[2];
         limitsFront = (LimitsFront) made[3];
+        keys = (KeyedIntake) made[4];
+        if (keys != null) {
+            front.answerKeys(keys::told, keys::line);
+            java.util.function.Supplier<String> before = counters.more;
+            counters.more = () -> before.get() + " " + keys.line();
+        }
     }
 
     public Ingress ingress() { return ingress; }
@@ -192,6 +205,16 @@
         }
     }
 
+    /** The keys' intake, with what the journal still knows of keys of earlier lives. */
+    private KeyedIntake keyed(Settings own, Ingress core) throws IOException {
+        KeyedIntake intake = new KeyedIntake(core, turns, own.keys(), config.settings().classes(), config.classes());
+        if (own.journal() != null) {
+            Journal.earlier(own.journal(), config.name(), turns.now() - intake.longestLifetimeMs(), (key, print, className, sentAt, endedAt, ran) ->
+                    intake.restore(key, print, config.classes().indexOf(className), sentAt, endedAt, ran));
+        }
+        return intake;
+    }
+
     private void endJournal() {
         if (journal != null) { journal.close(JOURNAL_END_MS); }
     }
--- a/src/main/java/yardusher/clients/PlatformFront.java
+++ b/src/main/java/yardusher/clients/PlatformFront.java
@@ -2,13 +2,18 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.LongFunction;
+import java.util.function.Supplier;
 import yardusher.Api;
 import yardusher.core.Ingress;
+import yardusher.core.Intake;
 import yardusher.core.Order;
 import yardusher.core.Terminal;
 import yardusher.net.Answers;
@@ -21,15 +26,19 @@
     private static final byte[] BUSY = new Encoder(16).failure("BUSY").toBytes();
 
     private final Ingress ingress;
+    private final Intake intake;
     private final Map<String, Integer> classes = new HashMap<>();
     private final Map<String, Integer> plans = new HashMap<>();
     private final Answers answers;
+    private LongFunction<String> keyShown;           // null where keys are off
+    private Supplier<String> keyLine;
     /** The ids of transactions without their final answer: a second one under such an id is somebody else's. */
     private final Set<Long> ids = new HashSet<>();
 
-    public PlatformFront(Sockets sockets, InetSocketAddress at, Ingress ingress, List<String> classNames,
-            List<String> planNames, int mostTerminals) throws IOException {
+    public PlatformFront(Sockets sockets, InetSocketAddress at, Ingress ingress, Intake intake,
+            List<String> classNames, List<String> planNames, int mostTerminals) throws IOException {
         this.ingress = ingress;
+        this.intake = intake;
         for (String name : classNames) { classes.put(name, classes.size()); }
         for (String name : planNames) { plans.put(name, plans.size()); }
         answers = new Answers(sockets, at, mostTerminals, this);
@@ -41,6 +50,8 @@
     public void command(byte[][] words, Answers.Slot slot) {
         if (Call.is(words)) {
             call(words, slot);
+        } else if (keyLine != null && keys(words, slot)) {
+            return;                                  // answered
         } else {
             Answers.common(words, ingress::countersLine, slot);
         }
@@ -48,9 +59,29 @@
 
     @Override
     public void gone(Answers.Slot slot) {
-        if (slot.transaction == null) { return; }
-        ids.remove(((Call) slot.transaction.order.cargo()).id);
-        ingress.gone(slot.transaction);
+        if (slot.stay == null) { return; }
+        ids.remove(slot.stay.order().cargo().id());
+        slot.stay.gone();
+    }
+
+    /** From now on KEYS.SHOW and KEYS.STATS are answered, to callers on this machine. */
+    public void answerKeys(LongFunction<String> shown, Supplier<String> line) {
+        keyShown = shown;
+        keyLine = line;
+    }
+
+    private boolean keys(byte[][] words, Answers.Slot slot) {
+        String name = new String(words[0], StandardCharsets.ISO_8859_1).toUpperCase(Locale.ROOT);
+        if (!name.startsWith("KEYS.") || !slot.isFromHere()) { return false; }
+        String key = words.length > 1 ? new String(words[1], StandardCharsets.ISO_8859_1) : "";
+        if (name.equals("KEYS.STATS") && words.length == 1) {
+            slot.answer(new Encoder(256).bulk(keyLine.get()).toBytes());
+        } else if (name.equals("KEYS.SHOW") && words.length == 2 && key.matches("[0-9a-f]{1,16}")) {
+            slot.answer(new Encoder(128).bulk(keyShown.apply(Long.parseUnsignedLong(key, 16))).toBytes());
+        } else {
+            slot.reject("KEYS.STATS, or KEYS.SHOW and 1 to 16 hex digits");
+        }
+        return true;
     }
 
     private void call(byte[][] words, Answers.Slot slot) {
@@ -67,9 +98,9 @@
             slot.reject(e.getMessage());
             return;
         }
-        slot.transaction = ingress.take(new Order(classIndex, plan, call.customer, call.units, call.first, call.spread,
+        slot.stay = intake.take(new Order(classIndex, plan, call.customer, call.units, call.first, call.spread,
                 call.waitMs, call, new Reply(this, slot, call.id)));
-        if (slot.isAnswered()) { slot.transaction = null; }
+        if (slot.isAnswered()) { slot.stay = null; }
     }
 
     private static int index(Map<String, Integer> of, String name) {
@@ -105,7 +136,7 @@
         }
 
         @Override
-        public void failed(String why) { end(new Encoder(64).failure("ERR " + why).toBytes()); }
+        public void failed(String why, boolean mayHaveRun) { end(new Encoder(64).failure("ERR " + why).toBytes()); }
 
         private void end(byte[] answer) {
             front.ids.remove(id);
--- a/src/main/java/yardusher/core/Cargo.java
+++ b/src/main/java/yardusher/core/Cargo.java
@@ -10,4 +10,7 @@
 
     /** The idempotency key as the region is told it, in 16 hex digits; null where the class has none. */
     String key();
+
+    /** A fingerprint of what is asked for: the same for the same request, whatever its id and its time. */
+    long print();
 }
--- a/src/main/java/yardusher/core/Ingress.java
+++ b/src/main/java/yardusher/core/Ingress.java
@@ -10,7 +10,7 @@
  * The core: transactions, attempts and outcomes, in a chain of stages around the decision module. It knows no
  * wire. All methods are called within turns.
  */
-public final class Ingress {
+public final class Ingress implements Intake {
     /** After the deadline the module's own answer may still come this late; then the core ends it. */
     private static final double GRACE_MS = 8;
 
@@ -38,7 +38,7 @@
         this.neighbours = neighbours;
         this.counters = counters;
         module = new Policy(settings, seed, turns.now(), actions::add);
-        takeIn = new TakeIn(turns, open, counters);
+        takeIn = new TakeIn(turns, open, counters, this::gone);
         admit = new Admit(turns, module);
         route = new Route(regions, settings.limits().maxAttempts());
         dispatch = new Dispatch(turns, regions, counters, log, this::unrecorded, this::ended);
@@ -56,6 +56,7 @@
     public int openCount() { return open.size(); }
 
     /** A front brings a transaction. Its terminal gets exactly one final answer. */
+    @Override
     public Transaction take(Order order) {
         Transaction[] taken = new Transaction[1];
         Transaction t = takeIn.take(order, () -> overdue(taken[0]), GRACE_MS);
@@ -86,7 +87,7 @@
     }
 
     /** The terminal left: nothing more is owed. */
-    public void gone(Transaction t) {
+    private void gone(Transaction t) {
         if (t.answered || t.gone) { return; }
         t.gone = true;
         counters.clientsGone++;
--- a/src/main/java/yardusher/core/Relay.java
+++ b/src/main/java/yardusher/core/Relay.java
@@ -27,7 +27,7 @@
     void failed(Transaction t, String why) {
         if (first(t, OrderLog.Answer.FAILED)) {
             counters.failed++;
-            t.order.terminal().failed(why);
+            t.order.terminal().failed(why, t.mayHaveRun());
         }
     }
 
--- a/src/main/java/yardusher/core/Terminal.java
+++ b/src/main/java/yardusher/core/Terminal.java
@@ -10,5 +10,6 @@
      */
     void shortOnCapacity(long retryAfterMs, boolean mayHaveRun);
 
-    void failed(String why);
+    /** It may have run where an attempt of it went out and no word came that it did not. */
+    void failed(String why, boolean mayHaveRun);
 }
--- a/src/main/java/yardusher/core/Transaction.java
+++ b/src/main/java/yardusher/core/Transaction.java
@@ -1,7 +1,9 @@
 package yardusher.core;
 
+import java.util.function.Consumer;
+
 /** One request from its taking in to its final answer. Written in turns only. */
-public final class Transaction {
+public final class Transaction implements Stay {
     public final long number;
     public final Order order;
     public final double arrivedAt;
@@ -17,10 +19,23 @@
     public boolean noted;
     Deadlines.Entry lastCall;
 
-    Transaction(long number, Order order, double arrivedAt) {
+    /** What is done when the terminal leaves. */
+    private final Consumer<Transaction> leaves;
+
+    Transaction(long number, Order order, double arrivedAt, Consumer<Transaction> leaves) {
+        this.leaves = leaves;
         this.number = number;
         this.order = order;
         this.arrivedAt = arrivedAt;
         this.deadline = arrivedAt + order.waitMs();
     }
+
+    @Override
+    public Order order() { return order; }
+
+    @Override
+    public boolean mayHaveRun() { return mayHaveRun || attempt != null && !attempt.over && attempt.mayHaveGone(); }
+
+    @Override
+    public void gone() { leaves.accept(this); }
 }
--- a/src/main/java/yardusher/journal/Entry.java
+++ b/src/main/java/yardusher/journal/Entry.java
@@ -8,8 +8,9 @@
 sealed interface Entry {
     long atUs();
 
-    /** What an order is, as it was taken in. {@code keyed} is false where the class has no idempotency key. */
-    record Facts(long id, boolean keyed, long key, long customer, int classIndex, int plan, double units) { }
+    /** What an order is, as it was taken in. {@code keyed} is false where the class has no idempotency
+     * key, {@code print} a fingerprint of the request, 0 where keys are off. */
+    record Facts(long id, boolean keyed, long key, long customer, int classIndex, int plan, double units, long print) { }
 
     /** First of a segment: who writes here, and the names of the classes and plans that entries give by index. */
     record Opened(long atUs, long life, String name, List<String> classes, List<String> plans) implements Entry { }
--- a/src/main/java/yardusher/journal/EntryCodec.java
+++ b/src/main/java/yardusher/journal/EntryCodec.java
@@ -76,6 +76,7 @@
         if (facts.classIndex() != 0) { out.writeUInt32(7, facts.classIndex()); }
         if (facts.plan() != 0) { out.writeUInt32(8, facts.plan()); }
         out.writeDouble(9, facts.units());
+        if (facts.print() != 0) { out.writeFixed64(23, facts.print()); }
     }
 
     private static void carried(Entry.Carried e, CodedOutputStream out) throws IOException {
@@ -128,6 +129,7 @@
         long lost = 0;
         List<Order.Try> tries = List.of();
         long parkedUs = 0;
+        long print = 0;
         for (int tag; (tag = in.readTag()) != 0;) {
             switch (WireFormat.getTagFieldNumber(tag)) {
                 case 1 -> kind = in.readUInt32();
@@ -158,10 +160,11 @@
                 case 20 -> lost = in.readUInt64();
                 case 21 -> tries = with(tries, tried(in));
                 case 22 -> parkedUs = in.readUInt64();
+                case 23 -> print = in.readFixed64();
                 default -> in.skipField(tag);
             }
         }
-        Entry.Facts facts = factual ? new Entry.Facts(id, keyed, key, customer, classIndex, plan, units) : null;
+        Entry.Facts facts = factual ? new Entry.Facts(id, keyed, key, customer, classIndex, plan, units, print) : null;
         return switch (kind) {
             case OPENED -> new Entry.Opened(atUs, life, name, classes, plans);
             case CARRIED -> new Entry.Carried(atUs, life, order, facts, answer == 0 ? null : answer(answer), tries);
--- a/src/main/java/yardusher/journal/Journal.java
+++ b/src/main/java/yardusher/journal/Journal.java
@@ -69,6 +69,7 @@
     private Health health = Health.GOOD;
     private long gapOrders;
     private long gapLost;
+    private boolean prints;
 
     /**
      * Opens the folder, finds what the last life left open and begins a new life. Reads and writes the disk, so it is
@@ -189,10 +190,10 @@
 
     private long nowUs() { return (long) (turns.now() * 1e3); }
 
-    private static Entry.Facts facts(Transaction t) {
+    private Entry.Facts facts(Transaction t) {
         String key = t.order.cargo().key();
         return new Entry.Facts(t.order.cargo().id(), key != null, key == null ? 0 : Long.parseUnsignedLong(key, 16),
-                t.order.customer(), t.order.classIndex(), t.order.plan(), t.order.units());
+                t.order.customer(), t.order.classIndex(), t.order.plan(), t.order.units(), prints && key != null ? t.order.cargo().print() : 0);
     }
 
     private boolean gather(Entry entry) {
@@ -319,6 +320,37 @@
         });
     }
 
+    /** From now on intents carry the fingerprints that keys need after a restart. Before the first turn with orders. */
+    public void recordPrints() { prints = true; }
+
+    /** A keyed order of an earlier life. Times in milliseconds; {@code ran}: it was answered as served. */
+    public interface Earlier {
+        void order(long key, long print, String className, double sentAtMs, double endedAtMs, boolean ran);
+    }
+
+    /**
+     * Tells of the keyed orders of earlier lives that came in since a time and may have run, in the order in which they
+     * came. Reads the disk: before the first turn.
+     */
+    public static void earlier(JournalSettings settings, String instance, double sinceMs, Earlier earlier) throws IOException {
+        Query query = new Query(java.util.Map.of(), java.util.Set.of(), false, false, (long) (sinceMs * 1e3), Long.MAX_VALUE);
+        try (Scan scan = new Scan(Folder.reading(settings.folder().resolve(instance)), query, bytes -> { })) {
+            for (Order order; (order = scan.next()) != null;) {
+                boolean may = order.state() == Order.State.INTENDED || order.state() == Order.State.SENT || order.state() == Order.State.ANSWERED;
+                if (!may || order.facts == null || !order.facts.keyed()) { continue; }
+                long sent = Long.MAX_VALUE;
+                long last = Math.max(order.answeredUs, order.closedUs);
+                boolean ran = false;
+                for (Order.Try one : order.tries) {
+                    if (one.intendedUs > 0) { sent = Math.min(sent, one.intendedUs); }
+                    last = Math.max(last, Math.max(one.intendedUs, one.endedUs));
+                    ran |= one.outcome == Api.Outcome.SERVED;
+                }
+                earlier.order(order.facts.key(), order.facts.print(), order.className, (sent == Long.MAX_VALUE ? last : sent) / 1e3, last / 1e3, ran);
+            }
+        }
+    }
+
     Health health() { return health; }
 
     /** Figures; read in turns. */
--- /dev/null
+++ b/src/main/java/yardusher/keys/KeySettings.java
@@ -0,0 +1,39 @@
+package yardusher.keys;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import yardusher.file.Toml;
+
+/**
+ * What deploy/yardusher.toml says in its table {@code keys}. Answers are held in {@code answerBytes} outside the heap, a
+ * class's for its lifetime in milliseconds.
+ */
+public record KeySettings(int answerBytes, int mostRunning, int mostWaiting, double lifetimeMs, Map<String, Double> lifetimesMs,
+        double retryAfterMs) {
+    /** Reads the table; an IllegalArgumentException names the key and what is allowed. Null where it is left out. */
+    public static KeySettings of(Toml file) {
+        Toml table = file.table("keys");
+        if (table == null) { return null; }
+        table.only(java.util.Set.of("answers_kb", "most_running", "most_waiting", "lifetime_s", "lifetime", "retry_after_ms"));
+        Map<String, Double> lifetimes = new HashMap<>();
+        for (Toml one : table.tables("lifetime")) {
+            one.only(java.util.Set.of("class", "seconds"));
+            if (lifetimes.put(one.text("class"), 1000.0 * one.whole("seconds", 600, 1, 86_400)) != null) {
+                throw new IllegalArgumentException("keys.lifetime names the class " + one.text("class") + " twice");
+            }
+        }
+        return new KeySettings(1024 * table.whole("answers_kb", 8192, 256, 1 << 20), table.whole("most_running", 10_000, 1, 1_000_000),
+                table.whole("most_waiting", 32, 1, 10_000), 1000.0 * table.whole("lifetime_s", 600, 1, 86_400), lifetimes,
+                table.whole("retry_after_ms", 200, 1, 60_000));
+    }
+
+    /** Complains of a lifetime for a class that the site does not have. */
+    public void check(List<String> classes) {
+        for (String name : lifetimesMs.keySet()) {
+            if (!classes.contains(name)) { throw new IllegalArgumentException("keys.lifetime names the unknown class " + name); }
+        }
+    }
+
+    double lifetimeMs(String className) { return lifetimesMs.getOrDefault(className, lifetimeMs); }
+}
--- a/src/main/java/yardusher/limits/LimitsFront.java
+++ b/src/main/java/yardusher/limits/LimitsFront.java
@@ -95,9 +95,9 @@
 
     @Override
     public void gone(Answers.Slot slot) {
-        if (slot.transaction != null) {
+        if (slot.stay != null) {
             open--;
-            ingress.gone(slot.transaction);
+            slot.stay.gone();
         }
     }
 
@@ -140,9 +140,9 @@
         Call call = Call.of(safe ? new byte[][] {ascii("CALL.GET"), customer, ascii(id()), ascii(list)}
                 : new byte[][] {ascii("CALL.POST"), customer, ascii(id()), ascii(list), new byte[0]});
         open++;
-        slot.transaction = ingress.take(new Order(classIndex, plan, partner.customer(), asked.quantity(),
+        slot.stay = ingress.take(new Order(classIndex, plan, partner.customer(), asked.quantity(),
                 partner.first(), partner.spread(), config.waitMs(), call, new Reply(slot, partner, plan, asked.quantity())));
-        if (slot.isAnswered()) { slot.transaction = null; }
+        if (slot.isAnswered()) { slot.stay = null; }
     }
 
     private final class Reply implements Terminal {
@@ -178,7 +178,7 @@
         }
 
         @Override
-        public void failed(String why) {
+        public void failed(String why, boolean mayHaveRun) {
             open--;
             error(slot, why);
         }
--- a/src/main/java/yardusher/net/Answers.java
+++ b/src/main/java/yardusher/net/Answers.java
@@ -10,7 +10,7 @@
 import java.util.Locale;
 import java.util.Set;
 import java.util.function.Supplier;
-import yardusher.core.Transaction;
+import yardusher.core.Stay;
 import yardusher.core.Turns;
 import yardusher.resp.Encoder;
 import yardusher.resp.Malformed;
@@ -145,12 +145,15 @@
         private final TerminalLink terminal;
         private byte[] bytes;
         /** What is under way for this command, if anything. */
-        public Transaction transaction;
+        public Stay stay;
 
         private Slot(TerminalLink terminal) { this.terminal = terminal; }
 
         public boolean isAnswered() { return bytes != null; }
 
+        /** Whether the terminal is on this machine. */
+        public boolean isFromHere() { return terminal.fromHere; }
+
         /** Reads no more of this terminal's commands for a while. */
         public void pauseReading(double ms) { terminal.pause(ms); }
 
@@ -174,13 +177,22 @@
         private void put(byte[] answer) {
             if (bytes != null) { return; }
             bytes = answer;
-            transaction = null;
+            stay = null;
             terminal.send();
         }
     }
 
+    private static boolean isFromHere(AsynchronousSocketChannel channel) {
+        try {
+            return channel.getRemoteAddress() instanceof InetSocketAddress at && at.getAddress().isLoopbackAddress();
+        } catch (IOException e) {
+            return false;                            // it has left already
+        }
+    }
+
     private final class TerminalLink implements Link.Owner {
         private final Link link;
+        private final boolean fromHere;
         private final ArrayDeque<Slot> slots = new ArrayDeque<>(2);
         private double quietSince = turns.now();
         private double begunAt = Double.POSITIVE_INFINITY; // when the command now being read began
@@ -191,6 +203,7 @@
 
         TerminalLink(AsynchronousSocketChannel channel, Sockets sockets) {
             link = new Link(channel, sockets.turns(), this);
+            fromHere = isFromHere(channel);
             terminals.add(this);
             silent.add(this);
             link.readMore();
--- a/src/main/java/yardusher/resp/Call.java
+++ b/src/main/java/yardusher/resp/Call.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import net.openhft.hashing.LongHashFunction;
 import yardusher.core.Cargo;
 
 /**
@@ -149,6 +150,13 @@
     @Override
     public String key() { return key; }
 
+    @Override
+    public long print() {
+        LongHashFunction hash = LongHashFunction.xx3();
+        long body = words.length > 4 ? hash.hashBytes(words[4]) : 0;
+        return hash.hashLongs(new long[] {customer, Double.doubleToLongBits(units), hash.hashChars(className), body});
+    }
+
     @Override
     public byte[] encoded(long wait) {
         int size = 96 + list.length() + (words.length > 4 ? words[4].length : 0);
--- a/src/main/java/yardusher/settings/Settings.java
+++ b/src/main/java/yardusher/settings/Settings.java
@@ -6,16 +6,17 @@
 import java.util.Set;
 import yardusher.file.Toml;
 import yardusher.journal.JournalSettings;
+import yardusher.keys.KeySettings;
 import yardusher.log.LogSettings;
 
 /**
  * Our own settings, deploy/yardusher.toml: a table for each subsystem, which is off where its table is left out. The
  * platform's file says nothing of them.
  */
-public record Settings(JournalSettings journal, LogSettings log) {
+public record Settings(JournalSettings journal, KeySettings keys, LogSettings log) {
     /** Everything off. */
-    public static final Settings OFF = new Settings(null, null);
-    private static final Set<String> TABLES = Set.of("journal", "log");
+    public static final Settings OFF = new Settings(null, null, null);
+    private static final Set<String> TABLES = Set.of("journal", "keys", "log");
 
     /**
      * Reads a file; null and a file that says nothing are {@link #OFF}, and load no parser.
@@ -24,7 +25,7 @@
      */
     public static Settings read(Path file) {
         if (file == null || isSilent(file)) { return OFF; }
-        return Toml.read(file, toml -> new Settings(JournalSettings.of(toml.only(TABLES)), LogSettings.of(toml)));
+        return Toml.read(file, toml -> new Settings(JournalSettings.of(toml.only(TABLES)), KeySettings.of(toml), LogSettings.of(toml)));
     }
 
     private static boolean isSilent(Path file) {
--- a/src/test/java/yardusher/journal/CrashTest.java
+++ b/src/test/java/yardusher/journal/CrashTest.java
@@ -68,7 +68,7 @@
     }
 
     private static Entry.Facts facts(long order) {
-        return new Entry.Facts(order * 31, true, order * 17, order % 7, 1, 0, 1);
+        return new Entry.Facts(order * 31, true, order * 17, order % 7, 1, 0, 1, 0);
     }
 
     /** What a whole reading of the segments gives, orders that are over included. */
--- a/src/test/java/yardusher/journal/JournalJmh.java
+++ b/src/test/java/yardusher/journal/JournalJmh.java
@@ -55,7 +55,7 @@
             now[0] += 0.25;
             long us = (long) (now[0] * 1000);
             if (i <= orders) {
-                batch.add(new Entry.Intended(us, i, 0, i % 100, new Entry.Facts(i * 0x9E3779B97F4A7C15L, true, i * 31, i % 5000, 1, 0, 1), us));
+                batch.add(new Entry.Intended(us, i, 0, i % 100, new Entry.Facts(i * 0x9E3779B97F4A7C15L, true, i * 31, i % 5000, 1, 0, 1, 0), us));
                 batch.add(new Entry.Written(us, i, 0));
             }
             if (i > 1000) {
--- a/src/test/java/yardusher/journal/JournalStoryTest.java
+++ b/src/test/java/yardusher/journal/JournalStoryTest.java
@@ -90,6 +90,9 @@
             @Override
             public long id() { return id; }
 
+            @Override
+            public long print() { return id; }
+
             @Override
             public String key() { return classIndex == ORDER ? String.format("%016x", id) : null; }
         };
@@ -101,7 +104,7 @@
             public void shortOnCapacity(long retryAfterMs, boolean mayHaveRun) { answers.add(id + " refused"); }
 
             @Override
-            public void failed(String why) { answers.add(id + " failed"); }
+            public void failed(String why, boolean mayHaveRun) { answers.add(id + " failed"); }
         };
         turns.turn(() -> taken[0] = ingress.take(new yardusher.core.Order(classIndex, 2, 100 + id, 1, 0, 1, 2000, cargo, terminal)));
         return taken[0];
@@ -176,7 +179,7 @@
         start(true, JournalSettings.Durability.PROCESS);
         disk.hang = new CountDownLatch(1);
         Transaction leaves = take(ORDER);
-        turns.turn(() -> ingress.gone(leaves));
+        turns.turn(() -> leaves.gone());
         disk.hang.countDown();
         disk.hang = new CountDownLatch(1);
         take(ORDER);                                 // gathers behind the first batch, or with it
@@ -258,7 +261,7 @@
         disk.hang = new CountDownLatch(1);
         for (int i = 0; i < 500; i++) {
             Transaction t = take(ORDER);
-            turns.turn(() -> ingress.gone(t));
+            turns.turn(() -> t.gone());
         }
         Thread opens = new Thread(disk.hang::countDown);
         opens.start();
