--- a/src/main/java/yardusher/journal/SegmentIndex.java
+++ b/src/main/java/yardusher/journal/SegmentIndex.java
@@ -17,7 +17,7 @@
     /** What an order can be looked up by. */
     enum Field { KEY, CUSTOMER, ID, REGION }
 
-    private static final long MAGIC = 0x59444A4944580001L; // YDJIDX and format version 1
+    private static final long MAGIC = 0x59444A4944580002L; // YDJIDX and format version 2
     private static final int BLOCK_BYTES = 64 * 1024;
     private static final int MOST_BLOCKS = 1 << 16;
     private static final String HALF = ".part";
@@ -25,9 +25,9 @@
     private final long[] offsets;                    // of blocks, and the end
     private final long[] earliestUs;
     private final long[] latestUs;
-    private final long[] postings;                   // hash << 32 | block, sorted
+    private final int[][] postings;                  // the hashes of each block, sorted
 
-    private SegmentIndex(long[] offsets, long[] earliestUs, long[] latestUs, long[] postings) {
+    private SegmentIndex(long[] offsets, long[] earliestUs, long[] latestUs, int[][] postings) {
         this.offsets = offsets;
         this.earliestUs = earliestUs;
         this.latestUs = latestUs;
@@ -46,7 +46,7 @@
 
     /** Whether a block may hold a record of an order with this value. */
     boolean mayHold(int block, Field field, long value) {
-        return Arrays.binarySearch(postings, (long) hash(field, value) << 32 | block) >= 0;
+        return Arrays.binarySearch(postings[block], hash(field, value)) >= 0;
     }
 
     private static int hash(Field field, long value) {
@@ -76,12 +76,15 @@
      */
     static final class Builder {
         private final List<long[]> blocks = new ArrayList<>(); // offset, earliest, latest
-        private final Postings postings = new Postings();
+        private final List<int[]> postings = new ArrayList<>(); // of the blocks that are over, sorted
+        private int[] gathered = new int[4096];      // of the last block
+        private int count;
 
         /** An entry whose frame begins at an offset, and the order it speaks of; null for none. */
         void add(Entry entry, long offset, Order order) {
             long[] block = blocks.isEmpty() ? null : blocks.get(blocks.size() - 1);
             if (block == null || offset - block[0] >= BLOCK_BYTES && blocks.size() < MOST_BLOCKS) {
+                if (block != null) { postings.add(sorted()); }
                 block = new long[] {offset, Long.MAX_VALUE, 0};
                 blocks.add(block);
             }
@@ -93,7 +96,7 @@
             if (entry instanceof Entry.Carried e) {
                 order.firstBlock = at;
                 if (e.facts() != null) { post(e.facts(), at); }
-                for (Order.Try one : e.tries()) { postings.add(hash(Field.REGION, one.region), at); }
+                for (Order.Try one : e.tries()) { post(hash(Field.REGION, one.region), at); }
             } else if (entry instanceof Entry.Taken e) {
                 order.firstBlock = at;
                 post(e.facts(), at);
@@ -102,67 +105,73 @@
                     order.firstBlock = at;
                     post(e.facts(), at);
                 }
-                postings.add(hash(Field.REGION, e.region()), order.firstBlock);
+                post(hash(Field.REGION, e.region()), order.firstBlock);
             }
         }
 
         private void post(Entry.Facts facts, int block) {
-            if (facts.keyed()) { postings.add(hash(Field.KEY, facts.key()), block); }
-            postings.add(hash(Field.CUSTOMER, facts.customer()), block);
-            postings.add(hash(Field.ID, facts.id()), block);
-        }
-
-        /** The file was cut back to a size: what was told of the rest no longer stands there. */
-        void cut(long size) {
-            while (!blocks.isEmpty() && blocks.get(blocks.size() - 1)[0] >= size) { blocks.remove(blocks.size() - 1); }
-        }
-
-        void write(Storage storage, long segment, long end) throws IOException {
-            SegmentIndex.write(storage, segment, blocks, end, postings.sorted());
-        }
-    }
-
-    /** A growing array of postings; one block's repeats are dropped when sorted. */
-    private static final class Postings {
-        private long[] items = new long[1024];
-        private int count;
-
-        void add(int hash, int block) {
-            if (count == items.length) { compact(); }
-            items[count++] = (long) hash << 32 | block;
+            if (facts.keyed()) { post(hash(Field.KEY, facts.key()), block); }
+            post(hash(Field.CUSTOMER, facts.customer()), block);
+            post(hash(Field.ID, facts.id()), block);
         }
 
-        private void compact() {
-            items = sorted();
-            count = items.length;
-            items = Arrays.copyOf(items, Math.max(1024, count * 2));
+        private void post(int hash, int block) {
+            if (block < postings.size()) {           // of a later attempt, in a block that is over: seldom
+                int[] longer = Arrays.copyOf(postings.get(block), postings.get(block).length + 1);
+                longer[longer.length - 1] = hash;
+                Arrays.sort(longer);
+                postings.set(block, longer);
+                return;
+            }
+            if (count == gathered.length) { gathered = Arrays.copyOf(gathered, 2 * count); }
+            gathered[count++] = hash;
         }
 
-        long[] sorted() {
-            Arrays.sort(items, 0, count);
+        /** The last block's hashes, once each. Sorted block by block: all at once would hold the core when a segment is sealed. */
+        private int[] sorted() {
+            Arrays.sort(gathered, 0, count);
             int kept = 0;
             for (int i = 0; i < count; i++) {
-                if (kept == 0 || items[i] != items[kept - 1]) { items[kept++] = items[i]; }
+                if (kept == 0 || gathered[i] != gathered[kept - 1]) { gathered[kept++] = gathered[i]; }
+            }
+            count = 0;
+            return Arrays.copyOf(gathered, kept);
+        }
+
+        /** The file was cut back to a size: what was told of the rest no longer stands there. */
+        void cut(long size) {
+            while (!blocks.isEmpty() && blocks.get(blocks.size() - 1)[0] >= size) {
+                blocks.remove(blocks.size() - 1);
+                if (postings.size() > blocks.size()) { postings.remove(postings.size() - 1); }
+                count = 0;
             }
-            return Arrays.copyOf(items, kept);
         }
-    }
 
-    private static void write(Storage storage, long segment, List<long[]> blocks, long end, long[] postings)
-            throws IOException {
-        ByteBuffer out = ByteBuffer.allocate(8 + 4 + 4 + blocks.size() * 24 + 8 + postings.length * 6 + 4);
-        out.putLong(MAGIC).putInt(blocks.size()).putInt(postings.length);
-        for (long[] block : blocks) { out.putLong(block[0]).putLong(block[1]).putLong(block[2]); }
-        out.putLong(end);
-        for (long posting : postings) { out.putInt((int) (posting >>> 32)).putShort((short) posting); }
-        out.putInt(sum(segment, out.array(), out.position()));
-        out.flip();
-        String name = Frames.indexName(segment);
-        storage.delete(name + HALF);
-        try (Storage.Appender file = storage.create(name + HALF)) {
-            while (out.hasRemaining()) { file.write(out); }
+        /** Writes the index whole or not at all; nothing may be added any more. */
+        void write(Storage storage, long segment, long end) throws IOException {
+            if (postings.size() < blocks.size()) { postings.add(sorted()); }
+            int all = 0;
+            for (int[] block : postings) { all += block.length; }
+            ByteBuffer out = ByteBuffer.allocate(8 + 4 + blocks.size() * 28 + 8 + all * 4 + 4);
+            out.putLong(MAGIC).putInt(blocks.size());
+            for (int i = 0; i < blocks.size(); i++) {
+                long[] block = blocks.get(i);
+                out.putLong(block[0]).putLong(block[1]).putLong(block[2]).putInt(postings.get(i).length);
+            }
+            out.putLong(end);
+            for (int[] block : postings) {
+                out.asIntBuffer().put(block);
+                out.position(out.position() + 4 * block.length);
+            }
+            out.putInt(sum(segment, out.array(), out.position()));
+            out.flip();
+            String name = Frames.indexName(segment);
+            storage.delete(name + HALF);
+            try (Storage.Appender file = storage.create(name + HALF)) {
+                while (out.hasRemaining()) { file.write(out); }
+            }
+            storage.rename(name + HALF, name);
         }
-        storage.rename(name + HALF, name);
     }
 
     private static int sum(long segment, byte[] bytes, int length) {
@@ -185,7 +194,7 @@
                 return null;
             }
             int blocks = in.getInt();
-            long[] postings = new long[in.getInt()];
+            int[][] postings = new int[blocks][];
             long[] offsets = new long[blocks + 1];
             long[] earliest = new long[blocks];
             long[] latest = new long[blocks];
@@ -193,9 +202,13 @@
                 offsets[i] = in.getLong();
                 earliest[i] = in.getLong();
                 latest[i] = in.getLong();
+                postings[i] = new int[in.getInt()];
             }
             offsets[blocks] = in.getLong();
-            for (int i = 0; i < postings.length; i++) { postings[i] = (long) in.getInt() << 32 | in.getShort() & 0xFFFF; }
+            for (int[] block : postings) {
+                in.asIntBuffer().get(block);
+                in.position(in.position() + 4 * block.length);
+            }
             return new SegmentIndex(offsets, earliest, latest, postings);
         } catch (IOException | RuntimeException e) {
             return null;
--- a/src/main/java/yardusher/journal/Segments.java
+++ b/src/main/java/yardusher/journal/Segments.java
@@ -152,6 +152,7 @@
         try {
             file.truncate(good);
             size = good;
+            index.cut(good);
         } catch (IOException e) {
             abandon(file);
         }
--- a/src/test/java/yardusher/journal/JournalStoryTest.java
+++ b/src/test/java/yardusher/journal/JournalStoryTest.java
@@ -220,6 +220,27 @@
         assertThat(orders).noneMatch(order -> order.facts.id() == 3);
     }
 
+    @Test
+    void aFullDiskLetsNewOrdersGoUnrecordedWhereItIsToldTo() throws Exception {
+        start(false, JournalSettings.Durability.PROCESS);
+        long used = 0;
+        for (String name : disk.list()) { used += disk.size(name); }
+        disk.room = used;
+        take(ORDER);
+        end(next(begun), Api.Outcome.SERVED);        // recorded, in what the reserve has given
+        for (int i = 0; i < 3; i++) {
+            take(ORDER);
+            end(next(begun), Api.Outcome.SERVED);    // at once, unrecorded
+        }
+        for (int i = 1; i <= 4; i++) { assertThat(next(answers)).isEqualTo(i + " served"); }
+        disk.room = Long.MAX_VALUE;
+        awaitGood(200);
+        take(ORDER);
+        end(next(begun), Api.Outcome.SERVED);
+        assertThat(read()).hasSize(2).allMatch(order -> order.state() == Order.State.ANSWERED);
+        assertThat(Verify.run(disk, false, bytes -> { }).gapOrders()).isEqualTo(3);
+    }
+
     @Test
     void aDiskThatHangsGivesParkedOrdersUpAtOnceOrLetsThemGoWithTheGapCounted() throws Exception {
         start(false, JournalSettings.Durability.PROCESS);
--- /dev/null
+++ b/src/test/java/yardusher/settings/SettingsTest.java
@@ -0,0 +1,86 @@
+package yardusher.settings;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import yardusher.journal.JournalSettings;
+import yardusher.log.Events;
+import yardusher.log.LogSettings;
+import yardusher.log.Logs;
+
+/** Our own settings file, what its errors say, and a start with a folder that cannot be used. */
+class SettingsTest {
+    @TempDir
+    Path folder;
+
+    private Settings read(String text) throws Exception {
+        Path file = folder.resolve("own.toml");
+        Files.writeString(file, text);
+        return Settings.read(file);
+    }
+
+    @Test
+    void theFileInDeploySaysNothingAndATableTurnsItsPartOn() throws Exception {
+        assertThat(Settings.read(Path.of("deploy/yardusher.toml"))).isSameAs(Settings.OFF);
+        assertThat(read("# all off\n\n")).isSameAs(Settings.OFF);
+        Settings own = read("[journal]\nfolder = \"j\"\ndurability = \"group\"\n[keys]\n[[keys.lifetime]]\nclass = \"place-order\"\nseconds = 5\n");
+        assertThat(own.journal().durability()).isEqualTo(JournalSettings.Durability.GROUP);
+        assertThat(own.keys()).isNotNull();
+        assertThat(own.log()).isNull();
+    }
+
+    @Test
+    void anErrorNamesTheFileTheKeyAndWhatIsAllowed() throws Exception {
+        String[][] bad = {
+            {"[journal]\n", "needs a text in journal.folder"},
+            {"[journal]\nfolder = \"j\"\ndurability = \"disk\"\n", "journal.durability must be one of process, group, machine"},
+            {"[journal]\nfolder = \"j\"\nstall_ms = 1\n", "journal.stall_ms must be a whole number from 10 to 60000"},
+            {"[journal]\nfolder = \"j\"\nrecord_untried = 1\n", "journal.record_untried must be true or false"},
+            {"[journal]\nfolder = \"j\"\nmax_mb = 1\n", "journal.max_mb must hold two segments"},
+            {"[journal]\nfolder = \"j\"\nspeed = 1\n", "unknown key journal.speed, allowed are durability, flush_ms, folder"},
+            {"[journals]\n", "unknown key journals, allowed are journal, keys, log"},
+            {"journal = 3\n", "journal must be a table"},
+            {"[log]\nformat = \"xml\"\n", "log.format must be one of plain, json"},
+            {"[[keys.lifetime]]\nclass = \"a\"\nseconds = 0\n", "keys.lifetime.seconds must be a whole number from 1 to 86400"}};
+        for (String[] one : bad) {
+            assertThatThrownBy(() -> read(one[0])).as(one[0]).isInstanceOf(IllegalArgumentException.class)
+                    .hasMessageMatching("[^\n]*own.toml: [^\n]+").hasMessageContaining(one[1]);
+        }
+    }
+
+    @Test
+    void anEventIsAPlainLineOrAJsonObject() {
+        assertThat(Events.line("n0", "journal opened", "segments", 3, "why", "a\nb")).isEqualTo("n0 journal opened segments=3 why=a b");
+        PrintStream before = System.err;
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try {
+            System.setErr(new PrintStream(bytes, true, StandardCharsets.UTF_8));
+            Logs.of(new LogSettings(true, "info"), "n0").warn("journal cannot record orders", "health", "full");
+        } finally {
+            System.setErr(before);
+        }
+        assertThat(bytes.toString(StandardCharsets.UTF_8).lines()).singleElement().asString().startsWith("{").endsWith("}")
+                .contains("\"level\":\"WARN\"", "\"loggerName\":\"n0\"", "\"message\":\"journal cannot record orders\"", "{\"health\":\"full\"}");
+    }
+
+    @Test
+    void aFolderThatCannotBeWrittenIsOneLineAndExit2() throws Exception {
+        Path file = Files.writeString(folder.resolve("taken"), "a file");
+        Path own = Files.writeString(folder.resolve("bad.toml"), "[journal]\nfolder = '" + file + "'\n");
+        Process child = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+                System.getProperty("java.class.path"), "yardusher.cli.Main", "serve", "src/test/resources/ingress.json", "--limits", "none",
+                "--settings", own.toString()).redirectErrorStream(true).start();
+        String said = new String(child.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertThat(child.waitFor(30, TimeUnit.SECONDS)).isTrue();
+        assertThat(said.lines()).singleElement().asString().startsWith("yardusher: journal.folder ").endsWith("cannot be written");
+        assertThat(child.exitValue()).isEqualTo(2);
+    }
+}
