A terminal that has begun a command is told or has its time, never cut without a word

Cause: ConnectionStoryTest.whoSaysNothingOrHalfACommandIsClosedOnBothFronts failed once in a verify: the limit for who is silent counts from the connect, the one for a half command from its first byte. An upkeep between the two closed the connection with no error line. An idle terminal whose next command was just arriving was cut the same way.

Change: where a command has begun, a silent terminal gets the error line, and an idle one the time of a command.

--- a/src/main/java/yardusher/net/Answers.java
+++ b/src/main/java/yardusher/net/Answers.java
@@ -114,9 +114,11 @@
 
     private void reap(Set<TerminalLink> of, double quietBefore, double begunBefore) {
         for (TerminalLink terminal : new ArrayList<>(of)) {
-            if (terminal.begunAt < begunBefore) {
+            // Guards who has begun a command against an end without a word: a silent one is told, an idle one has its time.
+            boolean begun = terminal.begunAt < Double.POSITIVE_INFINITY;
+            if (terminal.begunAt < begunBefore || begun && of == silent && terminal.quietSince < quietBefore) {
                 terminal.lose("command not ended");
-            } else if (terminal.quietSince < quietBefore) {
+            } else if (!begun && terminal.quietSince < quietBefore) {
                 terminal.drop();
             }
         }
