--- a/src/test/java/yardusher/settings/SettingsTest.java
+++ b/src/test/java/yardusher/settings/SettingsTest.java
@@ -5,9 +5,12 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -71,16 +74,29 @@
                 .contains("\"level\":\"WARN\"", "\"loggerName\":\"n0\"", "\"message\":\"journal cannot record orders\"", "{\"health\":\"full\"}");
     }
 
-    @Test
-    void aFolderThatCannotBeWrittenIsOneLineAndExit2() throws Exception {
-        Path file = Files.writeString(folder.resolve("taken"), "a file");
-        Path own = Files.writeString(folder.resolve("bad.toml"), "[journal]\nfolder = '" + file + "'\n");
+    /** Starts an ingress that cannot start, and gives what it said in its one line. */
+    private static String refused(Path own) throws Exception {
         Process child = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
                 System.getProperty("java.class.path"), "yardusher.cli.Main", "serve", "src/test/resources/ingress.json", "--limits", "none",
                 "--settings", own.toString()).redirectErrorStream(true).start();
         String said = new String(child.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         assertThat(child.waitFor(30, TimeUnit.SECONDS)).isTrue();
-        assertThat(said.lines()).singleElement().asString().startsWith("yardusher: journal.folder ").endsWith("cannot be written");
         assertThat(child.exitValue()).isEqualTo(2);
+        assertThat(said.lines()).hasSize(1);
+        return said.strip();
+    }
+
+    @Test
+    void aFolderThatCannotBeWrittenOrThatAnotherProcessWritesIsOneLineAndExit2() throws Exception {
+        Path file = Files.writeString(folder.resolve("taken"), "a file");
+        Path bad = Files.writeString(folder.resolve("bad.toml"), "[journal]\nfolder = '" + file + "'\n");
+        assertThat(refused(bad)).startsWith("yardusher: journal.folder ").endsWith("cannot be written");
+        Path held = Files.createDirectories(folder.resolve("held").resolve("n0"));
+        Path own = Files.writeString(folder.resolve("held.toml"), "[journal]\nfolder = '" + held.getParent() + "'\n");
+        try (FileChannel channel = FileChannel.open(held.resolve("lock"), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+                FileLock lock = channel.lock()) {
+            assertThat(lock.isValid()).isTrue();
+            assertThat(refused(own)).endsWith("n0: another process writes here");
+        }
     }
 }
