--- a/deploy/start.sh
+++ b/deploy/start.sh
@@ -1,11 +1,17 @@
+#!/bin/bash
 # One ingress on a small machine. The heap follows the memory that the configuration names, since days differ: the
-# rest is for code, classes, threads and buffers. The shell becomes the program, which gets the signals itself.
-memory=$(sed -n 's/.*"memory_mb"[^0-9]*\([0-9][0-9]*\).*/\1/p' "$RELAY_CONFIG" 2>/dev/null | head -n 1)
-heap=$((${memory:-128} / 2 - 8))
+# rest is for code, classes, threads and buffers. The shell becomes the program, which gets the signals itself. Nothing
+# here starts a second process: the platform may refuse that, so the file is read by the shell alone.
+config=
+[ ! -r "$RELAY_CONFIG" ] || IFS= read -r -d '' config <"$RELAY_CONFIG" || :
+memory=128
+[[ $config =~ '"memory_mb"'[[:space:]]*:[[:space:]]*([0-9]{1,6}) ]] && memory=${BASH_REMATCH[1]}
+heap=$((10#$memory / 2 - 8))
 [ "$heap" -le 64 ] || heap=64
 [ "$heap" -ge 12 ] || heap=12
 young=$((heap / 3))
 least=$((heap < 24 ? heap : 24))
 exec java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:-UsePerfData -Xms${least}m -Xmx${heap}m -XX:MaxNewSize=${young}m \
     -Xss256k -XX:MaxDirectMemorySize=8m -XX:ReservedCodeCacheSize=24m -Djdk.nio.maxCachedBufferSize=16384 \
+    -Djava.net.preferIPv4Stack=true \
     -XX:SharedArchiveFile=target/yardusher.jsa -jar target/yardusher.jar serve "$@"
