Fleet of 14: messages within the intake, no debt for excess, wider ceiling in calm

Ruled out: servers and pressure (11 of 7,600 refusals), news that had not come (46 of 374 at one ingress). At fault, all in Policy: the constructor let a fleet of 14 and more send three times what it takes in (13 did not); refilled() held what went beyond the quota against it, though such a try takes nothing of the store; unheard() counted half a slot where a round of messages to 13 peers takes 290 ms; escrowShare() called a customer calm only below its quota, though what a window asks fits the ceiling; a set of 14 was told by relays where a set of 13 was told at once. Change: one intake for all sizes (relays of a large set cost a third), no debt in sets that are told directly, lag of at least a round, overdraft while a window's asking fits the ceiling, directness by window and intake, what is unheard weighed by what excess costs in the plan. Refusals are counted by reason in INFO.

--- a/src/main/java/yardusher/Api.java
+++ b/src/main/java/yardusher/Api.java
@@ -51,9 +51,18 @@
     public record RequestClass(double aimMs, double deadlineMs, double worth, double lateValue,
             Effect effect, Group group, double windowMs, boolean streamed) { }
 
-    /** A plan. A rate, cap or ceiling of 0 means that the plan has none. */
+    /**
+     * A plan. A rate, cap or ceiling of 0 means that the plan has none; {@code overCost} is the part of its worth that
+     * a request beyond the quota costs.
+     */
     public record Plan(double ratePerS, double burst, int openCap, double value, double ceilingRate,
-            double ceilingBurst, double ceilingSlack) { }
+            double ceilingBurst, double ceilingSlack, double overCost) {
+        /** A plan where each request beyond the quota costs its whole worth. */
+        public Plan(double ratePerS, double burst, int openCap, double value, double ceilingRate, double ceilingBurst,
+                double ceilingSlack) {
+            this(ratePerS, burst, openCap, value, ceilingRate, ceilingBurst, ceilingSlack, 1);
+        }
+    }
 
     /** What the site permits. */
     public record Limits(int maxAttempts, boolean mayCancel, boolean peers,
@@ -124,7 +133,13 @@
     public record Cancel(long id, int attempt) implements Action { }
 
     /** Final: turned away, a repeat is harmless. */
-    public record Refuse(long id, double retryAfterMs) implements Action { }
+    public record Refuse(long id, double retryAfterMs, Reason reason) implements Action { }
+
+    /**
+     * Why a request was turned away: its time was up, the quota or the ceiling has no room, the servers are pressed
+     * for work of more worth, none of them may get it now, or its attempts were turned away in their turn.
+     */
+    public enum Reason { LATE, QUOTA, CEILING, PRESSURE, NO_SERVER, ATTEMPTS }
 
     /** Final: failed, nothing is promised. */
     public record Fail(long id) implements Action { }
--- a/src/main/java/yardusher/Policy.java
+++ b/src/main/java/yardusher/Policy.java
@@ -35,7 +35,6 @@
     private static final double COMMON = 0.75;       // part of the servers that fail by no fault of their own
     private static final double BUSY = 0.7;          // part of all servers' limits at which shedding starts
     private static final double LATE = 0.35;         // part of the aim that answers take, likewise
-    private static final double DEBT = 1;            // bursts sent beyond the store that are made good
     private static final double LEAST = 0.2;         // least limit of a server: one attempt, then a pause
     private static final double FIRST = 20;          // first limit of a server, over all gateways
     private static final long SWEEP = 0, FLUSH = 1;  // timer tokens; a request's is its id + 2
@@ -51,9 +50,8 @@
         this.settings = settings; this.out = out;
         random = new SplittableRandom(seed); now = nowMs;
         startedAt = nowMs; this.life = random.nextInt(LIVES);
-        // A meeting peer speaks more than it is spoken to; what all take in is watched (passEvery).
-        int more = settings.gateways() > DIRECT + 1 ? NEIGHBOURS : 1;
-        intake = settings.limits().peers() ? more * INTAKE_USED * settings.peerIntakePerS() / 1000 : 0;
+        // Danger: what all send is what all take in together; more is lost at the receivers.
+        intake = settings.limits().peers() ? INTAKE_USED * settings.peerIntakePerS() / 1000 : 0;
         this.classMs = new double[settings.classes().size()];
         for (int i = 0; i < classMs.length; i++) {
             classMs[i] = settings.classes().get(i).aimMs() / 5; // until answers tell
@@ -147,7 +145,8 @@
             }
         }
 
-        boolean direct() { return spread - 1 <= DIRECT; }
+        /** Whether all are told of each change: a round of messages takes a small part of a window. */
+        boolean direct() { return spread - 1 <= Math.max(DIRECT, intake * windowMs / 3); }
 
         int member(int k) { return Math.floorMod(first + k, settings.gateways()); }
 
@@ -185,7 +184,8 @@
 
         /** The store after so many slots, in the first of which units were taken. */
         double refilled(double level, double units, double slots) {
-            double left = Math.max(-DEBT * plan.burst(), level - units);
+            // What went beyond a quota took nothing of it; where sums come late, it is made good even so.
+            double left = Math.max(direct() ? 0 : -plan.burst(), level - units);
             return Math.min(plan.burst(), left + plan.ratePerS() * slotMs / 1000 * slots);
         }
 
@@ -258,14 +258,15 @@
                 (key, c) -> c == null || c.planIndex != planIndex ? new Customer(id, planIndex) : c);
     }
 
-    private boolean withinPlan(Customer c, double units) {
+    /** What stands against these units, or null. */
+    private Reason beyond(Customer c, double units) {
         Plan plan = c.plan;
-        if (plan.openCap() > 0 && c.open() >= plan.openCap()) { return false; }
+        if (plan.openCap() > 0 && c.open() >= plan.openCap()) { return Reason.QUOTA; }
         if (plan.ratePerS() > 0) {
-            double[] others = c.others(-1);
-            if (units > roomFor(c, others, random.nextDouble()) + 1e-9) { return false; }
+            double part = random.nextDouble() * Math.min(1, plan.overCost()); // cheap excess risks more
+            if (units > roomFor(c, c.others(-1), part) + 1e-9) { return Reason.QUOTA; }
         }
-        return escrowHolds(c, units);
+        return escrowHolds(c, units) ? null : Reason.CEILING;
     }
 
     /**
@@ -332,12 +333,13 @@
      * Danger: all gateways see the same room and fill it before they hear of each other. What the others were
      * asked since the last news is known from its rate, but not who came first: this request's place among
      * those is drawn at random by the caller, and only what lies before it needs room. Works for sets of any
-     * size; harms when the others' demand has just stopped. A small set tells what it lets in within half a
-     * slot, so its longer silence means that nothing was, and counts for one slot at most.
+     * size; harms when the others' demand has just stopped. A direct set tells what it lets in within half a
+     * slot or a round of messages, so a longer silence counts for two of these at most: nothing was let in.
      */
     private double unheard(Customer c, double askedByOthers) {
-        double usual = c.direct() || c.rank >= 0 ? c.slotMs / 2 : Math.max(c.passEvery(), c.newsEvery);
-        double silent = c.direct() ? Math.min(c.slotMs, now - c.newsAt) : now - c.newsAt;
+        double lag = Math.max(c.slotMs / 2, (settings.gateways() - 1) / Math.max(1e-9, intake));
+        double usual = c.direct() || c.rank >= 0 ? lag : Math.max(c.passEvery(), c.newsEvery);
+        double silent = c.direct() ? Math.min(2 * lag, now - c.newsAt) : now - c.newsAt;
         double staleness = Math.min(c.windowMs, Math.max(usual, silent));
         return askedByOthers * staleness / c.windowMs;
     }
@@ -360,8 +362,8 @@
 
     // ---- 3 ceilings: shares held in escrow ------------------------------------------------------
     // Danger: partitioned or restarted gateways each pass the whole quota and break the ceiling. Each owns
-    // 1/spread of it and starts with nothing: together they never exceed it, whatever is heard. In a small
-    // set, while peers are heard and less than the quota is asked, a busy one may overdraw: the counts hold.
+    // 1/spread of it and starts with nothing: together they never exceed it, whatever is heard. In a direct
+    // set, while peers are heard and a window asks no more than it holds, a busy one may overdraw.
 
     private boolean escrowHolds(Customer c, double units) {
         if (c.plan.ceilingRate() <= 0) { return true; }
@@ -373,7 +375,7 @@
 
     private double escrowShare(Customer c) {
         double asked = c.others(-1)[SLOTS + 1] + c.asked(c.mine);
-        boolean calm = c.direct() && now - heardAt < c.windowMs && asked < c.plan.burst();
+        boolean calm = c.direct() && now - heardAt < c.windowMs && asked < c.plan.ceilingBurst();
         return (calm ? 1 + OVERDRAWN : 1.0) / c.spread;
     }
 
@@ -398,7 +400,7 @@
     private static final int OWN = 0, SUM = 1, FAULT = 2, OUT = 3, KINDS = 4;
     private static final Object HELLO = new Object();
     private final int life;                          // tells this life's counts from a former one's
-    private final double intake;                     // messages to send a millisecond
+    private final double intake;                     // messages to take in, and to send, a millisecond
     private final Map<Integer, Integer> lives = new HashMap<>(); // of the peers heard; looked up only
     private final Map<Integer, LinkedHashSet<Object>> outboxes = new LinkedHashMap<>();
     private final LinkedHashSet<Customer> waiting = new LinkedHashSet<>(); // to be told or passed on later
@@ -449,9 +451,11 @@
         earnedAt = now;
         for (var all = outboxes.entrySet().iterator(); all.hasNext() && earned >= 1;) {
             var outbox = all.next();
+            // A meeting peer speaks more than it is spoken to; what all take in is watched (passEvery).
+            boolean meets = outbox.getValue().stream().anyMatch(i -> i instanceof Sums s && !s.of().direct());
             tell(outbox.getKey(), outbox.getValue());
             if (outbox.getValue().isEmpty()) { all.remove(); }
-            earned--;
+            earned -= meets ? 1.0 / NEIGHBOURS : 1;
         }
         if (!outboxes.isEmpty()) { next = Math.min(next, now + (1 - earned) / intake); }
         if (next < Double.POSITIVE_INFINITY) { arm(next); }
@@ -517,8 +521,7 @@
     private void putRow(StringBuilder body, int kind, Customer c, int peer) {
         put(body, kind + KINDS * c.planIndex, 1);
         put(body, c.id, 5);
-        put(body, Math.max(0, c.first), 2);
-        put(body, c.spread, 2);
+        put(body, Math.max(0, c.first), 2); put(body, c.spread, 2);
         double[] units = c.others(peer);
         double asked = kind == OWN ? c.asked(c.mine) : units[SLOTS + 1] + c.asked(c.mine);
         put(body, Math.min(DIGITS - 1, (long) Math.ceil(Math.log1p(asked) / ASKED_STEP)), 1);
@@ -639,12 +642,11 @@
     private final class Host {
         final long id;
         int zone, cell, open;
-        double size = 1, startedAt;
+        double size = 1, startedAt, blamedAt = now;
         boolean ready, gone, down;                   // down: failed to connect or lost connections
         final int[] failures = new int[classMs.length];
         final double[] failing = new double[classMs.length]; // part of its answers that fail, lately
         final double[] outUntil = new double[classMs.length], blame = new double[classMs.length];
-        double blamedAt = now;
         double ghosts;                               // given up here, maybe still worked on there
         double limit = 1 + FIRST / settings.gateways(), cutAt, part; // most to keep there at once; learned
         double ratio = 1, sampledAt;                 // its latency against all servers', by class
@@ -805,9 +807,8 @@
     // ---- 6 attempts -----------------------------------------------------------------------------
 
     private final Map<Long, Held> requests = new HashMap<>();  // looked up by id only, never walked
-    private double retryTokens = RETRY_MOST;
     private final double[] classMs;                  // usual latency of each class
-    private double typicalMs = 100, fleetPart, fleetAt;
+    private double retryTokens = RETRY_MOST, typicalMs = 100, fleetPart, fleetAt;
     private double hanging;                          // part of the attempts that hang by themselves, lately
     private final double ghostMs;                    // how long work given up counts as still there
 
@@ -836,12 +837,13 @@
         }
         c.usedAt = now;
         Held held = new Held(q, of, c, now);
-        boolean admitted = q.dueMs() > now && withinPlan(c, q.units()) && !shed(q);
+        Reason why = q.dueMs() > now ? beyond(c, q.units()) : Reason.LATE;
+        why = why == null && shed(q) ? Reason.PRESSURE : why;
         c.ask(q.units());
-        Host host = admitted ? choose(held) : null;
+        Host host = why == null ? choose(held) : null;
         if (host == null) {
             changed(c, false);
-            out.accept(new Refuse(q.id(), advice(c, q)));
+            out.accept(new Refuse(q.id(), advice(c, q), why == null ? Reason.NO_SERVER : why));
             return;
         }
         c.count(q.units());
@@ -856,8 +858,7 @@
         if (held.of.lateValue() == 0 && !held.of.streamed() && settings.limits().mayCancel()) {
             until = Math.min(until, aimAt); // worth nothing later: the server is free for others
         }
-        held.attempts++; held.last = host;
-        held.sentAt = now; outstanding++;
+        held.attempts++; held.last = host; held.sentAt = now; outstanding++;
         if (host.open++ == 0) { host.quietSince = now; }
         held.customer.mine.open++;
         changed(held.customer, true);
@@ -904,8 +905,7 @@
         Held held = requests.get(e.id());
         if (held == null || e.attempt() != held.attempts - 1) { return; }
         Host host = held.last;
-        outstanding--; host.open--;
-        held.customer.mine.open--;
+        outstanding--; host.open--; held.customer.mine.open--;
         if (held.customer.plan.openCap() > 0) { changed(held.customer, true); }
         report(host, e.load());
         judge(held, host, e);
@@ -987,7 +987,7 @@
         boolean harmless = held.ranOn == null || held.of.effect() == Effect.IDEMPOTENT
                 || held.of.effect() == Effect.DEDUPLICATED && held.of.group() == Group.ALL;
         if (harmless && now < q.dueMs()) {
-            out.accept(new Refuse(q.id(), advice(held.customer, q)));
+            out.accept(new Refuse(q.id(), advice(held.customer, q), Reason.ATTEMPTS));
         } else {
             out.accept(new Fail(q.id()));
         }
--- a/src/main/java/yardusher/core/Counters.java
+++ b/src/main/java/yardusher/core/Counters.java
@@ -20,6 +20,8 @@
     public long faults;
     /** What else the line tells; empty for nothing. */
     public java.util.function.Supplier<String> more = () -> "";
+    /** Short-on-capacity replies of the module, by reason. */
+    public final long[] reasons = new long[Api.Reason.values().length];
     public final long[] outcomes = new long[Api.Outcome.values().length];
 
     /** One line of names and values. */
@@ -33,6 +35,10 @@
             text.append(" attempts_").append(outcome.name().toLowerCase(java.util.Locale.ROOT)).append('=')
                     .append(outcomes[outcome.ordinal()]);
         }
+        for (Api.Reason reason : Api.Reason.values()) {
+            text.append(" refused_").append(reason.name().toLowerCase(java.util.Locale.ROOT)).append('=')
+                    .append(reasons[reason.ordinal()]);
+        }
         return text.append(" connections=").append(connectionsOpened).append(" peer_out=").append(peerOut)
                 .append(" peer_in=").append(peerIn).append(" list_changes=").append(listChanges)
                 .append(" reloads=").append(reloads)
--- a/src/main/java/yardusher/core/Ingress.java
+++ b/src/main/java/yardusher/core/Ingress.java
@@ -160,6 +160,7 @@
         } else if (action instanceof Api.Refuse a) {
             Transaction t = open.get(a.id());
             if (t != null) {
+                counters.reasons[a.reason().ordinal()]++;
                 relay.shortOnCapacity(t, a.retryAfterMs());
                 book.close(t);
             }
--- a/src/main/java/yardusher/wire/Codec.java
+++ b/src/main/java/yardusher/wire/Codec.java
@@ -156,7 +156,8 @@
         for (Fields p : config.objects("contracts")) {
             plans.add(new Api.Plan(p.number("units_per_s", 0), p.number("peak_units", 0),
                     (int) p.number("at_once", 0), p.number("value_factor", 1), p.number("ceiling_rate", 0),
-                    p.number("hard_burst", 0), p.number("ceiling_slack", 0)));
+                    p.number("hard_burst", 0), p.number("ceiling_slack", 0),
+                    p.number("beyond_costs", 1)));
         }
         Fields limits = config.object("limits");
         Fields rules = config.object("rules");
