A cold region is held back once, by its draws, so that replaced regions take their part

Ruled out: bad regions (the given-up attempts are spread over 96 regions), connects that fail (9), the list (new regions are known in a second). At fault: Policy.cost() divided by the warmth of a region that choose() had already let into the draw by its warmth. With half an attempt out at a region the cost decides by that factor alone, so a cold one got the square of its part. Change: the draw alone holds it back.

--- a/src/main/java/yardusher/Policy.java
+++ b/src/main/java/yardusher/Policy.java
@@ -696,7 +696,7 @@
         if (now - host.reportedAt < 1000) {
             load += host.queue / settings.gateways(); load *= 0.5 + host.busy;
         }
-        double cost = load * host.ratio / (host.size * warmth(host));
+        double cost = load * host.ratio / host.size;   // a cold one is held back by its draws alone
         if (host.zone != settings.zone() && settings.crossZonePrice() > 0) { cost *= 1.2; }
         double quiet = host.open > 0 ? now - host.quietSince : 0;
         if (quiet > 3 * typicalMs) { cost *= 1 + quiet / typicalMs; } // takes work and answers nothing
--- a/src/test/java/yardusher/FleetRun.java
+++ b/src/test/java/yardusher/FleetRun.java
@@ -71,6 +71,8 @@
     int told, overrun;
     /** The least that any customer's ceiling ever held. */
     double leastOfCeilings = Double.POSITIVE_INFINITY;
+    /** Attempts by server. */
+    final Map<Long, Integer> attemptsAt = new HashMap<>();
     private final Map<Integer, Double> intakeLeft = new HashMap<>();
     private final Map<Integer, Double> intakeAt = new HashMap<>();
     private final Policy[] gateways;
@@ -112,6 +114,12 @@
         gateways[i].on(now, new ServerList(ListKind.CACHED, servers));
     }
 
+    /** All gateways hear this list at once. */
+    void list(List<Server> now) {
+        servers = now;
+        for (Policy gateway : gateways) { gateway.on(this.now, new ServerList(ListKind.FULL, now)); }
+    }
+
     void run(double untilMs) {
         while (!due.isEmpty() && due.peek().at() <= untilMs) {
             Due next = due.poll();
@@ -129,6 +137,7 @@
             if (random.nextDouble() >= loss) { at(now + 1.3 + 20 * random.nextDouble(), () -> deliver(tell.to(), new PeerMessage(from, tell.body()))); }
         } else if (action instanceof Send send) {
             sent |= send.id() == current;
+            attemptsAt.merge(send.server(), 1, Integer::sum);
             int number = attempts.computeIfAbsent(send.id(), id -> new int[1])[0]++;
             at(now + 40 + 40 * random.nextDouble(), () -> tell(from, life,
                     new AttemptDone(send.id(), number, send.server(), Outcome.SERVED, 60, true, 0, null)));
--- a/src/test/java/yardusher/LargeFleetTest.java
+++ b/src/test/java/yardusher/LargeFleetTest.java
@@ -2,7 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.Test;
+import yardusher.Api.Readiness;
+import yardusher.Api.Server;
 
 /** What 14 gateways and 60 servers do that a few do not: each case by a seed, on scripted time. */
 class LargeFleetTest {
@@ -37,4 +41,25 @@
             }
         }
     }
+
+    /**
+     * Guards against new servers left idle while the old ones drown: a gateway that has hardly one attempt out at any of 60
+     * held back a cold one in the draw and once more by its cost, so that it got the square of its part.
+     */
+    @Test
+    void manyColdServersGetThePartThatTheyCanDo() {
+        FleetRun fleet = new FleetRun(GATEWAYS, SERVERS, CUSTOMERS, 0.05, 4);
+        fleet.run(4000);
+        List<Server> replaced = new ArrayList<>();
+        for (int i = 0; i < SERVERS; i++) {          // 36 of 60 are new, and as cold as the rules say: a quarter
+            boolean fresh = i < 36;
+            replaced.add(new Server(fresh ? 500 + i : 100 + i, i % 3, 0, 1, fresh ? fleet.now : 0, Readiness.READY));
+        }
+        fleet.list(replaced);
+        fleet.attemptsAt.clear();
+        fleet.run(6000);                             // by the end their warmth is 0.25 + 0.75 * 2 of 10 s
+        double cold = fleet.attemptsAt.entrySet().stream().filter(e -> e.getKey() >= 500).mapToInt(e -> e.getValue()).sum() / 36.0;
+        double warm = fleet.attemptsAt.entrySet().stream().filter(e -> e.getKey() < 500).mapToInt(e -> e.getValue()).sum() / 24.0;
+        assertThat(cold / warm).as("part of a warm server's").isBetween(0.22, 0.5);
+    }
 }
