Room kept for what is unheard, ceilings closed to new ingresses, shorter rows, counters

A store that holds some units back loses none of them, excess is lost: Policy.beyond() drew a place among what is unheard and kept nothing else back. Change: half of what is unheard is kept back too, by what excess costs; overdraft is earned over the first window of a life; 0.9 of the intake is used; numbers of ingresses take one digit below 120 and open counts go only where a plan caps them; INFO tells further attempts, reused and failed connections, asks of discovery, whole lists and unreadable lines.

--- a/src/main/java/yardusher/Policy.java
+++ b/src/main/java/yardusher/Policy.java
@@ -18,7 +18,8 @@
     private static final int NEIGHBOURS = 3;         // told of each change; the source recommends two or more
     private static final int DIRECT = 12;            // a set of no more others is told of each change at once
     private static final int MESSAGE_BYTES = 256;    // most that one message may hold
-    private static final double INTAKE_USED = 0.75;  // of the told intake; the rest is for bursts
+    private static final double INTAKE_USED = 0.9;   // of the told intake; the rest is for bursts
+    private static final double KEPT = 0.5;          // of what is unheard: room kept is not lost
     private static final double NEWS_PART = 0.1;     // of a quota's worth, that passing on its sums may cost
     private static final double SUM_BYTES = 16;      // a customer's sums in a message, about
     private static final double FLUSH_MS = 10;       // changes gather so long, to share a message
@@ -50,6 +51,7 @@
         this.settings = settings; this.out = out;
         random = new SplittableRandom(seed); now = nowMs;
         startedAt = nowMs; this.life = random.nextInt(LIVES);
+        numbered = settings.gateways() < DIGITS ? 1 : 2;
         // Danger: what all send is what all take in together; more is lost at the receivers.
         intake = settings.limits().peers() ? INTAKE_USED * settings.peerIntakePerS() / 1000 : 0;
         this.classMs = new double[settings.classes().size()];
@@ -229,10 +231,7 @@
 
         double used() { return others(-1)[SLOTS] + mine.sum(); }
 
-        void count(double units) {
-            turn();
-            mine.slots[index(0)] += units;
-        }
+        void count(double units) { turn(); mine.slots[index(0)] += units; }
 
         /** Attempts out at all gateways; what a silent peer told counts no longer than a window. */
         int open() {
@@ -263,7 +262,7 @@
         Plan plan = c.plan;
         if (plan.openCap() > 0 && c.open() >= plan.openCap()) { return Reason.QUOTA; }
         if (plan.ratePerS() > 0) {
-            double part = random.nextDouble() * Math.min(1, plan.overCost()); // cheap excess risks more
+            double part = (KEPT + random.nextDouble()) * Math.min(1, plan.overCost()); // cheap: more risk
             if (units > roomFor(c, c.others(-1), part) + 1e-9) { return Reason.QUOTA; }
         }
         return escrowHolds(c, units) ? null : Reason.CEILING;
@@ -363,7 +362,8 @@
     // ---- 3 ceilings: shares held in escrow ------------------------------------------------------
     // Danger: partitioned or restarted gateways each pass the whole quota and break the ceiling. Each owns
     // 1/spread of it and starts with nothing: together they never exceed it, whatever is heard. In a direct
-    // set, while peers are heard and a window asks no more than it holds, a busy one may overdraw.
+    // set, while peers are heard and a window asks no more than it holds, a busy one may overdraw; not
+    // at once after its start, when it has heard little: a release of all would open every ceiling.
 
     private boolean escrowHolds(Customer c, double units) {
         if (c.plan.ceilingRate() <= 0) { return true; }
@@ -376,7 +376,7 @@
     private double escrowShare(Customer c) {
         double asked = c.others(-1)[SLOTS + 1] + c.asked(c.mine);
         boolean calm = c.direct() && now - heardAt < c.windowMs && asked < c.plan.ceilingBurst();
-        return (calm ? 1 + OVERDRAWN : 1.0) / c.spread;
+        return (calm ? 1 + OVERDRAWN * Math.min(1, (now - startedAt) / c.windowMs) : 1.0) / c.spread;
     }
 
     private double escrowLevel(Customer c, double share) {
@@ -400,6 +400,7 @@
     private static final int OWN = 0, SUM = 1, FAULT = 2, OUT = 3, KINDS = 4;
     private static final Object HELLO = new Object();
     private final int life;                          // tells this life's counts from a former one's
+    private final int numbered;                      // digits of a gateway's number
     private final double intake;                     // messages to take in, and to send, a millisecond
     private final Map<Integer, Integer> lives = new HashMap<>(); // of the peers heard; looked up only
     private final Map<Integer, LinkedHashSet<Object>> outboxes = new LinkedHashMap<>();
@@ -521,11 +522,11 @@
     private void putRow(StringBuilder body, int kind, Customer c, int peer) {
         put(body, kind + KINDS * c.planIndex, 1);
         put(body, c.id, 5);
-        put(body, Math.max(0, c.first), 2); put(body, c.spread, 2);
+        put(body, Math.max(0, c.first), numbered); put(body, c.spread, numbered);
         double[] units = c.others(peer);
         double asked = kind == OWN ? c.asked(c.mine) : units[SLOTS + 1] + c.asked(c.mine);
         put(body, Math.min(DIGITS - 1, (long) Math.ceil(Math.log1p(asked) / ASKED_STEP)), 1);
-        put(body, Math.min(DIGITS - 1, kind == OWN ? c.mine.open : 0), 1);
+        put(body, Math.min(DIGITS - 1, kind == OWN ? c.mine.open : 0), c.plan.openCap() > 0 ? 1 : 0);
         for (int age = 0; age < SLOTS; age++) {
             long left = Math.round(c.mine.slots[c.index(age)] + (kind == OWN ? 0 : units[age]));
             for (; left > 0; left -= 11) { put(body, 12 * age + Math.min(11, left), 1); }
@@ -599,14 +600,15 @@
     private boolean receiveRow(int tag, int from, int itsLife, int seq) {
         int planIndex = tag / KINDS;
         long id = get(5);
-        int first = (int) get(2);
-        int spread = (int) get(2);
+        int first = (int) get(numbered);
+        int spread = (int) get(numbered);
         long asked = get(1);
-        int open = (int) get(1);
+        boolean known = planIndex < settings.plans().size();
+        int open = known && settings.plans().get(planIndex).openCap() > 0 ? (int) get(1) : 0;
         long[] counts = new long[SLOTS];
         long entry;
         while ((entry = get(1)) > 0) { counts[(int) entry / 12] += entry % 12; }
-        if (entry < 0 || planIndex >= settings.plans().size() || first >= settings.gateways() || spread < 1
+        if (entry < 0 || !known || first >= settings.gateways() || spread < 1
                 || spread > settings.gateways()) {
             return false;
         }
--- a/src/main/java/yardusher/core/Counters.java
+++ b/src/main/java/yardusher/core/Counters.java
@@ -15,7 +15,15 @@
     public long connectionsOpened;
     public long peerOut;
     public long peerIn;
+    /** Watches asked for, whole lists told, lines of a list that could not be read. */
+    public long listAsks;
+    public long listWhole;
+    public long listBad;
     public long listChanges;
+    /** Attempts after the first of a transaction. */
+    public long further;
+    public long connectionsReused;
+    public long connectionsFailed;
     public long reloads;
     public long faults;
     /** What else the line tells; empty for nothing. */
@@ -30,7 +38,8 @@
         text.append("taken_in=").append(takenIn).append(" served=").append(served).append(" refused=").append(refused)
                 .append(" failed=").append(failed).append(" gone=").append(clientsGone).append(" open=").append(open)
                 .append(" invalid=").append(invalid).append(" limit_queries=").append(lookups)
-                .append(" attempts=").append(attempts);
+                .append(" attempts=").append(attempts)
+                .append(" attempts_further=").append(further);
         for (Api.Outcome outcome : Api.Outcome.values()) {
             text.append(" attempts_").append(outcome.name().toLowerCase(java.util.Locale.ROOT)).append('=')
                     .append(outcomes[outcome.ordinal()]);
@@ -39,8 +48,11 @@
             text.append(" refused_").append(reason.name().toLowerCase(java.util.Locale.ROOT)).append('=')
                     .append(reasons[reason.ordinal()]);
         }
-        return text.append(" connections=").append(connectionsOpened).append(" peer_out=").append(peerOut)
-                .append(" peer_in=").append(peerIn).append(" list_changes=").append(listChanges)
+        return text.append(" connections=").append(connectionsOpened).append(" connections_reused=")
+                .append(connectionsReused).append(" connections_failed=").append(connectionsFailed).append(" peer_out=").append(peerOut)
+                .append(" peer_in=").append(peerIn).append(" list_asks=").append(listAsks)
+                .append(" list_whole=").append(listWhole).append(" list_bad=").append(listBad)
+                .append(" list_changes=").append(listChanges)
                 .append(" reloads=").append(reloads)
                 .append(" faults=").append(faults).append(more.get()).toString();
     }
--- a/src/main/java/yardusher/core/Dispatch.java
+++ b/src/main/java/yardusher/core/Dispatch.java
@@ -30,6 +30,7 @@
         Attempt attempt = new Attempt(t, t.attempts++, region, now, (long) Math.ceil(wait));
         t.attempt = attempt;
         counters.attempts++;
+        counters.further += attempt.number > 0 ? 1 : 0;
         attempt.timeOut = turns.deadlines().at(now + wait, () -> expire(attempt));
         if (!t.recorded) {
             begin(attempt, attempt.waitMs);
--- a/src/main/java/yardusher/list/Watch.java
+++ b/src/main/java/yardusher/list/Watch.java
@@ -101,6 +101,7 @@
         Stream(AsynchronousSocketChannel channel) { this.channel = channel; }
 
         void ask() {
+            counters.listAsks++;
             String request = "GET /v1/servers?follow=1&since=" + (moved ? 0 : table.revision()) + " HTTP/1.1\r\nHost: "
                     + address.getHostString() + ":" + address.getPort() + "\r\nAccept: application/json\r\n\r\n";
             write(ByteBuffer.wrap(request.getBytes(StandardCharsets.US_ASCII)));
@@ -164,10 +165,12 @@
                     if (line.isBlank()) { continue; }
                     Api.ServerList news = table.line(line);
                     counters.listChanges++;
+                    counters.listWhole += news.kind() == Api.ListKind.FULL ? 1 : 0;
                     againMs = AGAIN_MS;
                     ingress.tell(news);
                 }
             } catch (IOException e) {
+                counters.listBad++;
                 System.err.println("service table: " + e.getMessage());
                 fail();
                 return;
--- a/src/main/java/yardusher/servers/RegionPool.java
+++ b/src/main/java/yardusher/servers/RegionPool.java
@@ -86,6 +86,7 @@
         Place place = places.get(attempt.region);
         RegionLink link = ++begun % LOOKS == 0 || !keepingLoses() ? settled(place) : null;
         if (link != null) {
+            counters.connectionsReused++;
             link.carry(attempt, cargo);
             return;
         }
@@ -102,6 +103,7 @@
             fresh.carry(attempt, cargo);
         }, () -> {
             connections--;
+            counters.connectionsFailed++;
             end(attempt, Attempt.Result.of(Api.Outcome.CONNECT_FAILED));
         });
         attempt.giveUp = () -> {
