--- a/src/main/java/yardusher/Policy.java
+++ b/src/main/java/yardusher/Policy.java
@@ -376,7 +376,7 @@
     private double escrowShare(Customer c) {
         double asked = c.others(-1)[SLOTS + 1] + c.asked(c.mine);
         boolean calm = c.direct() && now - heardAt < c.windowMs && asked < c.plan.ceilingBurst();
-        return (calm ? 1 + OVERDRAWN * Math.min(1, (now - startedAt) / c.windowMs) : 1.0) / c.spread;
+        return (calm ? 1 + OVERDRAWN * Math.min(1, 2 * (now - startedAt) / c.windowMs) : 1.0) / c.spread;
     }
 
     private double escrowLevel(Customer c, double share) {
