Ceilings keep in small fleets too: excess of a ceiling's plan is guarded against again

At fault: since Policy.beyond() kept no room back where excess costs nothing, refilled() forgot that excess, and escrowShare() called a window calm that only the ceiling holds; together they let a hot customer run into its ceiling.

--- a/src/main/java/yardusher/Policy.java
+++ b/src/main/java/yardusher/Policy.java
@@ -186,8 +186,9 @@
 
         /** The store after so many slots, in the first of which units were taken. */
         double refilled(double level, double units, double slots) {
-            // What went beyond a quota took nothing of it; where sums come late, it is made good even so.
-            double left = Math.max(direct() ? 0 : -plan.burst(), level - units);
+            // What went beyond a quota took nothing of it; made good where a ceiling or late sums need it.
+            double debt = direct() && plan.ceilingRate() <= 0 ? 0 : plan.burst();
+            double left = Math.max(-debt, level - units);
             return Math.min(plan.burst(), left + plan.ratePerS() * slotMs / 1000 * slots);
         }
 
@@ -262,7 +263,8 @@
         Plan plan = c.plan;
         if (plan.openCap() > 0 && c.open() >= plan.openCap()) { return Reason.QUOTA; }
         if (plan.ratePerS() > 0) {
-            double part = (KEPT + random.nextDouble()) * Math.min(1, plan.overCost()); // cheap: more risk
+            double dear = plan.ceilingRate() > 0 ? 1 : Math.min(1, plan.overCost()); // excess
+            double part = (KEPT + random.nextDouble()) * dear;
             if (units > roomFor(c, c.others(-1), part) + 1e-9) { return Reason.QUOTA; }
         }
         return escrowHolds(c, units) ? null : Reason.CEILING;
@@ -362,7 +364,7 @@
     // ---- 3 ceilings: shares held in escrow ------------------------------------------------------
     // Danger: partitioned or restarted gateways each pass the whole quota and break the ceiling. Each owns
     // 1/spread of it and starts with nothing: together they never exceed it, whatever is heard. In a direct
-    // set, while peers are heard and a window asks no more than it holds, a busy one may overdraw; not
+    // set, while peers are heard and less than the quota is asked, a busy one may overdraw; not
     // at once after its start, when it has heard little: a release of all would open every ceiling.
 
     private boolean escrowHolds(Customer c, double units) {
@@ -375,7 +377,7 @@
 
     private double escrowShare(Customer c) {
         double asked = c.others(-1)[SLOTS + 1] + c.asked(c.mine);
-        boolean calm = c.direct() && now - heardAt < c.windowMs && asked < c.plan.ceilingBurst();
+        boolean calm = c.direct() && now - heardAt < c.windowMs && asked < c.plan.burst();
         return (calm ? 1 + OVERDRAWN * Math.min(1, 2 * (now - startedAt) / c.windowMs) : 1.0) / c.spread;
     }
 
