--- a/src/main/java/yardusher/Policy.java
+++ b/src/main/java/yardusher/Policy.java
@@ -55,9 +55,7 @@
         // Danger: what all send is what all take in together; more is lost at the receivers.
         intake = settings.limits().peers() ? INTAKE_USED * settings.peerIntakePerS() / 1000 : 0;
         this.classMs = new double[settings.classes().size()];
-        for (int i = 0; i < classMs.length; i++) {
-            classMs[i] = settings.classes().get(i).aimMs() / 5; // until answers tell
-        }
+        Arrays.setAll(classMs, i -> settings.classes().get(i).aimMs() / 5); // until answers tell
         outCount = new int[classMs.length];
         ghostMs = settings.classes().stream().mapToDouble(RequestClass::deadlineMs).average().orElse(1000);
         this.weight = new double[classMs.length * Math.max(1, settings.plans().size())];
@@ -158,9 +156,7 @@
         boolean has(int g) { return first >= 0 && Math.floorMod(g - first, settings.gateways()) < spread; }
 
         Row row(List<Row> of, int gateway, int ofLife) {
-            for (Row row : of) {
-                if (row.gateway == gateway && row.life == ofLife) { return row; }
-            }
+            for (Row row : of) { if (row.gateway == gateway && row.life == ofLife) { return row; } }
             of.add(new Row(gateway, ofLife));
             return of.get(of.size() - 1);
         }
@@ -289,10 +285,7 @@
     public Standing standing(double nowMs, long id, int planIndex, double units, int first, int gateways) {
         now = Math.max(now, nowMs);
         Customer c = customers.get(id);
-        if (c == null || c.planIndex != planIndex) {
-            c = new Customer(id, planIndex);
-            c.reachedBy(first, gateways);
-        }
+        if (c == null || c.planIndex != planIndex) { c = new Customer(id, planIndex); c.reachedBy(first, gateways); }
         double[] others = c.others(-1);
         double room = Double.POSITIVE_INFINITY, wait = 0, reset = 0;
         if (c.plan.ratePerS() > 0) { // of what is not heard of yet, half is the likeliest
@@ -427,10 +420,7 @@
 
     private void arm(double at) {
         double due = Math.max(now + FLUSH_MS, at);
-        if (due < flushAt) {
-            flushAt = due;
-            out.accept(new SetTimer(due, FLUSH));
-        }
+        if (due < flushAt) { flushAt = due; out.accept(new SetTimer(due, FLUSH)); }
     }
 
     private void enqueue(int peer, Object item) {
@@ -488,10 +478,7 @@
         c.news = false; c.passAt = now + c.passEvery();
         Sums sums = new Sums(c);
         int at = random.nextInt(c.spread);
-        if (c.direct()) { // whoever hears the source needs no relay: one random peer heals a broken path
-            enqueue(c.member(at), sums);
-            return;
-        }
+        if (c.direct()) { enqueue(c.member(at), sums); return; } // all hear the source: heals one broken path
         int part = (c.rank + c.turn++) % NEIGHBOURS;
         for (int k = 0; k < c.spread; k++) {
             int peer = c.member(at + k);
@@ -512,10 +499,7 @@
             if (item instanceof Customer c) { putRow(body, OWN, c, peer); }
             if (item instanceof Sums sums) { putRow(body, SUM, sums.of(), peer); }
             if (item instanceof Fault fault) { putHost(body, fault); }
-            if (body.length() > MESSAGE_BYTES) {
-                body.setLength(before);
-                break;
-            }
+            if (body.length() > MESSAGE_BYTES) { body.setLength(before); break; }
             all.remove();
         }
         out.accept(new Tell(peer, body.toString()));
@@ -568,8 +552,7 @@
         int from = message.from();
         boolean known = from >= 0 && from < settings.gateways() && from != settings.self();
         if (!known || !text.startsWith("m")) { return; }
-        int mark = (int) get(1);
-        int seq = (int) get(2);
+        int mark = (int) get(1), seq = (int) get(2);
         if (mark < 0 || seq < 0) { return; }
         heardRate = heardRate * Math.exp((heardAt - now) / 1000) + 0.001;
         heardAt = now;
@@ -602,8 +585,7 @@
     private boolean receiveRow(int tag, int from, int itsLife, int seq) {
         int planIndex = tag / KINDS;
         long id = get(5);
-        int first = (int) get(numbered);
-        int spread = (int) get(numbered);
+        int first = (int) get(numbered), spread = (int) get(numbered);
         long asked = get(1);
         boolean known = planIndex < settings.plans().size();
         int open = known && settings.plans().get(planIndex).openCap() > 0 ? (int) get(1) : 0;
@@ -720,8 +702,7 @@
         int drawn = 0;
         for (int i = 0; i < ready.size() && drawn < 3 + outstanding; i++) {
             int at = i + random.nextInt(ready.size() - i);
-            Host host = ready.set(at, ready.get(i));
-            ready.set(i, host);
+            Host host = ready.set(at, ready.get(i)); ready.set(i, host);
             boolean out = now < host.outUntil[k] && (host.down || !common);
             boolean tried = host.failures[k] > 0 && host.outUntil[k] > 0 && !common && host.open > 0;
             if (out || tried || host.load() >= host.limit || !mayRunOn(held, host)
@@ -732,9 +713,7 @@
             double warmth = warmth(host);
             if (warmth < 1 && random.nextDouble() >= warmth) { continue; }
             double cost = cost(host) * (0.9 + 0.2 * random.nextDouble());
-            if (best == null || cost < bestCost) {
-                best = host; bestCost = cost;
-            }
+            if (best == null || cost < bestCost) { best = host; bestCost = cost; }
         }
         return best;
     }
@@ -795,10 +774,7 @@
     }
 
     private void sweepHosts() {
-        if (now >= askAt) {
-            askAt = Double.POSITIVE_INFINITY;
-            out.accept(new Subscribe());
-        }
+        if (now >= askAt) { askAt = Double.POSITIVE_INFINITY; out.accept(new Subscribe()); }
         hosts.values().removeIf(host -> host.gone && host.open == 0); // new ones have new numbers
         Arrays.fill(outCount, 0);
         for (Host host : ready) {
@@ -836,9 +812,8 @@
     private void request(Request q) {
         RequestClass of = settings.classes().get(q.classIndex());
         Customer c = customer(q.customer(), q.plan());
-        if (c.first != q.firstGateway() || c.spread != Math.min(q.spread(), settings.gateways())) {
-            c.reachedBy(q.firstGateway(), q.spread());
-        }
+        boolean moved = c.first != q.firstGateway() || c.spread != Math.min(q.spread(), settings.gateways());
+        if (moved) { c.reachedBy(q.firstGateway(), q.spread()); }
         c.usedAt = now;
         Held held = new Held(q, of, c, now);
         Reason why = q.dueMs() > now ? beyond(c, q.units()) : Reason.LATE;
@@ -914,13 +889,8 @@
         report(host, e.load());
         judge(held, host, e);
         if (e.billed() > 0) { held.customer.count(e.billed() - held.request.units()); }
-        if (e.finished() || held.gone) {
-            requests.remove(e.id());
-            return;
-        }
-        if (!e.outcome().neverRan() && held.ranOn == null) {
-            held.ranOn = host; held.ranAt = held.sentAt;
-        }
+        if (e.finished() || held.gone) { requests.remove(e.id()); return; }
+        if (!e.outcome().neverRan() && held.ranOn == null) { held.ranOn = host; held.ranAt = held.sentAt; }
         retryOrEnd(held, e.outcome());
     }
 
@@ -937,10 +907,7 @@
                 fleetAt = now;
                 sample(host, e.tookMs() / classMs[k], held);
             }
-            case SERVER_ERROR -> {
-                host.quietSince = now;
-                failed(host, k, false);
-            }
+            case SERVER_ERROR -> { host.quietSince = now; failed(host, k, false); }
             case REJECTED -> host.fullUntil = now + 2 * typicalMs;
             case CONNECT_FAILED -> failed(host, k, true);
             // Danger: servers that cut single connections, all of them held to be down. One that is down
@@ -981,20 +948,13 @@
         if (outcome != Outcome.NOT_SENT && held.attempts < settings.limits().maxAttempts()
                 && now + classMs[q.classIndex()] / 2 < until && (cheap || retryTokens >= 1)) {
             Host host = choose(held);
-            if (host != null) {
-                retryTokens -= cheap ? 0 : 1;
-                send(held, host);
-                return;
-            }
+            if (host != null) { retryTokens -= cheap ? 0 : 1; send(held, host); return; }
         }
         requests.remove(q.id());
         boolean harmless = held.ranOn == null || held.of.effect() == Effect.IDEMPOTENT
                 || held.of.effect() == Effect.DEDUPLICATED && held.of.group() == Group.ALL;
-        if (harmless && now < q.dueMs()) {
-            out.accept(new Refuse(q.id(), advice(held.customer, q), Reason.ATTEMPTS));
-        } else {
-            out.accept(new Fail(q.id()));
-        }
+        boolean refused = harmless && now < q.dueMs();
+        out.accept(refused ? new Refuse(q.id(), advice(held.customer, q), Reason.ATTEMPTS) : new Fail(q.id()));
     }
 
     private void clientGone(long id) {
@@ -1047,9 +1007,8 @@
         double left = shedPart * Arrays.stream(weight).sum();
         shedBelow = Double.POSITIVE_INFINITY;
         for (int i : order) {
-            if (left < weight[i] && shedBelow == Double.POSITIVE_INFINITY) {
-                shedBelow = worth(i); shedAt = left / weight[i];
-            }
+            boolean last = left < weight[i] && shedBelow == Double.POSITIVE_INFINITY;
+            if (last) { shedBelow = worth(i); shedAt = left / weight[i]; }
             left -= weight[i]; weight[i] *= 0.9;
         }
     }
