--- a/src/main/java/yardusher/Policy.java
+++ b/src/main/java/yardusher/Policy.java
@@ -285,7 +285,8 @@
     public Standing standing(double nowMs, long id, int planIndex, double units, int first, int gateways) {
         now = Math.max(now, nowMs);
         Customer c = customers.get(id);
-        if (c == null || c.planIndex != planIndex) { c = new Customer(id, planIndex); c.reachedBy(first, gateways); }
+        boolean unseen = c == null || c.planIndex != planIndex;
+        if (unseen) { c = new Customer(id, planIndex); c.reachedBy(first, gateways); }
         double[] others = c.others(-1);
         double room = Double.POSITIVE_INFINITY, wait = 0, reset = 0;
         if (c.plan.ratePerS() > 0) { // of what is not heard of yet, half is the likeliest
@@ -954,7 +955,8 @@
         boolean harmless = held.ranOn == null || held.of.effect() == Effect.IDEMPOTENT
                 || held.of.effect() == Effect.DEDUPLICATED && held.of.group() == Group.ALL;
         boolean refused = harmless && now < q.dueMs();
-        out.accept(refused ? new Refuse(q.id(), advice(held.customer, q), Reason.ATTEMPTS) : new Fail(q.id()));
+        out.accept(!refused ? new Fail(q.id())
+                : new Refuse(q.id(), advice(held.customer, q), Reason.ATTEMPTS));
     }
 
     private void clientGone(long id) {
