Second address: health, figures, backends out by hand, clients sent away

Design: a package admin, one line to a connection over Sockets, decoded free of I/O to a typed call; 16 connections of its own, the longest silent gives way. Not taken: the calls as RESP commands on the clients' front, which shares its room and its pauses with clients. Figures are read from the state they describe (open transactions, service table, module), and final answers are booked by class where they are given, not in a second tally. A ban is an event of the module; the pool ends what is still being dialled and never ran; called back, a region is as cold and unknown as a new one. Sent away: 0.5 s after the call connections close right behind an answer, idle ones at once; nothing is left at 3.5 s. The clients' listener is shared (SO_REUSEPORT) from the first start.

--- a/src/main/java/yardusher/Api.java
+++ b/src/main/java/yardusher/Api.java
@@ -89,7 +89,7 @@
 
     /** What a gateway is told. */
     public sealed interface Event permits ServerList, Request, FirstByte, AttemptDone, ClientGone,
-            TimerFired, PeerMessage { }
+            TimerFired, PeerMessage, Ban { }
 
     /** News of the servers. */
     public record ServerList(ListKind kind, List<Server> servers) implements Event { }
@@ -117,6 +117,12 @@
     /** Another gateway's message. */
     public record PeerMessage(int from, String body) implements Event { }
 
+    /**
+     * A server is kept out by hand, whatever the list says, or used again: as a cold one, of which nothing is known
+     * any more. Repeats change nothing.
+     */
+    public record Ban(long server, boolean out) implements Event { }
+
     /**
      * How a customer stands with its quota: the limit and what is left of it, in units; when the units asked
      * about would fit, 0 for now; and when the whole limit is free again. Times are in milliseconds from now.
--- a/src/main/java/yardusher/Policy.java
+++ b/src/main/java/yardusher/Policy.java
@@ -76,6 +76,7 @@
         if (event instanceof AttemptDone e) { attemptDone(e); }
         if (event instanceof PeerMessage e) { receive(e); }
         if (event instanceof ServerList e) { serverList(e); }
+        if (event instanceof Ban e) { ban(e.server(), e.out()); }
         if (event instanceof ClientGone e) { clientGone(e.id()); }
         if (event instanceof TimerFired e && e.token() == SWEEP) { sweep(); }
         if (event instanceof TimerFired e && e.token() == FLUSH) { flush(); }
@@ -623,6 +624,7 @@
     private final Map<Long, Host> hosts = new LinkedHashMap<>();
     private List<Host> ready = new ArrayList<>();
     private final int[] outCount;                    // servers out, by class
+    private final Map<Long, Double> bans = new HashMap<>(); // by hand, and since when; outlive the list
     private int outstanding;
     private double askAt = Double.POSITIVE_INFINITY; // when to ask for the list again
 
@@ -631,6 +633,7 @@
         int zone, cell, open;
         double size = 1, startedAt, blamedAt = now;
         boolean ready, gone, down;                   // down: failed to connect or lost connections
+        boolean banned;                              // by hand
         final int[] failures = new int[classMs.length];
         final double[] failing = new double[classMs.length]; // part of its answers that fail, lately
         final double[] outUntil = new double[classMs.length], blame = new double[classMs.length];
@@ -642,15 +645,37 @@
         double queue, busy = 0.5, reportedAt = Double.NEGATIVE_INFINITY;
 
         Host(long id) {
-            this.id = id;
+            this.id = id; banned = bans.containsKey(id);
             Arrays.fill(failing, 0.5);               // not known yet
         }
 
+        /** Danger: a ban outlived by what was learned before it, and a cold server taken for a warm one. */
+        void readmit(double bannedAt) {
+            banned = down = false; ghosts = fullUntil = part = 0; ratio = 1;
+            limit = 1 + FIRST / settings.gateways(); quietSince = now;
+            coldSince = startedAt > bannedAt ? startedAt : now; // restarted, the list says when or not yet
+            Arrays.fill(failures, 0); Arrays.fill(failing, 0.5);
+            Arrays.fill(outUntil, 0); Arrays.fill(blame, 0);
+        }
+
         double load() { return open + ghosts; }
 
         boolean outs(int k) { return !down && now < outUntil[k]; }
     }
 
+    private void ban(long id, boolean out) {
+        Host host = hosts.get(id);
+        Double since = out ? bans.putIfAbsent(id, now) : bans.remove(id);
+        if (host == null) { return; }
+        if (out) { host.banned = true; } else if (since != null) { host.readmit(since); }
+    }
+
+    /** How many servers of the list get no attempts now, by hand or since they fail in every class. */
+    public int avoided(double nowMs) {
+        return (int) hosts.values().stream().filter(host -> !host.gone && (host.banned
+                || Arrays.stream(host.outUntil).allMatch(until -> nowMs < until))).count();
+    }
+
     private void serverList(ServerList list) {
         if (list.kind() == ListKind.FAILED && settings.askMembership()) { askAt = now + 1000; }
         if (list.kind() == ListKind.FULL || list.kind() == ListKind.CACHED) {
@@ -706,7 +731,7 @@
             Host host = ready.set(at, ready.get(i)); ready.set(i, host);
             boolean out = now < host.outUntil[k] && (host.down || !common);
             boolean tried = host.failures[k] > 0 && host.outUntil[k] > 0 && !common && host.open > 0;
-            if (out || tried || host.load() >= host.limit || !mayRunOn(held, host)
+            if (host.banned || out || tried || host.load() >= host.limit || !mayRunOn(held, host)
                     || held.last == host && ready.size() > 1) {
                 continue;
             }
@@ -996,7 +1021,8 @@
     private void sweepPressure() {
         double load = 0, room = 0;
         for (Host host : ready) {
-            load += host.down ? 0 : host.load(); room += host.down ? 0 : host.limit * warmth(host);
+            if (host.down || host.banned) { continue; }
+            load += host.load(); room += host.limit * warmth(host);
         }
         double pressure = room > 0 ? load / room : 0;
         // A gateway of hundreds never fills its part of the limits: it goes by the answers of all servers.
--- /dev/null
+++ b/src/main/java/yardusher/admin/AdminCall.java
@@ -0,0 +1,47 @@
+package yardusher.admin;
+
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.stream.Collectors;
+
+/** One call at the second address, decoded once: a word, and where the word needs one, a region's id. */
+public record AdminCall(Verb verb, String id) {
+    /** What can be asked for. */
+    public enum Verb {
+        HEALTH, COUNTERS, CORDON, UNCORDON, QUIESCE, RESUME;
+
+        /** Whether a region's id follows. */
+        public boolean namesRegion() { return this == CORDON || this == UNCORDON; }
+
+        /** The word as it is written on the line. */
+        public String word() { return name().toLowerCase(Locale.ROOT); }
+    }
+
+    /** Bytes of a line without its end; ids of regions are far shorter. */
+    public static final int MOST_LINE = 256;
+
+    /** Reads a line without its end; an {@link IllegalArgumentException} says in a few words what is wrong with it. */
+    public static AdminCall of(byte[] line) {
+        for (byte b : line) {
+            // Guards log lines and terminals against bytes that are no text.
+            if (b < ' ' || b > '~') { throw new IllegalArgumentException("not a line of text"); }
+        }
+        String text = new String(line, java.nio.charset.StandardCharsets.US_ASCII);
+        String[] words = text.split(" ", -1);
+        Verb verb = Arrays.stream(Verb.values()).filter(one -> one.word().equals(words[0])).findFirst()
+                .orElseThrow(() -> new IllegalArgumentException("unknown call; there are " + words()));
+        if (verb.namesRegion() && (words.length != 2 || words[1].isEmpty())) {
+            throw new IllegalArgumentException(verb.word() + " needs one backend id");
+        }
+        if (!verb.namesRegion() && words.length != 1) { throw new IllegalArgumentException(verb.word() + " stands alone"); }
+        return new AdminCall(verb, verb.namesRegion() ? words[1] : null);
+    }
+
+    /** The line that asks for this, without its end. */
+    public String line() { return id == null ? verb.word() : verb.word() + " " + id; }
+
+    /** All words, for messages. */
+    public static String words() {
+        return Arrays.stream(Verb.values()).map(one -> one.word() + (one.namesRegion() ? " ID" : "")).collect(Collectors.joining(", "));
+    }
+}
--- /dev/null
+++ b/src/main/java/yardusher/admin/AdminFront.java
@@ -0,0 +1,104 @@
+package yardusher.admin;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.AsynchronousSocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import yardusher.core.Deadlines;
+import yardusher.core.Turns;
+import yardusher.net.Link;
+import yardusher.net.Sockets;
+
+/**
+ * The second address: one line to a connection, answered by a line that begins with 200 or 400, and then the end. It
+ * has a small number of connections of its own, so that clients, however many, never take its room.
+ */
+public final class AdminFront {
+    /** Connections held at the most, also those that get their last bytes. */
+    public static final int MOST_CALLERS = 16;
+    private static final double CALL_MS = 2000;      // to the end of the line: twice what a caller waits for its answer
+
+    private final Operator operator;
+    private final Turns turns;
+    private final Sockets.Door door;
+    /** Callers without an answer, and those that get theirs; the longest so first. */
+    private final Set<Caller> asking = new LinkedHashSet<>();
+    private final Set<Caller> answered = new LinkedHashSet<>();
+
+    public AdminFront(Sockets sockets, InetSocketAddress at, Operator operator) throws IOException {
+        this.operator = operator;
+        turns = sockets.turns();
+        door = sockets.listen(at, Caller::new, nothing -> true);
+    }
+
+    public InetSocketAddress address() throws IOException { return door.address(); }
+
+    public void open() { door.open(); }
+
+    /** Nobody is heard any more. */
+    public void close() {
+        door.close();
+        for (Caller caller : Set.copyOf(asking)) { caller.end(); }
+        for (Caller caller : Set.copyOf(answered)) { caller.end(); }
+    }
+
+    /** Answers a call; the text ends in a line end. */
+    private String answer(AdminCall call) {
+        switch (call.verb()) {
+            case HEALTH -> { return operator.takesClients() ? "200 yes\n" : "400 no clients are taken\n"; }
+            case COUNTERS -> { return operator.figures() + "EOF\n"; }
+            case CORDON, UNCORDON -> operator.ban(call.id(), call.verb() == AdminCall.Verb.CORDON);
+            default -> operator.drain(call.verb() == AdminCall.Verb.QUIESCE);
+        }
+        return "200 done\n";
+    }
+
+    private final class Caller implements Link.Owner {
+        private final LineBuffer line = new LineBuffer();
+        private final Link link;
+        private final Deadlines.Entry lineBy;
+
+        Caller(AsynchronousSocketChannel channel) {
+            // Guards callers who ask against those who connect and say nothing: the longest so gives way.
+            if (asking.size() + answered.size() >= MOST_CALLERS) {
+                (answered.isEmpty() ? asking : answered).iterator().next().end();
+            }
+            link = new Link(channel, turns, this, line);
+            lineBy = turns.deadlines().at(turns.now() + CALL_MS, this::end);
+            asking.add(this);
+            link.readMore();
+        }
+
+        @Override
+        public boolean readable(Link from) {
+            String told;
+            try {
+                byte[] whole = line.line();
+                if (whole == null) { return true; }
+                told = answer(AdminCall.of(whole));
+            } catch (IllegalArgumentException e) {
+                told = "400 " + e.getMessage() + "\n";
+            }
+            turns.deadlines().cancel(lineBy);
+            asking.remove(this);
+            answered.add(this);
+            link.write(told.getBytes(StandardCharsets.US_ASCII));
+            link.finish(() -> answered.remove(this));
+            return false;
+        }
+
+        private void end() {
+            ended(link);
+            link.close();
+        }
+
+        @Override
+        public void ended(Link from) {
+            turns.deadlines().cancel(lineBy);
+            asking.remove(this);
+            answered.remove(this);
+        }
+    }
+}
--- a/src/main/java/yardusher/cli/Config.java
+++ b/src/main/java/yardusher/cli/Config.java
@@ -12,8 +12,8 @@
 import yardusher.net.Sockets;
 import yardusher.wire.Codec;
 
-/** What an ingress is told at its start: the JSON file that RELAY_CONFIG names. */
-public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+/** What an ingress is told at its start: the JSON file that RELAY_CONFIG names. {@code admin} may be null. */
+public record Config(String name, InetSocketAddress listen, InetSocketAddress admin, InetSocketAddress discovery, long seed, int sockets,
         InetSocketAddress peerListen, List<InetSocketAddress> peers, Codec.Fields known, Api.Settings settings,
         List<String> classes, List<String> plans, List<String> zones, double idleMs, double dialMs) {
     /** A configuration that cannot be used; the message is one plain line. */
@@ -49,6 +49,7 @@
         List<String> zones = new ArrayList<>();
         for (Object zone : settings.list("zones")) { zones.add(String.valueOf(zone)); }
         return new Config(json.text("name"), Sockets.address(json.text("listen")),
+                json.has("admin_addr") ? Sockets.address(json.text("admin_addr")) : null,
                 Sockets.address(json.text("discovery")), seed(json.text("seed")),
                 json.has("limits") ? (int) json.object("limits").number("sockets", 1024) : 1024,
                 json.has("peer_listen") ? Sockets.address(json.text("peer_listen")) : null, peers,
@@ -58,7 +59,7 @@
 
     /** Whether all that holds from the start to the end is the same in another reading of the file. */
     boolean sameBut(Config next) {
-        return name.equals(next.name) && listen.equals(next.listen) && sockets == next.sockets
+        return name.equals(next.name) && listen.equals(next.listen) && java.util.Objects.equals(admin, next.admin) && sockets == next.sockets
                 && java.util.Objects.equals(peerListen, next.peerListen) && peers.equals(next.peers)
                 && settings.equals(next.settings) && classes.equals(next.classes) && plans.equals(next.plans)
                 && zones.equals(next.zones) && idleMs == next.idleMs && dialMs == next.dialMs;
--- a/src/main/java/yardusher/cli/Serve.java
+++ b/src/main/java/yardusher/cli/Serve.java
@@ -1,6 +1,7 @@
 package yardusher.cli;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Instant;
@@ -9,6 +10,9 @@
 import java.util.function.DoubleSupplier;
 import sun.misc.Signal;
 import yardusher.Api;
+import yardusher.admin.AdminFront;
+import yardusher.admin.Figures;
+import yardusher.admin.Operator;
 import yardusher.clients.PlatformFront;
 import yardusher.core.Counters;
 import yardusher.core.Ingress;
@@ -41,18 +45,27 @@
     private final PlatformFront front;
     private final LimitsFront limitsFront;
     private final Watch watch;
+    private final ServiceTable table;
+    private final AdminFront admin;                  // null where no second address is named
     private final KeyedIntake keys;                  // null where it is off
     private final Journal journal;                   // null where it is off
     private final PeerSocket peers;
     private final CountDownLatch drained = new CountDownLatch(1);
     private final double longestMs;
     private Config config;                           // as it was last read
+    private boolean serving;                         // clients are taken
 
     /** Takes the limits front's file, or null where it is off. */
     public Serve(Config config, LimitsConfig limits) throws IOException { this(config, limits, Settings.OFF, clock()); }
 
     /** The clock gives milliseconds of Unix time and never goes back. */
     public Serve(Config config, LimitsConfig limits, Settings own, DoubleSupplier clock) throws IOException {
+        this(config, config.admin(), limits, own, clock);
+    }
+
+    /** With a second address other than the configuration's, or null for none. */
+    private Serve(Config config, InetSocketAddress adminAt, LimitsConfig limits, Settings own, DoubleSupplier clock)
+            throws IOException {
         this.config = config;
         turns = new Turns(clock, this::fault);
         sockets = new Sockets(turns);
@@ -68,7 +81,7 @@
         }
         Neighbours neighbours = peers == null ? (to, body) -> { } : peers;
         longestMs = settings.classes().stream().mapToDouble(Api.RequestClass::deadlineMs).max().orElse(1000);
-        Object[] made = new Object[5];
+        Object[] made = new Object[7];
         Exception[] problem = new Exception[1];
         turns.turn(() -> {
             try {
@@ -77,6 +90,7 @@
                 ServiceTable table = new ServiceTable(config.zones(), pool);
                 core.tell(table.take(config.known(), Api.ListKind.CACHED));
                 made[0] = core;
+                made[5] = table;
                 made[1] = new Watch(sockets, config.discovery(), table, core);
                 if (own.keys() != null) { made[4] = keyed(own, core); }
                 made[2] = new PlatformFront(sockets, config.listen(), core, made[4] == null ? core : (KeyedIntake) made[4],
@@ -84,6 +98,7 @@
                         budget * 3 / 5 - (limits == null ? 0 : LimitsFront.MOST_TERMINALS));
                 made[3] = limits == null ? null
                         : new LimitsFront(sockets, core, limits, config.classes(), config.plans());
+                made[6] = adminAt == null ? null : new AdminFront(sockets, adminAt, new Calls());
             } catch (IOException | RuntimeException e) {
                 problem[0] = e;
             }
@@ -95,6 +110,8 @@
         front = (PlatformFront) made[2];
         limitsFront = (LimitsFront) made[3];
         keys = (KeyedIntake) made[4];
+        table = (ServiceTable) made[5];
+        admin = (AdminFront) made[6];
         if (keys != null) {
             front.answerKeys(keys::told, keys::line);
             java.util.function.Supplier<String> before = counters.more;
@@ -102,8 +119,36 @@
         }
     }
 
+    /** What the calls at the second address do. */
+    private final class Calls implements Operator {
+        @Override
+        public boolean takesClients() { return serving && !front.answers().isAway(); }
+
+        @Override
+        public String figures() {
+            return Figures.lines(counters, config.classes(), ingress.openCount(), table.size(), ingress.avoided());
+        }
+
+        @Override
+        public void ban(String region, boolean out) {
+            if (!table.everListed(region)) { throw new IllegalArgumentException("no backend " + region + " was ever listed"); }
+            long id = ServiceTable.id(region);
+            ingress.tell(new Api.Ban(id, out));      // the module first: it places anew what the pool gives up
+            pool.ban(id, out);
+        }
+
+        @Override
+        public void drain(boolean away) {
+            front.answers().away(away);
+            if (limitsFront != null) { limitsFront.answers().away(away); }
+        }
+    }
+
     public Ingress ingress() { return ingress; }
 
+    /** Null where no second address is named. */
+    public AdminFront admin() { return admin; }
+
     public Turns turns() { return turns; }
 
     public PlatformFront front() { return front; }
@@ -129,7 +174,9 @@
         turns.turn(() -> {
             watch.start();
             if (limitsFront != null) { limitsFront.answers().open(); }
+            if (admin != null) { admin.open(); }
             front.answers().open();                  // last: a PING is answered once all else is ready
+            serving = true;
         });
     }
 
@@ -165,6 +212,7 @@
     }
 
     private void closeFronts() {
+        serving = false;
         front.answers().close();
         if (limitsFront != null) { limitsFront.answers().close(); }
     }
@@ -187,6 +235,7 @@
     public void close() {
         turns.turn(() -> {
             watch.stop();
+            if (admin != null) { admin.close(); }
             closeFronts();
         });
         if (peers != null) { peers.close(); }
@@ -219,6 +268,14 @@
         if (journal != null) { journal.close(JOURNAL_END_MS); }
     }
 
+    private static InetSocketAddress address(String fromEnvironment) throws Config.Bad {
+        try {
+            return yardusher.net.Sockets.address(fromEnvironment);
+        } catch (IllegalArgumentException e) {
+            throw new Config.Bad("RELAY_ADMIN_ADDR: " + e.getMessage() + "; digits and a port are allowed, as 127.0.0.4:19000");
+        }
+    }
+
     /** Whether the limits file opens the front at all. A plain look, so that the platform's start loads no parser. */
     private static boolean listens(Path limitsFile) throws IOException {
         return limitsFile != null && Files.exists(limitsFile)
@@ -228,7 +285,8 @@
     /** The sub-command: serves until SIGTERM, then drains and exits 0. */
     static int run(String file, Path limitsFile, Path settingsFile) throws IOException, Config.Bad {
         Config config = Config.read(file);
-        Serve serve = new Serve(config, listens(limitsFile) ? LimitsConfig.read(limitsFile) : null, Settings.read(settingsFile),
+        String adminAt = System.getenv("RELAY_ADMIN_ADDR"); // goes before the file's: it is this very process's
+        Serve serve = new Serve(config, adminAt == null || adminAt.isEmpty() ? config.admin() : address(adminAt), listens(limitsFile) ? LimitsConfig.read(limitsFile) : null, Settings.read(settingsFile),
                 clock());
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             try {
--- a/src/main/java/yardusher/clients/PlatformFront.java
+++ b/src/main/java/yardusher/clients/PlatformFront.java
@@ -23,6 +23,7 @@
 
 /** The front for the platform's protocol: CALL.GET, CALL.POST and PING. */
 public final class PlatformFront implements Answers.Commands {
+    private static final byte[] AWAY = new Encoder(32).failure("ERR clients are sent away").toBytes();
     private static final byte[] BUSY = new Encoder(16).failure("BUSY").toBytes();
 
     private final Ingress ingress;
@@ -41,7 +42,7 @@
         this.intake = intake;
         for (String name : classNames) { classes.put(name, classes.size()); }
         for (String name : planNames) { plans.put(name, plans.size()); }
-        answers = new Answers(sockets, at, mostTerminals, this);
+        answers = new Answers(sockets, at, true, mostTerminals, this);
     }
 
     public Answers answers() { return answers; }
@@ -52,6 +53,8 @@
             call(words, slot);
         } else if (keyLine != null && keys(words, slot)) {
             return;                                  // answered
+        } else if (answers.isAway() && Answers.isPing(words)) {
+            slot.answer(AWAY);
         } else {
             Answers.common(words, ingress::countersLine, slot);
         }
--- a/src/main/java/yardusher/core/Attempt.java
+++ b/src/main/java/yardusher/core/Attempt.java
@@ -19,6 +19,8 @@
     public Runnable giveUp = () -> { };
     /** Set by the region's connection once the last byte is written: from there on it may have run. */
     public boolean written;
+    /** Whether it stands in the count of those written whole. */
+    boolean forwarded;
 
     Attempt(Transaction transaction, int number, long region, double sentAt, long waitMs) {
         this.transaction = transaction;
--- a/src/main/java/yardusher/core/Counters.java
+++ b/src/main/java/yardusher/core/Counters.java
@@ -6,9 +6,12 @@
 public final class Counters {
     public long takenIn;
     public long invalid;
-    public long served;
-    public long refused;
-    public long failed;
+    /** Final answers, by class; a transaction whose terminal has left stands under clientsGone alone. */
+    public long[] served = new long[0];
+    public long[] refused = new long[0];
+    public long[] failed = new long[0];
+    /** Attempts that the sockets have taken whole. */
+    public long forwards;
     public long clientsGone;
     public long attempts;
     public long lookups;
@@ -32,13 +35,22 @@
     public final long[] reasons = new long[Api.Reason.values().length];
     public final long[] outcomes = new long[Api.Outcome.values().length];
 
+    /** Makes room for the counts of so many classes. */
+    public void classes(int count) {
+        served = new long[count];
+        refused = new long[count];
+        failed = new long[count];
+    }
+
+    private static long sum(long[] counts) { return java.util.Arrays.stream(counts).sum(); }
+
     /** One line of names and values. */
     public String line(int open) {
         StringBuilder text = new StringBuilder(256);
-        text.append("taken_in=").append(takenIn).append(" served=").append(served).append(" refused=").append(refused)
-                .append(" failed=").append(failed).append(" gone=").append(clientsGone).append(" open=").append(open)
+        text.append("taken_in=").append(takenIn).append(" served=").append(sum(served)).append(" refused=").append(sum(refused))
+                .append(" failed=").append(sum(failed)).append(" gone=").append(clientsGone).append(" open=").append(open)
                 .append(" invalid=").append(invalid).append(" limit_queries=").append(lookups)
-                .append(" attempts=").append(attempts)
+                .append(" attempts=").append(attempts).append(" forwards=").append(forwards)
                 .append(" attempts_further=").append(further);
         for (Api.Outcome outcome : Api.Outcome.values()) {
             text.append(" attempts_").append(outcome.name().toLowerCase(java.util.Locale.ROOT)).append('=')
--- a/src/main/java/yardusher/core/Ingress.java
+++ b/src/main/java/yardusher/core/Ingress.java
@@ -37,6 +37,7 @@
         this.turns = turns;
         this.neighbours = neighbours;
         this.counters = counters;
+        counters.classes(settings.classes().size());
         module = new Policy(settings, seed, turns.now(), actions::add);
         takeIn = new TakeIn(turns, open, counters, this::gone);
         admit = new Admit(turns, module);
@@ -55,6 +56,9 @@
 
     public int openCount() { return open.size(); }
 
+    /** How many listed regions get no attempts now, kept out by hand or by choice. */
+    public int avoided() { return module.avoided(turns.now()); }
+
     /** A front brings a transaction. Its terminal gets exactly one final answer. */
     @Override
     public Transaction take(Order order) {
@@ -98,6 +102,9 @@
     /** An attempt ended, as the regions' side saw it. */
     public void ended(Attempt attempt, Attempt.Result result) {
         if (attempt.over) { return; }
+        // An answer proves that it was written whole, also where it is read before the write's own end is told.
+        boolean answered = result.outcome() == Api.Outcome.SERVED || result.outcome() == Api.Outcome.SERVER_ERROR;
+        if (answered && attempt.written || result.outcome() == Api.Outcome.REJECTED) { forwarded(attempt); }
         book.attempt(attempt, result);
         Transaction t = attempt.transaction;
         if (result.outcome() == Api.Outcome.SERVED) { relay.served(t, result.value()); }
@@ -110,9 +117,15 @@
 
     /** The socket has taken an attempt's last byte. */
     public void written(Attempt attempt) {
+        forwarded(attempt);
         if (attempt.transaction.recorded && !attempt.over) { log.written(attempt); }
     }
 
+    private void forwarded(Attempt attempt) {
+        counters.forwards += attempt.forwarded ? 0 : 1;
+        attempt.forwarded = true;
+    }
+
     /** An intent could not be recorded: what is not recorded is not sent, and is given up at once. */
     private void unrecorded(Transaction t) {
         if (t.mayHaveRun) {
--- a/src/main/java/yardusher/core/Relay.java
+++ b/src/main/java/yardusher/core/Relay.java
@@ -12,21 +12,21 @@
 
     void served(Transaction t, byte[] value) {
         if (first(t, OrderLog.Answer.SERVED)) {
-            counters.served++;
+            counters.served[t.order.classIndex()]++;
             t.order.terminal().served(value);
         }
     }
 
     void shortOnCapacity(Transaction t, double retryAfterMs) {
         if (first(t, OrderLog.Answer.SHORT_ON_CAPACITY)) {
-            counters.refused++;
+            counters.refused[t.order.classIndex()]++;
             t.order.terminal().shortOnCapacity((long) Math.ceil(retryAfterMs), t.mayHaveRun);
         }
     }
 
     void failed(Transaction t, String why) {
         if (first(t, OrderLog.Answer.FAILED)) {
-            counters.failed++;
+            counters.failed[t.order.classIndex()]++;
             t.order.terminal().failed(why, t.mayHaveRun());
         }
     }
--- a/src/main/java/yardusher/limits/LimitsFront.java
+++ b/src/main/java/yardusher/limits/LimitsFront.java
@@ -46,7 +46,7 @@
         check(config, classNames, planNames, ingress.settings().gateways());
         this.queries = config.queriesPerS();
         this.queriesAt = sockets.turns().now();
-        this.answers = new Answers(sockets, config.listen(), MOST_TERMINALS, this);
+        this.answers = new Answers(sockets, config.listen(), true, MOST_TERMINALS, this);
     }
 
     /** Whether the file fits the settings: classes, plans and sets that exist. */
@@ -72,7 +72,11 @@
     @Override
     public void command(byte[][] words, Answers.Slot slot) {
         if (!new String(words[0], StandardCharsets.ISO_8859_1).toUpperCase(Locale.ROOT).equals("CL.THROTTLE")) {
-            Answers.common(words, ingress::countersLine, slot);
+            if (answers.isAway() && Answers.isPing(words)) {
+                slot.answer(new Encoder(32).failure("ERR clients are sent away").toBytes());
+            } else {
+                Answers.common(words, ingress::countersLine, slot);
+            }
             return;
         }
         try {
--- a/src/main/java/yardusher/list/ServiceTable.java
+++ b/src/main/java/yardusher/list/ServiceTable.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -18,10 +19,13 @@
 /** The service table: discovery's list as it was last told, and what each word of it means to the module. */
 public final class ServiceTable {
     private static final JsonFactory JSON = new JsonFactory();
+    private static final int MOST_TOLD = 4096;       // ids remembered, also of regions that have gone
 
     private final List<String> zones;
     private final RegionPool pool;
     private final Map<Long, InetSocketAddress> known = new LinkedHashMap<>();
+    /** Ids as they were told, for as long as there are no more than MOST_TOLD newer ones. */
+    private final Set<String> told = new LinkedHashSet<>();
     private long revision;
 
     public ServiceTable(List<String> zones, RegionPool pool) {
@@ -31,6 +35,12 @@
 
     public long revision() { return revision; }
 
+    /** How many regions are listed now. */
+    public int size() { return known.size(); }
+
+    /** Whether a region of this id is listed or was once, among the last 4,096 told. */
+    public boolean everListed(String id) { return told.contains(id); }
+
     /** Reads one JSON object of a watch. */
     public Api.ServerList line(String text) throws IOException {
         try (JsonParser parser = JSON.createParser(text)) {
@@ -58,6 +68,11 @@
                     member.number("size", 1), member.number("up_since_ms", 0), readiness));
             addresses.add(readiness == Api.Readiness.GONE ? null : Sockets.address(member.text("host_port")));
         }
+        for (Codec.Fields member : news.objects("members")) {
+            told.remove(member.text("id"));          // the newest stand last
+            told.add(member.text("id"));
+            if (told.size() > MOST_TOLD) { told.remove(told.iterator().next()); }
+        }
         replaced(servers, addresses);
         Set<Long> absent = complete ? new HashSet<>(known.keySet()) : new HashSet<>();
         for (int i = 0; i < servers.size(); i++) {
--- a/src/main/java/yardusher/net/Answers.java
+++ b/src/main/java/yardusher/net/Answers.java
@@ -43,6 +43,8 @@
     private static final double SHORT_IDLE_MS = 100; // where many are idle, the longest so is closed after this
     private static final double AGAIN_MS = 10;
     private static final double UPKEEP_MS = 100;
+    private static final double AWAY_AFTER_MS = 500; // a front that hears no still sends new connections 0.3 s
+    private static final double AWAY_BY_MS = 3500;   // nothing is open or idle 4 s after the call
 
     private final Commands commands;
     private final int mostTerminals;
@@ -58,14 +60,21 @@
     private final int mostIdle;
     private boolean looksAgain;
     private boolean closing;
+    private double awayAt = Double.POSITIVE_INFINITY; // since when terminals are sent away
 
     public Answers(Sockets sockets, InetSocketAddress at, int mostTerminals, Commands commands) throws IOException {
+        this(sockets, at, false, mostTerminals, commands);
+    }
+
+    /** With {@code shared} the next version of this program can listen there too. */
+    public Answers(Sockets sockets, InetSocketAddress at, boolean shared, int mostTerminals, Commands commands)
+            throws IOException {
         this.commands = commands;
         this.mostLeaving = Math.max(2, mostTerminals / 5);
         this.mostTerminals = Math.max(1, mostTerminals - mostLeaving);
         this.mostIdle = Math.max(1, this.mostTerminals / 4);
         this.turns = sockets.turns();
-        door = sockets.listen(at, channel -> new TerminalLink(channel, sockets), nothing -> room());
+        door = sockets.listen(at, shared, channel -> new TerminalLink(channel, sockets), nothing -> room());
         turns.deadlines().at(turns.now() + UPKEEP_MS, this::upkeep);
     }
 
@@ -80,7 +89,7 @@
      * used: the one that said nothing for longest gives way, instead of a shut door for all.
      */
     private boolean room() {
-        if (terminals.size() < mostTerminals) { return true; }
+        if (terminals.size() < mostTerminals && terminals.size() + leaving.size() < mostTerminals + mostLeaving) { return true; }
         TerminalLink longest = first(silent, SILENT_WAY_MS);
         if (longest == null) { longest = first(idle, IDLE_WAY_MS); }
         if (longest == null) {
@@ -109,9 +118,33 @@
         boolean crowded = terminals.size() > mostTerminals / 2;
         reap(silent, now - SILENT_MS, now - SILENT_MS);
         reap(idle, now - (crowded ? IDLE_MS : CALM_IDLE_MS), now - SILENT_MS);
+        if (isAway() && !closing) { sendAway(now); }
         if (!closing) { door.open(); }
     }
 
+    /** Whether terminals are being sent away. */
+    public boolean isAway() { return awayAt < Double.POSITIVE_INFINITY; }
+
+    /**
+     * Sends the terminals away, while the door stays open for those that come all the same, or takes them again. A
+     * connection closes right behind an answer, when its terminal is least likely to have sent the next command.
+     */
+    public void away(boolean away) {
+        if (away != isAway()) { awayAt = away ? turns.now() : Double.POSITIVE_INFINITY; }
+    }
+
+    private boolean isLeaving() { return closing || turns.now() >= awayAt + AWAY_AFTER_MS; }
+
+    private void sendAway(double now) {
+        if (!isLeaving()) { return; }
+        boolean last = now >= awayAt + AWAY_BY_MS;
+        for (TerminalLink terminal : new ArrayList<>(terminals)) {
+            if (!terminal.slots.isEmpty()) { continue; } // closes behind its answer
+            if (last) { terminal.drop(); } else { terminal.closeIfIdle(); }
+        }
+        if (last) { new ArrayList<>(leaving).forEach(Link::close); }
+    }
+
     private void reap(Set<TerminalLink> of, double quietBefore, double begunBefore) {
         for (TerminalLink terminal : new ArrayList<>(of)) {
             // Guards who has begun a command against an end without a word: a silent one is told, an idle one has its time.
@@ -131,6 +164,10 @@
         for (TerminalLink terminal : new ArrayList<>(terminals)) { terminal.closeIfIdle(); }
     }
 
+    public static boolean isPing(byte[][] words) {
+        return words.length == 1 && new String(words[0], StandardCharsets.ISO_8859_1).equalsIgnoreCase("PING");
+    }
+
     /** Answers what every RESP client may ask; INFO gives the counters. */
     public static void common(byte[][] words, Supplier<String> counters, Slot slot) {
         Encoder out = new Encoder(48);
@@ -272,7 +309,7 @@
             while (!slots.isEmpty() && slots.peek().bytes != null) { link.write(slots.poll().bytes); }
             if (link.isClosed()) { return; }
             if (slots.isEmpty()) {
-                if (lost || closing) {
+                if (lost || isLeaving()) {
                     finish();
                     return;
                 }
@@ -294,7 +331,8 @@
         }
 
         void closeIfIdle() {
-            if (closing && slots.isEmpty()) { finish(); }
+            // Who has begun a command ends it and has its answer; who never ends it is cut off as ever.
+            if (slots.isEmpty() && (closing || link.decoder().isEmpty())) { finish(); }
         }
 
         /** Nothing is open here: closed at once. */
@@ -307,7 +345,7 @@
             leave();
             leaving.add(link);
             link.finish(() -> leaving.remove(link));
-            if (leaving.size() > mostLeaving) { leaving.iterator().next().close(); }
+            if (leaving.size() > (isLeaving() ? mostTerminals : mostLeaving)) { leaving.iterator().next().close(); }
         }
 
         @Override
--- a/src/main/java/yardusher/net/Link.java
+++ b/src/main/java/yardusher/net/Link.java
@@ -8,6 +8,7 @@
 import yardusher.core.Deadlines;
 import yardusher.core.Turns;
 import yardusher.resp.Decoder;
+import yardusher.resp.Inbound;
 
 /**
  * One connection: reads into its decoder and writes what is queued, by completion handlers, each of them a
@@ -35,7 +36,7 @@
     private final AsynchronousSocketChannel channel;
     private final Turns turns;
     private final Owner owner;
-    private final Decoder decoder = new Decoder();
+    private final Inbound inbound;
     private final ArrayDeque<ByteBuffer> queue = new ArrayDeque<>(4);
     private int queued;
     private boolean writing;
@@ -48,13 +49,18 @@
     private boolean closed;
     private boolean writeFailed;
 
-    public Link(AsynchronousSocketChannel channel, Turns turns, Owner owner) {
+    /** A connection that carries RESP. */
+    public Link(AsynchronousSocketChannel channel, Turns turns, Owner owner) { this(channel, turns, owner, new Decoder()); }
+
+    public Link(AsynchronousSocketChannel channel, Turns turns, Owner owner, Inbound inbound) {
+        this.inbound = inbound;
         this.channel = channel;
         this.turns = turns;
         this.owner = owner;
     }
 
-    public Decoder decoder() { return decoder; }
+    /** Of a connection that carries RESP. */
+    public Decoder decoder() { return (Decoder) inbound; }
 
     public boolean isClosed() { return closed; }
 
@@ -66,7 +72,7 @@
 
     public void readMore() {
         if (reading || closed || draining) { return; }
-        read(decoder.room());
+        read(inbound.room());
     }
 
     private void read(ByteBuffer room) {
@@ -175,7 +181,7 @@
             if (!finishing) { end(); }
             return;
         }
-        decoder.filled(count);
+        inbound.filled(count);
         if (finishing) { return; }
         if (owner.readable(this) && !closed) { readMore(); }
     }
--- a/src/main/java/yardusher/net/Sockets.java
+++ b/src/main/java/yardusher/net/Sockets.java
@@ -98,8 +98,17 @@
 
     public Door listen(InetSocketAddress at, Consumer<AsynchronousSocketChannel> guests, Predicate<Void> room)
             throws IOException {
+        return listen(at, false, guests, room);
+    }
+
+    /** With {@code shared} the next version of this program can listen there as well, before this one ends. */
+    public Door listen(InetSocketAddress at, boolean shared, Consumer<AsynchronousSocketChannel> guests,
+            Predicate<Void> room) throws IOException {
         AsynchronousServerSocketChannel channel = AsynchronousServerSocketChannel.open(group);
         channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+        if (shared && channel.supportedOptions().contains(StandardSocketOptions.SO_REUSEPORT)) {
+            channel.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+        }
         channel.bind(at, 1024);
         return new Door(channel, guests, room);
     }
--- a/src/main/java/yardusher/resp/Decoder.java
+++ b/src/main/java/yardusher/resp/Decoder.java
@@ -10,7 +10,7 @@
  * The one RESP2 parser, for commands and for replies. Bytes are read into its buffer as they come; a value is
  * taken out once it is whole. Everything is bounded: line, bulk string, items, depth and the value as a whole.
  */
-public final class Decoder {
+public final class Decoder implements Inbound {
     /** A bulk string holds no more (PROTOCOL). */
     public static final int MOST_BULK = 64 * 1024;
     private static final int MOST_VALUE = MOST_BULK + 8 * 1024;
@@ -24,7 +24,7 @@
     private int end;
     private int at;
 
-    /** Room to read into; what lies there counts only after {@link #filled}. */
+    @Override
     public ByteBuffer room() {
         if (start == end) {
             start = end = 0;
@@ -41,6 +41,7 @@
         return ByteBuffer.wrap(bytes, end, bytes.length - end);
     }
 
+    @Override
     public void filled(int count) { end += count; }
 
     public boolean isEmpty() { return start == end; }
--- /dev/null
+++ b/src/main/java/yardusher/resp/Inbound.java
@@ -0,0 +1,12 @@
+package yardusher.resp;
+
+import java.nio.ByteBuffer;
+
+/** Where a connection puts the bytes that it reads. */
+public interface Inbound {
+    /** Room to read into, never empty; what lies there counts only after {@link #filled}. */
+    ByteBuffer room();
+
+    /** So many bytes were read into the room last given. */
+    void filled(int count);
+}
--- a/src/main/java/yardusher/servers/RegionPool.java
+++ b/src/main/java/yardusher/servers/RegionPool.java
@@ -3,9 +3,11 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import yardusher.Api;
 import yardusher.core.Attempt;
 import yardusher.core.Counters;
@@ -32,6 +34,7 @@
     private final int mostConnections;
     final List<Api.Metric> report;
     private final Map<Long, Place> places = new HashMap<>();
+    private final Set<Long> banned = new HashSet<>(); // by hand
     private double keptLost;                         // part of the attempts lost, lately, on kept connections
     private double newLost;                          // and on new ones
     private int begun;
@@ -42,6 +45,7 @@
     static final class Place {
         InetSocketAddress address;
         final ArrayDeque<RegionLink> idle = new ArrayDeque<>();
+        final Set<Attempt> dialling = new HashSet<>();
 
         Place(InetSocketAddress address) { this.address = address; }
     }
@@ -78,8 +82,26 @@
         for (RegionLink link; (link = place.idle.poll()) != null;) { link.close(); }
     }
 
+    /**
+     * A region is kept out by hand, or no longer. What is out there already ends as in a drain; what is still being
+     * dialled has sent nothing and ends at once.
+     */
+    public void ban(long region, boolean out) {
+        if (!out) {
+            banned.remove(region);
+            return;
+        }
+        Place place = places.get(region);
+        if (!banned.add(region) || place == null) { return; }
+        dropIdle(place);
+        for (Attempt attempt : Set.copyOf(place.dialling)) {
+            attempt.giveUp.run();
+            end(attempt, Attempt.Result.of(Api.Outcome.CONNECT_FAILED));
+        }
+    }
+
     @Override
-    public boolean knows(long region) { return places.containsKey(region); }
+    public boolean knows(long region) { return places.containsKey(region) && !banned.contains(region); }
 
     @Override
     public void begin(Attempt attempt, byte[] cargo) {
@@ -97,17 +119,21 @@
         }
         connections++;
         counters.connectionsOpened++;
+        place.dialling.add(attempt);
         RegionLink fresh = new RegionLink(this, place, attempt.region);
         Runnable giveUp = sockets.connect(place.address, dialMs, channel -> {
+            place.dialling.remove(attempt);
             fresh.open(channel);
             fresh.carry(attempt, cargo);
         }, () -> {
             connections--;
+            place.dialling.remove(attempt);
             counters.connectionsFailed++;
             end(attempt, Attempt.Result.of(Api.Outcome.CONNECT_FAILED));
         });
         attempt.giveUp = () -> {
             connections--;
+            place.dialling.remove(attempt);
             giveUp.run();
         };
     }
@@ -159,7 +185,7 @@
     void rest(RegionLink link) {
         link.idleSince = sockets.turns().now();
         boolean enough = keepingLoses() && !link.place.idle.isEmpty();
-        if (places.get(link.region) == link.place && !enough) {
+        if (places.get(link.region) == link.place && !enough && !banned.contains(link.region)) {
             link.place.idle.addLast(link);
         } else {
             link.close();
