--- a/deploy/start.sh
+++ b/deploy/start.sh
@@ -6,7 +6,9 @@
 [ ! -r "$RELAY_CONFIG" ] || IFS= read -r -d '' config <"$RELAY_CONFIG" || :
 memory=128
 [[ $config =~ '"memory_mb"'[[:space:]]*:[[:space:]]*([0-9]{1,6}) ]] && memory=${BASH_REMATCH[1]}
-heap=$((10#$memory / 2 - 8))
+# Where a second address is named, the next version may run beside this one: two processes share the memory, and the
+# heap of each is what half of it leaves beside the 40 MB of the machine itself.
+if [[ $config =~ '"admin_addr"' ]]; then heap=$((10#$memory / 2 - 40)); else heap=$((10#$memory / 2 - 8)); fi
 [ "$heap" -le 64 ] || heap=64
 [ "$heap" -ge 12 ] || heap=12
 young=$((heap / 3))
--- a/src/main/java/yardusher/Api.java
+++ b/src/main/java/yardusher/Api.java
@@ -89,7 +89,7 @@
 
     /** What a gateway is told. */
     public sealed interface Event permits ServerList, Request, FirstByte, AttemptDone, ClientGone,
-            TimerFired, PeerMessage, Ban { }
+            TimerFired, PeerMessage, Ban, Twin { }
 
     /** News of the servers. */
     public record ServerList(ListKind kind, List<Server> servers) implements Event { }
@@ -123,6 +123,12 @@
      */
     public record Ban(long server, boolean out) implements Event { }
 
+    /**
+     * Another process of this very gateway is there or not. It speaks as a peer with this gateway's number; its rows
+     * and sums are those of another life. What the gateway earns under a ceiling is this one's or the other's.
+     */
+    public record Twin(boolean there, boolean owns) implements Event { }
+
     /**
      * How a customer stands with its quota: the limit and what is left of it, in units; when the units asked
      * about would fit, 0 for now; and when the whole limit is free again. Times are in milliseconds from now.
--- a/src/main/java/yardusher/Policy.java
+++ b/src/main/java/yardusher/Policy.java
@@ -76,6 +76,7 @@
         if (event instanceof AttemptDone e) { attemptDone(e); }
         if (event instanceof PeerMessage e) { receive(e); }
         if (event instanceof ServerList e) { serverList(e); }
+        if (event instanceof Twin e) { twin(e); }
         if (event instanceof Ban e) { ban(e.server(), e.out()); }
         if (event instanceof ClientGone e) { clientGone(e.id()); }
         if (event instanceof TimerFired e && e.token() == SWEEP) { sweep(); }
@@ -157,7 +158,7 @@
         boolean has(int g) { return first >= 0 && Math.floorMod(g - first, settings.gateways()) < spread; }
 
         Row row(List<Row> of, int gateway, int ofLife) {
-            for (Row row : of) { if (row.gateway == gateway && row.life == ofLife) { return row; } }
+            for (Row r : of) { if (r.gateway == gateway && r.life == ofLife) { return r; } }
             of.add(new Row(gateway, ofLife));
             return of.get(of.size() - 1);
         }
@@ -372,13 +373,13 @@
 
     private double escrowShare(Customer c) {
         double asked = c.others(-1)[SLOTS + 1] + c.asked(c.mine);
-        boolean calm = c.direct() && now - heardAt < c.windowMs && asked < c.plan.burst();
+        boolean calm = !twin && c.direct() && now - heardAt < c.windowMs && asked < c.plan.burst();
         return (calm ? 1 + OVERDRAWN * Math.min(1, 2 * (now - startedAt) / c.windowMs) : 1.0) / c.spread;
     }
 
     private double escrowLevel(Customer c, double share) {
-        double earned = Math.min(share, c.lastShare) * c.plan.ceilingRate() * (now - c.levelAt) / 1000;
-        return Math.min(c.plan.ceilingBurst() / c.spread, c.level + earned);
+        double rate = owns ? Math.min(share, c.lastShare) * c.plan.ceilingRate() : 0;
+        return Math.min(c.plan.ceilingBurst() / c.spread, c.level + rate * (now - c.levelAt) / 1000);
     }
 
     private double escrowLeast(Customer c, double share) {
@@ -407,12 +408,14 @@
     private double heardRate, heardAt;               // messages a millisecond that came in, over a second
     private int sequence;
 
+    private boolean twin, owns = true;               // another process of this gateway; which one earns
+
     private record Sums(Customer of) { }
     private record Fault(int kind, long host, int classIndex) { }
 
     /** Notes a change of the own row: told at once, then half a slot later; mere asking is told rarely. */
     private void changed(Customer c, boolean counts) {
-        if (c.spread == 1 || intake <= 0) { return; }
+        if ((c.spread == 1 || intake <= 0) && !twin) { return; }
         double hold = !counts ? c.windowMs / 2 : c.plan.openCap() > 0 && c.direct() ? FLUSH_MS : c.slotMs / 2;
         double at = Math.max(now, c.toldAt + hold);
         c.tellAt = c.fresh ? Math.min(c.tellAt, at) : at; c.fresh = true;
@@ -426,9 +429,9 @@
     }
 
     private void enqueue(int peer, Object item) {
-        if (peer == settings.self() || intake <= 0) { return; }
+        if (peer == settings.self() ? !twin : intake <= 0) { return; }
         outboxes.computeIfAbsent(peer, p -> new LinkedHashSet<>()).add(item);
-        arm(earnedAt + (1 - earned) / intake);       // no sooner than a message may go
+        arm(peer == settings.self() ? now : earnedAt + (1 - earned) / intake); // no sooner than one may go
     }
 
     private void flush() {
@@ -444,6 +447,8 @@
         }
         earned = Math.min(1 + intake * 500, earned + intake * (now - earnedAt)); // half a second's at most
         earnedAt = now;
+        LinkedHashSet<Object> own = outboxes.remove(settings.self()); // no message to take in
+        for (int n = own == null ? 0 : own.size(); n-- > 0 && !own.isEmpty();) { tell(settings.self(), own); }
         for (var all = outboxes.entrySet().iterator(); all.hasNext() && earned >= 1;) {
             var outbox = all.next();
             // A meeting peer speaks more than it is spoken to; what all take in is watched (passEvery).
@@ -463,6 +468,7 @@
             if (c.fresh) { c.tellAt = now + c.windowMs / 2; } // told once more: heals a lost message
         } else {
             for (int k = 0; k < NEIGHBOURS; k++) { enqueue(c.meeting(k), c); }
+            enqueue(settings.self(), c);
             noteNews(c);
         }
         c.fresh = false;
@@ -552,7 +558,7 @@
     private void receive(PeerMessage message) {
         text = message.body(); read = 1;
         int from = message.from();
-        boolean known = from >= 0 && from < settings.gateways() && from != settings.self();
+        boolean known = from >= 0 && from < settings.gateways() && (from != settings.self() || twin);
         if (!known || !text.startsWith("m")) { return; }
         int mark = (int) get(1), seq = (int) get(2);
         if (mark < 0 || seq < 0) { return; }
@@ -584,6 +590,17 @@
         }
     }
 
+    /** Danger: two processes of one gateway earn its part of a ceiling twice, or know half of its counts. */
+    private void twin(Twin event) {
+        if (event.owns() != owns) { customers.values().forEach(c -> escrowHolds(c, 0)); }
+        boolean came = event.there() && !twin;
+        twin = event.there(); owns = event.owns();
+        if (!came) { return; }
+        for (Customer c : customers.values()) { if (c.used() > 0) { enqueue(settings.self(), new Sums(c)); } }
+        flushAt = now;
+        flush();
+    }
+
     private boolean receiveRow(int tag, int from, int itsLife, int seq) {
         int planIndex = tag / KINDS;
         long id = get(5);
--- a/src/main/java/yardusher/admin/AdminCall.java
+++ b/src/main/java/yardusher/admin/AdminCall.java
@@ -21,13 +21,11 @@
     public static final int MOST_LINE = 256;
 
     /** Reads a line without its end; an {@link IllegalArgumentException} says in a few words what is wrong with it. */
-    public static AdminCall of(byte[] line) {
-        for (byte b : line) {
-            // Guards log lines and terminals against bytes that are no text.
-            if (b < ' ' || b > '~') { throw new IllegalArgumentException("not a line of text"); }
-        }
-        String text = new String(line, java.nio.charset.StandardCharsets.US_ASCII);
-        String[] words = text.split(" ", -1);
+    public static AdminCall of(String line) {
+        if (line.length() > MOST_LINE) { throw new IllegalArgumentException("line longer than " + MOST_LINE + " bytes"); }
+        // Guards log lines and terminals against bytes that are no text.
+        if (!line.chars().allMatch(c -> c >= ' ' && c <= '~')) { throw new IllegalArgumentException("not a line of text"); }
+        String[] words = line.split(" ", -1);
         Verb verb = Arrays.stream(Verb.values()).filter(one -> one.word().equals(words[0])).findFirst()
                 .orElseThrow(() -> new IllegalArgumentException("unknown call; there are " + words()));
         if (verb.namesRegion() && (words.length != 2 || words[1].isEmpty())) {
--- a/src/main/java/yardusher/admin/AdminFront.java
+++ b/src/main/java/yardusher/admin/AdminFront.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import yardusher.core.Deadlines;
 import yardusher.core.Turns;
+import yardusher.net.Lines;
 import yardusher.net.Link;
 import yardusher.net.Sockets;
 
@@ -18,6 +19,9 @@
 public final class AdminFront {
     /** Connections held at the most, also those that get their last bytes. */
     public static final int MOST_CALLERS = 16;
+    /** Bytes of a line at the most; ids of regions are far shorter, words between two processes no longer. */
+    private static final int MOST_LINE = 512;
+    private static final String HANDOVER = "handover ";
     private static final double CALL_MS = 2000;      // to the end of the line: twice what a caller waits for its answer
 
     private final Operator operator;
@@ -44,19 +48,23 @@
         for (Caller caller : Set.copyOf(answered)) { caller.end(); }
     }
 
-    /** Answers a call; the text ends in a line end. */
-    private String answer(AdminCall call) {
+    /** Follows a call; the answer given to the caller ends in a line end. */
+    private void follow(AdminCall call, Caller caller) {
         switch (call.verb()) {
-            case HEALTH -> { return operator.takesClients() ? "200 yes\n" : "400 no clients are taken\n"; }
-            case COUNTERS -> { return operator.figures() + "EOF\n"; }
-            case CORDON, UNCORDON -> operator.ban(call.id(), call.verb() == AdminCall.Verb.CORDON);
-            default -> operator.drain(call.verb() == AdminCall.Verb.QUIESCE);
+            case HEALTH -> caller.told(operator.takesClients() ? "200 yes\n" : "400 no clients are taken\n");
+            case COUNTERS -> caller.told(operator.figures() + "EOF\n");
+            case CORDON, UNCORDON ->
+                operator.ban(call.id(), call.verb() == AdminCall.Verb.CORDON, () -> caller.told("200 done\n"));
+            default -> {
+                operator.drain(call.verb() == AdminCall.Verb.QUIESCE);
+                caller.told("200 done\n");
+            }
         }
-        return "200 done\n";
     }
 
     private final class Caller implements Link.Owner {
-        private final LineBuffer line = new LineBuffer();
+        private final Lines lines = new Lines(MOST_LINE);
+        private Link.Owner heir;                     // whose connection this has become: the next version's
         private final Link link;
         private final Deadlines.Entry lineBy;
 
@@ -65,7 +73,7 @@
             if (asking.size() + answered.size() >= MOST_CALLERS) {
                 (answered.isEmpty() ? asking : answered).iterator().next().end();
             }
-            link = new Link(channel, turns, this, line);
+            link = new Link(channel, turns, this, lines);
             lineBy = turns.deadlines().at(turns.now() + CALL_MS, this::end);
             asking.add(this);
             link.readMore();
@@ -73,20 +81,32 @@
 
         @Override
         public boolean readable(Link from) {
-            String told;
+            if (heir != null) { return heir.readable(from); }
             try {
-                byte[] whole = line.line();
-                if (whole == null) { return true; }
-                told = answer(AdminCall.of(whole));
+                String line = lines.next();
+                if (line == null) { return true; }
+                if (line.startsWith(HANDOVER)) {
+                    heir = operator.succeed(line, lines, link);
+                    turns.deadlines().cancel(lineBy);
+                    asking.remove(this);
+                    return heir.readable(from);
+                }
+                if (!lines.isEmpty()) { throw new IllegalArgumentException("one line to a connection"); }
+                follow(AdminCall.of(line), this);
             } catch (IllegalArgumentException e) {
-                told = "400 " + e.getMessage() + "\n";
+                told("400 " + e.getMessage() + "\n");
             }
+            return false;
+        }
+
+        /** Answers, once, and lets the caller go. */
+        private void told(String told) {
+            if (!asking.contains(this)) { return; }
             turns.deadlines().cancel(lineBy);
             asking.remove(this);
             answered.add(this);
             link.write(told.getBytes(StandardCharsets.US_ASCII));
             link.finish(() -> answered.remove(this));
-            return false;
         }
 
         private void end() {
@@ -94,8 +114,14 @@
             link.close();
         }
 
+        @Override
+        public void written(Link from) {
+            if (heir != null) { heir.written(from); }
+        }
+
         @Override
         public void ended(Link from) {
+            if (heir != null) { heir.ended(from); }
             turns.deadlines().cancel(lineBy);
             asking.remove(this);
             answered.remove(this);
--- a/src/main/java/yardusher/admin/Operator.java
+++ b/src/main/java/yardusher/admin/Operator.java
@@ -1,5 +1,8 @@
 package yardusher.admin;
 
+import yardusher.net.Lines;
+import yardusher.net.Link;
+
 /**
  * What an ingress does at the calls of its second address. In turns only. A call that cannot be followed is an
  * {@link IllegalArgumentException} whose message is a few plain words.
@@ -11,9 +14,12 @@
     /** The figures, a line each, every line ended. */
     String figures();
 
-    /** Keeps a region out by hand, or ends that. Holds when this returns. */
-    void ban(String region, boolean out);
+    /** Keeps a region out by hand, or ends that; {@code then} runs once it holds. */
+    void ban(String region, boolean out, Runnable then);
 
     /** Sends the clients away, or takes them again. */
     void drain(boolean away);
+
+    /** The next version of this program speaks, with this line; what it says afterwards is the result's to hear. */
+    Link.Owner succeed(String line, Lines lines, Link link);
 }
--- a/src/main/java/yardusher/cli/Serve.java
+++ b/src/main/java/yardusher/cli/Serve.java
@@ -1,10 +1,14 @@
 package yardusher.cli;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Instant;
+import java.util.Collection;
+import java.util.LinkedHashSet;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
@@ -16,16 +20,19 @@
 import yardusher.clients.PlatformFront;
 import yardusher.core.Counters;
 import yardusher.core.Ingress;
-import yardusher.core.Neighbours;
 import yardusher.core.OrderLog;
 import yardusher.core.Turns;
+import yardusher.handover.Handover;
 import yardusher.journal.Journal;
 import yardusher.keys.KeyedIntake;
 import yardusher.limits.LimitsConfig;
 import yardusher.limits.LimitsFront;
 import yardusher.list.ServiceTable;
 import yardusher.list.Watch;
+import yardusher.log.Events;
 import yardusher.log.Logs;
+import yardusher.net.Lines;
+import yardusher.net.Link;
 import yardusher.net.Sockets;
 import yardusher.peers.PeerSocket;
 import yardusher.servers.RegionPool;
@@ -34,6 +41,7 @@
 /** One real ingress: all parts put together, from the start to an orderly end. */
 public final class Serve {
     private static final double ACCEPT_ON_MS = 500;  // after SIGTERM connections keep coming 0.2 to 0.4 s
+    private static final long START_MS = 6000;       // a new version is due to take clients by then
     private static final long JOURNAL_END_MS = 2000; // at the end, for a slow disk to take the last outcomes
     private static final int OWN_DESCRIPTORS = 64;   // of the JVM, the listeners and the watch
 
@@ -49,7 +57,13 @@
     private final AdminFront admin;                  // null where no second address is named
     private final KeyedIntake keys;                  // null where it is off
     private final Journal journal;                   // null where it is off
-    private final PeerSocket peers;
+    private final PeerSocket peers;                  // null where this site has none
+    private final Handover handover;
+    private final InetSocketAddress adminAt;
+    private final int budget;                        // descriptors for clients and regions
+    private final Set<String> banned = new LinkedHashSet<>(); // ids of regions out by hand
+    private final CountDownLatch ready = new CountDownLatch(1);
+    private volatile IOException unready;            // why no clients can be taken
     private final CountDownLatch drained = new CountDownLatch(1);
     private final double longestMs;
     private Config config;                           // as it was last read
@@ -60,32 +74,37 @@
 
     /** The clock gives milliseconds of Unix time and never goes back. */
     public Serve(Config config, LimitsConfig limits, Settings own, DoubleSupplier clock) throws IOException {
-        this(config, config.admin(), limits, own, clock);
+        this(config, config.admin(), null, limits, own, clock);
     }
 
-    /** With a second address other than the configuration's, or null for none. */
-    private Serve(Config config, InetSocketAddress adminAt, LimitsConfig limits, Settings own, DoubleSupplier clock)
-            throws IOException {
+    /**
+     * With a second address other than the configuration's, null for none, and a folder in which the next version finds
+     * this process and this one finds the one before, null for none.
+     */
+    public Serve(Config config, InetSocketAddress adminAt, Path notes, LimitsConfig limits, Settings own,
+            DoubleSupplier clock) throws IOException {
         this.config = config;
         turns = new Turns(clock, this::fault);
         sockets = new Sockets(turns);
         int budget = Math.max(64, config.sockets() - OWN_DESCRIPTORS);
         Api.Settings settings = config.settings();
         pool = new RegionPool(sockets, counters, settings.report(), config.dialMs(), config.idleMs(), budget * 2 / 5);
+        this.budget = budget;
         peers = config.peerListen() == null || !settings.limits().peers() ? null
                 : new PeerSocket(config.peerListen(), config.peers(), turns);
+        this.adminAt = adminAt;
+        handover = new Handover(sockets, new Part(), settings.self(), config.name(), notes, Events.plain(config.name()));
         journal = own.journal() == null ? null : journal(own);
         if (journal != null) {
             counters.more = () -> " " + journal.line();
             if (own.keys() != null) { journal.recordPrints(); }
         }
-        Neighbours neighbours = peers == null ? (to, body) -> { } : peers;
         longestMs = settings.classes().stream().mapToDouble(Api.RequestClass::deadlineMs).max().orElse(1000);
         Object[] made = new Object[7];
         Exception[] problem = new Exception[1];
         turns.turn(() -> {
             try {
-                Ingress core = new Ingress(settings, config.seed(), turns, pool, neighbours, counters, journal == null ? OrderLog.NONE : journal);
+                Ingress core = new Ingress(settings, config.seed(), turns, pool, handover, counters, journal == null ? OrderLog.NONE : journal);
                 pool.serve(core);
                 ServiceTable table = new ServiceTable(config.zones(), pool);
                 core.tell(table.take(config.known(), Api.ListKind.CACHED));
@@ -94,8 +113,7 @@
                 made[1] = new Watch(sockets, config.discovery(), table, core);
                 if (own.keys() != null) { made[4] = keyed(own, core); }
                 made[2] = new PlatformFront(sockets, config.listen(), core, made[4] == null ? core : (KeyedIntake) made[4],
-                        config.classes(), config.plans(),
-                        budget * 3 / 5 - (limits == null ? 0 : LimitsFront.MOST_TERMINALS));
+                        config.classes(), config.plans(), 1);
                 made[3] = limits == null ? null
                         : new LimitsFront(sockets, core, limits, config.classes(), config.plans());
                 made[6] = adminAt == null ? null : new AdminFront(sockets, adminAt, new Calls());
@@ -109,6 +127,7 @@
         watch = (Watch) made[1];
         front = (PlatformFront) made[2];
         limitsFront = (LimitsFront) made[3];
+        share(false);
         keys = (KeyedIntake) made[4];
         table = (ServiceTable) made[5];
         admin = (AdminFront) made[6];
@@ -130,18 +149,94 @@
         }
 
         @Override
-        public void ban(String region, boolean out) {
+        public void ban(String region, boolean out, Runnable then) {
             if (!table.everListed(region)) { throw new IllegalArgumentException("no backend " + region + " was ever listed"); }
-            long id = ServiceTable.id(region);
-            ingress.tell(new Api.Ban(id, out));      // the module first: it places anew what the pool gives up
-            pool.ban(id, out);
+            banHere(region, out);
+            handover.tellBan(region, out, then);
         }
 
         @Override
         public void drain(boolean away) {
-            front.answers().away(away);
-            if (limitsFront != null) { limitsFront.answers().away(away); }
+            drainHere(away);
+            handover.tellDrain(away);
         }
+
+        @Override
+        public Link.Owner succeed(String line, Lines lines, Link link) { return handover.succeed(line, lines, link); }
+    }
+
+    /** This process's part where another version of it takes over. */
+    private final class Part implements Handover.Program {
+        @Override
+        public void ban(String region, boolean out) { banHere(region, out); }
+
+        @Override
+        public Collection<String> banned() { return banned; }
+
+        @Override
+        public void drain(boolean away) { drainHere(away); }
+
+        @Override
+        public boolean isAway() { return front.answers().isAway(); }
+
+        @Override
+        public void hear(int from, String body) { ingress.tell(new Api.PeerMessage(from, body)); }
+
+        @Override
+        public void shares(boolean other, boolean owns) {
+            ingress.tell(new Api.Twin(other, owns));
+            share(other);
+        }
+
+        @Override
+        public void takePort() throws IOException {
+            if (peers == null) { return; }
+            peers.open((from, body) -> {
+                counters.peerIn++;
+                handover.datagram(from, body);
+            });
+        }
+
+        @Override
+        public void givePort() {
+            if (peers != null) { peers.close(); }
+        }
+
+        @Override
+        public void send(int to, String body) {
+            if (peers != null) { peers.tell(to, body); }
+        }
+
+        @Override
+        public void takeClients() throws IOException {
+            front.answers().bind();
+            if (limitsFront != null) {
+                limitsFront.answers().bind();
+                limitsFront.answers().open();
+            }
+            front.answers().open();                  // last: a PING is answered once all else is ready
+            serving = true;
+            ready.countDown();
+        }
+    }
+
+    private void banHere(String region, boolean out) {
+        long id = ServiceTable.id(region);
+        if (out) { banned.add(region); } else { banned.remove(region); }
+        ingress.tell(new Api.Ban(id, out));          // the module first: it places anew what the pool gives up
+        pool.ban(id, out);
+    }
+
+    private void drainHere(boolean away) {
+        front.answers().away(away);
+        if (limitsFront != null) { limitsFront.answers().away(away); }
+    }
+
+    /** Takes the descriptors, or the half of them that the other process of this ingress leaves. */
+    private void share(boolean other) {
+        int mine = other ? budget / 2 : budget;
+        front.answers().limit(mine * 3 / 5 - (limitsFront == null ? 0 : LimitsFront.MOST_TERMINALS));
+        pool.limit(mine * 2 / 5);
     }
 
     public Ingress ingress() { return ingress; }
@@ -164,20 +259,34 @@
     }
 
     private void fault(Throwable e) {
+        if (e instanceof UncheckedIOException cause && ready.getCount() > 0) {
+            unready = cause.getCause();              // an address that cannot be had ends the start
+            ready.countDown();
+            return;
+        }
         counters.faults++;
         if (counters.faults <= 20) { e.printStackTrace(); }
     }
 
-    public void start() {
+    /** Takes clients before it returns; an {@link IOException} where an address cannot be listened at. */
+    public void start() throws IOException {
         turns.startTimer();
-        if (peers != null) { peers.start(ingress); }
         turns.turn(() -> {
             watch.start();
-            if (limitsFront != null) { limitsFront.answers().open(); }
             if (admin != null) { admin.open(); }
-            front.answers().open();                  // last: a PING is answered once all else is ready
-            serving = true;
+            try {
+                handover.start(adminAt);
+            } catch (UncheckedIOException e) {
+                fault(e);
+            }
         });
+        try {
+            if (!ready.await(START_MS, TimeUnit.MILLISECONDS) || unready != null) {
+                throw unready == null ? new IOException("no clients could be taken") : unready;
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     /**
@@ -204,10 +313,16 @@
 
     /** Accepts for a while, answers all that was taken, and returns well before the platform would kill it. */
     public void drain() throws InterruptedException {
-        turns.turn(() -> turns.deadlines().at(turns.now() + ACCEPT_ON_MS, () -> {
-            closeFronts();
-            waitForOpen();
-        }));
+        turns.turn(() -> {
+            if (handover.hasHeir()) {
+                front.answers().leave();
+                if (limitsFront != null) { limitsFront.answers().leave(); }
+            }
+            turns.deadlines().at(turns.now() + ACCEPT_ON_MS, () -> {
+                if (handover.hasHeir()) { serving = false; } else { closeFronts(); }
+                waitForOpen();
+            });
+        });
         drained.await((long) (ACCEPT_ON_MS + longestMs), TimeUnit.MILLISECONDS);
     }
 
@@ -235,10 +350,11 @@
     public void close() {
         turns.turn(() -> {
             watch.stop();
+            handover.end();
+            if (peers != null) { peers.close(); }
             if (admin != null) { admin.close(); }
             closeFronts();
         });
-        if (peers != null) { peers.close(); }
         endJournal();
         turns.stop();
         sockets.shutdown();
@@ -276,6 +392,12 @@
         }
     }
 
+    /** Where the two versions of one ingress find each other: the platform's private folder. */
+    private static Path notes() {
+        String folder = System.getenv("TMPDIR");
+        return folder == null || folder.isEmpty() ? null : Path.of(folder);
+    }
+
     /** Whether the limits file opens the front at all. A plain look, so that the platform's start loads no parser. */
     private static boolean listens(Path limitsFile) throws IOException {
         return limitsFile != null && Files.exists(limitsFile)
@@ -286,12 +408,13 @@
     static int run(String file, Path limitsFile, Path settingsFile) throws IOException, Config.Bad {
         Config config = Config.read(file);
         String adminAt = System.getenv("RELAY_ADMIN_ADDR"); // goes before the file's: it is this very process's
-        Serve serve = new Serve(config, adminAt == null || adminAt.isEmpty() ? config.admin() : address(adminAt), listens(limitsFile) ? LimitsConfig.read(limitsFile) : null, Settings.read(settingsFile),
+        Serve serve = new Serve(config, adminAt == null || adminAt.isEmpty() ? config.admin() : address(adminAt), notes(), listens(limitsFile) ? LimitsConfig.read(limitsFile) : null, Settings.read(settingsFile),
                 clock());
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             try {
                 serve.drain();
             } catch (InterruptedException e) { /* the process ends all the same */ }
+            serve.turns.turn(serve.handover::end);
             serve.endJournal();
             System.err.println(config.name() + " ends: " + serve.countersLine());
             System.err.flush();
--- /dev/null
+++ b/src/main/java/yardusher/handover/Other.java
@@ -0,0 +1,71 @@
+package yardusher.handover;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import yardusher.net.Lines;
+import yardusher.net.Link;
+
+/** The link to the other process of this ingress: words in, words out. In turns only. */
+public final class Other implements Link.Owner {
+    /** What is done with what the other says. */
+    public interface Ear {
+        void heard(Other from, Word word);
+
+        /** The other process has ended, or says what cannot be understood. */
+        void gone(Other other);
+    }
+
+    private final Lines lines;
+    private final Ear ear;
+    private final ArrayDeque<Runnable> unheld = new ArrayDeque<>();
+    private Link link;
+
+    public Other(Lines lines, Ear ear) {
+        this.lines = lines;
+        this.ear = ear;
+    }
+
+    /** The connection that carries it, whose lines are those given before. */
+    public void on(Link carried) { link = carried; }
+
+    public void say(Word word) { raw(word.line()); }
+
+    void raw(String line) { link.write((line + "\n").getBytes(StandardCharsets.ISO_8859_1)); }
+
+    /** Says a ban; {@code then} runs once it holds there, or the other has gone. */
+    void ban(Word.Ban ban, Runnable then) {
+        unheld.add(then);
+        say(ban);
+    }
+
+    /** The oldest ban said holds there. */
+    void held() {
+        Runnable then = unheld.poll();
+        if (then != null) { then.run(); }
+    }
+
+    @Override
+    public boolean readable(Link from) {
+        try {
+            for (String line; !link.isClosed() && (line = lines.next()) != null;) { ear.heard(this, Word.of(line)); }
+            return true;
+        } catch (IllegalArgumentException e) {
+            close();
+            return false;
+        }
+    }
+
+    @Override
+    public void ended(Link from) { over(); }
+
+    /** Ends the link from this side. */
+    public void close() {
+        link.close();
+        over();
+    }
+
+    private void over() {
+        for (Runnable then; (then = unheld.poll()) != null;) { then.run(); }
+        ear.gone(this);
+    }
+}
--- a/src/main/java/yardusher/net/Answers.java
+++ b/src/main/java/yardusher/net/Answers.java
@@ -44,10 +44,14 @@
     private static final double AGAIN_MS = 10;
     private static final double UPKEEP_MS = 100;
     private static final double AWAY_AFTER_MS = 500; // a front that hears no still sends new connections 0.3 s
-    private static final double AWAY_BY_MS = 3500;   // nothing is open or idle 4 s after the call
+    private static final double AWAY_BY_MS = 3500;   // nothing is idle 4 s after the call
+    private static final double AWAY_READ_MS = 1800; // nothing that is open then came in the last 2 s
+    private static final double LEFT_READ_MS = 600;  // what comes 0.7 s after SIGTERM is owed its answer whatever it takes
+    private static final double LEAVE_IDLE_MS = 200; // who has been idle so long has likely nothing on its way
+    private static final double QUIET_MS = 30;
 
     private final Commands commands;
-    private final int mostTerminals;
+    private int mostTerminals;
     private final Turns turns;
     private final Sockets.Door door;
     private final Set<TerminalLink> terminals = new LinkedHashSet<>();
@@ -56,28 +60,42 @@
     private final Set<TerminalLink> idle = new LinkedHashSet<>();
     /** Connections that get their last bytes. They still hold descriptors, so they have a bound too. */
     private final Set<Link> leaving = new LinkedHashSet<>();
-    private final int mostLeaving;
-    private final int mostIdle;
+    private int mostLeaving;
+    private int mostIdle;
     private boolean looksAgain;
     private boolean closing;
+    private boolean leavesForGood;
     private double awayAt = Double.POSITIVE_INFINITY; // since when terminals are sent away
+    private double leaveFrom = Double.POSITIVE_INFINITY; // connections close behind their answers
+    private double leaveBy = Double.POSITIVE_INFINITY; // and all idle ones
 
     public Answers(Sockets sockets, InetSocketAddress at, int mostTerminals, Commands commands) throws IOException {
         this(sockets, at, false, mostTerminals, commands);
+        bind();
     }
 
-    /** With {@code shared} the next version of this program can listen there too. */
+    /** Listens once {@link #bind} is called. With {@code shared} the next version of this program can listen there too. */
     public Answers(Sockets sockets, InetSocketAddress at, boolean shared, int mostTerminals, Commands commands)
             throws IOException {
         this.commands = commands;
-        this.mostLeaving = Math.max(2, mostTerminals / 5);
-        this.mostTerminals = Math.max(1, mostTerminals - mostLeaving);
-        this.mostIdle = Math.max(1, this.mostTerminals / 4);
+        limit(mostTerminals);
         this.turns = sockets.turns();
-        door = sockets.listen(at, shared, channel -> new TerminalLink(channel, sockets), nothing -> room());
+        door = sockets.door(at, shared, channel -> new TerminalLink(channel, sockets), nothing -> room());
         turns.deadlines().at(turns.now() + UPKEEP_MS, this::upkeep);
     }
 
+    /** How many connections are held at the most; the longest idle beyond that close. */
+    public final void limit(int most) {
+        mostLeaving = Math.max(2, most / 5);
+        mostTerminals = Math.max(1, most - mostLeaving);
+        mostIdle = Math.max(1, mostTerminals / 4);
+        for (TerminalLink terminal : new ArrayList<>(idle)) {
+            if (terminals.size() > mostTerminals) { terminal.finish(); }
+        }
+    }
+
+    public void bind() throws IOException { door.bind(); }
+
     public InetSocketAddress address() throws IOException { return door.address(); }
 
     public void open() { door.open(); }
@@ -118,7 +136,7 @@
         boolean crowded = terminals.size() > mostTerminals / 2;
         reap(silent, now - SILENT_MS, now - SILENT_MS);
         reap(idle, now - (crowded ? IDLE_MS : CALM_IDLE_MS), now - SILENT_MS);
-        if (isAway() && !closing) { sendAway(now); }
+        sendAway(now);
         if (!closing) { door.open(); }
     }
 
@@ -130,17 +148,37 @@
      * connection closes right behind an answer, when its terminal is least likely to have sent the next command.
      */
     public void away(boolean away) {
-        if (away != isAway()) { awayAt = away ? turns.now() : Double.POSITIVE_INFINITY; }
+        if (away == isAway() || leavesForGood) { return; }
+        awayAt = away ? turns.now() : Double.POSITIVE_INFINITY;
+        leaveFrom = awayAt + AWAY_AFTER_MS;
+        leaveBy = awayAt + AWAY_READ_MS;
+    }
+
+    /**
+     * The next version of this program takes the terminals that come: this one takes what waits to be accepted, answers what
+     * it has, and lets its connections go. PING is answered as ever, since the ingress goes on.
+     */
+    public void leave() {
+        if (leavesForGood) { return; }
+        leavesForGood = true;
+        leaveFrom = turns.now();
+        leaveBy = leaveFrom + LEFT_READ_MS;
+        door.closeWhenQuiet(QUIET_MS, leaveBy);
+        sendAway(leaveFrom);
     }
 
-    private boolean isLeaving() { return closing || turns.now() >= awayAt + AWAY_AFTER_MS; }
+    private boolean isLeaving() { return closing || turns.now() >= leaveFrom; }
 
     private void sendAway(double now) {
-        if (!isLeaving()) { return; }
+        if (now < leaveFrom || closing) { return; }
         boolean last = now >= awayAt + AWAY_BY_MS;
         for (TerminalLink terminal : new ArrayList<>(terminals)) {
             if (!terminal.slots.isEmpty()) { continue; } // closes behind its answer
-            if (last) { terminal.drop(); } else { terminal.closeIfIdle(); }
+            if (last) {
+                terminal.drop();
+            } else if (now >= leaveBy || now - terminal.quietSince >= LEAVE_IDLE_MS) {
+                terminal.closeIfIdle();
+            }
         }
         if (last) { new ArrayList<>(leaving).forEach(Link::close); }
     }
@@ -281,7 +319,8 @@
         }
 
         private boolean mayRead() {
-            return !lost && !paused && !link.isClosed() && slots.size() < MOST_UNANSWERED && link.queued() < MOST_UNREAD;
+            return !lost && !paused && !link.isClosed() && slots.size() < MOST_UNANSWERED
+                    && link.queued() < MOST_UNREAD && (slots.isEmpty() || !isLeaving());
         }
 
         /** Framing is lost: what came before is still answered in order, then the connection closes. */
--- /dev/null
+++ b/src/main/java/yardusher/net/Lines.java
@@ -0,0 +1,44 @@
+package yardusher.net;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import yardusher.resp.Inbound;
+
+/** Takes lines out of bytes cut anywhere. One fixed buffer, the longest line and its end. */
+public final class Lines implements Inbound {
+    private final byte[] bytes;
+    private int start;
+    private int end;
+
+    /** For lines of so many bytes at the most, without their end. */
+    public Lines(int most) { bytes = new byte[most + 2]; }
+
+    @Override
+    public ByteBuffer room() {
+        System.arraycopy(bytes, start, bytes, 0, end - start);
+        end -= start;
+        start = 0;
+        return ByteBuffer.wrap(bytes, end, bytes.length - end);
+    }
+
+    @Override
+    public void filled(int count) { end += count; }
+
+    public boolean isEmpty() { return start == end; }
+
+    /**
+     * The next line without its end (LF or CR LF), or null while it is not whole. An {@link IllegalArgumentException}
+     * for one that is too long.
+     */
+    public String next() {
+        for (int i = start; i < end; i++) {
+            if (bytes[i] != '\n') { continue; }
+            int to = i > start && bytes[i - 1] == '\r' ? i - 1 : i;
+            String line = new String(bytes, start, to - start, StandardCharsets.ISO_8859_1);
+            start = i + 1;
+            return line;
+        }
+        if (end - start == bytes.length) { throw new IllegalArgumentException("line longer than " + (bytes.length - 2) + " bytes"); }
+        return null;
+    }
+}
--- a/src/main/java/yardusher/net/Sockets.java
+++ b/src/main/java/yardusher/net/Sockets.java
@@ -50,21 +50,31 @@
         private final AsynchronousServerSocketChannel channel;
         private final Consumer<AsynchronousSocketChannel> guests;
         private final Predicate<Void> room;
+        private final InetSocketAddress at;
         private boolean accepting;
+        private boolean bound;
+        private double guestAt;                      // when the last one came
 
-        private Door(AsynchronousServerSocketChannel channel, Consumer<AsynchronousSocketChannel> guests,
-                Predicate<Void> room) {
+        private Door(AsynchronousServerSocketChannel channel, InetSocketAddress at,
+                Consumer<AsynchronousSocketChannel> guests, Predicate<Void> room) {
             this.channel = channel;
+            this.at = at;
             this.guests = guests;
             this.room = room;
         }
 
         public InetSocketAddress address() throws IOException { return (InetSocketAddress) channel.getLocalAddress(); }
 
+        /** Listens; until then nobody can come. */
+        public void bind() throws IOException {
+            channel.bind(at, 1024);
+            bound = true;
+        }
+
         /** Goes on accepting while there is room; called again when room comes back. */
         public void open() {
             // Guards against running out of descriptors: who finds no room waits in the backlog.
-            if (accepting || !channel.isOpen()) { return; }
+            if (accepting || !bound || !channel.isOpen()) { return; }
             accepting = true;                        // also while room is made, which may open the door again
             accepting = room.test(null);
             if (!accepting) { return; }
@@ -73,6 +83,7 @@
                 public void completed(AsynchronousSocketChannel guest, Door door) {
                     turns.turn(() -> {
                         accepting = false;
+                        guestAt = turns.now();
                         quick(guest);
                         guests.accept(guest);
                         open();
@@ -89,6 +100,18 @@
             });
         }
 
+        /**
+         * Closes once nobody has come for so long, or at that time: whoever waits to be accepted when it closes is reset,
+         * and who comes while it is open is accepted at once.
+         */
+        public void closeWhenQuiet(double quietMs, double by) {
+            double now = turns.now();
+            double at = Math.min(by, Math.max(now, guestAt) + quietMs);
+            turns.deadlines().at(at, () -> {
+                if (guestAt < now || turns.now() >= by) { close(); } else { closeWhenQuiet(quietMs, by); }
+            });
+        }
+
         public void close() {
             try {
                 channel.close();
@@ -98,19 +121,23 @@
 
     public Door listen(InetSocketAddress at, Consumer<AsynchronousSocketChannel> guests, Predicate<Void> room)
             throws IOException {
-        return listen(at, false, guests, room);
+        Door door = door(at, false, guests, room);
+        door.bind();
+        return door;
     }
 
-    /** With {@code shared} the next version of this program can listen there as well, before this one ends. */
-    public Door listen(InetSocketAddress at, boolean shared, Consumer<AsynchronousSocketChannel> guests,
+    /**
+     * A door that does not listen yet. With {@code shared} the next version of this program can listen there as well,
+     * before this one ends.
+     */
+    public Door door(InetSocketAddress at, boolean shared, Consumer<AsynchronousSocketChannel> guests,
             Predicate<Void> room) throws IOException {
         AsynchronousServerSocketChannel channel = AsynchronousServerSocketChannel.open(group);
         channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
         if (shared && channel.supportedOptions().contains(StandardSocketOptions.SO_REUSEPORT)) {
             channel.setOption(StandardSocketOptions.SO_REUSEPORT, true);
         }
-        channel.bind(at, 1024);
-        return new Door(channel, guests, room);
+        return new Door(channel, at, guests, room);
     }
 
     /** Connects within the time given; one of the two is called, in a turn. The result gives it up. */
--- a/src/main/java/yardusher/peers/PeerSocket.java
+++ b/src/main/java/yardusher/peers/PeerSocket.java
@@ -3,14 +3,13 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.DatagramChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import yardusher.Api;
-import yardusher.core.Ingress;
 import yardusher.core.Neighbours;
 import yardusher.core.Turns;
 
@@ -22,45 +21,53 @@
     /** A longer datagram voids the run. */
     static final int MOST_BYTES = 256;
 
-    private final DatagramChannel channel;
+    private final InetSocketAddress listen;
+    private DatagramChannel channel;                 // null while the port is not this process's
     private final List<InetSocketAddress> peers;
     private final Map<SocketAddress, Integer> numbers = new HashMap<>();
     private final Turns turns;
     private final ByteBuffer out = ByteBuffer.allocateDirect(MOST_BYTES);
 
-    public PeerSocket(InetSocketAddress listen, List<InetSocketAddress> peers, Turns turns) throws IOException {
+    /** What is done with a datagram of the ingress of that number, in a turn. */
+    public interface Hearer {
+        void heard(int from, String body);
+    }
+
+    /** Neither speaks nor listens until it is opened. */
+    public PeerSocket(InetSocketAddress listen, List<InetSocketAddress> peers, Turns turns) {
+        this.listen = listen;
         this.peers = peers;
         this.turns = turns;
         for (InetSocketAddress peer : peers) { numbers.put(peer, numbers.size()); }
-        channel = DatagramChannel.open();
-        channel.bind(listen);
     }
 
-    public InetSocketAddress address() throws IOException { return (InetSocketAddress) channel.getLocalAddress(); }
-
-    public void start(Ingress ingress) {
-        Thread thread = new Thread(() -> receive(ingress), "peers");
+    /** Takes the port, which the process that had it before may still hold for a moment. In a turn. */
+    public void open(Hearer hearer) throws IOException {
+        if (channel != null) { return; }
+        DatagramChannel opened = DatagramChannel.open();
+        if (opened.supportedOptions().contains(StandardSocketOptions.SO_REUSEPORT)) {
+            opened.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+        }
+        opened.bind(listen);
+        channel = opened;
+        Thread thread = new Thread(() -> receive(opened, hearer), "peers");
         thread.setDaemon(true);
         thread.start();
     }
 
-    private void receive(Ingress ingress) {
+    private void receive(DatagramChannel from, Hearer hearer) {
         ByteBuffer in = ByteBuffer.allocateDirect(2048);
-        while (channel.isOpen()) {
+        while (from.isOpen()) {
             try {
                 in.clear();
-                SocketAddress from = channel.receive(in);
-                Integer number = numbers.get(from);
+                Integer number = numbers.get(from.receive(in));
                 if (number == null || in.position() > MOST_BYTES) { continue; } // nobody of this tier
                 byte[] bytes = new byte[in.flip().remaining()];
                 in.get(bytes);
                 String body = new String(bytes, StandardCharsets.UTF_8);
-                turns.turn(() -> {
-                    ingress.counters().peerIn++;
-                    ingress.tell(new Api.PeerMessage(number, body));
-                });
+                turns.turn(() -> hearer.heard(number, body));
             } catch (IOException e) {
-                if (!channel.isOpen()) { return; }   // else one refused datagram: the next may be fine
+                if (!from.isOpen()) { return; }      // else one refused datagram: the next may be fine
             }
         }
     }
@@ -68,16 +75,18 @@
     @Override
     public void tell(int to, String body) {
         byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
-        if (to < 0 || to >= peers.size() || bytes.length > MOST_BYTES) { return; }
+        if (channel == null || to < 0 || to >= peers.size() || bytes.length > MOST_BYTES) { return; }
         try {
             out.clear();
             channel.send(out.put(bytes).flip(), peers.get(to));
         } catch (IOException e) { /* as good as lost on the way; the next one heals it */ }
     }
 
+    /** Gives the port up; it can be taken again. In a turn. */
     public void close() {
         try {
-            channel.close();
+            if (channel != null) { channel.close(); }
         } catch (IOException e) { /* it is gone either way */ }
+        channel = null;
     }
 }
--- a/src/main/java/yardusher/servers/RegionPool.java
+++ b/src/main/java/yardusher/servers/RegionPool.java
@@ -31,7 +31,7 @@
     final Counters counters;
     private final double dialMs;
     private final double retireMs;
-    private final int mostConnections;
+    private int mostConnections;
     final List<Api.Metric> report;
     private final Map<Long, Place> places = new HashMap<>();
     private final Set<Long> banned = new HashSet<>(); // by hand
@@ -61,6 +61,12 @@
         sockets.turns().deadlines().at(sockets.turns().now() + UPKEEP_MS, this::upkeep);
     }
 
+    /** How many connections are held at the most; idle ones beyond that close. */
+    public void limit(int most) {
+        mostConnections = most;
+        while (connections > mostConnections && closeOneIdle()) { /* one by one */ }
+    }
+
     public void serve(Ingress core) { ingress = core; }
 
     /** The service table names a region, at this address now. */
--- /dev/null
+++ b/src/test/java/yardusher/ServiceDaysTest.java
@@ -0,0 +1,88 @@
+package yardusher;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import yardusher.Api.*;
+import yardusher.PolicyTest.Gateway;
+
+/** The module at servers out by hand, and at two processes of one gateway. */
+class ServiceDaysTest {
+    private static final Server[] TWO = {new Server(1, 0, 0, 1, 0, Readiness.READY), new Server(2, 0, 0, 1, 0, Readiness.READY)};
+
+    /** What one process tells the other since it was last asked. */
+    private static void pass(Gateway from, Gateway to) {
+        List<Tell> told = from.actions.stream().filter(a -> a instanceof Tell t && t.to() == from.self).map(a -> (Tell) a).toList();
+        from.actions.clear();
+        for (Tell tell : told) { to.on(new PeerMessage(from.self, tell.body())); }
+    }
+
+    private static long sentTo(Gateway g, long server) {
+        return g.actions.stream().filter(a -> a instanceof Send s && s.server() == server).count();
+    }
+
+    @Test
+    void aServerOutByHandGetsNothingAndComesBackColdAndUnjudged() {
+        Gateway g = new Gateway(0, 1, 0, TWO);
+        g.runTo(5000);
+        long id = g.ask(0, PolicyTest.NONE, 7, 1);
+        long bad = g.sent(id).server();              // it refuses connections, and is left out
+        g.on(new AttemptDone(id, 0, bad, Outcome.CONNECT_FAILED, 10, true, 0, null));
+        assertThat(g.policy.avoided(g.now)).isEqualTo(1);
+        g.on(new Ban(bad, true));
+        g.on(new Ban(bad, true));
+        g.on(new ServerList(ListKind.DELTA, List.of(new Server(bad, 0, 0, 1, 0, Readiness.GONE))));
+        assertThat(g.policy.avoided(g.now)).isZero(); // not listed
+        g.runTo(15_000);
+        g.on(new ServerList(ListKind.FULL, List.of(TWO)));
+        assertThat(g.policy.avoided(g.now)).isEqualTo(1);
+        g.actions.clear();
+        assertThat(g.admitted(200, PolicyTest.NONE, 7, 1)).isPositive();
+        assertThat(sentTo(g, bad)).isZero();
+        g.on(new Ban(bad, false));
+        assertThat(g.policy.avoided(g.now)).isZero();
+        g.actions.clear();
+        g.admitted(400, PolicyTest.NONE, 7, 1);
+        assertThat(sentTo(g, bad)).isBetween(1L, 150L); // a quarter of the draws, since it is cold
+    }
+
+    @Test
+    void theNextProcessKnowsWhatTheOneBeforeLetInAndHearsTheRest() {
+        Gateway old = new Gateway(0, 3, 0, TWO);
+        old.runTo(5000);
+        assertThat(old.admitted(6, PolicyTest.QUOTA, 7, 1)).isEqualTo(6);
+        Gateway next = new Gateway(0, 3, 5000, TWO);
+        next.on(new Twin(true, false));
+        old.on(new Twin(true, true));
+        pass(old, next);
+        assertThat(old.admitted(2, PolicyTest.QUOTA, 7, 1)).isEqualTo(2);
+        old.runTo(5060);
+        pass(old, next);
+        next.runTo(5060);
+        assertThat(next.admitted(20, PolicyTest.QUOTA, 7, 1)).isBetween(1, 2); // eight of ten are used
+    }
+
+    @Test
+    void twoProcessesEarnOnePartOfACeiling() {
+        Gateway old = new Gateway(0, 3, 0, TWO);
+        old.runTo(5000);
+        old.admitted(1, PolicyTest.HARD, 7, 1);
+        Gateway next = new Gateway(0, 3, 5000, TWO);
+        next.on(new Twin(true, false));
+        next.admitted(1, PolicyTest.HARD, 7, 1);
+        next.runTo(10_000);
+        int early = next.admitted(50, PolicyTest.HARD, 7, 1);
+        next.on(new Twin(true, true));
+        old.runTo(10_000);
+        old.on(new Twin(true, false));
+        int before = old.admitted(50, PolicyTest.HARD, 7, 1);
+        old.runTo(15_000);
+        assertThat(early).isLessThanOrEqualTo(1);    // the slack alone
+        assertThat(before).isPositive();
+        assertThat(old.admitted(50, PolicyTest.HARD, 7, 1)).as("earned after the other took over, but for the slack")
+                .isLessThanOrEqualTo(2);
+        next.runTo(20_000);
+        assertThat(next.admitted(50, PolicyTest.HARD, 7, 1)).isPositive();
+    }
+}
--- a/src/test/java/yardusher/admin/AdminCallTest.java
+++ b/src/test/java/yardusher/admin/AdminCallTest.java
@@ -8,10 +8,11 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import yardusher.net.Lines;
 
 /** Calls and lines of the second address, without a socket. */
 class AdminCallTest {
-    private static AdminCall call(String line) { return AdminCall.of(line.getBytes(StandardCharsets.ISO_8859_1)); }
+    private static AdminCall call(String line) { return AdminCall.of(line); }
 
     @Test
     void everyCallIsReadFromTheLineThatItWrites() {
@@ -31,29 +32,33 @@
     @Test
     void aLineIsWholeHoweverItIsCut() {
         for (String end : new String[] {"\n", "\r\n"}) {
-            LineBuffer line = new LineBuffer();
+            Lines line = new Lines(256);
             byte[] bytes = ("health" + end).getBytes(StandardCharsets.US_ASCII);
             for (byte b : bytes) {
-                assertThat(line.line()).isNull();
+                assertThat(line.next()).isNull();
                 line.room().put(b);
                 line.filled(1);
             }
-            assertThat(line.line()).isEqualTo("health".getBytes(StandardCharsets.US_ASCII));
+            assertThat(line.next()).isEqualTo("health");
         }
     }
 
     @Test
-    void twoLinesAtOnceAndAnOverlongOneAreTold() {
-        LineBuffer two = new LineBuffer();
-        two.room().put("health\nhealth\n".getBytes(StandardCharsets.US_ASCII));
-        two.filled(14);
-        assertThatIllegalArgumentException().isThrownBy(two::line).withMessageContaining("one line");
-        LineBuffer endless = new LineBuffer();
+    void anOverlongLineIsToldAndLinesBehindEachOtherComeInTurn() {
+        Lines two = new Lines(256);
+        two.room().put("health\r\nresume\nco".getBytes(StandardCharsets.US_ASCII));
+        two.filled(17);
+        assertThat(two.next()).isEqualTo("health");
+        assertThat(two.next()).isEqualTo("resume");
+        assertThat(two.next()).isNull();
+        assertThat(two.isEmpty()).isFalse();
+        Lines endless = new Lines(256);
         for (ByteBuffer room; (room = endless.room()).hasRemaining();) {
-            assertThat(endless.line()).isNull();
+            assertThat(endless.next()).isNull();
             room.put((byte) 'x');
             endless.filled(1);
         }
-        assertThatIllegalArgumentException().isThrownBy(endless::line).withMessageContaining("256");
+        assertThatIllegalArgumentException().isThrownBy(endless::next).withMessageContaining("256");
+        assertThatIllegalArgumentException().isThrownBy(() -> call("x".repeat(257))).withMessageContaining("256");
     }
 }
--- /dev/null
+++ b/src/test/java/yardusher/handover/NoteTest.java
@@ -0,0 +1,61 @@
+package yardusher.handover;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatIOException;
+import static org.assertj.core.api.Assertions.assertThatIllegalArgumentException;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The note by which a process is found, and the words that two processes say to each other. */
+class NoteTest {
+    @TempDir
+    Path folder;
+
+    @Test
+    void aNoteIsReadAsItWasWrittenByItsOwnerAlone() throws Exception {
+        assertThat(Note.read(folder, "n0")).isNull();
+        Note note = Note.at(new InetSocketAddress("127.0.0.1", 19000));
+        note.write(folder, "n0");
+        assertThat(Note.read(folder, "n0")).isEqualTo(note);
+        assertThat(Note.read(folder, "n1")).isNull();
+        List<Path> files;
+        try (var all = Files.list(folder)) { files = all.toList(); }
+        assertThat(files).hasSize(1);
+        assertThat(PosixFilePermissions.toString(Files.getPosixFilePermissions(files.get(0)))).isEqualTo("rw-------");
+        Note.at(note.address()).remove(folder, "n0"); // another's stays
+        assertThat(Note.read(folder, "n0")).isEqualTo(note);
+        note.remove(folder, "n0");
+        assertThat(Note.read(folder, "n0")).isNull();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "yardusher 1\n", "yardusher 1\n127.0.0.1:1\n0123456789abcdef0123456789abcdef\n",
+        "yardusher 1\n127.0.0.1:1\nshort\nend\n", "yardusher 1\nnowhere\n0123456789abcdef0123456789abcdef\nend\n",
+        "yardusher 2\n127.0.0.1:1\n0123456789abcdef0123456789abcdef\nend\n", "something else\n\n\n\n", "\u0000\u0001"})
+    void whatIsNoNoteIsToldInOneLine(String text) throws Exception {
+        Files.writeString(folder.resolve("yardusher-n0.handover"), text);
+        assertThatIOException().isThrownBy(() -> Note.read(folder, "n0")).withMessageNotContaining("\n");
+    }
+
+    @Test
+    void everyWordIsReadAsItWasSaid() {
+        for (Word word : List.of(new Word.Ban("s-5be2a07c", true), new Word.Ban("s-1", false), new Word.Held(), new Word.Drain(true),
+                new Word.Drain(false), new Word.Heard(3, "m\u0007\n\r\u007e"), new Word.Send(2, "x".repeat(256)), new Word.Whole(),
+                new Word.Serving())) {
+            assertThat(Word.of(word.line())).isEqualTo(word);
+            assertThat(word.line().length()).isLessThanOrEqualTo(Word.MOST_LINE);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "ban", "ban a b", "heard x eA==", "heard 1 ***", "send 1", "400 no such call", "whole 1"})
+    void whatIsNoWordIsNotGuessed(String line) { assertThatIllegalArgumentException().isThrownBy(() -> Word.of(line)); }
+}
--- a/src/test/java/yardusher/story/PeersStoryTest.java
+++ b/src/test/java/yardusher/story/PeersStoryTest.java
@@ -94,6 +94,7 @@
             peer.setSoTimeout(StandIn.PATIENCE_S * 1000);
             PeerSocket socket = new PeerSocket(new InetSocketAddress(here, 0),
                     List.of(new InetSocketAddress(here, peer.getLocalPort())), new Turns(() -> 0, e -> { }));
+            socket.open((from, body) -> { });
             socket.tell(0, "x".repeat(257));
             socket.tell(0, "\u00e9".repeat(129));    // short in characters, too long in bytes
             socket.tell(7, "nobody");
--- a/src/test/java/yardusher/story/StartStoryTest.java
+++ b/src/test/java/yardusher/story/StartStoryTest.java
@@ -49,6 +49,8 @@
         assertThat(startWith("{\n \"limits\":\n {\"memory_mb\":32}}")).contains("-Xmx12m ");
         assertThat(startWith("{\"limits\":{\"memory_mb\":8192}}")).contains("-Xmx64m ");
         assertThat(startWith("{\"limits\":{\"memory_mb\":099}}")).contains("-Xmx41m ");
+        assertThat(startWith("{\"admin_addr\":\"127.0.0.1:19000\",\"limits\":{\"memory_mb\":208}}")).as("two fit").contains("-Xmx64m ");
+        assertThat(startWith("{\"admin_addr\":\"127.0.0.1:19000\",\"limits\":{\"memory_mb\":144}}")).as("two fit").contains("-Xmx32m ");
         String script = Files.readString(Path.of("deploy/start.sh"));
         assertThat(script.lines().filter(line -> !line.startsWith("#"))).as("neither a substitution nor a pipe, which fork")
                 .noneMatch(line -> line.matches(".*(\\$\\((?!\\()|`|[^|]\\|[^|]|<\\().*"));
