Values over 64 KiB are passed on as they come, up to 4 MiB, in one fixed buffer each

Design: the decoder stops at the head of such a value; its bytes go from the region's read buffer (16 KiB) to the terminal's socket, and nothing more is read until that has taken them. Not taken: gathering within a budget, where a few slow readers stop all others; a larger ring for each connection, which is idle mostly. From the first byte on no deadline cuts the value off and no other attempt follows; where nothing moves for the longest deadline of any class it is given up; what breaks off ends the terminal's connection before the value's end. The module hears of the first byte and judges the region by the time to it. Keys: the leader gets it, repeats hear that it ran; the limits front drops its bytes. A first command may take 2.5 s (was 2 s: a slow client may take that long), and who has begun one gives way last. Tests: 200 of 4 MiB at once through a process with a heap of 64 MB, byte-equal, cut by seed; broken, endless and over-long ones; with the first bytes on before the rest is there.

--- a/src/main/java/yardusher/Policy.java
+++ b/src/main/java/yardusher/Policy.java
@@ -82,7 +82,7 @@
         if (event instanceof TimerFired e && e.token() == SWEEP) { sweep(); }
         if (event instanceof TimerFired e && e.token() == FLUSH) { flush(); }
         if (event instanceof TimerFired e && e.token() > FLUSH) { checkAttempt(e.token() - 2); }
-        if (event instanceof FirstByte e) { requests.computeIfPresent(e.id(), (id, held) -> held.begin()); }
+        if (event instanceof FirstByte e) { requests.computeIfPresent(e.id(), (id, h) -> h.begin(now)); }
     }
 
     private void sweep() {
@@ -849,7 +849,7 @@
             this.request = request; this.of = of; this.customer = customer; this.arrivedAt = arrivedAt;
         }
 
-        Held begin() { begun = true; return this; }
+        Held begin(double at) { begun = true; last.quietSince = at; return this; }
     }
 
     private void request(Request q) {
@@ -972,7 +972,8 @@
      * the aim. Catches overload, slow servers and full queues alike; harms if the aim is below the work.
      */
     private void sample(Host host, double ratio, Held held) {
-        double part = (now - held.sentAt) / held.of.aimMs();
+        double took = held.begun ? ratio * classMs[held.request.classIndex()] : now - held.sentAt;
+        double part = took / held.of.aimMs();
         host.part += 0.1 * (Math.min(part, 2) - host.part); // one long request is no overload
         if ((host.part > 0.4 || fleetPart > 0.3 && part > 0.5) && now - host.cutAt > typicalMs) {
             host.limit = Math.max(LEAST, Math.min(host.limit, host.load() + 1) * 0.85);
--- a/src/main/java/yardusher/cli/Serve.java
+++ b/src/main/java/yardusher/cli/Serve.java
@@ -88,7 +88,8 @@
         sockets = new Sockets(turns);
         int budget = Math.max(64, config.sockets() - OWN_DESCRIPTORS);
         Api.Settings settings = config.settings();
-        pool = new RegionPool(sockets, counters, settings.report(), config.dialMs(), config.idleMs(), budget * 2 / 5);
+        longestMs = settings.classes().stream().mapToDouble(Api.RequestClass::deadlineMs).max().orElse(1000);
+        pool = new RegionPool(sockets, counters, settings.report(), config.dialMs(), config.idleMs(), longestMs, budget * 2 / 5);
         this.budget = budget;
         peers = config.peerListen() == null || !settings.limits().peers() ? null
                 : new PeerSocket(config.peerListen(), config.peers(), turns);
@@ -99,7 +100,6 @@
             counters.more = () -> " " + journal.line();
             if (own.keys() != null) { journal.recordPrints(); }
         }
-        longestMs = settings.classes().stream().mapToDouble(Api.RequestClass::deadlineMs).max().orElse(1000);
         Object[] made = new Object[7];
         Exception[] problem = new Exception[1];
         turns.turn(() -> {
--- a/src/main/java/yardusher/clients/PlatformFront.java
+++ b/src/main/java/yardusher/clients/PlatformFront.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -12,6 +13,7 @@
 import java.util.function.LongFunction;
 import java.util.function.Supplier;
 import yardusher.Api;
+import yardusher.core.Flow;
 import yardusher.core.Ingress;
 import yardusher.core.Intake;
 import yardusher.core.Order;
@@ -133,6 +135,27 @@
         @Override
         public void served(byte[] value) { end(new Encoder(value.length + 16).bulk(value).toBytes()); }
 
+        @Override
+        public Flow begin(long length) {
+            Flow flow = slot.flow(new Encoder(24).bulkHead(length).toBytes());
+            return new Flow() {
+                @Override
+                public void part(ByteBuffer bytes, Runnable taken) { flow.part(bytes, taken); }
+
+                @Override
+                public void end() {
+                    front.ids.remove(id);
+                    flow.end();
+                }
+
+                @Override
+                public void broken() {
+                    front.ids.remove(id);
+                    flow.broken();
+                }
+            };
+        }
+
         @Override
         public void shortOnCapacity(long retryAfterMs, boolean mayHaveRun) {
             end(retryAfterMs <= 0 ? BUSY : new Encoder(24).failure("BUSY " + retryAfterMs).toBytes());
--- a/src/main/java/yardusher/core/Attempt.java
+++ b/src/main/java/yardusher/core/Attempt.java
@@ -12,6 +12,8 @@
     /** For the order log alone: whether its intent is told. */
     public boolean noted;
     Deadlines.Entry timeOut;
+    /** How long its answer's first byte took, in milliseconds; negative where it is measured at its end. */
+    double beganMs = -1;
     boolean over;
     /** Whether it has left for the regions' side; till then it is parked, and never ran. */
     boolean begun;
--- a/src/main/java/yardusher/core/Counters.java
+++ b/src/main/java/yardusher/core/Counters.java
@@ -10,6 +10,10 @@
     public long[] served = new long[0];
     public long[] refused = new long[0];
     public long[] failed = new long[0];
+    /** Large values passed on as they come: begun, under way, and the most of those so far. */
+    public long large;
+    public int largeOpen;
+    public int largeMost;
     /** Attempts that the sockets have taken whole. */
     public long forwards;
     public long clientsGone;
@@ -65,6 +69,7 @@
                 .append(" peer_in=").append(peerIn).append(" list_asks=").append(listAsks)
                 .append(" list_whole=").append(listWhole).append(" list_bad=").append(listBad)
                 .append(" list_changes=").append(listChanges)
+                .append(" large=").append(large).append(" large_open=").append(largeOpen).append(" large_most=").append(largeMost)
                 .append(" reloads=").append(reloads)
                 .append(" faults=").append(faults).append(more.get()).toString();
     }
--- a/src/main/java/yardusher/core/Ingress.java
+++ b/src/main/java/yardusher/core/Ingress.java
@@ -104,17 +104,39 @@
         if (attempt.over) { return; }
         // An answer proves that it was written whole, also where it is read before the write's own end is told.
         boolean answered = result.outcome() == Api.Outcome.SERVED || result.outcome() == Api.Outcome.SERVER_ERROR;
+        counters.largeOpen -= attempt.beganMs >= 0 ? 1 : 0;
         if (answered && attempt.written || result.outcome() == Api.Outcome.REJECTED) { forwarded(attempt); }
         book.attempt(attempt, result);
         Transaction t = attempt.transaction;
         if (result.outcome() == Api.Outcome.SERVED) { relay.served(t, result.value()); }
+        if (t.flow != null) { relay.broken(t); }     // nothing where it was served; no other attempt may follow a part
         boolean finished = t.answered || t.gone;
         if (finished) { book.close(t); }
         admit.tell(new Api.AttemptDone(t.number, attempt.number, attempt.region, result.outcome(),
-                turns.now() - attempt.sentAt, finished, 0, result.load()));
+                attempt.beganMs >= 0 ? attempt.beganMs : turns.now() - attempt.sentAt, finished, 0, result.load()));
         act();
     }
 
+    /**
+     * A region begins to answer with a value too large to be held: from here on it is its terminal's, and no deadline
+     * cuts it off. Null where nobody takes it.
+     */
+    public Flow begin(Attempt attempt, long length) {
+        Transaction t = attempt.transaction;
+        if (attempt.over || t.answered || t.gone) { return null; }
+        Flow flow = t.order.terminal().begin(length);
+        if (flow == null) { return null; }
+        t.flow = flow;
+        counters.large++;
+        counters.largeMost = Math.max(counters.largeMost, ++counters.largeOpen);
+        attempt.beganMs = turns.now() - attempt.sentAt;
+        turns.deadlines().cancel(attempt.timeOut);
+        turns.deadlines().cancel(t.lastCall);
+        forwarded(attempt);
+        tell(new Api.FirstByte(t.number, attempt.number, attempt.region));
+        return flow;
+    }
+
     /** The socket has taken an attempt's last byte. */
     public void written(Attempt attempt) {
         forwarded(attempt);
--- a/src/main/java/yardusher/core/Relay.java
+++ b/src/main/java/yardusher/core/Relay.java
@@ -13,7 +13,15 @@
     void served(Transaction t, byte[] value) {
         if (first(t, OrderLog.Answer.SERVED)) {
             counters.served[t.order.classIndex()]++;
-            t.order.terminal().served(value);
+            if (t.flow != null) { t.flow.end(); } else { t.order.terminal().served(value); }
+        }
+    }
+
+    /** A value that was passed on in part cannot be finished. */
+    void broken(Transaction t) {
+        if (first(t, OrderLog.Answer.FAILED)) {
+            counters.failed[t.order.classIndex()]++;
+            t.flow.broken();
         }
     }
 
--- a/src/main/java/yardusher/core/Terminal.java
+++ b/src/main/java/yardusher/core/Terminal.java
@@ -1,9 +1,15 @@
 package yardusher.core;
 
-/** The client's side of a transaction. Exactly one of these is called, once. */
+/** The client's side of a transaction. Exactly one of served, shortOnCapacity and failed is called, once, or a flow is begun. */
 public interface Terminal {
     void served(byte[] value);
 
+    /**
+     * A served value of so many bytes comes in parts, in place of {@link #served}; null where this terminal takes none, and
+     * the attempt has failed.
+     */
+    default Flow begin(long length) { return null; }
+
     /**
      * Short-on-capacity reply: a repeat is harmless; come again after that time, 0 for no advice. It may have run
      * when an attempt was sent on and failed or timed out before the module gave up.
--- a/src/main/java/yardusher/core/Transaction.java
+++ b/src/main/java/yardusher/core/Transaction.java
@@ -11,6 +11,8 @@
     int attempts;
     Attempt attempt;
     boolean answered;
+    /** A large value that is being passed on, or null. */
+    Flow flow;
     boolean gone;
     boolean mayHaveRun;
     /** Whether the order log records it; all it is told after the taking in goes by this. */
--- a/src/main/java/yardusher/keys/FinishedKeys.java
+++ b/src/main/java/yardusher/keys/FinishedKeys.java
@@ -58,10 +58,10 @@
         return new Found(ring.getLong(at + 12), kind, until, ring.getDouble(at + 28), value);
     }
 
-    /** Holds a key's record in place of one it had. A value that is too long for the ring is held as RAN. */
+    /** Holds a key's record in place of one it had. A value that is too long for the ring, or null, is held as RAN. */
     void put(double nowMs, long key, long print, Kind kind, double untilMs, double repeatUntilMs, byte[] value) {
         expire(nowMs);
-        boolean fits = value == null || value.length <= ring.capacity() / 2 - HEAD;
+        boolean fits = kind != Kind.SERVED || value != null && value.length <= ring.capacity() / 2 - HEAD;
         Kind held = fits ? kind : Kind.RAN;
         int length = HEAD + (held == Kind.SERVED ? value.length : 0);
         int left = ring.capacity() - at(head);
--- a/src/main/java/yardusher/keys/KeyedIntake.java
+++ b/src/main/java/yardusher/keys/KeyedIntake.java
@@ -1,11 +1,13 @@
 package yardusher.keys;
 
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import yardusher.Api;
 import yardusher.core.Deadlines;
+import yardusher.core.Flow;
 import yardusher.core.Intake;
 import yardusher.core.Order;
 import yardusher.core.Stay;
@@ -103,6 +105,33 @@
             }
         }
 
+        /** Who leads gets it as it comes. It is too large to be held, so repeats, now and later, hear that it ran. */
+        @Override
+        public Flow begin(long length) {
+            Flow flow = leader.order.terminal().begin(length);
+            return flow == null ? null : new Flow() {
+                @Override
+                public void part(ByteBuffer bytes, Runnable taken) { flow.part(bytes, taken); }
+
+                @Override
+                public void end() { over(KeyTable.Ending.SERVED, flow::end); }
+
+                @Override
+                public void broken() { over(KeyTable.Ending.MAY_HAVE_RUN, flow::broken); }
+            };
+        }
+
+        private void over(KeyTable.Ending ending, Runnable last) {
+            if (!end()) { return; }
+            if (leader.last()) { last.run(); }
+            KeyTable.Next<Asker> next = table.ended(turns.now(), leader.key, ending, null);
+            if (ending == KeyTable.Ending.SERVED) {
+                for (Asker one : next.answered()) { one.failed("it ran, and its value is too large to be held", true); }
+            } else {
+                follow(next);
+            }
+        }
+
         @Override
         public void shortOnCapacity(long afterMs, boolean mayHaveRun) {
             if (end()) {
--- a/src/main/java/yardusher/limits/LimitsFront.java
+++ b/src/main/java/yardusher/limits/LimitsFront.java
@@ -1,10 +1,12 @@
 package yardusher.limits;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Locale;
 import yardusher.Api;
+import yardusher.core.Flow;
 import yardusher.core.Ids;
 import yardusher.core.Ingress;
 import yardusher.core.Order;
@@ -168,6 +170,21 @@
             slot.answer(told(standing(), false));
         }
 
+        /** The value's bytes are nobody's here: allowed is what counts. */
+        @Override
+        public Flow begin(long length) {
+            return new Flow() {
+                @Override
+                public void part(ByteBuffer bytes, Runnable taken) { sockets.turns().afterwards(taken); }
+
+                @Override
+                public void end() { served(null); }
+
+                @Override
+                public void broken() { failed("failed", true); }
+            };
+        }
+
         @Override
         public void shortOnCapacity(long retryAfterMs, boolean mayHaveRun) {
             open--;
--- a/src/main/java/yardusher/net/Answers.java
+++ b/src/main/java/yardusher/net/Answers.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -10,6 +11,7 @@
 import java.util.Locale;
 import java.util.Set;
 import java.util.function.Supplier;
+import yardusher.core.Flow;
 import yardusher.core.Stay;
 import yardusher.core.Turns;
 import yardusher.resp.Encoder;
@@ -35,7 +37,10 @@
     private static final double NEXT_TURN_MS = 1;
     private static final int MOST_REJECTED = 16;   // commands on one connection that mean nothing
     private static final double REJECTED_MS = 5;   // the next is read so much later, for each before it
-    private static final double SILENT_MS = 2000;  // to the end of a connection's first command, or of any begun
+    private static final byte[] CRLF = {'\r', '\n'};
+    // To the end of a connection's first command, or of any begun: a slow client may take 2 s, and a bad one is owed
+    // an answer in 3 s.
+    private static final double SILENT_MS = 2500;
     private static final double IDLE_MS = 2000;    // a connection with nothing open may be closed after this
     private static final double CALM_IDLE_MS = 10_000; // and is, where there is room for others
     private static final double SILENT_WAY_MS = 30; // where no room is left, these give way to a newcomer:
@@ -108,8 +113,9 @@
      */
     private boolean room() {
         if (terminals.size() < mostTerminals && terminals.size() + leaving.size() < mostTerminals + mostLeaving) { return true; }
-        TerminalLink longest = first(silent, SILENT_WAY_MS);
+        TerminalLink longest = first(mute(), SILENT_WAY_MS);
         if (longest == null) { longest = first(idle, IDLE_WAY_MS); }
+        if (longest == null) { longest = first(silent, SILENT_WAY_MS); } // slow at its first command
         if (longest == null) {
             if (!looksAgain && !closing) {
                 looksAgain = true;
@@ -124,6 +130,14 @@
         return true;
     }
 
+    /** The longest silent that has not begun a command, if any. */
+    private Set<TerminalLink> mute() {
+        for (TerminalLink one : silent) {
+            if (one.begunAt == Double.POSITIVE_INFINITY) { return Set.of(one); }
+        }
+        return Set.of();
+    }
+
     private TerminalLink first(Set<TerminalLink> of, double quietMs) {
         TerminalLink first = of.isEmpty() ? null : of.iterator().next();
         return first != null && turns.now() - first.quietSince >= quietMs ? first : null;
@@ -221,6 +235,9 @@
     public final class Slot {
         private final TerminalLink terminal;
         private byte[] bytes;
+        private byte[] head;                         // of a value that comes in parts
+        private ByteBuffer part;                     // the next of them, till it is its turn to be written
+        private Runnable taken;                      // when it is written
         /** What is under way for this command, if anything. */
         public Stay stay;
 
@@ -246,6 +263,26 @@
             put(new Encoder(64).failure("ERR " + why).toBytes());
         }
 
+        /** An answer that comes in parts, behind this head and before a line end. */
+        public Flow flow(byte[] first) {
+            terminal.rejected = 0;
+            head = first;
+            return new Flow() {
+                @Override
+                public void part(ByteBuffer next, Runnable then) {
+                    part = next;
+                    taken = then;
+                    terminal.send();
+                }
+
+                @Override
+                public void end() { put(CRLF); }
+
+                @Override
+                public void broken() { terminal.abort(); }
+            };
+        }
+
         public void answer(byte[] answer) {
             terminal.rejected = 0;
             put(answer);
@@ -345,7 +382,16 @@
 
         void send() {
             boolean full = slots.size() >= MOST_UNANSWERED;
-            while (!slots.isEmpty() && slots.peek().bytes != null) { link.write(slots.poll().bytes); }
+            for (Slot first; (first = slots.peek()) != null;) {
+                if (first.part != null) {
+                    if (first.head != null) { link.write(first.head); }
+                    link.write(first.part);
+                    first.head = null;
+                    first.part = null;
+                }
+                if (first.bytes == null) { break; }
+                link.write(slots.poll().bytes);
+            }
             if (link.isClosed()) { return; }
             if (slots.isEmpty()) {
                 if (lost || isLeaving()) {
@@ -364,6 +410,12 @@
 
         @Override
         public void written(Link from) {
+            Slot first = slots.peek();
+            if (first != null && first.part == null && first.taken != null) {
+                Runnable then = first.taken;
+                first.taken = null;
+                then.run();
+            }
             if (!stalled || !mayRead()) { return; }
             stalled = false;
             if (readable(link)) { link.readMore(); }
@@ -374,6 +426,13 @@
             if (slots.isEmpty() && (closing || link.decoder().isEmpty())) { finish(); }
         }
 
+        /** A value cannot be finished: the connection ends, so that the terminal sees that it is not whole. */
+        void abort() {
+            if (link.isClosed()) { return; }
+            link.close();
+            ended(link);
+        }
+
         /** Nothing is open here: closed at once. */
         void drop() {
             leave();
--- a/src/main/java/yardusher/net/Link.java
+++ b/src/main/java/yardusher/net/Link.java
@@ -84,10 +84,13 @@
         }
     }
 
-    public void write(byte[] bytes) {
+    public void write(byte[] bytes) { write(ByteBuffer.wrap(bytes)); }
+
+    /** Queues what is left in it; the bytes have to stay as they are until the owner is told that all is written. */
+    public void write(ByteBuffer bytes) {
         if (closed || finishing) { return; }
-        queue.add(ByteBuffer.wrap(bytes));
-        queued += bytes.length;
+        queue.add(bytes);
+        queued += bytes.remaining();
         // Guards against a terminal that asks and never reads: answers would fill the heap.
         if (queued > MOST_QUEUED) {
             end();
--- a/src/main/java/yardusher/resp/Decoder.java
+++ b/src/main/java/yardusher/resp/Decoder.java
@@ -18,17 +18,25 @@
     private static final int MOST_DEPTH = 4;
     private static final int MOST_LINE = 512;
     private static final int SMALL = 1024;
+    /** A value that comes in parts holds no more. */
+    public static final long MOST_LARGE = 4 << 20;
+    private static final int PART = 16 * SMALL;      // what is passed on at once: the size of a cached native buffer
 
     private byte[] bytes = new byte[SMALL];
     private int start;
     private int end;
     private int at;
+    private int largeAt;                             // where a large value's bytes begin
+    private long large;                              // and how many they are; 0 for none
+    private boolean shrinks;
+    private int largeItems;                          // what follows it in its array
 
     @Override
     public ByteBuffer room() {
         if (start == end) {
             start = end = 0;
-            if (bytes.length > 16 * SMALL) { bytes = new byte[SMALL]; } // one large value keeps no memory
+            if (bytes.length > PART || bytes.length > SMALL && large == 0 && shrinks) { bytes = new byte[SMALL]; } // one large value keeps no memory
+            shrinks = false;
         }
         if (bytes.length - end < SMALL / 4) {
             if (start > 0) {
@@ -70,9 +78,50 @@
         return words;
     }
 
+    /**
+     * The bytes of a large value, where the reply that begins here is an array that begins with one (then {@link #value}
+     * gives null), else 0. From now on its bytes come by {@link #part}, and what is behind them by {@link #rest}.
+     */
+    public long openLarge() {
+        if (large == 0) { return 0; }
+        start = largeAt;
+        if (bytes.length < PART) { bytes = Arrays.copyOf(bytes, PART); }
+        return large;
+    }
+
+    /** What is there of a large value, no more than so many bytes; null for nothing. It stays until {@link #room}. */
+    public ByteBuffer part(long most) {
+        int count = (int) Math.min(most, end - start);
+        if (count == 0) { return null; }
+        start += count;
+        return ByteBuffer.wrap(bytes, start - count, count);
+    }
+
+    /** What follows a large value in its array, or null while it is not whole. */
+    public List<Value> rest() throws Malformed {
+        at = start;
+        if (end - at < 2) { return null; }
+        if (bytes[at] != '\r' || bytes[at + 1] != '\n') { throw new Malformed("bulk string without its end"); }
+        at += 2;
+        List<Value> items = new ArrayList<>(2);
+        for (int i = 0; i < largeItems; i++) {
+            Value item = value(1);
+            if (item == null) {
+                incomplete();
+                return null;
+            }
+            items.add(item);
+        }
+        start = at;
+        large = 0;
+        shrinks = true;
+        return items;
+    }
+
     /** The next reply, or null while it is not whole. */
     public Value value() throws Malformed {
         at = start;
+        large = 0;
         Value value = value(0);
         if (value == null) {
             incomplete();
@@ -118,6 +167,7 @@
                 if (count < 0 || count > MOST_ITEMS) { throw new Malformed("invalid multibulk length"); }
                 List<Value> items = new ArrayList<>((int) count);
                 for (int i = 0; i < count; i++) {
+                    if (i == 0 && depth == 0 && opensLarge((int) count)) { return null; }
                     Value item = value(depth + 1);
                     if (item == null) { return null; }
                     items.add(item);
@@ -128,6 +178,23 @@
         }
     }
 
+    /** Whether a bulk string of more than MOST_BULK and no more than MOST_LARGE bytes begins here. */
+    private boolean opensLarge(int count) throws Malformed {
+        int from = at;
+        if (at < end && bytes[at] == '$') {
+            at++;
+            long length = number();
+            if (length > MOST_BULK && length <= MOST_LARGE) {
+                large = length;
+                largeAt = at;
+                largeItems = count - 1;
+                return true;
+            }
+        }
+        at = from;
+        return false;
+    }
+
     private byte[] bulk(long length) throws Malformed {
         if (length < 0 || length > MOST_BULK) { throw new Malformed("invalid bulk length"); }
         if (end - at < length + 2) { return null; }
--- a/src/main/java/yardusher/resp/Encoder.java
+++ b/src/main/java/yardusher/resp/Encoder.java
@@ -19,6 +19,9 @@
         return raw(body).raw(CRLF);
     }
 
+    /** The head of a bulk string whose bytes, and line end, are to follow apart. */
+    public Encoder bulkHead(long length) { return header('$', length); }
+
     public Encoder bulk(String text) { return bulk(text.getBytes(StandardCharsets.UTF_8)); }
 
     public Encoder simple(String text) { return ascii('+').text(text).raw(CRLF); }
--- a/src/main/java/yardusher/servers/RegionLink.java
+++ b/src/main/java/yardusher/servers/RegionLink.java
@@ -1,11 +1,13 @@
 package yardusher.servers;
 
+import java.nio.ByteBuffer;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.util.Arrays;
 import java.util.List;
 import yardusher.Api;
 import yardusher.core.Attempt;
 import yardusher.core.Deadlines;
+import yardusher.core.Flow;
 import yardusher.net.Link;
 import yardusher.resp.Malformed;
 import yardusher.resp.Value;
@@ -22,6 +24,10 @@
     private Link link;
     private Attempt attempt;
     private Deadlines.Entry wholeBy;
+    private Flow flow;                               // a large value that is passed on as it comes
+    private long left;                               // bytes of it that have not come
+    private boolean carried;                         // a part is on its way to the terminal
+    private double movedAt;                          // when the last part came or was taken
     private boolean used;
     private boolean kept;                            // the attempt found it used by one before
 
@@ -49,6 +55,7 @@
     /** Ends the connection from this side: to a region that gives the attempt up. */
     void close() {
         attempt = null;
+        flow = null;
         pool.sockets.turns().deadlines().cancel(wholeBy);
         if (!link.isClosed()) {
             pool.connections--;
@@ -58,9 +65,11 @@
 
     @Override
     public boolean readable(Link from) {
+        if (flow != null) { return flows(); }
         Value value;
         try {
             value = from.decoder().value();
+            if (value == null && attempt != null && from.decoder().openLarge() > 0) { return begins(); }
         } catch (Malformed e) {
             spoilt();
             return false;
@@ -80,17 +89,89 @@
             spoilt();
             return false;
         }
+        served(result);
+        return true;
+    }
+
+    /** The attempt has its answer: the connection waits for the next. */
+    private void served(Attempt.Result result) {
         Attempt ended = attempt;
         attempt = null;
         ended.giveUp = () -> { };
         pool.noteLost(kept, false);
-        if (from.decoder().isEmpty()) {
+        if (link.decoder().isEmpty()) {
             pool.rest(this);
         } else {
             close();                                 // the answer stands; what is behind it is no one's
         }
         pool.end(ended, result);
-        return true;
+    }
+
+    /** A value too large to be held: it goes on as it comes. */
+    private boolean begins() {
+        Deadlines deadlines = pool.sockets.turns().deadlines();
+        deadlines.cancel(wholeBy);
+        left = link.decoder().openLarge();
+        flow = pool.begin(attempt, left);
+        if (flow == null) {
+            spoilt();
+            return false;
+        }
+        moved();
+        wholeBy = deadlines.at(movedAt + pool.stallMs, this::watchFlow);
+        return flows();
+    }
+
+    private void moved() { movedAt = pool.sockets.turns().now(); }
+
+    /**
+     * Guards against a value that never ends, and against a terminal that takes no more of it: where nothing has moved
+     * for longer than any request is waited for, it is given up.
+     */
+    private void watchFlow() {
+        if (flow == null) { return; }
+        double now = pool.sockets.turns().now();
+        if (now < movedAt + pool.stallMs) {
+            wholeBy = pool.sockets.turns().deadlines().at(movedAt + pool.stallMs, this::watchFlow);
+            return;
+        }
+        Attempt ended = attempt;
+        close();
+        pool.end(ended, Attempt.Result.of(carried ? Api.Outcome.CANCELLED : Api.Outcome.TIMED_OUT));
+    }
+
+    /** Brings what has come to the terminal; nothing more is read until it has taken that. */
+    private boolean flows() {
+        if (carried) { return false; }
+        if (left > 0) {
+            ByteBuffer part = link.decoder().part(left);
+            if (part == null) { return true; }
+            left -= part.remaining();
+            carried = true;
+            moved();
+            flow.part(part, this::taken);
+            return false;
+        }
+        try {
+            List<Value> rest = link.decoder().rest();
+            if (rest == null) { return true; }
+            if (rest.size() != 2) { throw new Malformed("not an answer"); }
+            flow = null;
+            pool.sockets.turns().deadlines().cancel(wholeBy);
+            wholeBy = null;
+            served(new Attempt.Result(Api.Outcome.SERVED, null, load(rest.get(1))));
+            return true;
+        } catch (Malformed e) {
+            spoilt();
+            return false;
+        }
+    }
+
+    private void taken() {
+        if (flow == null || link.isClosed()) { return; }
+        carried = false;
+        moved();
+        if (flows()) { link.readMore(); }
     }
 
     @Override
@@ -105,6 +186,7 @@
         pool.sockets.turns().deadlines().cancel(wholeBy);
         Attempt ended = attempt;
         attempt = null;
+        flow = null;
         if (ended != null) {
             pool.noteLost(kept, true);
             ended.written = !from.writeFailed();
--- a/src/main/java/yardusher/servers/RegionPool.java
+++ b/src/main/java/yardusher/servers/RegionPool.java
@@ -11,6 +11,7 @@
 import yardusher.Api;
 import yardusher.core.Attempt;
 import yardusher.core.Counters;
+import yardusher.core.Flow;
 import yardusher.core.Ingress;
 import yardusher.core.Regions;
 import yardusher.net.Sockets;
@@ -29,6 +30,7 @@
 
     final Sockets sockets;
     final Counters counters;
+    final double stallMs;
     private final double dialMs;
     private final double retireMs;
     private int mostConnections;
@@ -50,8 +52,10 @@
         Place(InetSocketAddress address) { this.address = address; }
     }
 
+    /** {@code stallMs}: a large value of which nothing moves for so long is given up. */
     public RegionPool(Sockets sockets, Counters counters, List<Api.Metric> report, double dialMs, double idleMs,
-            int mostConnections) {
+            double stallMs, int mostConnections) {
+        this.stallMs = stallMs;
         this.sockets = sockets;
         this.counters = counters;
         this.report = report;
@@ -183,6 +187,8 @@
         return false;
     }
 
+    Flow begin(Attempt attempt, long length) { return ingress.begin(attempt, length); }
+
     void written(Attempt attempt) { ingress.written(attempt); }
 
     void end(Attempt attempt, Attempt.Result result) { ingress.ended(attempt, result); }
--- a/src/test/java/yardusher/list/ServiceTableTest.java
+++ b/src/test/java/yardusher/list/ServiceTableTest.java
@@ -25,7 +25,7 @@
         Turns turns = new Turns(() -> 0, e -> { throw new AssertionError(e); });
         Sockets sockets = new Sockets(turns);
         try {
-            RegionPool pool = new RegionPool(sockets, new Counters(), List.of(), 250, 30_000, 10);
+            RegionPool pool = new RegionPool(sockets, new Counters(), List.of(), 250, 30_000, 8000, 10);
             ServiceTable table = new ServiceTable(List.of("hall-a"), pool);
             table.line(news(1, true, member("s-1", 81, "Ready"), member("s-2", 82, "Ready")));
             Api.ServerList told = table.line(news(2, false, member("s-3", 81, "Ready")));
--- a/src/test/java/yardusher/resp/DecoderTest.java
+++ b/src/test/java/yardusher/resp/DecoderTest.java
@@ -36,7 +36,7 @@
 
     @Test
     void nothingGrowsWithoutBound() {
-        for (String endless : new String[] {"*1\r\n$65537\r\n", "+" + "a".repeat(2000), "*1\r\n".repeat(10), "*65\r\n",
+        for (String endless : new String[] {"*1\r\n$4194305\r\n", "$65537\r\n", "*2\r\n$1\r\na\r\n$65537\r\n", "*1\r\n*1\r\n$65537\r\n", "+" + "a".repeat(2000), "*1\r\n".repeat(10), "*65\r\n",
             "*2\r\n$60000\r\n" + "a".repeat(60000) + "\r\n$60000\r\n" + "a".repeat(20000), "$-2\r\n", "?", ":1x\r\n", "+a\n"}) {
             byte[] bytes = endless.getBytes(StandardCharsets.US_ASCII);
             Decoder decoder = new Decoder();
--- /dev/null
+++ b/src/test/java/yardusher/story/BulkStoryTest.java
@@ -0,0 +1,283 @@
+package yardusher.story;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static yardusher.story.StandIn.member;
+import static yardusher.story.StandIn.next;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import yardusher.cli.Serve;
+import yardusher.story.StandIn.Client;
+import yardusher.story.StandIn.Listener;
+
+/** Large values: passed on as they come, cut anywhere, slow on both sides, in memory that holds few of them. */
+class BulkStoryTest {
+    private static final int MIB = 1 << 20;
+    private static final long SEED = 20261201;
+
+    @TempDir
+    Path folder;
+    private final List<AutoCloseable> open = new ArrayList<>();
+
+    @AfterEach
+    void close() throws Exception {
+        for (AutoCloseable one : open) { one.close(); }
+    }
+
+    /** The byte of a value at a place: values of two requests differ, and so do their parts. */
+    private static byte at(long id, int place) { return (byte) (id * 31 + place * 7 + (place >>> 10)); }
+
+    /** A region that writes what a script says, piece by piece. */
+    private final class Bulk extends Listener {
+        final BlockingQueue<String> ends = new LinkedBlockingQueue<>();
+        final Script script;
+
+        Bulk(Script script) throws IOException {
+            this.script = script;
+            open.add(this);
+        }
+
+        @Override
+        void talk(Socket guest) throws Exception {
+            yardusher.resp.Decoder decoder = new yardusher.resp.Decoder();
+            for (byte[][] words;;) {
+                if ((words = decoder.command()) != null) {
+                    script.answer(Long.parseUnsignedLong(new String(words[2], StandardCharsets.US_ASCII), 16), guest.getOutputStream(), guest);
+                } else {
+                    StandIn.fill(decoder, guest.getInputStream());
+                }
+            }
+        }
+
+        @Override
+        void left(Socket guest) {
+            try { guest.close(); } catch (IOException e) { /* it has left */ }
+            ends.add("left");
+        }
+    }
+
+    private interface Script {
+        void answer(long id, OutputStream out, Socket guest) throws Exception;
+    }
+
+    private static void head(OutputStream out, long length) throws IOException {
+        out.write(("*3\r\n$" + length + "\r\n").getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private static void value(long id, int from, int to, int most, Random random, OutputStream out) throws IOException {
+        for (int place = from; place < to;) {
+            byte[] piece = new byte[Math.min(to - place, 1 + random.nextInt(most))];
+            for (int i = 0; i < piece.length; i++) { piece[i] = at(id, place + i); }
+            out.write(piece);
+            place += piece.length;
+        }
+    }
+
+    private static void tail(OutputStream out) throws IOException { out.write("\r\n$-1\r\n$-1\r\n".getBytes(StandardCharsets.US_ASCII)); }
+
+    private Serve ingress(Bulk... regions) throws Exception {
+        String[] members = new String[regions.length];
+        for (int i = 0; i < members.length; i++) { members[i] = member("s-" + i, regions[i].address(), "Ready"); }
+        Serve serve = StandIn.ingress("127.0.0.1:9", null, members);
+        open.add(serve::close);
+        return serve;
+    }
+
+    private static void ask(Client client, long id) throws IOException {
+        client.send("CALL.GET", String.format("%016x", id), String.format("%016x", id), "c=lookup,t=basis,d=2000,units=1,spread=1,first=0");
+    }
+
+    /** Reads a value and holds it against what its region made; the number of bytes that are right. */
+    private static int read(Client client, long id, int length, int most, Random random) throws IOException {
+        InputStream in = client.socket.getInputStream();
+        String head = "$" + length + "\r\n";
+        assertThat(new String(in.readNBytes(head.length()), StandardCharsets.US_ASCII)).isEqualTo(head);
+        int place = 0;
+        byte[] piece = new byte[most];
+        for (int count; place < length && (count = in.read(piece, 0, Math.min(length - place, 1 + random.nextInt(most)))) > 0;) {
+            for (int i = 0; i < count; i++, place++) {
+                if (piece[i] != at(id, place)) { throw new AssertionError("byte " + place + " of " + id); }
+            }
+        }
+        return place;
+    }
+
+    private static boolean endsWell(Client client) throws IOException {
+        return new String(client.socket.getInputStream().readNBytes(2), StandardCharsets.US_ASCII).equals("\r\n");
+    }
+
+    /** 800 MiB through a process whose heap holds 64, all of them under way at once. */
+    @Test
+    void twoHundredOfFourMebibytesPassAtOnceThroughAHeapThatHoldsFew() throws Exception {
+        int all = 200;
+        CountDownLatch together = new CountDownLatch(all);
+        List<String> members = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            Bulk region = new Bulk((id, out, guest) -> {
+                Random random = new Random(SEED + id);
+                head(out, 4 * MIB);
+                value(id, 0, 1000, 1000, random, out);
+                together.countDown();
+                assertThat(together.await(60, TimeUnit.SECONDS)).isTrue();
+                value(id, 1000, 4 * MIB, 100_000, random, out);
+                tail(out);
+            });
+            members.add(member("s-" + i, region.address(), "Ready"));
+        }
+        int port;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) { port = free.getLocalPort(); }
+        Path config = folder.resolve("config.json");
+        Files.writeString(config, Files.readString(Path.of("src/test/resources/ingress.json"))
+                .replace("\"listen\": \"127.0.0.1:0\"", "\"listen\": \"127.0.0.1:" + port + "\"")
+                .replace("\"members\": []", "\"members\": [" + String.join(",", members) + "]"));
+        Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx64m",
+                "-XX:MaxDirectMemorySize=8m", "-Djdk.nio.maxCachedBufferSize=16384", "-cp", System.getProperty("java.class.path"),
+                "yardusher.cli.Main", "serve", config.toString(), "--limits", "none", "--settings", "none")
+                .redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile()).start();
+        open.add(() -> process.destroyForcibly().waitFor());
+        InetSocketAddress front = new InetSocketAddress("127.0.0.1", port);
+        try (Client first = patient(front)) { assertThat(first.ask("PING")).isEqualTo("+PONG"); }
+        ExecutorService readers = Executors.newFixedThreadPool(all);
+        try {
+            List<Future<Integer>> read = new ArrayList<>();
+            for (int i = 0; i < all; i++) {
+                long id = 1000 + i;
+                read.add(readers.submit(() -> {
+                    Random random = new Random(SEED - id);
+                    try (Client client = new Client(front)) {
+                        client.socket.setSoTimeout(120_000);
+                        ask(client, id);
+                        int right = read(client, id, 4 * MIB, 60_000, random);
+                        assertThat(endsWell(client)).isTrue();
+                        return right;
+                    }
+                }));
+            }
+            for (Future<Integer> one : read) { assertThat(one.get(120, TimeUnit.SECONDS)).as("seed " + SEED).isEqualTo(4 * MIB); }
+        } finally {
+            readers.shutdownNow();
+        }
+        try (Client client = new Client(front)) {
+            assertThat(client.ask("INFO")).contains(" served=200 ").contains(" large=200 large_open=0 large_most=200 ").contains(" faults=0");
+        }
+    }
+
+    /** Waits till the process listens; bounded. */
+    private static Client patient(InetSocketAddress front) throws Exception {
+        long until = System.nanoTime() + StandIn.PATIENCE_S * 1_000_000_000L;
+        for (;;) {
+            try {
+                return new Client(front);
+            } catch (IOException e) {
+                if (System.nanoTime() > until) { throw e; }
+                Thread.sleep(20);
+            }
+        }
+    }
+
+    @Test
+    void firstBytesGoOnBeforeTheRestIsThereAndNothingElseWaits() throws Exception {
+        BlockingQueue<String> go = new LinkedBlockingQueue<>();
+        Serve serve = ingress(new Bulk((id, out, guest) -> {
+            if (id == 1) {
+                head(out, 100_000);
+                value(id, 0, 10, 3, new Random(SEED), out);
+                next(go);
+                value(id, 10, 100_000, 5000, new Random(SEED), out);
+                tail(out);
+            } else {
+                out.write(StandIn.Region.served("small"));
+            }
+        }));
+        try (Client large = new Client(serve.front().answers().address()); Client small = new Client(serve.front().answers().address())) {
+            ask(large, 1);
+            assertThat(large.socket.getInputStream().readNBytes(19)).hasSize(19); // its head and ten bytes
+            large.send("PING");                      // behind it, in order
+            assertThat(small.lookup(5, 2000)).isEqualTo("small");
+            go.add("on");
+            InputStream in = large.socket.getInputStream();
+            for (int place = 10; place < 100_000; place++) { assertThat((byte) in.read()).isEqualTo(at(1, place)); }
+            assertThat(endsWell(large)).isTrue();
+            assertThat(large.told()).isEqualTo("+PONG");
+            ask(large, 2);
+            assertThat(large.told()).isEqualTo("small");
+            assertThat(serve.countersLine()).contains(" served=3 ").contains(" failed=0 ");
+        }
+    }
+
+    /** What was passed on in part and cannot be finished: the connection ends, and no other attempt follows. */
+    @Test
+    void aValueThatBreaksOffLeavesItsTerminalWithAnEndAndNoSecondAttempt() throws Exception {
+        for (Script bad : List.<Script>of(
+                (id, out, guest) -> guest.close(),
+                (id, out, guest) -> out.write(new byte[100_000]), // more than was said, and no line end
+                (id, out, guest) -> {
+                    value(id, 70_000, 80_000, 9999, new Random(SEED), out);
+                    out.write("\r\n$-1\r\n?".getBytes(StandardCharsets.US_ASCII));
+                })) {
+            Bulk region = new Bulk((id, out, guest) -> {
+                head(out, 80_000);
+                value(id, 0, 70_000, 9999, new Random(SEED), out);
+                bad.answer(id, out, guest);
+            });
+            Serve serve = ingress(region, region);
+            try (Client client = new Client(serve.front().answers().address())) {
+                ask(client, 7);
+                byte[] all = client.socket.getInputStream().readAllBytes();
+                assertThat(all.length).isLessThan("$80000\r\n".length() + 80_000 + 2);
+                assertThat(serve.countersLine()).contains(" served=0 ").contains(" failed=1 ").contains(" attempts=1 ")
+                        .contains(" open=0 ").contains("large_open=0");
+            }
+        }
+    }
+
+    @Test
+    void aTerminalThatLeavesInMidValueTakesItsAttemptAlong() throws Exception {
+        Bulk region = new Bulk((id, out, guest) -> {
+            head(out, 4 * MIB);
+            value(id, 0, 4 * MIB, 9999, new Random(SEED), out); // far more than the buffers between hold
+        });
+        Serve serve = ingress(region);
+        try (Client client = new Client(serve.front().answers().address())) {
+            ask(client, 7);
+            assertThat(client.socket.getInputStream().read()).isEqualTo('$');
+        }
+        assertThat(next(region.ends)).isEqualTo("left");
+        assertThat(serve.countersLine()).contains("gone=1 open=0").contains("large_open=0");
+    }
+
+    @Test
+    void aValueOverTheBoundIsSpoiltAndNeverBegun() throws Exception {
+        Bulk region = new Bulk((id, out, guest) -> {
+            head(out, 3_000_000_000L);
+            out.write(new byte[1000]);
+        });
+        Serve serve = ingress(region);
+        try (Client client = new Client(serve.front().answers().address())) {
+            ask(client, 7);
+            assertThat(client.told()).startsWith("-");
+            assertThat(serve.countersLine()).contains("large=0").containsPattern("attempts_server_error=[1-9]");
+        }
+    }
+}
