--- /dev/null
+++ b/src/main/java/yardusher/cli/AdminCommand.java
@@ -0,0 +1,72 @@
+package yardusher.cli;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import yardusher.admin.AdminCall;
+import yardusher.agent.AgentConfig;
+import yardusher.net.Sockets;
+
+/** The sub-command admin: one call at the second address of a running instance, or of all that an agent's file names. */
+final class AdminCommand {
+    private static final int PATIENCE_MS = 2000;
+    private static final int MOST_ANSWER = 1 << 20;  // bytes
+
+    private AdminCommand() { }
+
+    /** {@code admin HOST:PORT CALL [ID]}: the answer; 1 where it is a no. */
+    static int run(List<String> words) throws IOException {
+        if (words.size() < 2) {
+            throw new IllegalArgumentException("usage: yardusher admin HOST:PORT CALL [ID]; calls are " + AdminCall.words());
+        }
+        AdminCall call = call(words.subList(1, words.size()));
+        String answer = ask(Sockets.address(words.get(0)), call);
+        System.out.print(answer);
+        return answer.startsWith("400") ? 1 : 0;
+    }
+
+    /** {@code agent admin FILE CALL [ID]}: the call at every instance of the file, a line for each; 1 where one says no. */
+    static int all(AgentConfig agent, List<String> words) throws Config.Bad {
+        AdminCall call = call(words);
+        int status = 0;
+        for (AgentConfig.Entry entry : agent.instances()) {
+            InetSocketAddress at = Config.read(entry.config()).admin();
+            String answer;
+            try {
+                answer = at == null ? "400 " + entry.config() + " names no admin_addr\n" : ask(at, call);
+            } catch (IOException e) {
+                answer = "400 " + e.getMessage() + "\n";
+            }
+            status = answer.startsWith("400") ? 1 : status;
+            answer.lines().forEach(line -> System.out.println(entry.name() + " " + line));
+        }
+        return status;
+    }
+
+    private static AdminCall call(List<String> words) {
+        try {
+            return AdminCall.of(String.join(" ", words));
+        } catch (IllegalArgumentException e) {
+            throw new IllegalArgumentException("admin: " + e.getMessage(), e);
+        }
+    }
+
+    private static String ask(InetSocketAddress at, AdminCall call) throws IOException {
+        String where = at.getAddress().getHostAddress() + ":" + at.getPort();
+        try (Socket socket = new Socket()) {
+            socket.connect(at, PATIENCE_MS);
+            socket.setSoTimeout(PATIENCE_MS);
+            socket.getOutputStream().write((call.line() + "\n").getBytes(StandardCharsets.US_ASCII));
+            byte[] answer = socket.getInputStream().readNBytes(MOST_ANSWER);
+            if (answer.length == 0) { throw new IOException(where + " closed without an answer"); }
+            return new String(answer, StandardCharsets.US_ASCII);
+        } catch (SocketTimeoutException e) {
+            throw new IOException(where + " does not answer", e);
+        } catch (java.net.ConnectException e) {
+            throw new IOException("nothing listens at " + where, e);
+        }
+    }
+}
--- a/src/main/java/yardusher/cli/AgentCommand.java
+++ b/src/main/java/yardusher/cli/AgentCommand.java
@@ -16,12 +16,13 @@
 
     private AgentCommand() { }
 
-    static int run(List<String> words) throws IOException {
-        if (words.size() < 2 || !List.of("start", "status", "restart", "reload", "stop").contains(words.get(0))) {
-            throw new IllegalArgumentException("usage: yardusher agent start|status|restart|reload|stop FILE [NAME ...]");
+    static int run(List<String> words) throws IOException, Config.Bad {
+        if (words.size() < 2 || !List.of("start", "status", "restart", "reload", "stop", "admin").contains(words.get(0))) {
+            throw new IllegalArgumentException("usage: yardusher agent start|status|restart|reload|stop FILE [NAME ...] | admin FILE CALL [ID]");
         }
         AgentConfig config = AgentConfig.read(Path.of(words.get(1)));
         List<String> names = words.subList(2, words.size());
+        if (words.get(0).equals("admin")) { return AdminCommand.all(config, names); }
         for (String name : names) {
             if (config.instances().stream().noneMatch(entry -> entry.name().equals(name))) {
                 throw new IllegalArgumentException("no instance " + name + " in " + words.get(1));
--- a/src/main/java/yardusher/cli/Main.java
+++ b/src/main/java/yardusher/cli/Main.java
@@ -21,7 +21,7 @@
 public final class Main {
     public static final String VERSION = "0.1.0";
     private static final String USAGE = "usage: yardusher serve [CONFIG] | simhost | version | agent start|status|restart|reload|"
-            + "stop FILE [NAME] | import NGINX_FILE | limits HOST:PORT KEY MAX_BURST COUNT PERIOD [QUANTITY] | check FILE | orders list|show|open|verify|export FOLDER";
+            + "stop FILE [NAME] | agent admin FILE CALL [ID] | admin HOST:PORT CALL [ID] | import NGINX_FILE | limits HOST:PORT KEY MAX_BURST COUNT PERIOD [QUANTITY] | check FILE | orders list|show|open|verify|export FOLDER";
 
     private Main() { }
 
@@ -86,6 +86,7 @@
             case "keys" -> { return keys(rest); }
             case "orders" -> { return OrdersCommand.run(line); }
             case "agent" -> { return AgentCommand.run(rest); }
+            case "admin" -> { return AdminCommand.run(rest); }
             case "import" -> {
                 atMost(rest, 1, 1);
                 return importNginx(rest.get(0), line);
