Request bodies up to 4 MiB within one budget, read into place and never copied

Design: such a body is read once a budget for all connections (an eighth of the heap, one body at least) has room for it, straight into its array, and every attempt is written from there in pieces of 16 KiB; the budget comes back with the final answer or the client's end. Not taken: passing a body on as it comes, which leaves one attempt and holds a region's connection for a slow client. A body has 10 s to come whole, the wait for room with it.

--- a/src/main/java/yardusher/cli/Serve.java
+++ b/src/main/java/yardusher/cli/Serve.java
@@ -31,10 +31,12 @@
 import yardusher.list.Watch;
 import yardusher.log.Events;
 import yardusher.log.Logs;
+import yardusher.net.Budget;
 import yardusher.net.Lines;
 import yardusher.net.Link;
 import yardusher.net.Sockets;
 import yardusher.peers.PeerSocket;
+import yardusher.resp.Decoder;
 import yardusher.servers.RegionPool;
 import yardusher.settings.Settings;
 
@@ -45,7 +47,10 @@
     private static final long JOURNAL_END_MS = 2000; // at the end, for a slow disk to take the last outcomes
     private static final int OWN_DESCRIPTORS = 64;   // of the JVM, the listeners and the watch
 
+    private static final int BODIES_PART = 8;        // of the heap, for large bodies, but one always fits
+
     private final Turns turns;
+    private final Budget bodies = new Budget(Math.max(Decoder.MOST_LARGE, Runtime.getRuntime().maxMemory() / BODIES_PART));
     private final Sockets sockets;
     private final Counters counters = new Counters();
     private final RegionPool pool;
@@ -113,7 +118,7 @@
                 made[1] = new Watch(sockets, config.discovery(), table, core);
                 if (own.keys() != null) { made[4] = keyed(own, core); }
                 made[2] = new PlatformFront(sockets, config.listen(), core, made[4] == null ? core : (KeyedIntake) made[4],
-                        config.classes(), config.plans(), 1);
+                        config.classes(), config.plans(), 1, bodies);
                 made[3] = limits == null ? null
                         : new LimitsFront(sockets, core, limits, config.classes(), config.plans());
                 made[6] = adminAt == null ? null : new AdminFront(sockets, adminAt, new Calls());
@@ -128,6 +133,8 @@
         front = (PlatformFront) made[2];
         limitsFront = (LimitsFront) made[3];
         share(false);
+        java.util.function.Supplier<String> rest = counters.more;
+        counters.more = () -> " " + bodies.line() + rest.get();
         keys = (KeyedIntake) made[4];
         table = (ServiceTable) made[5];
         admin = (AdminFront) made[6];
--- a/src/main/java/yardusher/clients/PlatformFront.java
+++ b/src/main/java/yardusher/clients/PlatformFront.java
@@ -19,6 +19,7 @@
 import yardusher.core.Order;
 import yardusher.core.Terminal;
 import yardusher.net.Answers;
+import yardusher.net.Budget;
 import yardusher.net.Sockets;
 import yardusher.resp.Call;
 import yardusher.resp.Encoder;
@@ -39,12 +40,12 @@
     private final Set<Long> ids = new HashSet<>();
 
     public PlatformFront(Sockets sockets, InetSocketAddress at, Ingress ingress, Intake intake,
-            List<String> classNames, List<String> planNames, int mostTerminals) throws IOException {
+            List<String> classNames, List<String> planNames, int mostTerminals, Budget bodies) throws IOException {
         this.ingress = ingress;
         this.intake = intake;
         for (String name : classNames) { classes.put(name, classes.size()); }
         for (String name : planNames) { plans.put(name, plans.size()); }
-        answers = new Answers(sockets, at, true, mostTerminals, this);
+        answers = new Answers(sockets, at, true, mostTerminals, bodies, this);
     }
 
     public Answers answers() { return answers; }
--- a/src/main/java/yardusher/core/Cargo.java
+++ b/src/main/java/yardusher/core/Cargo.java
@@ -1,9 +1,11 @@
 package yardusher.core;
 
+import java.nio.ByteBuffer;
+
 /** What a region is handed for a transaction. The core never looks inside, but for what names it. */
 public interface Cargo {
-    /** The cargo's bytes, telling the region how long its answer is waited for. */
-    byte[] encoded(long waitMs);
+    /** The cargo's bytes, telling the region how long its answer is waited for: parts to be written one behind another. */
+    ByteBuffer[] encoded(long waitMs);
 
     /** The request's id, as the region is told it. */
     long id();
--- a/src/main/java/yardusher/limits/LimitsFront.java
+++ b/src/main/java/yardusher/limits/LimitsFront.java
@@ -12,6 +12,7 @@
 import yardusher.core.Order;
 import yardusher.core.Terminal;
 import yardusher.net.Answers;
+import yardusher.net.Budget;
 import yardusher.net.Sockets;
 import yardusher.resp.Call;
 import yardusher.resp.Encoder;
@@ -48,7 +49,7 @@
         check(config, classNames, planNames, ingress.settings().gateways());
         this.queries = config.queriesPerS();
         this.queriesAt = sockets.turns().now();
-        this.answers = new Answers(sockets, config.listen(), true, MOST_TERMINALS, this);
+        this.answers = new Answers(sockets, config.listen(), true, MOST_TERMINALS, new Budget(0), this);
     }
 
     /** Whether the file fits the settings: classes, plans and sets that exist. */
--- a/src/main/java/yardusher/net/Answers.java
+++ b/src/main/java/yardusher/net/Answers.java
@@ -41,6 +41,7 @@
     // To the end of a connection's first command, or of any begun: a slow client may take 2 s, and a bad one is owed
     // an answer in 3 s.
     private static final double SILENT_MS = 2500;
+    private static final double BODY_MS = 10_000;  // to the end of a large body, the wait for room with it
     private static final double IDLE_MS = 2000;    // a connection with nothing open may be closed after this
     private static final double CALM_IDLE_MS = 10_000; // and is, where there is room for others
     private static final double SILENT_WAY_MS = 30; // where no room is left, these give way to a newcomer:
@@ -67,6 +68,7 @@
     private final Set<Link> leaving = new LinkedHashSet<>();
     private int mostLeaving;
     private int mostIdle;
+    private final Budget bodies;
     private boolean looksAgain;
     private boolean closing;
     private boolean leavesForGood;
@@ -75,13 +77,14 @@
     private double leaveBy = Double.POSITIVE_INFINITY; // and all idle ones
 
     public Answers(Sockets sockets, InetSocketAddress at, int mostTerminals, Commands commands) throws IOException {
-        this(sockets, at, false, mostTerminals, commands);
+        this(sockets, at, false, mostTerminals, new Budget(0), commands);
         bind();
     }
 
-    /** Listens once {@link #bind} is called. With {@code shared} the next version of this program can listen there too. */
-    public Answers(Sockets sockets, InetSocketAddress at, boolean shared, int mostTerminals, Commands commands)
+    /** Listens once {@link #bind} is called; large bodies are held within the budget. With {@code shared} the next version of this program can listen there too. */
+    public Answers(Sockets sockets, InetSocketAddress at, boolean shared, int mostTerminals, Budget bodies, Commands commands)
             throws IOException {
+        this.bodies = bodies;
         this.commands = commands;
         limit(mostTerminals);
         this.turns = sockets.turns();
@@ -235,6 +238,7 @@
     public final class Slot {
         private final TerminalLink terminal;
         private byte[] bytes;
+        private Runnable body;                       // gives back what its large body holds
         private byte[] head;                         // of a value that comes in parts
         private ByteBuffer part;                     // the next of them, till it is its turn to be written
         private Runnable taken;                      // when it is written
@@ -243,6 +247,11 @@
 
         private Slot(TerminalLink terminal) { this.terminal = terminal; }
 
+        private void dropBody() {
+            if (body != null) { body.run(); }
+            body = null;
+        }
+
         public boolean isAnswered() { return bytes != null; }
 
         /** Whether the terminal is on this machine. */
@@ -292,6 +301,7 @@
             if (bytes != null) { return; }
             bytes = answer;
             stay = null;
+            dropBody();
             terminal.send();
         }
     }
@@ -310,6 +320,9 @@
         private final ArrayDeque<Slot> slots = new ArrayDeque<>(2);
         private double quietSince = turns.now();
         private double begunAt = Double.POSITIVE_INFINITY; // when the command now being read began
+        private Runnable body;                     // gives back what is held for the large body now being read
+        private boolean bodyOpen;
+        private double bodyFrom;
         private int rejected;
         private boolean lost;
         private boolean paused;
@@ -333,6 +346,7 @@
                         return false;
                     }
                     byte[][] words = link.decoder().command();
+                    if (words == null && link.decoder().bodyLength() > 0) { return readsBody(); }
                     if (words == null) {
                         if (link.decoder().isEmpty()) {
                             begunAt = Double.POSITIVE_INFINITY;
@@ -346,6 +360,8 @@
                     idle.remove(this);
                     Slot slot = new Slot(this);
                     slots.add(slot);
+                    slot.body = body;
+                    body = null;
                     commands.command(words, slot);
                 }
             } catch (Malformed e) {
@@ -355,6 +371,38 @@
             return false;
         }
 
+        /** A large body comes: it is read once there is room for it. True while more is to be read. */
+        private boolean readsBody() throws Malformed {
+            double now = turns.now();
+            if (!bodies.fits(link.decoder().bodyLength())) { throw new Malformed("invalid bulk length"); }
+            if (body != null) {
+                if (now < bodyFrom + BODY_MS) { begunAt = quietSince = now; }
+                return bodyOpen;
+            }
+            bodyFrom = begunAt = quietSince = now;
+            bodyOpen = false;
+            boolean[] here = {true};
+            body = bodies.take(link.decoder().bodyLength(), () -> {
+                bodyOpen = true;
+                if (link.isClosed() || lost) { return; }
+                link.decoder().openBody();
+                if (!here[0]) { turns.afterwards(this::goOn); }
+            });
+            here[0] = false;
+            return bodyOpen && readable(link);
+        }
+
+        private void goOn() {
+            begunAt = quietSince = turns.now();
+            if (mayRead() && readable(link)) { link.readMore(); }
+        }
+
+        /** What was held for a command that will not come. */
+        private void dropBody() {
+            if (body != null) { body.run(); }
+            body = null;
+        }
+
         private boolean mayRead() {
             return !lost && !paused && !link.isClosed() && slots.size() < MOST_UNANSWERED
                     && link.queued() < MOST_UNREAD && (slots.isEmpty() || !isLeaving());
@@ -362,6 +410,7 @@
 
         /** Framing is lost: what came before is still answered in order, then the connection closes. */
         void lose(String why) {
+            dropBody();
             lost = true;
             begunAt = Double.POSITIVE_INFINITY;
             silent.remove(this);
@@ -450,6 +499,7 @@
         public void ended(Link from) {
             leave();
             for (Slot slot : slots) {
+                slot.dropBody();
                 if (slot.bytes == null) {
                     slot.bytes = new byte[0];
                     commands.gone(slot);
@@ -459,6 +509,7 @@
         }
 
         private void leave() {
+            dropBody();
             silent.remove(this);
             idle.remove(this);
             if (terminals.remove(this) && !closing && terminals.size() == mostTerminals - 1) { door.open(); }
--- a/src/main/java/yardusher/net/Link.java
+++ b/src/main/java/yardusher/net/Link.java
@@ -27,7 +27,9 @@
         void ended(Link link);
     }
 
-    private static final int MOST_QUEUED = 4 << 20;
+    private static final int MOST_QUEUED = (4 << 20) + 256 * 1024; // one large body, and what small answers may wait
+    private static final int PIECE = 16 * 1024;      // of a large body, at once: the size of a cached native buffer
+    private static final int MERGED = 128 * 1024;    // what is queued in one turn goes out together up to here
     private static final long MOST_DRAINED = 96L << 20;
     private static final double DRAIN_MS = 3000;
     /** What drained bytes go into: nobody looks at them, so all connections share it, without a copy. */
@@ -40,6 +42,7 @@
     private final ArrayDeque<ByteBuffer> queue = new ArrayDeque<>(4);
     private int queued;
     private boolean writing;
+    private boolean sliced;
     private boolean reading;
     private boolean finishing;
     private boolean draining;
@@ -157,7 +160,7 @@
     private void flush() {
         if (closed) { return; }
         ByteBuffer first = queue.peek();
-        if (queue.size() > 1) {
+        if (queue.size() > 1 && queued <= MERGED) {
             int size = 0;
             for (ByteBuffer part : queue) { size += part.remaining(); }
             first = ByteBuffer.allocate(size);
@@ -167,7 +170,9 @@
             queue.add(first);
         }
         try {
-            channel.write(first, this, WRITTEN);
+            // Guards the native memory: a buffer as large as a body would be copied there whole.
+            sliced = first.remaining() > MERGED;
+            channel.write(sliced ? first.slice(first.position(), PIECE) : first, this, WRITTEN);
         } catch (RuntimeException e) {
             end();
         }
@@ -192,6 +197,7 @@
     private void wrote(int count) {
         if (closed) { return; }
         queued -= count;
+        if (sliced) { queue.peek().position(queue.peek().position() + count); }
         if (!queue.peek().hasRemaining()) { queue.poll(); }
         if (!queue.isEmpty()) {
             flush();
--- a/src/main/java/yardusher/resp/Call.java
+++ b/src/main/java/yardusher/resp/Call.java
@@ -1,5 +1,6 @@
 package yardusher.resp;
 
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import net.openhft.hashing.LongHashFunction;
@@ -13,6 +14,7 @@
     private static final byte[] GET = "CALL.GET".getBytes(StandardCharsets.US_ASCII);
     private static final byte[] POST = "CALL.POST".getBytes(StandardCharsets.US_ASCII);
 
+    private static final byte[] END = {'\r', '\n'};
     private static final int MOST_LIST = 512;
 
     private final byte[][] words;
@@ -158,14 +160,19 @@
     }
 
     @Override
-    public byte[] encoded(long wait) {
-        int size = 96 + list.length() + (words.length > 4 ? words[4].length : 0);
+    public ByteBuffer[] encoded(long wait) {
+        boolean large = words.length > 4 && words[4].length > Decoder.MOST_BULK;
+        int size = 96 + list.length() + (words.length > 4 && !large ? words[4].length : 0);
         Encoder out = new Encoder(size).array(words.length).bulk(isGet() ? GET : POST).bulk(words[1]).bulk(words[2]);
         int d = list.startsWith("d=") ? 0 : list.indexOf(",d=") + 1;
         int end = list.indexOf(',', d);
         String told = list.substring(0, d) + "d=" + wait + (end < 0 ? "" : list.substring(end));
         out.bulk(told.getBytes(StandardCharsets.ISO_8859_1));
+        if (large) {                                 // never copied: every attempt is written from where it was read
+            return new ByteBuffer[] {ByteBuffer.wrap(out.bulkHead(words[4].length).toBytes()), ByteBuffer.wrap(words[4]),
+                ByteBuffer.wrap(END)};
+        }
         if (words.length > 4) { out.bulk(words[4]); }
-        return out.toBytes();
+        return new ByteBuffer[] {ByteBuffer.wrap(out.toBytes())};
     }
 }
--- a/src/main/java/yardusher/resp/Decoder.java
+++ b/src/main/java/yardusher/resp/Decoder.java
@@ -20,6 +20,7 @@
     private static final int SMALL = 1024;
     /** A value that comes in parts holds no more. */
     public static final long MOST_LARGE = 4 << 20;
+    private static final int BODY = 4;               // the place of a platform command's body
     private static final int PART = 16 * SMALL;      // what is passed on at once: the size of a cached native buffer
 
     private byte[] bytes = new byte[SMALL];
@@ -29,10 +30,17 @@
     private int largeAt;                             // where a large value's bytes begin
     private long large;                              // and how many they are; 0 for none
     private boolean shrinks;
+    private byte[][] bodied;                         // a command whose last word is a large body still to come
+    private long bodyLength;                         // the body's bytes; 0 for no such command
+    private int bodyFilled;
     private int largeItems;                          // what follows it in its array
 
     @Override
     public ByteBuffer room() {
+        byte[] body = bodied == null ? null : bodied[bodied.length - 1];
+        if (body != null && bodyFilled < body.length) {
+            return ByteBuffer.wrap(body, bodyFilled, Math.min(PART, body.length - bodyFilled));
+        }
         if (start == end) {
             start = end = 0;
             if (bytes.length > PART || bytes.length > SMALL && large == 0 && shrinks) { bytes = new byte[SMALL]; } // one large value keeps no memory
@@ -50,12 +58,44 @@
     }
 
     @Override
-    public void filled(int count) { end += count; }
+    public void filled(int count) {
+        if (bodied != null && bodied[bodied.length - 1] != null && bodyFilled < bodied[bodied.length - 1].length) {
+            bodyFilled += count;
+        } else {
+            end += count;
+        }
+    }
 
-    public boolean isEmpty() { return start == end; }
+    public boolean isEmpty() { return start == end && bodied == null; }
+
+    /**
+     * The bytes of a large body that the command now being read ends with, else 0. No more of it is read before room for
+     * them is given by {@link #openBody}.
+     */
+    public long bodyLength() { return bodied == null ? 0 : bodyLength; }
+
+    /** Room for the large body is there: its bytes are read into place. */
+    public void openBody() {
+        byte[] body = new byte[(int) bodyLength];
+        bodyFilled = Math.min(body.length, end - start);
+        System.arraycopy(bytes, start, body, 0, bodyFilled);
+        start += bodyFilled;
+        bodied[bodied.length - 1] = body;
+    }
+
+    private byte[][] bodied() throws Malformed {
+        byte[] body = bodied[bodied.length - 1];
+        if (body == null || bodyFilled < body.length || end - start < 2) { return null; }
+        if (bytes[start] != '\r' || bytes[start + 1] != '\n') { throw new Malformed("bulk string without its end"); }
+        start += 2;
+        byte[][] whole = bodied;
+        bodied = null;
+        return whole;
+    }
 
     /** The next command as its words, or null while it is not whole. */
     public byte[][] command() throws Malformed {
+        if (bodied != null) { return bodied(); }
         if (start == end) { return null; }
         at = start;
         if (bytes[at] != '*') { throw new Malformed("expected '*'"); }
@@ -71,6 +111,12 @@
             long length = number();
             if (length == NOT_YET) { return incomplete(); }
             if (length < 0) { throw new Malformed("invalid bulk length"); }
+            if (i == BODY && count == BODY + 1 && length > MOST_BULK && length <= MOST_LARGE && Call.is(words)) {
+                bodied = words;
+                bodyLength = length;
+                start = at;
+                return null;
+            }
             words[i] = bulk(length);
             if (words[i] == null) { return incomplete(); }
         }
--- a/src/main/java/yardusher/servers/RegionLink.java
+++ b/src/main/java/yardusher/servers/RegionLink.java
@@ -42,14 +42,14 @@
         link.readMore();
     }
 
-    void carry(Attempt next, byte[] cargo) {
+    void carry(Attempt next, ByteBuffer... cargo) {
         attempt = next;
         kept = used;
         used = true;
         // From here on it may have run. A write that fails takes this back; a break in between does not.
         next.written = true;
         next.giveUp = this::close;
-        link.write(cargo);
+        for (ByteBuffer part : cargo) { link.write(part); }
     }
 
     /** Ends the connection from this side: to a region that gives the attempt up. */
--- a/src/main/java/yardusher/servers/RegionPool.java
+++ b/src/main/java/yardusher/servers/RegionPool.java
@@ -1,6 +1,7 @@
 package yardusher.servers;
 
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -114,7 +115,7 @@
     public boolean knows(long region) { return places.containsKey(region) && !banned.contains(region); }
 
     @Override
-    public void begin(Attempt attempt, byte[] cargo) {
+    public void begin(Attempt attempt, ByteBuffer... cargo) {
         Place place = places.get(attempt.region);
         RegionLink link = ++begun % LOOKS == 0 || !keepingLoses() ? settled(place) : null;
         if (link != null) {
--- a/src/test/java/yardusher/journal/JournalStoryTest.java
+++ b/src/test/java/yardusher/journal/JournalStoryTest.java
@@ -63,7 +63,7 @@
             public boolean knows(long region) { return true; }
 
             @Override
-            public void begin(Attempt attempt, byte[] cargo) {
+            public void begin(Attempt attempt, java.nio.ByteBuffer... cargo) {
                 attempt.written = true;
                 begun.add(attempt);
             }
@@ -85,7 +85,7 @@
         long id = ++ids;
         Cargo cargo = new Cargo() {
             @Override
-            public byte[] encoded(long waitMs) { return new byte[0]; }
+            public java.nio.ByteBuffer[] encoded(long waitMs) { return new java.nio.ByteBuffer[0]; }
 
             @Override
             public long id() { return id; }
@@ -306,7 +306,7 @@
                 public boolean knows(long region) { return true; }
 
                 @Override
-                public void begin(Attempt attempt, byte[] cargo) { begun.add(attempt); }
+                public void begin(Attempt attempt, java.nio.ByteBuffer... cargo) { begun.add(attempt); }
             }, (to, body) -> { }, new Counters(), own));
             turns.turn(() -> ingress.tell(new Api.ServerList(Api.ListKind.FULL, List.of(new Api.Server(0xabc, 0, 0, 1, 0, Api.Readiness.READY)))));
             for (int i = 0; i < 3; i++) {
--- a/src/test/java/yardusher/keys/KeysTest.java
+++ b/src/test/java/yardusher/keys/KeysTest.java
@@ -110,7 +110,7 @@
         Asked asked = new Asked(key);
         Cargo cargo = new Cargo() {
             @Override
-            public byte[] encoded(long wait) { return new byte[0]; }
+            public java.nio.ByteBuffer[] encoded(long wait) { return new java.nio.ByteBuffer[0]; }
 
             @Override
             public long id() { return 0; }
--- a/src/test/java/yardusher/resp/DecoderTest.java
+++ b/src/test/java/yardusher/resp/DecoderTest.java
@@ -53,7 +53,7 @@
             Call call = Call.of(new byte[][] {"CALL.GET".getBytes(), "000000000000000f".getBytes(),
                 "0000000000000001".getBytes(), list.getBytes()});
             assertThat(call.waitMs).isEqualTo(480);
-            assertThat(new String(call.encoded(7), StandardCharsets.US_ASCII)).contains("\r\n" + list.replace("d=480", "d=7") + "\r\n");
+            assertThat(new String(call.encoded(7)[0].array(), StandardCharsets.US_ASCII)).contains("\r\n" + list.replace("d=480", "d=7") + "\r\n");
         }
     }
 }
--- a/src/test/java/yardusher/story/BulkStoryTest.java
+++ b/src/test/java/yardusher/story/BulkStoryTest.java
@@ -280,4 +280,93 @@
             assertThat(serve.countersLine()).contains("large=0").containsPattern("attempts_server_error=[1-9]");
         }
     }
+
+    private static byte[] order(long id, int length) {
+        byte[] body = new byte[length];
+        for (int i = 0; i < length; i++) { body[i] = at(id, i); }
+        return new yardusher.resp.Encoder(length + 256).array(5).bulk("CALL.POST").bulk(String.format("%016x", id)).bulk(String.format("%016x", id))
+                .bulk("c=place-order,t=basis,d=8000,k=" + String.format("%016x", id) + ",units=1,spread=1,first=0").bulk(body).toBytes();
+    }
+
+    /** Sends a command cut anywhere. */
+    private static void sendCut(Client client, byte[] command, int most, Random random) throws IOException {
+        for (int from = 0; from < command.length;) {
+            int count = Math.min(command.length - from, 1 + random.nextInt(most));
+            client.socket.getOutputStream().write(command, from, count);
+            from += count;
+        }
+    }
+
+    @Test
+    void largeBodiesGoOnUnchangedWithinTheirBudgetAndAreSentAgain() throws Exception {
+        BlockingQueue<String> seen = new LinkedBlockingQueue<>();
+        Listener[] regions = new Listener[3];
+        for (int r = 0; r < regions.length; r++) {
+            regions[r] = new Listener() {
+                @Override
+                void talk(Socket guest) throws Exception {
+                    InputStream in = guest.getInputStream();
+                    for (;;) {
+                        StringBuilder head = new StringBuilder();
+                        for (int lines = 0, b; lines < 10 && (b = in.read()) >= 0;) { // up to the body's length
+                            head.append((char) b);
+                            lines += b == '\n' ? 1 : 0;
+                        }
+                        if (head.length() == 0) { return; }
+                        String[] lines = head.toString().split("\r\n");
+                        long id = Long.parseUnsignedLong(lines[6], 16);
+                        byte[] body = in.readNBytes(Integer.parseInt(lines[9].substring(1)));
+                        boolean right = true;
+                        for (int i = 0; i < body.length; i++) { right &= body[i] == at(id, i); }
+                        in.readNBytes(2);
+                        boolean first = seen.stream().noneMatch(one -> one.startsWith(id + " "));
+                        seen.add(id + " " + body.length + " " + right);
+                        guest.getOutputStream().write(first ? StandIn.Region.says("BUSY") : StandIn.Region.served("taken"));
+                    }
+                }
+            };
+            open.add(regions[r]);
+        }
+        Serve serve = StandIn.ingress("127.0.0.1:9", null, member("s-1", regions[0].address(), "Ready"),
+                member("s-2", regions[1].address(), "Ready"), member("s-3", regions[2].address(), "Ready"));
+        open.add(serve::close);
+        ExecutorService clients = Executors.newFixedThreadPool(8);
+        try {
+            List<Future<String>> told = new ArrayList<>();
+            for (int i = 0; i < 8; i++) {
+                long id = 70 + i;
+                told.add(clients.submit(() -> {
+                    try (Client client = new Client(serve.front().answers().address())) {
+                        sendCut(client, order(id, id % 2 == 0 ? 4 * MIB : 65_537), 50_000, new Random(SEED + id));
+                        sendCut(client, "*1\r\n$4\r\nPING\r\n".getBytes(StandardCharsets.US_ASCII), 3, new Random(SEED));
+                        return client.told() + " " + client.told();
+                    }
+                }));
+            }
+            for (Future<String> one : told) { assertThat(one.get(60, TimeUnit.SECONDS)).matches("(taken|-BUSY \\d+) \\+PONG"); }
+        } finally {
+            clients.shutdownNow();
+        }
+        assertThat(seen).hasSizeGreaterThanOrEqualTo(8).allMatch(one -> one.endsWith(" 4194304 true") || one.endsWith(" 65537 true"));
+        assertThat(serve.countersLine()).contains("body_kb=0 ").contains("body_waiting=0").contains("faults=0");
+    }
+
+    @Test
+    void aLargeBodyThatIsNeverEndedOrTooLargeHoldsNothing() throws Exception {
+        Serve serve = ingress(new Bulk((id, out, guest) -> { }));
+        try (Client gone = new Client(serve.front().answers().address())) {
+            gone.raw(java.util.Arrays.copyOf(order(1, 4 * MIB), MIB));
+        }
+        try (Client over = new Client(serve.front().answers().address())) {
+            over.raw("*5\r\n$9\r\nCALL.POST\r\n$1\r\na\r\n$1\r\na\r\n$1\r\na\r\n$4194305\r\n".getBytes(StandardCharsets.US_ASCII));
+            assertThat(over.told()).startsWith("-ERR Protocol error");
+        }
+        try (Client other = new Client(serve.front().answers().address())) {
+            other.raw("*5\r\n$4\r\nPING\r\n$1\r\na\r\n$1\r\na\r\n$1\r\na\r\n$70000\r\n".getBytes(StandardCharsets.US_ASCII));
+            assertThat(other.told()).startsWith("-ERR Protocol error");
+        }
+        long until = System.nanoTime() + StandIn.PATIENCE_S * 1_000_000_000L;
+        while (!serve.countersLine().contains("body_kb=0 ") && System.nanoTime() < until) { Thread.onSpinWait(); }
+        assertThat(serve.countersLine()).contains("body_kb=0 ").contains("body_waiting=0").contains("faults=0");
+    }
 }
