Figures held against a reference over random event orders; watches ask spread out

Figures: 20 seeds of 2,000 events (taken, written, ended, begun in parts, left, overdue): what stands by class is what terminals were told, taken = succeeded + declined + aborted + outstanding + gone, forwards = written. It fails with a refusal booked twice (tried). A second begin of one attempt is refused by the core. Watch: waits are drawn from half to one and a half times 100 ms doubling to 1 s, and after a silence, which falls on all ingresses at once, from 150 to 450 ms; before, all asked in the same moment (Watch.again, watchSilence).

--- a/src/main/java/yardusher/cli/Serve.java
+++ b/src/main/java/yardusher/cli/Serve.java
@@ -115,7 +115,7 @@
                 core.tell(table.take(config.known(), Api.ListKind.CACHED));
                 made[0] = core;
                 made[5] = table;
-                made[1] = new Watch(sockets, config.discovery(), table, core);
+                made[1] = new Watch(sockets, config.discovery(), table, core, config.seed());
                 if (own.keys() != null) { made[4] = keyed(own, core); }
                 made[2] = new PlatformFront(sockets, config.listen(), core, made[4] == null ? core : (KeyedIntake) made[4],
                         config.classes(), config.plans(), 1, bodies);
--- a/src/main/java/yardusher/core/Ingress.java
+++ b/src/main/java/yardusher/core/Ingress.java
@@ -123,7 +123,7 @@
      */
     public Flow begin(Attempt attempt, long length) {
         Transaction t = attempt.transaction;
-        if (attempt.over || t.answered || t.gone) { return null; }
+        if (attempt.over || attempt.beganMs >= 0 || t.answered || t.gone) { return null; }
         Flow flow = t.order.terminal().begin(length);
         if (flow == null) { return null; }
         t.flow = flow;
--- a/src/main/java/yardusher/list/Watch.java
+++ b/src/main/java/yardusher/list/Watch.java
@@ -20,6 +20,7 @@
 public final class Watch {
     private static final double DIAL_MS = 1000;
     private static final double SILENT_MS = 3000;    // a line comes every 2 s; later than this it is broken
+    private static final double SILENT_SPREAD_MS = 300;
     private static final double AGAIN_MS = 100;
     private static final double AGAIN_MOST_MS = 1000;
 
@@ -29,7 +30,7 @@
     private final Ingress ingress;
     private final Counters counters;
     private InetSocketAddress address;
-    private double againMs = AGAIN_MS;
+    private final Backoff backoff;
     private boolean moved;                           // nothing has been told by the present address yet
     private Stream told;                             // the one that has spoken
     private Stream next;                             // the one that is to follow it
@@ -37,7 +38,8 @@
     private Deadlines.Entry pending;
     private boolean stopped;
 
-    public Watch(Sockets sockets, InetSocketAddress address, ServiceTable table, Ingress ingress) {
+    public Watch(Sockets sockets, InetSocketAddress address, ServiceTable table, Ingress ingress, long seed) {
+        backoff = new Backoff(AGAIN_MS, AGAIN_MOST_MS, seed);
         this.sockets = sockets;
         this.turns = sockets.turns();
         this.address = address;
@@ -65,7 +67,7 @@
         address = to;
         moved = true;                                // its versions are its own: the whole list is asked for
         drop();
-        againMs = AGAIN_MS;
+        backoff.reset();
         start();
     }
 
@@ -87,8 +89,7 @@
     private void again() {
         if (stopped || dial != null || next != null) { return; }
         turns.deadlines().cancel(pending);
-        pending = turns.deadlines().at(turns.now() + againMs, this::start);
-        againMs = Math.min(AGAIN_MOST_MS, 2 * againMs);
+        pending = turns.deadlines().at(turns.now() + backoff.next(), this::start);
     }
 
     private final class Stream {
@@ -122,7 +123,10 @@
             // Guards against a list that stands still behind a broken path: asked anew, and heard meanwhile.
             heardAt = turns.now();
             turns.deadlines().at(turns.now() + SILENT_MS, this::watchSilence);
-            start();
+            if (pending == null && dial == null && next == null) {
+                // Guards discovery: a silence falls on all at once, and they would ask in the same moment.
+                pending = turns.deadlines().at(turns.now() + backoff.spread(SILENT_SPREAD_MS), Watch.this::start);
+            }
         }
 
         private void write(ByteBuffer request) {
@@ -166,7 +170,7 @@
                     Api.ServerList news = table.line(line);
                     counters.listChanges++;
                     counters.listWhole += news.kind() == Api.ListKind.FULL ? 1 : 0;
-                    againMs = AGAIN_MS;
+                    backoff.reset();
                     ingress.tell(news);
                 }
             } catch (IOException e) {
--- /dev/null
+++ b/src/test/java/yardusher/admin/FiguresTest.java
@@ -0,0 +1,175 @@
+package yardusher.admin;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import yardusher.Api;
+import yardusher.cli.Config;
+import yardusher.core.Attempt;
+import yardusher.core.Cargo;
+import yardusher.core.Counters;
+import yardusher.core.Flow;
+import yardusher.core.Ingress;
+import yardusher.core.Order;
+import yardusher.core.OrderLog;
+import yardusher.core.Regions;
+import yardusher.core.Terminal;
+import yardusher.core.Transaction;
+import yardusher.core.Turns;
+
+/** The figures against what terminals were told and regions were sent, over random orders of events by seed. */
+class FiguresTest {
+    private static final int CLASSES = 2;
+
+    private double now = 1000;
+    private final Turns turns = new Turns(() -> now, e -> { throw new AssertionError(e); });
+    private final Counters counters = new Counters();
+    private final List<Attempt> out = new ArrayList<>();
+    private final List<Transaction> taken = new ArrayList<>();
+    /** What terminals were told: for each class served, refused, failed. */
+    private final long[][] told = new long[CLASSES][3];
+    private long left;
+    private long written;
+    private Ingress ingress;
+    private long ids;
+
+    /** One client's side: told exactly once, in whole or in parts. */
+    private final class Client implements Terminal {
+        final int classIndex;
+        boolean over;
+
+        Client(int classIndex) { this.classIndex = classIndex; }
+
+        void is(int how) {
+            assertThat(over).as("told once").isFalse();
+            over = true;
+            told[classIndex][how]++;
+        }
+
+        @Override
+        public void served(byte[] value) { is(0); }
+
+        @Override
+        public void shortOnCapacity(long retryAfterMs, boolean mayHaveRun) { is(1); }
+
+        @Override
+        public void failed(String why, boolean mayHaveRun) { is(2); }
+
+        @Override
+        public Flow begin(long length) {
+            return new Flow() {
+                @Override
+                public void part(ByteBuffer bytes, Runnable then) { }
+
+                @Override
+                public void end() { is(0); }
+
+                @Override
+                public void broken() { is(2); }
+            };
+        }
+    }
+
+    private void take(Random random) {
+        int classIndex = random.nextInt(CLASSES);
+        long id = ++ids;
+        Cargo cargo = new Cargo() {
+            @Override
+            public ByteBuffer[] encoded(long waitMs) { return new ByteBuffer[0]; }
+
+            @Override
+            public long id() { return id; }
+
+            @Override
+            public long print() { return id; }
+
+            @Override
+            public String key() { return classIndex == 1 ? String.format("%016x", id) : null; }
+        };
+        Client client = new Client(classIndex);
+        turns.turn(() -> taken.add(ingress.take(new Order(classIndex, random.nextInt(3), random.nextInt(5), 1, 0, 1,
+                random.nextInt(3000), cargo, client))));
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
+    void everyRequestStandsOnceHoweverItEnds(long seed) throws Exception {
+        Random random = new Random(seed);
+        Config config = Config.read("src/test/resources/ingress.json");
+        Regions regions = new Regions() {
+            @Override
+            public boolean knows(long region) { return true; }
+
+            @Override
+            public void begin(Attempt attempt, ByteBuffer... cargo) { out.add(attempt); }
+        };
+        turns.turn(() -> {
+            ingress = new Ingress(config.settings(), seed, turns, regions, (to, body) -> { }, counters, OrderLog.NONE);
+            ingress.tell(new Api.ServerList(Api.ListKind.FULL, List.of(new Api.Server(7, 0, 0, 1, 0, Api.Readiness.READY),
+                    new Api.Server(8, 0, 0, 1, 0, Api.Readiness.READY))));
+        });
+        for (int step = 0; step < 2000; step++) {
+            now += random.nextInt(20);
+            turns.turn(() -> { });
+            out.removeIf(Attempt::isOver);
+            Attempt attempt = out.isEmpty() ? null : out.get(random.nextInt(out.size()));
+            switch (random.nextInt(6)) {
+                case 0, 1 -> take(random);
+                case 2 -> {
+                    Transaction gone = taken.isEmpty() ? null : taken.get(random.nextInt(taken.size()));
+                    if (gone != null && random.nextInt(4) == 0) { leave(gone); }
+                }
+                case 3 -> {
+                    if (attempt != null && attempt.written && random.nextInt(3) == 0) { turns.turn(() -> ingress.begin(attempt, 100_000)); }
+                }
+                default -> {
+                    if (attempt != null) { end(attempt, random); }
+                }
+            }
+            check();
+        }
+        now += 100_000;
+        turns.turn(() -> { });
+        check();
+    }
+
+    private void leave(Transaction gone) {
+        long before = counters.clientsGone;
+        turns.turn(gone::gone);
+        left += counters.clientsGone - before;
+    }
+
+    /** An attempt is written whole, or ends; once each. */
+    private void end(Attempt attempt, Random random) {
+        if (!attempt.written && random.nextBoolean()) {
+            turns.turn(() -> {
+                attempt.written = true;
+                written++;
+                ingress.written(attempt);
+                ingress.written(attempt);            // told twice, it counts once
+            });
+            return;
+        }
+        Api.Outcome[] outcomes = attempt.written
+                ? new Api.Outcome[] {Api.Outcome.SERVED, Api.Outcome.SERVER_ERROR, Api.Outcome.REJECTED, Api.Outcome.CONNECTION_LOST}
+                : new Api.Outcome[] {Api.Outcome.CONNECT_FAILED};
+        Api.Outcome outcome = outcomes[random.nextInt(outcomes.length)];
+        turns.turn(() -> ingress.ended(attempt, new Attempt.Result(outcome, new byte[0], null)));
+    }
+
+    private void check() {
+        long ended = 0;
+        for (int k = 0; k < CLASSES; k++) {
+            assertThat(new long[] {counters.served[k], counters.refused[k], counters.failed[k]}).containsExactly(told[k]);
+            ended += counters.served[k] + counters.refused[k] + counters.failed[k];
+        }
+        assertThat(counters.takenIn).isEqualTo(ended + left + ingress.openCount());
+        assertThat(counters.forwards).isEqualTo(written);
+        assertThat(counters.largeOpen).isBetween(0, out.size());
+    }
+}
