Story: a drain and a later ban go along with an upgrade, and end in both processes

Guards the hand-over's other direction: what is called at either process holds in both at its yes, and the older one goes on when the newer one ends first. JournalBench can hold this build against another one's jar.

--- a/src/test/java/yardusher/journal/JournalBench.java
+++ b/src/test/java/yardusher/journal/JournalBench.java
@@ -22,7 +22,7 @@
 
 /**
  * What the journal costs: real ingresses on one core, journal off and on in turn, with the same place-orders. By hand:
- * {@code JournalBench ROUNDS CORE [RATE]}. Each round starts an ingress for every setting, warms it up, asks at a steady
+ * {@code JournalBench ROUNDS CORE [RATE [JAR]]}; with the jar of another build, this one and that, journal off. Each round starts an ingress for every setting, warms it up, asks at a steady
  * rate (open loop, times from when each was due), then as fast as 16 connections can.
  */
 final class JournalBench {
@@ -31,6 +31,7 @@
     private static final int WARM_MS = 3000;
     private static final int PACED_MS = 4000;
     private static final int FLAT_OUT_MS = 2000;
+    private static String otherBuild;                // its jar, to be held against this build with the journal off
     private static final AtomicLong IDS = new AtomicLong(System.nanoTime());
 
     /** One run's figures: CPU in microseconds a request, at the steady rate and flat out. */
@@ -49,8 +50,10 @@
                     .append("\",\"locality\":\"a\",\"flavor\":\"m\",\"cell\":0,\"phase\":\"Ready\",\"size\":1.0,\"up_since_ms\":0}");
         }
         Map<String, List<Figures>> all = new LinkedHashMap<>();
+        if (args.length > 3) { otherBuild = args[3]; }
+        String[] settings = otherBuild == null ? new String[] {"off", "process", "group", "machine"} : new String[] {"off", "other"};
         for (int round = 0; round < rounds; round++) {
-            for (String setting : new String[] {"off", "process", "group", "machine"}) {
+            for (String setting : settings) {
                 Figures figures = run(setting, core, rate, members.toString());
                 all.computeIfAbsent(setting, s -> new ArrayList<>()).add(figures);
                 System.err.println(round + " " + setting + " " + figures);
@@ -134,10 +137,10 @@
                 "\"listen\": \"127.0.0.1:" + port + "\"").replaceAll("\"(units_per_s|ceiling_rate)\": [0-9.]+", "\"$1\": 0.0")
                 .replace("\"members\": []", "\"members\": [" + members + "]"));
         Path own = folder.resolve("own.toml");
-        Files.writeString(own, setting.equals("off") ? "" : "[journal]\nfolder = '" + folder.resolve("journal") + "'\ndurability = \"" + setting + "\"\n");
+        Files.writeString(own, setting.equals("off") || setting.equals("other") ? "" : "[journal]\nfolder = '" + folder.resolve("journal") + "'\ndurability = \"" + setting + "\"\n");
         Process child = new ProcessBuilder("taskset", "-c", core, Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData", "-Xms24m", "-Xmx64m", "-XX:MaxNewSize=21m", "-Xss256k", "-cp",
-                System.getProperty("java.class.path"), "yardusher.cli.Main", "serve", config.toString(), "--limits", "none", "--settings", own.toString())
+                setting.equals("other") ? otherBuild : System.getProperty("java.class.path"), "yardusher.cli.Main", "serve", config.toString(), "--limits", "none", "--settings", own.toString())
                 .redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile()).start();
         for (boolean up = false; !up;) {
             try (Socket probe = new Socket("127.0.0.1", port)) {
--- a/src/test/java/yardusher/story/UpgradeStoryTest.java
+++ b/src/test/java/yardusher/story/UpgradeStoryTest.java
@@ -217,6 +217,30 @@
         assertThat(log(0)).doesNotContain("Exception");
     }
 
+    @Test
+    void aDrainGoesAlongAndEndsInBothAndALaterCallReachesTheOther() throws Exception {
+        start();
+        awaitYes(0);
+        assertThat(call(0, "quiesce")).startsWith("200");
+        start();
+        long until = System.nanoTime() + StandIn.PATIENCE_S * 1_000_000_000L;
+        while (!log(1).contains(" serves at ") && System.nanoTime() < until) { Thread.sleep(5); }
+        assertThat(log(1)).contains(" serves at ");
+        assertThat(call(1, "health")).startsWith("400");
+        assertThat(call(1, "cordon s-1")).startsWith("200"); // holds in both at its yes
+        assertThat(call(0, "counters")).contains("app.ejected:1|g");
+        assertThat(call(1, "resume")).startsWith("200");
+        awaitYes(1);
+        awaitYes(0);
+        started.get(1).destroy();                    // the newer one ends first: the older goes on
+        assertThat(started.get(1).waitFor(StandIn.PATIENCE_S, TimeUnit.SECONDS)).isTrue();
+        try (StandIn.Client client = new StandIn.Client(Sockets.address("127.0.0.1:" + ports[0]))) {
+            assertThat(client.lookup(1, 2000)).isEqualTo("made here");
+        }
+        assertThat(region.seen).isEmpty();
+        assertThat(other.seen).hasSize(1);
+    }
+
     @Test
     void aNoteOfAProcessThatIsGoneHoldsUpNothing() throws Exception {
         Process first = start();
