A version that ends accepts who waits at its door, past its half of the descriptors

Need, from reading: while two processes live each takes half of the connections; past that the old one's door stays shut, and what the system has put into its queue would be reset when it closes. While it leaves it accepts up to its whole share again, as connections close by then. Stories for a ban during a dial, and for the old process killed after the new one's yes.

--- a/src/main/java/yardusher/net/Answers.java
+++ b/src/main/java/yardusher/net/Answers.java
@@ -115,7 +115,9 @@
      * used: the one that said nothing for longest gives way, instead of a shut door for all.
      */
     private boolean room() {
-        if (terminals.size() < mostTerminals && terminals.size() + leaving.size() < mostTerminals + mostLeaving) { return true; }
+        // Guards who waits at the door of a version that ends: its half of the descriptors may be full, and they are reset.
+        int most = leavesForGood ? 2 * mostTerminals : mostTerminals;
+        if (terminals.size() < most && terminals.size() + leaving.size() < most + mostLeaving) { return true; }
         TerminalLink longest = first(mute(), SILENT_WAY_MS);
         if (longest == null) { longest = first(idle, IDLE_WAY_MS); }
         if (longest == null) { longest = first(silent, SILENT_WAY_MS); } // slow at its first command
--- a/src/test/java/yardusher/story/AdminStoryTest.java
+++ b/src/test/java/yardusher/story/AdminStoryTest.java
@@ -6,7 +6,10 @@
 import static yardusher.story.StandIn.next;
 
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -129,6 +132,35 @@
         }
     }
 
+    /** An attempt that is still being dialled has sent nothing: it goes elsewhere at the ban, not at the dial's time-out. */
+    @Test
+    void whatIsStillBeingDialledEndsWithTheBan() throws Exception {
+        serve.close();
+        List<Socket> full = new ArrayList<>();
+        try (ServerSocket deaf = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            for (int i = 0; i < 4; i++) {            // its queue is full: what comes now is never answered
+                Socket one = new Socket();
+                full.add(one);
+                try {
+                    one.connect(deaf.getLocalSocketAddress(), 300);
+                } catch (SocketTimeoutException e) { /* full */ }
+            }
+            serve = StandIn.ingress(json -> json.replace("\"discovery\"", "\"admin_addr\": \"127.0.0.1:0\", \"discovery\"")
+                    .replace("\"dial_timeout_ms\": 250.0", "\"dial_timeout_ms\": 60000.0"),
+                    discovery.address(), null, member("s-3", "127.0.0.1:" + deaf.getLocalPort(), "Ready"));
+            try (Client client = client()) {
+                client.send("CALL.POST", "0000000000000004", "0000000000000009",
+                        "c=place-order,t=basis,d=60000,k=0000000000000002,units=1,spread=1,first=0", "order");
+                await("counters\n", "app.outstanding:1|g");
+                assertThat(call("cordon s-3\n")).startsWith("200 ");
+                assertThat(client.told()).startsWith("-BUSY"); // no other is there; it never ran
+                assertThat(call("counters\n")).contains("app.forwards:0|c", "app.outstanding:0|g");
+            }
+        } finally {
+            for (Socket one : full) { one.close(); }
+        }
+    }
+
     @Test
     void aCallThatCannotBeFollowedIsToldWhyAndHarmsNothing() throws Exception {
         for (String bad : List.of("nothing\n", "cordon\n", "cordon s-9\n", "uncordon nobody\n", "health x\n", "\n", "\0\1\n",
--- a/src/test/java/yardusher/story/UpgradeStoryTest.java
+++ b/src/test/java/yardusher/story/UpgradeStoryTest.java
@@ -217,6 +217,21 @@
         assertThat(log(0)).doesNotContain("Exception");
     }
 
+    @Test
+    void theOldOneKilledAfterTheYesLeavesTheNewOneServingWithItsBans() throws Exception {
+        Process first = start();
+        awaitYes(0);
+        assertThat(call(0, "cordon s-2")).startsWith("200");
+        start();
+        awaitYes(1);
+        first.destroyForcibly().waitFor();
+        try (StandIn.Client client = new StandIn.Client(Sockets.address("127.0.0.1:" + ports[0]))) {
+            for (int i = 0; i < 20; i++) { assertThat(client.lookup(100 + i, 2000)).isEqualTo("made here"); }
+        }
+        assertThat(call(1, "uncordon s-2")).startsWith("200"); // nobody else has to hold it
+        assertThat(other.seen).isEmpty();
+    }
+
     @Test
     void aDrainGoesAlongAndEndsInBothAndALaterCallReachesTheOther() throws Exception {
         start();
