What is asked behind another is answered while clients are sent away

Seen by reading: while connections close behind their answers no further command was read from one with an answer open, so commands sent one behind another before the close were dropped, and only the first of them is excused. Story in AdminStoryTest.

--- a/src/main/java/yardusher/net/Answers.java
+++ b/src/main/java/yardusher/net/Answers.java
@@ -407,7 +407,7 @@
 
         private boolean mayRead() {
             return !lost && !paused && !link.isClosed() && slots.size() < MOST_UNANSWERED
-                    && link.queued() < MOST_UNREAD && (slots.isEmpty() || !isLeaving());
+                    && link.queued() < MOST_UNREAD && (slots.isEmpty() || turns.now() < leaveBy);
         }
 
         /** Framing is lost: what came before is still answered in order, then the connection closes. */
--- a/src/test/java/yardusher/story/AdminStoryTest.java
+++ b/src/test/java/yardusher/story/AdminStoryTest.java
@@ -176,6 +176,36 @@
         assertThat(serve.countersLine()).contains("faults=0");
     }
 
+    private static void order(Client client, int number) throws IOException {
+        String id = String.format("%016x", number);
+        client.send("CALL.POST", id, id, "c=place-order,t=basis,d=8000,k=" + id + ",units=1,spread=1,first=0", "order");
+    }
+
+    /** Guards who asks one behind another: what was sent before the connection closes is answered. */
+    @Test
+    void whatIsAskedBehindAnotherWhileClientsAreSentAwayIsAnsweredToo() throws Exception {
+        BlockingQueue<String> go = new LinkedBlockingQueue<>();
+        region.script = other.script = command -> {
+            try {
+                return Region.served(next(go));
+            } catch (InterruptedException e) {
+                return null;
+            }
+        };
+        try (Client busy = client(); Client idle = client()) {
+            assertThat(idle.ask("PING")).isEqualTo("+PONG");
+            order(busy, 1);
+            await("counters\n", "app.outstanding:1|g");
+            assertThat(call("quiesce\n")).startsWith("200 ");
+            assertThat(idle.ended()).isTrue();       // connections are being closed now
+            for (int i = 2; i < 5; i++) { order(busy, i); }
+            await("counters\n", "app.outstanding:4|g");
+            for (int i = 1; i < 5; i++) { go.add("v" + i); }
+            for (int i = 1; i < 5; i++) { assertThat(busy.told()).startsWith("v"); }
+            assertThat(busy.ended()).isTrue();
+        }
+    }
+
     @Test
     void clientsAreSentAwayWithTheirAnswersAndTakenAgain() throws Exception {
         BlockingQueue<String> go = new LinkedBlockingQueue<>();
