--- a/src/main/java/yardusher/handover/Handover.java
+++ b/src/main/java/yardusher/handover/Handover.java
@@ -49,7 +49,9 @@
         void takeClients() throws IOException;
     }
 
-    private static final double FOUND_MS = 1000;     // to all that the process before has to tell
+    // To all that the process before has to tell, which may be short of processor time: what it does not tell in time is
+    // lost, bans with it. Half of the 6 s in which a new version is to take clients.
+    private static final double FOUND_MS = 3000;
     private static final double HELD_MS = 500;       // to the word that a ban holds there too: half a caller's patience
 
     private final Sockets sockets;
