The old version takes its note back whenever its heir dies, served or not

The old process had not read the word that the heir serves: a reset, on bytes that the killed process had not read, destroyed it, so Handover.gone took the heir for one that had not taken over. The port is taken back, if it was given, and the note is written in every case now.

--- a/src/main/java/yardusher/handover/Handover.java
+++ b/src/main/java/yardusher/handover/Handover.java
@@ -237,14 +237,15 @@
     public void gone(Other from) {
         if (from != other) { return; }
         other = null;
-        boolean lost = elder && !port;
+        boolean before = elder;
         elder = false;
         if (!serving) {
             alone("it has ended");
             return;
         }
-        if (lost) {
-            // The new version died after it had taken over: this one goes on as if nothing had been.
+        if (before) {
+            // The new version died: this one goes on as if nothing had been. Also where its word that it serves is not
+            // known here, since a reset destroys what is not yet read.
             port = true;
             try {
                 program.takePort();
--- a/src/test/java/yardusher/story/UpgradeStoryTest.java
+++ b/src/test/java/yardusher/story/UpgradeStoryTest.java
@@ -113,10 +113,8 @@
                         .toBytes();
                 asked.incrementAndGet();
                 for (int tries = 0; tries < 5; tries++) {
-                    if (socket == null || hasEnded(socket)) {
-                        socket = new Socket("127.0.0.1", ports[0]);
-                    }
                     try {
+                        if (socket == null || hasEnded(socket)) { socket = new Socket("127.0.0.1", ports[0]); }
                         socket.setSoTimeout(StandIn.PATIENCE_S * 1000);
                         socket.getOutputStream().write(command);
                         InputStream in = socket.getInputStream();
@@ -127,7 +125,7 @@
                             answered.incrementAndGet();
                             break;
                         }
-                    } catch (SocketException e) { /* reset: not heard */ }
+                    } catch (SocketException e) { /* refused or reset: not heard */ }
                     unheard.incrementAndGet();
                     socket = null;
                 }
