--- a/src/main/java/yardusher/peers/PeerSocket.java
+++ b/src/main/java/yardusher/peers/PeerSocket.java
@@ -14,7 +14,7 @@
 import yardusher.core.Turns;
 
 /**
- * Datagrams between ingresses. NIO.2 has no asynchronous datagram channel (PeersTest shows it), so one thread
+ * Datagrams between ingresses. NIO.2 has no asynchronous datagram channel (PeersStoryTest shows it), so one thread
  * waits in receive and gives each datagram a turn, as a completion handler would.
  */
 public final class PeerSocket implements Neighbours {
