--- a/src/main/java/yardusher/journal/Folder.java
+++ b/src/main/java/yardusher/disk/Folder.java
@@ -1,4 +1,4 @@
-package yardusher.journal;
+package yardusher.disk;
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -15,8 +15,8 @@
 import java.util.stream.Stream;
 
 /** A folder on a disk. Opened for writing it holds a lock, so that no second process writes there. */
-final class Folder implements Storage {
-    static final String LOCK = "lock";
+public final class Folder implements Storage {
+    public static final String LOCK = "lock";
 
     private final Path path;
     private final FileChannel lock;
@@ -27,13 +27,13 @@
     }
 
     /** Opens a folder to look at it; nothing in it is changed. */
-    static Folder reading(Path path) throws IOException {
+    public static Folder reading(Path path) throws IOException {
         if (!Files.isDirectory(path)) { throw new IOException(path + ": not a folder"); }
         return new Folder(path, null);
     }
 
     /** Opens a folder to write in it, makes it where it is not there, and locks it. The message is one plain line. */
-    static Folder writing(Path path, String who) throws IOException {
+    public static Folder writing(Path path, String who) throws IOException {
         FileChannel channel;
         try {
             Files.createDirectories(path);
@@ -57,7 +57,7 @@
     }
 
     /** Whether some process holds the folder open for writing now. */
-    static boolean isWritten(Path path) {
+    public static boolean isWritten(Path path) {
         try (FileChannel channel = FileChannel.open(path.resolve(LOCK), StandardOpenOption.WRITE)) {
             FileLock held = channel.tryLock();
             if (held == null) { return true; }
--- a/src/main/java/yardusher/journal/Storage.java
+++ b/src/main/java/yardusher/disk/Storage.java
@@ -1,12 +1,12 @@
-package yardusher.journal;
+package yardusher.disk;
 
 import java.io.Closeable;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.List;
 
-/** The folder of a journal as the journal needs it: few calls, so that a test can stand in for a failing disk. */
-interface Storage extends Closeable {
+/** A folder as the stores of this program need it: few calls, so that a test can stand in for a failing disk. */
+public interface Storage extends Closeable {
     /** A file being written at its end. */
     interface Appender extends Closeable {
         /** Writes some or all of what remains; how much, the buffer tells. */
--- a/src/main/java/yardusher/journal/Indexer.java
+++ b/src/main/java/yardusher/journal/Indexer.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import yardusher.disk.Storage;
 
 /** Builds the indexes of sealed segments, on a thread of its own that is there only while there is work. */
 final class Indexer {
--- a/src/main/java/yardusher/journal/Journal.java
+++ b/src/main/java/yardusher/journal/Journal.java
@@ -11,6 +11,8 @@
 import yardusher.core.OrderLog;
 import yardusher.core.Transaction;
 import yardusher.core.Turns;
+import yardusher.disk.Folder;
+import yardusher.disk.Storage;
 import yardusher.log.Events;
 
 /**
--- a/src/main/java/yardusher/journal/Orders.java
+++ b/src/main/java/yardusher/journal/Orders.java
@@ -23,6 +23,8 @@
 import java.util.stream.Stream;
 import org.apache.commons.csv.CSVFormat;
 import org.apache.commons.csv.CSVPrinter;
+import yardusher.disk.Folder;
+import yardusher.disk.Storage;
 import yardusher.list.ServiceTable;
 
 /** What the sub-command {@code orders} does with one or more folders of journals. */
--- a/src/main/java/yardusher/journal/Recovery.java
+++ b/src/main/java/yardusher/journal/Recovery.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import yardusher.disk.Framing;
+import yardusher.disk.Storage;
 
 /**
  * Finds the orders that were open when the last life ended. Reads the newest segment whose snapshot is whole and what
@@ -60,7 +62,7 @@
 
     private double openedAtMs(long number) {
         try (Storage.Source source = storage.open(Frames.name(number))) {
-            Entry first = new Frames.Reader(source, number, (from, to, torn) -> { }, 0, 65_536).next();
+            Entry first = Frames.reader(source, number, (from, to, torn) -> { }, 0, 65_536).next();
             return first == null ? 0 : first.atUs() / 1e3;
         } catch (IOException e) {
             return 0;                                // as if long ago: it goes when room is wanted
@@ -71,7 +73,7 @@
     private boolean beginsWhole(long number) {
         boolean[] damaged = new boolean[1];
         try (Storage.Source source = storage.open(Frames.name(number))) {
-            Frames.Reader reader = new Frames.Reader(source, number, (from, to, torn) -> damaged[0] = true);
+            Framing<Entry>.Reader reader = Frames.reader(source, number, (from, to, torn) -> damaged[0] = true);
             long carried = 0;
             for (Entry entry; (entry = reader.next()) != null && !damaged[0];) {
                 if (entry instanceof Entry.SnapshotEnd end) { return end.count() == carried; }
@@ -91,7 +93,7 @@
         segmentsRead++;
         try (Storage.Source source = storage.open(name)) {
             bytesRead += source.size();
-            Frames.Reader reader = new Frames.Reader(source, number, (from, to, torn) -> {
+            Framing<Entry>.Reader reader = Frames.reader(source, number, (from, to, torn) -> {
                 if (torn) { cut[0] = from; }
                 notes.add(name + ": " + (torn ? "torn tail cut off, " : "damaged, passed over, ") + (to - from) + " bytes from " + from);
             });
--- a/src/main/java/yardusher/journal/Scan.java
+++ b/src/main/java/yardusher/journal/Scan.java
@@ -7,6 +7,8 @@
 import java.util.Deque;
 import java.util.Iterator;
 import java.util.function.LongConsumer;
+import yardusher.disk.Framing;
+import yardusher.disk.Storage;
 
 /**
  * Reads the orders of one folder in the order in which they came in, with the indexes where these help. The folder's
@@ -22,7 +24,7 @@
     private final Deque<Long> segments;
     private final OrderBook book = new OrderBook();
     private Storage.Source source;
-    private Frames.Reader reader;
+    private Framing<Entry>.Reader reader;
     private SegmentIndex index;
     private long segment;
     private int block;
@@ -101,8 +103,8 @@
         boolean narrow = !query.values().isEmpty() || query.fromUs() > 0 || query.toUs() < Long.MAX_VALUE;
         index = narrow ? SegmentIndex.read(storage, number) : null;
         // The first frame tells whose life this is; with an index, it is all that is read without being looked up.
-        reader = index == null ? new Frames.Reader(source, number, this::passOver)
-                : new Frames.Reader(source, number, this::passOver, 0, Frames.MAGIC_BYTES + 1);
+        reader = index == null ? Frames.reader(source, number, this::passOver)
+                : Frames.reader(source, number, this::passOver, 0, Frames.MAGIC_BYTES + 1);
     }
 
     private boolean nextBlock() throws IOException {
@@ -110,7 +112,7 @@
             int at = block++;
             if (!query.reads(index, at) && (query.values().isEmpty() || !awaited(at))) { continue; }
             blocksRead++;
-            reader = new Frames.Reader(source, segment, this::passOver, index.start(at), index.end(at));
+            reader = Frames.reader(source, segment, this::passOver, index.start(at), index.end(at));
             return true;
         }
         return false;
--- a/src/main/java/yardusher/journal/SegmentIndex.java
+++ b/src/main/java/yardusher/journal/SegmentIndex.java
@@ -6,6 +6,8 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.zip.CRC32C;
+import yardusher.disk.Framing;
+import yardusher.disk.Storage;
 
 /**
  * Which parts of a sealed segment speak of a key, a customer, an id or a region, and when. A segment is cut into blocks of
@@ -60,7 +62,7 @@
         Builder builder = new Builder();
         OrderBook book = new OrderBook();
         try (Storage.Source source = storage.open(Frames.name(segment))) {
-            Frames.Reader reader = new Frames.Reader(source, segment, (from, to, torn) -> { });
+            Framing<Entry>.Reader reader = Frames.reader(source, segment, (from, to, torn) -> { });
             for (Entry entry; (entry = reader.next()) != null;) {
                 Order order = book.apply(entry);
                 builder.add(entry, reader.frameAt(), order);
--- a/src/main/java/yardusher/journal/Segments.java
+++ b/src/main/java/yardusher/journal/Segments.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.function.DoubleSupplier;
 import java.util.zip.CRC32C;
+import yardusher.disk.Storage;
 
 /**
  * The writing side of a journal: batches go to the active segment; a full one is sealed, and the next begins with a
--- a/src/main/java/yardusher/journal/Verify.java
+++ b/src/main/java/yardusher/journal/Verify.java
@@ -4,6 +4,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.LongConsumer;
+import yardusher.disk.Framing;
+import yardusher.disk.Storage;
 
 /** Reads all of a folder and says what is damaged, what is missing, and what the journal itself says it lost. */
 final class Verify {
@@ -32,7 +34,7 @@
             try (Storage.Source source = storage.open(name)) {
                 long carried = 0;
                 boolean snapshot = false;
-                Frames.Reader reader = new Frames.Reader(source, number, (from, to, torn) -> {
+                Framing<Entry>.Reader reader = Frames.reader(source, number, (from, to, torn) -> {
                     if (torn && newest && written) { return; }
                     damage.add(name + ": " + (torn ? "torn tail, " : "damaged, ") + (to - from) + " bytes from " + from);
                 });
--- a/src/test/java/yardusher/journal/CrashTest.java
+++ b/src/test/java/yardusher/journal/CrashTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.Test;
 import yardusher.Api;
 import yardusher.core.OrderLog;
+import yardusher.disk.Framing;
 
 /** What a crash, a loss of power and damage at any byte leave of a journal. */
 class CrashTest {
@@ -75,7 +76,7 @@
     private static OrderBook read(FaultyDisk disk) throws IOException {
         OrderBook book = new OrderBook();
         for (long number : Recovery.segments(disk)) {
-            Frames.Reader reader = new Frames.Reader(disk.open(Frames.name(number)), number, (from, to, torn) -> { });
+            Framing<Entry>.Reader reader = Frames.reader(disk.open(Frames.name(number)), number, (from, to, torn) -> { });
             for (Entry entry; (entry = reader.next()) != null;) { book.apply(entry); }
         }
         return book;
@@ -170,7 +171,7 @@
         int to = Math.min(bytes.length, from + length);
         List<long[]> frames = new ArrayList<>();     // where each stood, and which it was
         List<Entry> before = new ArrayList<>();
-        Frames.Reader whole = new Frames.Reader(life.disk.open(Frames.name(number)), number, (f, t, torn) -> { });
+        Framing<Entry>.Reader whole = Frames.reader(life.disk.open(Frames.name(number)), number, (f, t, torn) -> { });
         for (Entry entry; (entry = whole.next()) != null;) {
             frames.add(new long[] {whole.frameAt(), whole.position()});
             before.add(entry);
@@ -180,7 +181,7 @@
         FaultyDisk disk = life.disk.copy(false);
         disk.put(Frames.name(number), bytes);
         List<Entry> after = new ArrayList<>();
-        Frames.Reader reader = new Frames.Reader(disk.open(Frames.name(number)), number, (f, t, torn) -> { });
+        Framing<Entry>.Reader reader = Frames.reader(disk.open(Frames.name(number)), number, (f, t, torn) -> { });
         for (Entry entry; (entry = reader.next()) != null;) { after.add(entry); }
         List<String> untouched = new ArrayList<>();
         for (int i = 0; i < before.size(); i++) {
--- a/src/test/java/yardusher/journal/FaultyDisk.java
+++ b/src/test/java/yardusher/journal/FaultyDisk.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CountDownLatch;
+import yardusher.disk.Storage;
 
 /** A folder in memory that fails as a script says, remembers what was synced, and keeps a log to replay up to any byte. */
 final class FaultyDisk implements Storage {
--- a/src/test/java/yardusher/journal/JournalJmh.java
+++ b/src/test/java/yardusher/journal/JournalJmh.java
@@ -25,6 +25,8 @@
 import org.openjdk.jmh.annotations.Warmup;
 import yardusher.Api;
 import yardusher.core.OrderLog;
+import yardusher.disk.Folder;
+import yardusher.disk.Storage;
 
 /** Appending, recovery and looking up at size, each with the heap of an ingress. By hand: {@code org.openjdk.jmh.Main JournalJmh}. */
 @State(Scope.Thread)
--- a/src/test/java/yardusher/journal/KillRun.java
+++ b/src/test/java/yardusher/journal/KillRun.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import yardusher.disk.Folder;
 import yardusher.resp.Decoder;
 import yardusher.resp.Encoder;
 
