A watch that moved asks for the whole list until it has got one

Fault: Stream.takeOver in Watch cleared it; now a list does. ConnectionStoryTest fails without the change.

--- a/src/main/java/yardusher/list/Watch.java
+++ b/src/main/java/yardusher/list/Watch.java
@@ -171,6 +171,7 @@
                     counters.listChanges++;
                     counters.listWhole += news.kind() == Api.ListKind.FULL ? 1 : 0;
                     backoff.reset();
+                    moved = false;                   // by a list, and not by an empty line before it
                     ingress.tell(news);
                 }
             } catch (IOException e) {
@@ -187,7 +188,6 @@
             if (told != null) { told.close(); }
             told = this;
             next = null;
-            moved = false;
         }
 
         private void fail() {
--- a/src/test/java/yardusher/story/ConnectionStoryTest.java
+++ b/src/test/java/yardusher/story/ConnectionStoryTest.java
@@ -142,8 +142,11 @@
             Files.writeString(file, json.replace("127.0.0.1:9\"", newer.address() + "\""));
             assertThat(serve.reload(file.toString())).startsWith("reloaded: discovery at ");
             assertThat(next(newer.asked)).contains("since=0 "); // another service's versions mean nothing here
-            newer.tell(list(3, true, member("s-2", other.address(), "Ready")));
+            newer.tell("");
             next(discovery.ends);                    // heard until the new one has spoken, then left
+            newer.dropGuests();
+            assertThat(next(newer.asked)).contains("since=0 "); // an empty line was no list
+            newer.tell(list(3, true, member("s-2", other.address(), "Ready")));
             assertThat(client.lookup(2, 2000)).isEqualTo("elsewhere");
             newer.dropGuests();
             assertThat(next(newer.asked)).contains("since=3 ");
