Register of owners: replicated, with tokens that only grow, on a store of our own

Need: work for the whole fleet is done by whichever agent was asked; nothing names one owner, and nothing outlives it.

--- /dev/null
+++ b/src/main/java/yardusher/fence/Memory.java
@@ -0,0 +1,212 @@
+package yardusher.fence;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import yardusher.core.Turns;
+import yardusher.disk.Fields;
+import yardusher.disk.Ledger;
+import yardusher.disk.Storage;
+
+/**
+ * An agent's lasting memory: tokens sealed, steps begun and ended, and which processes it has started. Turns write by
+ * handing lines over; a thread of its own writes and syncs them, many at once, and a turn hears of it. In turns only,
+ * but for opening.
+ */
+public final class Memory implements Closeable {
+    private static final String PREFIX = "fence";
+    private static final long MAGIC = 0x594446454E430001L; // YDFENC and format version 1
+    private static final long SEGMENT_BYTES = 1 << 20;
+    private static final int WHOSE = 1, SEAL = 2, BEGIN = 3, END = 4, DROP = 5, STARTED = 6;
+
+    /** A process that an agent has started: enough to know it again, and not another one with its number. */
+    public record Started(long count, long pid, long startedMs) { }
+
+    private final String installation;
+    private final String member;
+    private final Fence fence = new Fence();
+    private final Map<String, Started> started = new LinkedHashMap<>();
+    private final Turns turns;
+    private final ExecutorService disk = Executors.newSingleThreadExecutor(work -> {
+        Thread thread = new Thread(work, "fence");
+        thread.setDaemon(true);
+        return thread;
+    });
+    private Ledger ledger;
+    private final List<Ledger.Line> waiting = new ArrayList<>();
+    private final List<Consumer<IOException>> awaiting = new ArrayList<>();
+    private boolean writing;
+
+    private Memory(String installation, String member, Turns turns) {
+        this.installation = installation;
+        this.member = member;
+        this.turns = turns;
+    }
+
+    /**
+     * Opens an agent's memory, or begins it where the folder holds none.
+     *
+     * @throws IllegalArgumentException where the folder is another member's or installation's
+     * @throws IOException where what it holds is damaged: orders might be followed that were refused before
+     */
+    public static Memory open(Storage storage, String installation, String member, Turns turns) throws IOException {
+        Memory memory = new Memory(installation, member, turns);
+        Ledger.Content content = new Ledger.Content() {
+            @Override
+            public void take(Ledger.Line line) throws IOException { memory.take(line); }
+
+            @Override
+            public List<Ledger.Line> base() { return memory.base(); }
+        };
+        memory.ledger = Ledger.isThere(storage, PREFIX) ? Ledger.open(storage, PREFIX, MAGIC, content, SEGMENT_BYTES)
+                : Ledger.begin(storage, PREFIX, MAGIC, content, SEGMENT_BYTES);
+        return memory;
+    }
+
+    /** What is refused and what was done. Changed here alone. */
+    public Fence fence() { return fence; }
+
+    /** The process last started for an instance, or null. */
+    public Started started(String instance) { return started.get(instance); }
+
+    private void take(Ledger.Line line) throws IOException {
+        Fields f = Fields.read(line.body());
+        switch (line.kind()) {
+            case WHOSE -> {
+                if (!f.text(1).equals(installation) || !f.text(2).equals(member)) {
+                    throw new IllegalArgumentException("the folder is that of member " + f.text(2) + " of installation " + f.text(1));
+                }
+            }
+            case SEAL -> fence.seal(f.text(1), f.number(2));
+            case BEGIN -> {
+                fence.begin(f.text(1), f.number(2), f.text(3), f.text(4), f.text(5));
+                fence.forgetRunning(f.text(1), f.text(3));
+            }
+            case END -> fence.end(f.text(1), f.text(3), f.text(6));
+            case DROP -> fence.drop(f.text(1), f.text(3));
+            case STARTED -> started.put(f.text(1), new Started(f.number(2), f.number(3), f.number(4)));
+            default -> throw new IOException("a record that is not known here");
+        }
+    }
+
+    /** What still counts. Runs on the disk's thread while turns wait for nothing: see {@link #write}. */
+    private List<Ledger.Line> base() {
+        List<Ledger.Line> base = new ArrayList<>();
+        base.add(new Ledger.Line(WHOSE, new Fields.Out().text(1, installation).text(2, member).toBytes()));
+        for (String work : fence.works()) {
+            base.add(line(SEAL, work, fence.sealed(work), null, null, null, null));
+            fence.steps(work).forEach((id, step) -> {
+                base.add(line(BEGIN, work, step.token(), id, step.act(), step.before(), null));
+                if (step.outcome() != null) { base.add(line(END, work, 0, id, null, null, step.outcome())); }
+            });
+        }
+        started.forEach((name, one) -> base.add(startedLine(name, one)));
+        return base;
+    }
+
+    private static Ledger.Line line(int kind, String work, long token, String step, String act, String before, String outcome) {
+        return new Ledger.Line(kind, new Fields.Out().text(1, work).number(2, token).text(3, step).text(4, act).text(5, before)
+                .text(6, outcome).toBytes());
+    }
+
+    private static Ledger.Line startedLine(String name, Started one) {
+        return new Ledger.Line(STARTED, new Fields.Out().text(1, name).number(2, one.count()).number(3, one.pid()).number(4, one.startedMs())
+                .toBytes());
+    }
+
+    /** Seals a token; false where a higher one is. {@code then} hears null once it lasts, or why it does not. */
+    public boolean seal(String work, long token, Consumer<IOException> then) {
+        boolean newer = token > fence.sealed(work);
+        if (!fence.seal(work, token)) { return false; }
+        if (newer || !waiting.isEmpty() || writing) { write(line(SEAL, work, token, null, null, null, null), then); } else { then.accept(null); }
+        return true;
+    }
+
+    public void begin(String work, long token, String step, String act, String before, Consumer<IOException> then) {
+        fence.begin(work, token, step, act, before);
+        write(line(BEGIN, work, token, step, act, before, null), then);
+    }
+
+    public void end(String work, String step, String outcome, Consumer<IOException> then) {
+        fence.end(work, step, outcome);
+        write(line(END, work, 0, step, null, null, outcome), then);
+    }
+
+    public void drop(String work, String step) {
+        fence.drop(work, step);
+        write(line(DROP, work, 0, step, null, null, null), why -> { });
+    }
+
+    /** A process was started for an instance, the so manieth. */
+    public void started(String instance, long pid, long startedMs) {
+        Started before = started.get(instance);
+        Started now = new Started(before == null ? 1 : before.count() + 1, pid, startedMs);
+        started.put(instance, now);
+        write(startedLine(instance, now), why -> { });
+    }
+
+    /** How often an instance was started, over all lives of this agent. */
+    public long starts(String instance) { return started.containsKey(instance) ? started.get(instance).count() : 0; }
+
+    private void write(Ledger.Line line, Consumer<IOException> then) {
+        waiting.add(line);
+        awaiting.add(then);
+        if (!writing) { flush(); }
+    }
+
+    private void flush() {
+        if (waiting.isEmpty()) { return; }
+        writing = true;
+        List<Ledger.Line> lines = new ArrayList<>(waiting);
+        List<Consumer<IOException>> heirs = new ArrayList<>(awaiting);
+        waiting.clear();
+        awaiting.clear();
+        try {
+            disk.execute(() -> {
+                IOException why = null;
+                try {
+                    ledger.append(lines);
+                    ledger.force();
+                    if (ledger.isLong()) { turns.turn(this::rollLater); }
+                } catch (IOException e) {
+                    why = e;
+                }
+                IOException told = why;
+                turns.turn(() -> {
+                    writing = false;
+                    heirs.forEach(heir -> heir.accept(told));
+                    if (!writing) { flush(); }
+                });
+            });
+        } catch (RejectedExecutionException e) { /* closed: the process ends */ }
+    }
+
+    /** The base is taken in a turn, so that nothing changes under it; writing it is the disk's. */
+    private void rollLater() {
+        List<Ledger.Line> base = base();
+        disk.execute(() -> {
+            try {
+                ledger.roll(base);
+            } catch (IOException e) { /* the segment goes on growing; tried again at the next write */ }
+        });
+    }
+
+    @Override
+    public void close() throws IOException {
+        disk.shutdown();
+        try {
+            disk.awaitTermination(2, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        ledger.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/yardusher/register/Member.java
@@ -0,0 +1,19 @@
+package yardusher.register;
+
+import io.microraft.RaftEndpoint;
+
+/** An agent as the register's consensus knows it: by its name, which is never used twice. */
+public record Member(String name) implements RaftEndpoint {
+    /** What a name looks like. */
+    public static final String PATTERN = "[A-Za-z0-9][A-Za-z0-9._-]{0,31}";
+
+    public Member {
+        if (!name.matches(PATTERN)) { throw new IllegalArgumentException("bad member name"); }
+    }
+
+    @Override
+    public Object getId() { return name; }
+
+    @Override
+    public String toString() { return name; }
+}
--- /dev/null
+++ b/src/main/java/yardusher/register/Messages.java
@@ -0,0 +1,112 @@
+package yardusher.register;
+
+import io.microraft.RaftEndpoint;
+import io.microraft.model.log.LogEntry;
+import io.microraft.model.message.AppendEntriesFailureResponse;
+import io.microraft.model.message.AppendEntriesRequest;
+import io.microraft.model.message.AppendEntriesSuccessResponse;
+import io.microraft.model.message.InstallSnapshotRequest;
+import io.microraft.model.message.InstallSnapshotResponse;
+import io.microraft.model.message.PreVoteRequest;
+import io.microraft.model.message.PreVoteResponse;
+import io.microraft.model.message.RaftMessage;
+import io.microraft.model.message.TriggerLeaderElectionRequest;
+import io.microraft.model.message.VoteRequest;
+import io.microraft.model.message.VoteResponse;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import yardusher.disk.Fields;
+
+/** The consensus library's messages as protobuf messages of at most {@link #MOST_BYTES}. */
+final class Messages {
+    /** Of a message: it travels as one bulk string. */
+    static final int MOST_BYTES = 60 * 1024;
+    private static final int KIND = 1, SENDER = 2, TERM = 3, QUERY = 4, FLOW = 5, A = 6, B = 7, C = 8, FLAG = 9, PART = 10, ENTRY = 11,
+            MEMBERS = 12, NAMES = 13;
+
+    private Messages() { }
+
+    static byte[] encode(RaftMessage message) {
+        Fields.Out out = new Fields.Out();
+        if (message instanceof AppendEntriesRequest m) {
+            head(out, 1, m).number(QUERY, m.getQuerySequenceNumber()).number(FLOW, m.getFlowControlSequenceNumber())
+                    .number(A, m.getPreviousLogIndex()).number(B, m.getPreviousLogTerm()).number(C, m.getCommitIndex());
+            int room = MOST_BYTES - 256;
+            for (LogEntry entry : m.getLogEntries()) {
+                byte[] bytes = Models.entry(entry);
+                room -= bytes.length + 8;
+                if (room < 0) { break; }             // a prefix is a whole request: the next brings the rest
+                out.bytes(ENTRY, bytes);
+            }
+        } else if (message instanceof AppendEntriesSuccessResponse m) {
+            head(out, 2, m).number(QUERY, m.getQuerySequenceNumber()).number(FLOW, m.getFlowControlSequenceNumber()).number(A, m.getLastLogIndex());
+        } else if (message instanceof AppendEntriesFailureResponse m) {
+            head(out, 3, m).number(QUERY, m.getQuerySequenceNumber()).number(FLOW, m.getFlowControlSequenceNumber()).number(A, m.getExpectedNextIndex());
+        } else if (message instanceof VoteRequest m) {
+            head(out, 4, m).number(A, m.getLastLogIndex()).number(B, m.getLastLogTerm()).flag(FLAG, m.isSticky());
+        } else if (message instanceof VoteResponse m) {
+            head(out, 5, m).flag(FLAG, m.isGranted());
+        } else if (message instanceof PreVoteRequest m) {
+            head(out, 6, m).number(A, m.getLastLogIndex()).number(B, m.getLastLogTerm());
+        } else if (message instanceof PreVoteResponse m) {
+            head(out, 7, m).flag(FLAG, m.isGranted());
+        } else if (message instanceof InstallSnapshotRequest m) {
+            head(out, 8, m).number(QUERY, m.getQuerySequenceNumber()).number(FLOW, m.getFlowControlSequenceNumber())
+                    .number(A, m.getSnapshotIndex()).number(B, m.getSnapshotTerm()).number(C, m.getTotalSnapshotChunkCount())
+                    .flag(FLAG, m.isSenderLeader()).bytes(PART, m.getSnapshotChunk() == null ? null : Models.part(m.getSnapshotChunk()))
+                    .bytes(MEMBERS, Models.members(m.getGroupMembersView())).texts(NAMES, Models.names(m.getSnapshottedMembers()));
+        } else if (message instanceof InstallSnapshotResponse m) {
+            head(out, 9, m).number(QUERY, m.getQuerySequenceNumber()).number(FLOW, m.getFlowControlSequenceNumber())
+                    .number(A, m.getSnapshotIndex()).number(B, m.getRequestedSnapshotChunkIndex());
+        } else if (message instanceof TriggerLeaderElectionRequest m) {
+            head(out, 10, m).number(A, m.getLastLogIndex()).number(B, m.getLastLogTerm());
+        } else {
+            throw new IllegalArgumentException("no message of this version: " + message.getClass().getSimpleName());
+        }
+        return out.toBytes();
+    }
+
+    private static Fields.Out head(Fields.Out out, int kind, RaftMessage m) {
+        return out.number(KIND, kind).text(SENDER, Models.name(m.getSender())).number(TERM, m.getTerm());
+    }
+
+    /** Reads a message of the installation; an {@link IOException} for bytes that are none. */
+    static RaftMessage decode(byte[] bytes, String group) throws IOException {
+        Fields f = Fields.read(bytes);
+        RaftEndpoint from = Models.member(f.text(SENDER));
+        if (from == null || f.number(TERM) < 0 || f.number(TERM) > Integer.MAX_VALUE) { throw new IOException("no message of a member"); }
+        int term = f.whole(TERM);
+        long query = f.number(QUERY);
+        long flow = f.number(FLOW);
+        return switch (f.whole(KIND)) {
+            case 1 -> {
+                List<LogEntry> entries = new ArrayList<>();
+                for (byte[] one : f.all(ENTRY)) { entries.add(Models.entry(one)); }
+                yield Models.FACTORY.createAppendEntriesRequestBuilder().setGroupId(group).setSender(from).setTerm(term)
+                        .setPreviousLogTerm(f.whole(B)).setPreviousLogIndex(f.number(A)).setCommitIndex(f.number(C)).setLogEntries(entries)
+                        .setQuerySequenceNumber(query).setFlowControlSequenceNumber(flow).build();
+            }
+            case 2 -> Models.FACTORY.createAppendEntriesSuccessResponseBuilder().setGroupId(group).setSender(from).setTerm(term)
+                    .setLastLogIndex(f.number(A)).setQuerySequenceNumber(query).setFlowControlSequenceNumber(flow).build();
+            case 3 -> Models.FACTORY.createAppendEntriesFailureResponseBuilder().setGroupId(group).setSender(from).setTerm(term)
+                    .setExpectedNextIndex(f.number(A)).setQuerySequenceNumber(query).setFlowControlSequenceNumber(flow).build();
+            case 4 -> Models.FACTORY.createVoteRequestBuilder().setGroupId(group).setSender(from).setTerm(term).setLastLogTerm(f.whole(B))
+                    .setLastLogIndex(f.number(A)).setSticky(f.flag(FLAG)).build();
+            case 5 -> Models.FACTORY.createVoteResponseBuilder().setGroupId(group).setSender(from).setTerm(term).setGranted(f.flag(FLAG)).build();
+            case 6 -> Models.FACTORY.createPreVoteRequestBuilder().setGroupId(group).setSender(from).setTerm(term).setLastLogTerm(f.whole(B))
+                    .setLastLogIndex(f.number(A)).build();
+            case 7 -> Models.FACTORY.createPreVoteResponseBuilder().setGroupId(group).setSender(from).setTerm(term).setGranted(f.flag(FLAG)).build();
+            case 8 -> Models.FACTORY.createInstallSnapshotRequestBuilder().setGroupId(group).setSender(from).setTerm(term)
+                    .setSenderLeader(f.flag(FLAG)).setSnapshotTerm(f.whole(B)).setSnapshotIndex(f.number(A)).setTotalSnapshotChunkCount(f.whole(C))
+                    .setSnapshotChunk(f.has(PART) ? Models.part(f.bytes(PART)) : null).setSnapshottedMembers(Models.members(f.texts(NAMES)))
+                    .setGroupMembersView(Models.members(f.bytes(MEMBERS))).setQuerySequenceNumber(query).setFlowControlSequenceNumber(flow).build();
+            case 9 -> Models.FACTORY.createInstallSnapshotResponseBuilder().setGroupId(group).setSender(from).setTerm(term)
+                    .setSnapshotIndex(f.number(A)).setRequestedSnapshotChunkIndex(f.whole(B)).setQuerySequenceNumber(query)
+                    .setFlowControlSequenceNumber(flow).build();
+            case 10 -> Models.FACTORY.createTriggerLeaderElectionRequestBuilder().setGroupId(group).setSender(from).setTerm(term)
+                    .setLastLogTerm(f.whole(B)).setLastLogIndex(f.number(A)).build();
+            default -> throw new IOException("a message that is not known here");
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/yardusher/register/Store.java
@@ -0,0 +1,234 @@
+package yardusher.register;
+
+import io.microraft.model.log.LogEntry;
+import io.microraft.model.log.RaftGroupMembersView;
+import io.microraft.model.log.SnapshotChunk;
+import io.microraft.model.log.SnapshotEntry;
+import io.microraft.model.persistence.RaftEndpointPersistentState;
+import io.microraft.model.persistence.RaftTermPersistentState;
+import io.microraft.persistence.RaftStore;
+import io.microraft.persistence.RestoredRaftState;
+import java.io.Closeable;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import yardusher.disk.Fields;
+import yardusher.disk.Ledger;
+import yardusher.disk.Storage;
+
+/**
+ * A member's term, vote, log and snapshot, on a {@link Ledger}: checksummed, and synced before an answer that rests on
+ * them leaves. Belongs to one member of one installation and says so. Used by one thread, which may wait on the disk.
+ */
+public final class Store implements RaftStore, Closeable {
+    private static final String PREFIX = "register";
+    private static final long MAGIC = 0x5944524547530001L; // YDREGS and format version 1
+    private static final long SEGMENT_BYTES = 4 << 20;
+    private static final int WHOSE = 1, LOCAL = 2, MEMBERS = 3, TERM = 4, ENTRY = 5, CUT_FROM = 6, CUT_UNTIL = 7, PART = 8, DROP = 9;
+
+    private final String installation;
+    private final String member;
+    private boolean joins;
+    private Ledger ledger;
+    private RaftEndpointPersistentState local;
+    private RaftGroupMembersView members;
+    private RaftTermPersistentState term;
+    private final TreeMap<Long, LogEntry> log = new TreeMap<>();
+    private final TreeMap<Long, TreeMap<Integer, SnapshotChunk>> snapshots = new TreeMap<>();
+
+    private Store(String installation, String member, boolean joins) {
+        this.installation = installation;
+        this.member = member;
+        this.joins = joins;
+    }
+
+    /** Whether a folder holds a member's store, whole or not. */
+    public static boolean isThere(Storage storage) throws IOException { return Ledger.isThere(storage, PREFIX); }
+
+    /**
+     * Begins a new member in a folder that holds none, once in its life: a member that lost its disk must not come back
+     * under its name, since it would vote anew in terms in which it has voted. {@code joins}: an installation that is
+     * there already takes it in; else it is one of the first.
+     */
+    public static Store begin(Storage storage, String installation, String member, boolean joins) throws IOException {
+        if (isThere(storage)) { throw new IllegalArgumentException("the folder holds a member's store already"); }
+        Store store = new Store(installation, member, joins);
+        store.ledger = Ledger.begin(storage, PREFIX, MAGIC, store.content(), SEGMENT_BYTES);
+        return store;
+    }
+
+    /**
+     * Opens the store of a member.
+     *
+     * @throws IllegalArgumentException where the folder is another member's or installation's, or holds no store
+     * @throws IOException where what it holds is damaged: the member must not take part
+     */
+    public static Store open(Storage storage, String installation, String member) throws IOException {
+        if (!isThere(storage)) {
+            throw new IllegalArgumentException("the folder holds no store of " + member + "; a new member is begun by fleet init");
+        }
+        Store store = new Store(installation, member, false);
+        store.ledger = Ledger.open(storage, PREFIX, MAGIC, store.content(), SEGMENT_BYTES);
+        return store;
+    }
+
+    /** Whether the member was begun to join an installation that is there already. */
+    public boolean joins() { return joins; }
+
+    /** What the member goes on from; null where it never took part. */
+    public RestoredRaftState restored() {
+        if (local == null || members == null) { return null; }
+        Map.Entry<Long, TreeMap<Integer, SnapshotChunk>> whole = snapshots.descendingMap().entrySet().stream()
+                .filter(one -> isWhole(one.getValue())).findFirst().orElse(null);
+        long from = whole == null ? 0 : whole.getKey();
+        SnapshotEntry snapshot = null;
+        if (whole != null) {
+            SnapshotChunk first = whole.getValue().get(0);
+            snapshot = Models.FACTORY.createSnapshotEntryBuilder().setIndex(first.getIndex()).setTerm(first.getTerm())
+                    .setSnapshotChunks(new ArrayList<>(whole.getValue().values())).setGroupMembersView(first.getGroupMembersView()).build();
+        }
+        RaftTermPersistentState last = term != null ? term
+                : Models.FACTORY.createRaftTermPersistentStateBuilder().setTerm(0).setVotedFor(null).build();
+        return new RestoredRaftState(local, members, last, snapshot, new ArrayList<>(log.tailMap(from, false).values()));
+    }
+
+    private static boolean isWhole(TreeMap<Integer, SnapshotChunk> parts) {
+        return !parts.isEmpty() && parts.size() == parts.firstEntry().getValue().getSnapshotChunkCount();
+    }
+
+    /** Log entries kept now. */
+    public int entries() { return log.size(); }
+
+    private Ledger.Content content() {
+        return new Ledger.Content() {
+            @Override
+            public void take(Ledger.Line line) throws IOException { Store.this.take(line); }
+
+            @Override
+            public List<Ledger.Line> base() { return Store.this.base(); }
+        };
+    }
+
+    private void take(Ledger.Line line) throws IOException {
+        if (line.kind() == WHOSE) {
+            Fields f = Fields.read(line.body());
+            if (!f.text(1).equals(installation) || !f.text(2).equals(member)) {
+                throw new IllegalArgumentException("the folder is that of member " + f.text(2) + " of installation " + f.text(1));
+            }
+            joins = f.flag(3);
+            return;
+        }
+        switch (line.kind()) {
+            case LOCAL -> {
+                Fields f = Fields.read(line.body());
+                local = Models.FACTORY.createRaftEndpointPersistentStateBuilder().setLocalEndpoint(Models.member(f.text(1)))
+                        .setVoting(f.flag(2)).build();
+            }
+            case MEMBERS -> members = Models.members(line.body());
+            case TERM -> {
+                Fields f = Fields.read(line.body());
+                term = Models.FACTORY.createRaftTermPersistentStateBuilder().setTerm(f.whole(1)).setVotedFor(Models.member(f.text(2))).build();
+            }
+            case ENTRY -> {
+                LogEntry entry = Models.entry(line.body());
+                log.put(entry.getIndex(), entry);
+            }
+            case CUT_FROM -> log.tailMap(Fields.read(line.body()).number(1), true).clear();
+            case CUT_UNTIL -> log.headMap(Fields.read(line.body()).number(1), true).clear();
+            case PART -> {
+                SnapshotChunk part = Models.part(line.body());
+                hold(part);
+            }
+            case DROP -> snapshots.remove(Fields.read(line.body()).number(1));
+            default -> throw new IOException("a record that is not known here");
+        }
+    }
+
+    private void hold(SnapshotChunk part) {
+        snapshots.computeIfAbsent(part.getIndex(), none -> new TreeMap<>()).put(part.getSnapshotChunkIndex(), part);
+        if (isWhole(snapshots.get(part.getIndex()))) { snapshots.headMap(part.getIndex(), false).clear(); }
+    }
+
+    private List<Ledger.Line> base() {
+        List<Ledger.Line> base = new ArrayList<>();
+        base.add(new Ledger.Line(WHOSE, new Fields.Out().text(1, installation).text(2, member).flag(3, joins).toBytes()));
+        if (local != null) { base.add(localLine()); }
+        if (members != null) { base.add(new Ledger.Line(MEMBERS, Models.members(members))); }
+        if (term != null) { base.add(termLine()); }
+        snapshots.values().forEach(parts -> parts.values().forEach(part -> base.add(new Ledger.Line(PART, Models.part(part)))));
+        log.values().forEach(entry -> base.add(new Ledger.Line(ENTRY, Models.entry(entry))));
+        return base;
+    }
+
+    private Ledger.Line localLine() {
+        return new Ledger.Line(LOCAL, new Fields.Out().text(1, Models.name(local.getLocalEndpoint())).flag(2, local.isVoting()).toBytes());
+    }
+
+    private Ledger.Line termLine() {
+        return new Ledger.Line(TERM, new Fields.Out().number(1, term.getTerm()).text(2, Models.name(term.getVotedFor())).toBytes());
+    }
+
+    private void write(List<Ledger.Line> lines, boolean durably) throws IOException {
+        ledger.append(lines);
+        if (durably) { ledger.force(); }
+    }
+
+    @Override
+    public void persistAndFlushLocalEndpoint(RaftEndpointPersistentState state) throws IOException {
+        local = state;
+        write(List.of(localLine()), true);
+    }
+
+    @Override
+    public void persistAndFlushInitialGroupMembers(RaftGroupMembersView view) throws IOException {
+        members = view;
+        write(List.of(new Ledger.Line(MEMBERS, Models.members(view))), true);
+    }
+
+    @Override
+    public void persistAndFlushTerm(RaftTermPersistentState state) throws IOException {
+        term = state;
+        write(List.of(termLine()), true);
+    }
+
+    @Override
+    public void persistLogEntries(List<LogEntry> entries) throws IOException {
+        List<Ledger.Line> lines = new ArrayList<>(entries.size());
+        for (LogEntry entry : entries) { lines.add(new Ledger.Line(ENTRY, Models.entry(entry))); }
+        write(lines, false);
+        entries.forEach(entry -> log.put(entry.getIndex(), entry));
+        if (ledger.isLong()) { ledger.roll(); }
+    }
+
+    @Override
+    public void persistSnapshotChunk(SnapshotChunk part) throws IOException {
+        write(List.of(new Ledger.Line(PART, Models.part(part))), false);
+        hold(part);
+    }
+
+    @Override
+    public void truncateLogEntriesFrom(long index) throws IOException {
+        write(List.of(new Ledger.Line(CUT_FROM, new Fields.Out().number(1, index).toBytes())), false);
+        log.tailMap(index, true).clear();
+    }
+
+    @Override
+    public void truncateLogEntriesUntil(long index) throws IOException {
+        write(List.of(new Ledger.Line(CUT_UNTIL, new Fields.Out().number(1, index).toBytes())), false);
+        log.headMap(index, true).clear();
+    }
+
+    @Override
+    public void deleteSnapshotChunks(long index, int count) throws IOException {
+        write(List.of(new Ledger.Line(DROP, new Fields.Out().number(1, index).toBytes())), false);
+        snapshots.remove(index);
+    }
+
+    @Override
+    public void flush() throws IOException { ledger.force(); }
+
+    @Override
+    public void close() throws IOException { ledger.close(); }
+}
--- /dev/null
+++ b/src/test/java/yardusher/fence/FenceTest.java
@@ -0,0 +1,80 @@
+package yardusher.fence;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import org.junit.jupiter.api.Test;
+import yardusher.core.Turns;
+import yardusher.lab.MemoryDisk;
+
+/** What a target refuses, and that it still does after its death. */
+class FenceTest {
+    @Test
+    void onlyTheSealedTokenIsFollowedAndAStepOnce() {
+        Fence fence = new Fence();
+        assertThat(fence.order("roll", 5, "s")).isEqualTo(new Fence.Unsealed(0));
+        assertThat(fence.seal("roll", 5)).isTrue();
+        assertThat(fence.seal("roll", 4)).isFalse();
+        assertThat(fence.order("roll", 4, "s")).isEqualTo(new Fence.Refused(5));
+        assertThat(fence.order("roll", 5, "s")).isEqualTo(new Fence.Begin());
+        fence.begin("roll", 5, "s", "restart n0", "1");
+        assertThat(fence.order("roll", 5, "s")).isEqualTo(new Fence.Running());
+        fence.seal("roll", 6);
+        assertThat(fence.may("roll", 5)).isFalse();
+        fence.end("roll", "s", "done");
+        assertThat(fence.order("roll", 6, "s")).isEqualTo(new Fence.Over("done"));
+        assertThat(fence.order("roll", 5, "s")).isEqualTo(new Fence.Refused(6));
+        assertThat(fence.order("bans", 1, "s")).isEqualTo(new Fence.Unsealed(0));
+    }
+
+    @Test
+    void onlyFinishedStepsAreForgotten() {
+        Fence fence = new Fence();
+        fence.seal("roll", 1);
+        fence.begin("roll", 1, "running", "", "");
+        for (int i = 0; i < Fence.MOST_STEPS + 50; i++) {
+            fence.begin("roll", 1, "s" + i, "", "");
+            fence.end("roll", "s" + i, "done");
+        }
+        assertThat(fence.steps("roll")).hasSize(Fence.MOST_STEPS);
+        assertThat(fence.order("roll", 1, "running")).isEqualTo(new Fence.Running());
+    }
+
+    @Test
+    void whatWasSealedAndBegunOutlivesADeath() throws Exception {
+        MemoryDisk disk = new MemoryDisk();
+        Turns turns = new Turns(() -> System.nanoTime() / 1e6, Throwable::printStackTrace);
+        Memory memory = Memory.open(disk, "site", "a1", turns);
+        CountDownLatch durable = new CountDownLatch(2);
+        AtomicReference<Exception> failed = new AtomicReference<>();
+        turns.turn(() -> {
+            memory.seal("roll", 7, why -> durable.countDown());
+            memory.started("n0", 4711, 99);
+            memory.begin("roll", 7, "5/n0", "restart n0", "1", why -> durable.countDown());
+        });
+        assertThat(durable.await(10, TimeUnit.SECONDS)).isTrue();
+        assertThat(failed.get()).isNull();
+        disk.die(new java.util.Random(1));
+        Memory next = Memory.open(disk, "site", "a1", turns);
+        assertThat(next.fence().order("roll", 6, "5/n0")).isEqualTo(new Fence.Refused(7));
+        assertThat(next.fence().order("roll", 7, "5/n0")).isEqualTo(new Fence.Unknown("1"));
+        assertThat(next.started("n0")).isEqualTo(new Memory.Started(1, 4711, 99));
+        assertThatThrownBy(() -> Memory.open(disk, "site", "a2", turns)).isInstanceOf(IllegalArgumentException.class);
+    }
+
+    @Test
+    void anInstanceTakesNothingBeforeItsAgentHasSpokenAndNoOlderOrder() {
+        InstanceFence fence = new InstanceFence();
+        assertThatThrownBy(() -> fence.isNew("s-1", 5, 1)).hasMessageContaining("no token");
+        fence.learn(5);
+        assertThat(fence.isNew("s-1", 5, 2)).isTrue();
+        fence.took("s-1", 2);
+        assertThat(fence.isNew("s-1", 5, 2)).isFalse();
+        assertThat(fence.isNew("s-1", 5, 1)).isFalse();
+        assertThatThrownBy(() -> fence.isNew("s-1", 4, 9)).hasMessageContaining("token 5");
+        assertThatThrownBy(() -> fence.learn(4)).hasMessageContaining("newer");
+    }
+}
