--- /dev/null
+++ b/lab/src/yardusher/lab/FleetRun.java
@@ -0,0 +1,215 @@
+package yardusher.lab;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+
+/**
+ * One seed of an installation under faults: agents that die, are paused and come back, ways that are cut, lose, hold and
+ * reset, while operators order rolls and bans at any agent. Then calm, until what was ordered has ended; then the verdict.
+ * The folder keeps schedule, logs and histories; the same seed gives the same schedule.
+ */
+public final class FleetRun {
+    private static final long CALM_MS = 60_000;
+
+    /** How a seed went. */
+    public record Verdict(long seed, int faults, int rolls, int rollsDone, int owners, long effects, List<String> breaches) { }
+
+    private final Installation site;
+    private final Random random;
+    private final List<String> schedule = new ArrayList<>();
+    private final long began = System.currentTimeMillis();
+    private final int away;
+    private int faults;
+
+    private FleetRun(Installation site, long seed) {
+        this.site = site;
+        random = new Random(seed);
+        away = 1 + random.nextInt(2);
+    }
+
+    /** Plays a seed in a folder that is not there yet. */
+    public static Verdict play(Path folder, long seed, int agents, int instances, int troubles) throws IOException, InterruptedException {
+        try (Installation site = new Installation(folder, agents, instances, new Installation.Tuning(800, 100, 20_000))) {
+            FleetRun run = new FleetRun(site, seed);
+            try {
+                return run.play(seed, troubles);
+            } finally {
+                Files.write(folder.resolve("schedule.txt"), run.schedule);
+            }
+        }
+    }
+
+    private void say(String what) { schedule.add((System.currentTimeMillis() - began) + " " + what); }
+
+    private Verdict play(long seed, int troubles) throws IOException, InterruptedException {
+        say("seed " + seed + ", away " + away);
+        site.init();
+        for (int i = 0; i < site.agents(); i++) { site.start(i); }
+        List<String> breaches = new ArrayList<>();
+        for (int i = 0; i < site.agents(); i++) {
+            if (!await(i, 20_000)) { breaches.add("agent " + i + " was never ready"); }
+        }
+        int rolls = 1;
+        order(0, seed + "-roll-" + rolls, "-");
+        for (int i = 0; i < troubles && breaches.isEmpty(); i++) {
+            trouble();
+            if (random.nextInt(3) == 0) { order(random.nextInt(site.agents()), seed + "-roll-" + ++rolls, random.nextBoolean() ? "take-over" : "-"); }
+            if (random.nextInt(3) == 0) { ban(random.nextInt(site.agents()), seed + "-ban-" + i); }
+        }
+        calm();
+        String last = settled();
+        if (last == null) { breaches.add("the last roll did not end within " + CALM_MS + " ms of calm"); }
+        List<History.Event> history = site.history();
+        Set<String> done = new HashSet<>();
+        if (last != null && Installation.cell(last, "roll", "state").equals("done")) { done.add(Installation.cell(last, "roll", "id")); }
+        for (String line : last == null ? new String[0] : last.split("\n")) {
+            if (line.startsWith("history") && line.matches(".* roll [0-9]+ DONE: .*")) { done.add(line.replaceAll(".* roll ([0-9]+) DONE: .*", "$1")); }
+        }
+        breaches.addAll(Checker.breaches(history, away, done, names()));
+        for (int i = 0; i < site.agents(); i++) {
+            String status = site.ask(i, 2000, "AGENT.STATUS");
+            if (status == null || !status.lines().allMatch(line -> line.contains(" ready "))) { breaches.add("an instance is lost: " + status); }
+        }
+        int owners = (int) history.stream().filter(event -> event.what().equals("seals")).map(History.Event::token).distinct().count();
+        long effects = history.stream().filter(event -> event.what().startsWith("acts")).count();
+        return new Verdict(seed, faults, rolls, done.size(), owners, effects, breaches);
+    }
+
+    private Set<String> names() {
+        Set<String> names = new HashSet<>();
+        for (int i = 0; i < site.agents(); i++) {
+            for (int k = 0; k < site.instances(); k++) { names.add("n" + i + "x" + k); }
+        }
+        return names;
+    }
+
+    private boolean await(int agent, long ms) throws InterruptedException {
+        for (long until = System.currentTimeMillis() + ms; System.currentTimeMillis() < until; Thread.sleep(50)) {
+            String status = site.ask(agent, 1000, "AGENT.STATUS");
+            if (status != null && status.lines().allMatch(line -> line.contains(" ready "))) { return true; }
+        }
+        return false;
+    }
+
+    private void order(int agent, String id, String takeOver) {
+        say("a" + agent + " is told to roll, " + takeOver + ": " + site.order(agent, id, "roll", "restart away=" + away + " failures=0", takeOver));
+    }
+
+    private void ban(int agent, String id) {
+        String verb = random.nextBoolean() ? "ban" : "unban";
+        say("a" + agent + " is told to " + verb + ": " + site.order(agent, id, verb, "s-00000001"));
+    }
+
+    /** One fault, from its beginning to its end. */
+    private void trouble() throws IOException, InterruptedException {
+        faults++;
+        int holder = random.nextInt(2) == 0 ? site.holder(random.nextInt(site.agents()), "roll") : -1;
+        int a = holder >= 0 ? holder : random.nextInt(site.agents());
+        int b = (a + 1 + random.nextInt(site.agents() - 1)) % site.agents();
+        long ms = 200 + random.nextInt(2500);
+        int kind = random.nextInt(8);
+        say("kind " + kind + " at a" + a + ", a" + b + " for " + ms);
+        switch (kind) {
+            case 0, 1 -> {
+                site.kill(a);
+                Thread.sleep(ms);
+                site.start(a);
+            }
+            case 2, 3 -> {
+                site.pause(a);
+                Thread.sleep(ms);
+                site.resume(a);
+            }
+            case 4 -> {                              // cut off from all others
+                for (int j = 0; j < site.agents(); j++) {
+                    if (j != a) {
+                        site.way(a, j).cut();
+                        site.way(j, a).cut();
+                    }
+                }
+                Thread.sleep(ms);
+            }
+            case 5 -> {                              // one way only
+                site.way(a, b).there.lose(true);
+                Thread.sleep(ms);
+            }
+            case 6 -> {                              // what it has sent comes later, also when it is dead by then
+                for (int j = 0; j < site.agents(); j++) {
+                    if (j != a) { site.way(a, j).there.hold(); }
+                }
+                Thread.sleep(ms / 2);
+                boolean dies = random.nextBoolean();
+                if (dies) { site.kill(a); }
+                Thread.sleep(ms / 2);
+                heal();
+                if (dies) { site.start(a); }
+            }
+            default -> {
+                for (int j = 0; j < site.agents(); j++) {
+                    if (j == a) { continue; }
+                    site.way(a, j).there.delay(random.nextInt(60));
+                    site.way(j, a).back.reset(random.nextInt(40));
+                }
+                Thread.sleep(ms);
+            }
+        }
+        heal();
+    }
+
+    private void heal() {
+        for (int i = 0; i < site.agents(); i++) {
+            for (int j = 0; j < site.agents(); j++) {
+                if (i != j) { site.way(i, j).heal(); }
+            }
+        }
+    }
+
+    private void calm() throws IOException, InterruptedException {
+        say("calm");
+        heal();
+        for (int i = 0; i < site.agents(); i++) {
+            site.resume(i);
+            if (!site.isAlive(i)) { site.start(i); }
+        }
+    }
+
+    /** Waits until no roll runs and all instances are ready; the last report, or null. */
+    private String settled() throws InterruptedException {
+        for (long until = System.currentTimeMillis() + CALM_MS; System.currentTimeMillis() < until; Thread.sleep(100)) {
+            String report = site.report(0);
+            if (report != null && report.contains("state=current") && !Installation.cell(report, "roll", "state").equals("running")) {
+                boolean ready = true;
+                for (int i = 0; i < site.agents(); i++) { ready &= await(i, 10_000); }
+                if (ready) { return report; }
+            }
+        }
+        return null;
+    }
+
+    /** {@code FOLDER FIRST COUNT [AGENTS [INSTANCES [TROUBLES]]]}: a line a seed, kept folders of those with breaches. */
+    public static void main(String[] args) throws Exception {
+        long first = Long.parseLong(args[1]);
+        long count = Long.parseLong(args[2]);
+        int agents = args.length > 3 ? Integer.parseInt(args[3]) : 5;
+        int instances = args.length > 4 ? Integer.parseInt(args[4]) : 2;
+        int troubles = args.length > 5 ? Integer.parseInt(args[5]) : 8;
+        int broken = 0;
+        for (long seed = first; seed < first + count; seed++) {
+            Path folder = Path.of(args[0]).resolve("seed-" + seed);
+            long from = System.nanoTime();
+            Verdict verdict = play(folder, seed, agents, instances, troubles);
+            System.out.printf("seed %d: %d faults, %d rolls ordered, %d done, %d owners, %d effects, %.0f s%s%n", seed, verdict.faults(), verdict.rolls(),
+                    verdict.rollsDone(), verdict.owners(), verdict.effects(), (System.nanoTime() - from) / 1e9,
+                    verdict.breaches().isEmpty() ? "" : "  BREACH " + verdict.breaches());
+            if (verdict.breaches().isEmpty()) { Installation.delete(folder); } else { broken++; }
+        }
+        System.out.println(count + " seeds, " + broken + " with a breach");
+        System.exit(broken == 0 ? 0 : 1);
+    }
+}
--- /dev/null
+++ b/lab/src/yardusher/lab/History.java
@@ -0,0 +1,29 @@
+package yardusher.lab;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/** What targets have written down of effects: lines {@code fence MS WORK TOKEN STEP WHAT}, in the order of each target. */
+public final class History {
+    /** One line. {@code target}: the agent that wrote it. Of an instance's own life the work is {@code instance}. */
+    public record Event(long atMs, String target, String work, long token, String step, String what) { }
+
+    private History() { }
+
+    /** Reads a target's file; half a line, as a kill leaves it, is passed over. */
+    public static List<Event> read(Path file, String target) throws IOException {
+        List<Event> events = new ArrayList<>();
+        if (!Files.exists(file)) { return events; }
+        String text = Files.readString(file);
+        int end = text.lastIndexOf('\n') + 1;
+        for (String line : text.substring(0, end).split("\n")) {
+            String[] words = line.split(" ", 6);
+            if (words.length < 6 || !words[0].equals("fence") || !words[1].matches("[0-9]+") || !words[3].matches("[0-9]+")) { continue; }
+            events.add(new Event(Long.parseLong(words[1]), target, words[2], Long.parseLong(words[3]), words[4], words[5]));
+        }
+        return events;
+    }
+}
--- /dev/null
+++ b/lab/src/yardusher/lab/Installation.java
@@ -0,0 +1,240 @@
+package yardusher.lab;
+
+import java.io.File;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import yardusher.cli.Asking;
+import yardusher.resp.Value;
+
+/**
+ * An installation of real processes of this program: agents with instances, each agent on a loopback address of its own
+ * and every way from one agent to another through a {@link Relay}. Each process's output goes to a file that its next
+ * lives write on in. Ends every process it has started.
+ */
+public final class Installation implements AutoCloseable {
+    private static final String NAME = "lab";
+
+    /** Settings of the agents' table fleet, beside those that have to be as they are. */
+    public record Tuning(int leaseMs, int heartbeatMs, int patienceMs) {
+        public static final Tuning USUAL = new Tuning(1500, 200, 30_000);
+    }
+
+    private final Path folder;
+    private final int agents;
+    private final int instances;
+    private final Tuning tuning;
+    private final InetSocketAddress[] controls;
+    private final Process[] processes;
+    private final Map<List<Integer>, Relay> ways = new LinkedHashMap<>();
+    private final Map<String, InetSocketAddress> addresses = new HashMap<>(); // of instances
+
+    /** {@code instances}: of each agent. {@code region}: one that every instance knows of. */
+    public Installation(Path folder, int agents, int instances, Tuning tuning) throws IOException {
+        this.folder = folder;
+        this.agents = agents;
+        this.instances = instances;
+        this.tuning = tuning;
+        controls = new InetSocketAddress[agents];
+        processes = new Process[agents];
+        Files.createDirectories(folder);
+        for (int i = 0; i < agents; i++) { controls[i] = free(i); }
+        for (int i = 0; i < agents; i++) {
+            for (int j = 0; j < agents; j++) {
+                if (i != j) { ways.put(List.of(i, j), new Relay(controls[i].getAddress(), controls[j])); }
+            }
+        }
+        for (int i = 0; i < agents; i++) { write(i); }
+    }
+
+    private static InetSocketAddress free(int machine) throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0." + (20 + machine)))) {
+            return (InetSocketAddress) socket.getLocalSocketAddress();
+        }
+    }
+
+    private static String text(InetSocketAddress at) { return at.getAddress().getHostAddress() + ":" + at.getPort(); }
+
+    private void write(int i) throws IOException {
+        StringBuilder out = new StringBuilder("control = \"" + text(controls[i]) + "\"\nstop_ms = 8000\ncommand = [");
+        for (String word : command()) { out.append('\'').append(word).append("', "); }
+        out.setLength(out.length() - 2);
+        out.append("]\n\n[fleet]\ninstallation = \"" + NAME + "\"\nmember = \"a" + i + "\"\nfolder = '" + folder.resolve("a" + i)
+                + "'\nlease_ms = " + tuning.leaseMs() + "\nheartbeat_ms = " + tuning.heartbeatMs() + "\npatience_ms = " + tuning.patienceMs() + "\n");
+        for (int j = 0; j < agents; j++) {
+            out.append("[[fleet.members]]\nname = \"a" + j + "\"\naddress = \"" + text(i == j ? controls[i] : way(i, j).address()) + "\"\n");
+        }
+        Path settings = folder.resolve("settings.toml");
+        Files.writeString(settings, "[fleet]\norders = true\n");
+        String template = new String(Installation.class.getResourceAsStream("/ingress.json").readAllBytes(), java.nio.charset.StandardCharsets.UTF_8);
+        for (int k = 0; k < instances; k++) {
+            String name = "n" + i + "x" + k;
+            InetSocketAddress listen = free(i);
+            addresses.put(name, listen);
+            Path config = folder.resolve(name + ".json");
+            Files.writeString(config, template.replace("\"name\": \"n0\"", "\"name\": \"" + name + "\"")
+                    .replace("\"listen\": \"127.0.0.1:0\"", "\"listen\": \"" + text(listen) + "\",\n \"admin_addr\": \"" + text(free(i)) + "\"")
+                    .replace("\"members\": []", "\"members\": [{\"id\": \"s-00000001\", \"host_port\": \"127.0.0.1:1\", \"locality\": \"a\","
+                            + " \"flavor\": \"std-4\", \"cell\": 0, \"phase\": \"Ready\", \"size\": 1.0, \"up_since_ms\": 0}]"));
+            out.append("[[instance]]\nname = \"" + name + "\"\naddress = \"" + text(listen) + "\"\nconfig = '" + config + "'\nsettings = '" + settings + "'\n");
+        }
+        Files.writeString(file(i), out);
+    }
+
+    private static List<String> command() {
+        String jar = System.getProperty("lab.jar");
+        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx48m", "-Xss256k"));
+        command.addAll(jar != null ? List.of("-jar", jar) : List.of("-cp", System.getProperty("java.class.path"), "yardusher.cli.Main"));
+        return command;
+    }
+
+    /** An agent's file. */
+    public Path file(int agent) { return folder.resolve("a" + agent + ".toml"); }
+
+    /** What an agent and its instances have said, over all its lives. */
+    public Path log(int agent) { return folder.resolve("a" + agent + ".log"); }
+
+    /** The way from one agent to another. */
+    public Relay way(int from, int to) { return ways.get(List.of(from, to)); }
+
+    public int agents() { return agents; }
+
+    public int instances() { return instances; }
+
+    public Path folder() { return folder; }
+
+    /** Begins each member once. */
+    public void init() throws IOException, InterruptedException {
+        for (int i = 0; i < agents; i++) { run(i, "fleet", "init", file(i).toString()); }
+    }
+
+    /** Runs a sub-command to its end and gives what it said, its exit status first. */
+    public String run(int agent, String... words) throws IOException, InterruptedException {
+        List<String> command = command();
+        command.addAll(List.of(words));
+        Process process = new ProcessBuilder(command).redirectErrorStream(true).start();
+        String said = new String(process.getInputStream().readAllBytes(), java.nio.charset.StandardCharsets.UTF_8);
+        return process.waitFor() + " " + said;
+    }
+
+    public void start(int agent) throws IOException {
+        List<String> command = command();
+        command.addAll(List.of("agent", "start", file(agent).toString()));
+        processes[agent] = new ProcessBuilder(command).redirectInput(new File("/dev/null")).redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(log(agent).toFile())).start();
+    }
+
+    public boolean isAlive(int agent) { return processes[agent] != null && processes[agent].isAlive(); }
+
+    public void kill(int agent) throws InterruptedException {
+        if (processes[agent] == null) { return; }
+        processes[agent].destroyForcibly();
+        processes[agent].waitFor(10, TimeUnit.SECONDS);
+    }
+
+    /** SIGTERM, and its end. */
+    public void stop(int agent) throws InterruptedException {
+        processes[agent].destroy();
+        processes[agent].waitFor(20, TimeUnit.SECONDS);
+    }
+
+    public void pause(int agent) throws IOException, InterruptedException { signal(agent, "-STOP"); }
+
+    public void resume(int agent) throws IOException, InterruptedException { signal(agent, "-CONT"); }
+
+    private void signal(int agent, String signal) throws IOException, InterruptedException {
+        if (isAlive(agent)) { new ProcessBuilder("kill", signal, Long.toString(processes[agent].pid())).start().waitFor(); }
+    }
+
+    /** Asks an agent's control address; an error is given as its text behind a '-'. Null where it does not answer. */
+    public String ask(int agent, int withinMs, String... words) {
+        try {
+            Value answer = Asking.ask(text(controls[agent]), withinMs, words);
+            return answer instanceof Value.Bulk bulk ? bulk.text() : answer instanceof Value.Failure no ? "-" + no.text()
+                    : answer instanceof Value.Many many ? many.items().stream().map(one -> ((Value.Bulk) one).text())
+                            .reduce("", (a, b) -> a + b + "\n") : answer.toString();
+        } catch (IOException e) {
+            return null;
+        }
+    }
+
+    /** An operator's order with its id. */
+    public String order(int agent, String id, String... words) {
+        List<String> all = new ArrayList<>(List.of("FLEET.ASK", NAME, id, "lab"));
+        all.addAll(List.of(words));
+        return ask(agent, 8000, all.toArray(new String[0]));
+    }
+
+    /** An agent's report on the register, or null. */
+    public String report(int agent) { return ask(agent, 4000, "FLEET.READ", NAME); }
+
+    /** A cell of a work's line in a report; empty where there is none. */
+    public static String cell(String report, String kind, String name) {
+        if (report == null) { return ""; }
+        for (String line : report.split("\n")) {
+            if (!line.startsWith("work\tkind=" + kind + "\t")) { continue; }
+            for (String cell : line.split("\t")) {
+                if (cell.startsWith(name + "=")) { return cell.substring(name.length() + 1); }
+            }
+        }
+        return "";
+    }
+
+    /** Who leads the register as an agent knows it; -1 for nobody. */
+    public int leader(int agent) {
+        String report = report(agent);
+        if (report == null || !report.contains("\tleader=a")) { return -1; }
+        return Integer.parseInt(report.replaceAll("(?s).*?\tleader=a([0-9]+)\t.*", "$1"));
+    }
+
+    /** Who holds a work; -1 for nobody. */
+    public int holder(int asked, String kind) {
+        String holder = cell(report(asked), kind, "holder");
+        return holder.startsWith("a") ? Integer.parseInt(holder.substring(1)) : -1;
+    }
+
+    public List<History.Event> history() throws IOException {
+        List<History.Event> all = new ArrayList<>();
+        for (int i = 0; i < agents; i++) { all.addAll(History.read(log(i), "a" + i)); }
+        all.sort(Comparator.comparingLong(History.Event::atMs));
+        return all;
+    }
+
+    /** Ends everything: agents, and the instances that they left running. */
+    @Override
+    public void close() throws IOException {
+        for (int i = 0; i < agents; i++) {
+            if (processes[i] != null) { processes[i].destroyForcibly(); }
+        }
+        for (int i = 0; i < agents; i++) {
+            if (processes[i] != null) { processes[i].onExit().join(); }
+        }
+        for (History.Event event : history()) {
+            if (event.what().startsWith("started pid=")) {
+                long pid = Long.parseLong(event.what().replaceAll("started pid=([0-9]+).*", "$1"));
+                ProcessHandle.of(pid).filter(one -> one.info().commandLine().orElse("").contains(folder.toString()))
+                        .ifPresent(ProcessHandle::destroyForcibly);
+            }
+        }
+        for (Relay relay : ways.values()) { relay.close(); }
+    }
+
+    /** Removes a folder and all in it. */
+    public static void delete(Path folder) throws IOException {
+        try (Stream<Path> all = Files.walk(folder)) {
+            for (Path path : all.sorted(Comparator.reverseOrder()).toList()) { Files.delete(path); }
+        }
+    }
+}
--- a/src/main/java/yardusher/admin/AdminCall.java
+++ b/src/main/java/yardusher/admin/AdminCall.java
@@ -4,8 +4,14 @@
 import java.util.Locale;
 import java.util.stream.Collectors;
 
-/** One call at the second address, decoded once: a word, and where the word needs one, a region's id. */
-public record AdminCall(Verb verb, String id) {
+/**
+ * One call at the second address, decoded once: a word, and where the word needs one, a region's id. A call of the fleet's
+ * work carries its token as well, 0 for none, and the revision of the order.
+ */
+public record AdminCall(Verb verb, String id, long token, long revision) {
+    /** A call of an operator's own. */
+    public AdminCall(Verb verb, String id) { this(verb, id, 0, 0); }
+
     /** What can be asked for. */
     public enum Verb {
         HEALTH, COUNTERS, CORDON, UNCORDON, QUIESCE, RESUME;
@@ -35,6 +41,23 @@
         return new AdminCall(verb, verb.namesRegion() ? words[1] : null);
     }
 
+    /**
+     * The same where the fleet's work may speak: also {@code cordon ID TOKEN REVISION}, {@code uncordon ID TOKEN REVISION}
+     * and {@code fence bans TOKEN}, whose verb is null.
+     */
+    public static AdminCall ofFleet(String line) {
+        String[] words = line.length() > MOST_LINE ? new String[0] : line.split(" ", -1);
+        if (words.length == 3 && words[0].equals("fence") && words[1].equals("bans")) { return new AdminCall(null, null, number(words[2]), 0); }
+        if (words.length != 4) { return of(line); }
+        AdminCall call = of(words[0] + " " + words[1]);
+        return new AdminCall(call.verb, call.id, number(words[2]), number(words[3]));
+    }
+
+    private static long number(String word) {
+        if (!word.matches("[1-9][0-9]{0,17}")) { throw new IllegalArgumentException("tokens and revisions are whole numbers"); }
+        return Long.parseLong(word);
+    }
+
     /** The line that asks for this, without its end. */
     public String line() { return id == null ? verb.word() : verb.word() + " " + id; }
 
--- a/src/main/java/yardusher/admin/AdminFront.java
+++ b/src/main/java/yardusher/admin/AdminFront.java
@@ -50,11 +50,23 @@
 
     /** Follows a call; the answer given to the caller ends in a line end. */
     private void follow(AdminCall call, Caller caller) {
+        if (call.verb() == null) {
+            operator.fence().learn(call.token());
+            caller.told("200 done\n");
+            return;
+        }
+        // In the turn that follows it: nothing waits between the look and the act.
+        if (call.token() != 0 && !operator.fence().isNew(call.id(), call.token(), call.revision())) {
+            caller.told("200 a later order holds\n");
+            return;
+        }
         switch (call.verb()) {
             case HEALTH -> caller.told(operator.takesClients() ? "200 yes\n" : "400 no clients are taken\n");
             case COUNTERS -> caller.told(operator.figures() + "EOF\n");
-            case CORDON, UNCORDON ->
+            case CORDON, UNCORDON -> {
                 operator.ban(call.id(), call.verb() == AdminCall.Verb.CORDON, () -> caller.told("200 done\n"));
+                if (call.token() != 0) { operator.fence().took(call.id(), call.revision()); }
+            }
             default -> {
                 operator.drain(call.verb() == AdminCall.Verb.QUIESCE);
                 caller.told("200 done\n");
@@ -92,7 +104,7 @@
                     return heir.readable(from);
                 }
                 if (!lines.isEmpty()) { throw new IllegalArgumentException("one line to a connection"); }
-                follow(AdminCall.of(line), this);
+                follow(operator.isFenced() ? AdminCall.ofFleet(line) : AdminCall.of(line), this);
             } catch (IllegalArgumentException e) {
                 told("400 " + e.getMessage() + "\n");
             }
--- a/src/main/java/yardusher/admin/Operator.java
+++ b/src/main/java/yardusher/admin/Operator.java
@@ -1,5 +1,6 @@
 package yardusher.admin;
 
+import yardusher.fence.InstanceFence;
 import yardusher.net.Lines;
 import yardusher.net.Link;
 
@@ -17,6 +18,12 @@
     /** Keeps a region out by hand, or ends that; {@code then} runs once it holds. */
     void ban(String region, boolean out, Runnable then);
 
+    /** Whether calls of the fleet's work are taken, which carry a token. */
+    boolean isFenced();
+
+    /** The fence against old owners of the fleet's work; asked only where it is on. */
+    InstanceFence fence();
+
     /** Sends the clients away, or takes them again. */
     void drain(boolean away);
 
--- a/src/main/java/yardusher/agent/Agent.java
+++ b/src/main/java/yardusher/agent/Agent.java
@@ -1,6 +1,7 @@
 package yardusher.agent;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -11,7 +12,10 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import yardusher.core.Turns;
+import yardusher.fleet.FleetAgent;
+import yardusher.fleet.FleetSettings;
 import yardusher.net.Answers;
 import yardusher.net.Sockets;
 import yardusher.resp.Encoder;
@@ -30,39 +34,58 @@
     private final long stopMs;
     private final CountDownLatch over = new CountDownLatch(1);
     private boolean ending;
+    private final FleetAgent fleet;                  // null where the file names none
+    private final boolean leaves;
+    private final Fleet targets;
 
-    public Agent(AgentConfig config) throws IOException {
+    public Agent(AgentConfig config) throws IOException { this(config, entry -> null); }
+
+    /** {@code admins}: the second address of an instance, as its configuration names it; null for none. */
+    public Agent(AgentConfig config, Function<AgentConfig.Entry, InetSocketAddress> admins) throws IOException {
         long start = System.nanoTime();
         turns = new Turns(() -> (System.nanoTime() - start) / 1e6, Throwable::printStackTrace);
         sockets = new Sockets(turns);
         stopMs = config.stopMs();
+        FleetSettings part = config.fleet();
+        targets = part == null ? null : new Fleet(instances, sockets, part.readyMs() + config.stopMs(), admins);
+        fleet = part == null ? null : new FleetAgent(part, sockets, targets);
+        leaves = part != null && part.leaves();
         for (AgentConfig.Entry entry : config.instances()) {
-            instances.put(entry.name(), new Instance(entry, config, sockets, this::changed));
+            instances.put(entry.name(), new Instance(entry, config, sockets, fleet == null ? null : fleet.memory(), this::changed));
         }
-        answers = new Answers(sockets, Sockets.address(config.control()), 16, this);
+        answers = new Answers(sockets, Sockets.address(config.control()), part == null ? 16 : 16 + 8 * part.members().size(), this);
     }
 
-    public java.net.InetSocketAddress address() throws IOException { return answers.address(); }
+    public InetSocketAddress address() throws IOException { return answers.address(); }
 
     public void start() {
         turns.startTimer();
         turns.turn(() -> {
-            instances.values().forEach(Instance::start);
+            instances.values().forEach(Instance::adoptOrStart);
             answers.open();
+            if (fleet != null) { fleet.start(); }
         });
     }
 
-    /** Stops all instances and waits for their ends. */
+    /** Stops all instances and waits for their ends; where the file says so, they go on and the next agent adopts them. */
     public void close() throws InterruptedException {
         turns.turn(() -> {
             ending = true;
             rolling.clear();
             answers.close();
-            instances.values().forEach(instance -> instance.stop(false));
+            if (fleet != null) { fleet.close(); }
+            if (leaves) { over.countDown(); } else { instances.values().forEach(instance -> instance.stop(false)); }
             changed();
         });
         over.await(stopMs + 2000, TimeUnit.MILLISECONDS);
         turns.stop();
+        if (fleet != null) {
+            try {
+                fleet.end();
+            } catch (IOException e) {
+                System.err.println("agent: " + e.getMessage());
+            }
+        }
         sockets.shutdown();
     }
 
@@ -73,6 +96,7 @@
             rolling.poll();
             turns.afterwards(this::roll);
         }
+        if (targets != null) { targets.changed(); }
     }
 
     private void roll() {
@@ -82,6 +106,10 @@
     @Override
     public void command(byte[][] words, Answers.Slot slot) {
         String name = new String(words[0], StandardCharsets.ISO_8859_1).toUpperCase(Locale.ROOT);
+        if (fleet != null && name.startsWith("FLEET.")) {
+            fleet.command(words, slot);
+            return;
+        }
         if (!name.startsWith("AGENT.")) {
             Answers.common(words, () -> String.join("\n", statuses()), slot);
             return;
--- a/src/main/java/yardusher/agent/AgentConfig.java
+++ b/src/main/java/yardusher/agent/AgentConfig.java
@@ -5,14 +5,15 @@
 import java.util.List;
 import java.util.Set;
 import yardusher.file.Toml;
+import yardusher.fleet.FleetSettings;
 import yardusher.net.Sockets;
 
-/** The agent's file: where it listens, how instances are started, and which there are. */
-public record AgentConfig(String control, List<String> command, long stopMs, List<Entry> instances) {
+/** The agent's file: where it listens, how instances are started, which there are, and its part in a fleet, null for none. */
+public record AgentConfig(String control, List<String> command, long stopMs, List<Entry> instances, FleetSettings fleet) {
     /** One instance: its name, its address, and its configuration, limits and settings files. */
     public record Entry(String name, String address, String config, String limits, String settings) { }
 
-    private static final Set<String> KEYS = Set.of("control", "command", "stop_ms", "instance");
+    private static final Set<String> KEYS = Set.of("control", "command", "stop_ms", "instance", "fleet");
     private static final Set<String> INSTANCE_KEYS = Set.of("name", "address", "config", "limits", "settings");
 
     /** Reads the file; an {@link IllegalArgumentException} says in one line what is wrong with it. */
@@ -32,12 +33,14 @@
             }
             entries.add(entry);
         }
-        if (entries.isEmpty()) { throw new IllegalArgumentException("names no instance"); }
+        FleetSettings fleet = FleetSettings.of(toml);
+        // An agent without instances may still help the others to agree.
+        if (entries.isEmpty() && fleet == null) { throw new IllegalArgumentException("names no instance"); }
         String control = toml.text("control");
         Sockets.address(control);
         List<String> command = toml.texts("command");
         return new AgentConfig(control, command.isEmpty() ? ownCommand() : command,
-                toml.whole("stop_ms", 10_000, 1, 600_000), entries);
+                toml.whole("stop_ms", 10_000, 1, 600_000), entries, fleet);
     }
 
     /** This very program, with the flags of a small ingress. */
--- /dev/null
+++ b/src/main/java/yardusher/agent/Fleet.java
@@ -0,0 +1,147 @@
+package yardusher.agent;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import yardusher.core.Deadlines;
+import yardusher.core.Turns;
+import yardusher.fleet.Targets;
+import yardusher.fleet.Undertaking;
+import yardusher.net.Lines;
+import yardusher.net.Link;
+import yardusher.net.Sockets;
+
+/** This agent's instances as the fleet's work sees them. In turns. */
+final class Fleet implements Targets {
+    private static final double CALL_MS = 2000;
+
+    private final Map<String, Instance> instances;
+    private final Sockets sockets;
+    private final Turns turns;
+    private final double withinMs;
+    private final Function<AgentConfig.Entry, InetSocketAddress> admins;
+    private final List<Waiting> waiting = new ArrayList<>();
+
+    /** Who waits for an instance that was started more often than so. */
+    private static final class Waiting {
+        final Instance instance;
+        final long starts;
+        final Consumer<Boolean> then;
+        Deadlines.Entry limit;
+
+        Waiting(Instance instance, long starts, Consumer<Boolean> then) {
+            this.instance = instance;
+            this.starts = starts;
+            this.then = then;
+        }
+    }
+
+    /** {@code withinMs}: an instance has so long to end and to answer again. */
+    Fleet(Map<String, Instance> instances, Sockets sockets, double withinMs, Function<AgentConfig.Entry, InetSocketAddress> admins) {
+        this.instances = instances;
+        this.sockets = sockets;
+        this.turns = sockets.turns();
+        this.withinMs = withinMs;
+        this.admins = admins;
+    }
+
+    @Override
+    public List<Undertaking.Standing> standings() {
+        List<Undertaking.Standing> all = new ArrayList<>();
+        instances.forEach((name, one) -> {
+            // Who was stopped by hand is no part of the fleet until somebody starts it.
+            if (one.state() != Instance.State.STOPPED) { all.add(new Undertaking.Standing(name, one.state() == Instance.State.READY)); }
+        });
+        return all;
+    }
+
+    @Override
+    public boolean has(String instance) { return instances.containsKey(instance); }
+
+    @Override
+    public long starts(String instance) { return instances.get(instance).starts(); }
+
+    @Override
+    public boolean isReady(String instance) { return instances.get(instance).state() == Instance.State.READY; }
+
+    @Override
+    public void restart(String instance, Consumer<Boolean> then) {
+        Instance one = instances.get(instance);
+        await(one, one.starts(), then);
+        one.stop(true);
+    }
+
+    @Override
+    public void awaitReady(String instance, Consumer<Boolean> then) { await(instances.get(instance), -1, then); }
+
+    private void await(Instance instance, long starts, Consumer<Boolean> then) {
+        Waiting one = new Waiting(instance, starts, then);
+        one.limit = turns.deadlines().at(turns.now() + withinMs, () -> {
+            waiting.remove(one);
+            then.accept(false);
+        });
+        waiting.add(one);
+        turns.afterwards(this::changed);
+    }
+
+    /** An instance's state has changed. */
+    void changed() {
+        for (Iterator<Waiting> all = waiting.iterator(); all.hasNext();) {
+            Waiting one = all.next();
+            if (one.instance.state() != Instance.State.READY || one.instance.starts() <= one.starts) { continue; }
+            all.remove();
+            turns.deadlines().cancel(one.limit);
+            turns.afterwards(() -> one.then.accept(true));
+        }
+    }
+
+    @Override
+    public void reload(String instance) { instances.get(instance).reload(); }
+
+    @Override
+    public void call(String instance, String line, Consumer<String> then) {
+        InetSocketAddress at = admins.apply(instances.get(instance).entry);
+        if (at == null) {
+            turns.afterwards(() -> then.accept("400 no second address is configured"));
+            return;
+        }
+        boolean[] over = new boolean[1];
+        Consumer<String> once = answer -> {
+            if (over[0]) { return; }
+            over[0] = true;
+            then.accept(answer);
+        };
+        sockets.connect(at, CALL_MS, channel -> {
+            Lines lines = new Lines(512);
+            Link link = new Link(channel, turns, new Link.Owner() {
+                @Override
+                public boolean readable(Link from) {
+                    String answer;
+                    try {
+                        answer = lines.next();
+                    } catch (IllegalArgumentException e) {
+                        answer = "400 " + e.getMessage();
+                    }
+                    if (answer == null) { return true; }
+                    from.close();
+                    once.accept(answer);
+                    return false;
+                }
+
+                @Override
+                public void ended(Link from) { once.accept(null); }
+            }, lines);
+            link.write((line + "\n").getBytes(StandardCharsets.US_ASCII));
+            link.readMore();
+            turns.deadlines().at(turns.now() + CALL_MS, () -> {
+                link.close();
+                once.accept(null);
+            });
+        }, () -> once.accept(null));
+    }
+}
--- a/src/main/java/yardusher/agent/Instance.java
+++ b/src/main/java/yardusher/agent/Instance.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import yardusher.core.Deadlines;
 import yardusher.core.Turns;
+import yardusher.fence.Memory;
 import yardusher.net.Link;
 import yardusher.net.Sockets;
 import yardusher.resp.Encoder;
@@ -29,15 +30,18 @@
     private final InetSocketAddress address;
     private final Runnable changed;
     private State state = State.STOPPED;
-    private Process process;
+    private ProcessHandle process;
+    private final Memory memory;                     // null where this agent keeps none
     private double startedAt;
     private double backoffMs = BACKOFF_MS;
     private int restarts;
+    private long starts;
     private boolean startAgain;
     private boolean reloads;                         // as soon as it is ready
     private Deadlines.Entry pending;
 
-    Instance(AgentConfig.Entry entry, AgentConfig config, Sockets sockets, Runnable changed) {
+    Instance(AgentConfig.Entry entry, AgentConfig config, Sockets sockets, Memory memory, Runnable changed) {
+        this.memory = memory;
         this.entry = entry;
         this.config = config;
         this.sockets = sockets;
@@ -74,12 +78,44 @@
             backOff();
             return;
         }
-        process = begun;
+        ProcessHandle handle = begun.toHandle();
+        process = handle;
+        starts++;
+        if (memory != null) {
+            memory.started(entry.name(), handle.pid(), startMs(handle));
+            note("started pid=" + handle.pid());
+        }
         become(State.STARTING);
-        begun.onExit().thenRun(() -> turns.turn(() -> exited(begun)));
-        ping(begun);
+        begun.onExit().thenRun(() -> turns.turn(() -> exited(handle, " with " + begun.exitValue())));
+        ping(handle);
     }
 
+    /** Unix time of a process's start; with its number it is known again and not mistaken. 0 where the system does not say. */
+    private static long startMs(ProcessHandle handle) { return handle.info().startInstant().map(java.time.Instant::toEpochMilli).orElse(0L); }
+
+    /**
+     * Takes over the process that an earlier life of this agent started, where it still runs; else starts one. A process
+     * that merely has the number of the old one is left alone.
+     */
+    void adoptOrStart() {
+        Memory.Started known = memory == null ? null : memory.started(entry.name());
+        ProcessHandle found = known == null || known.startedMs() == 0 ? null
+                : ProcessHandle.of(known.pid()).filter(one -> one.isAlive() && startMs(one) == known.startedMs()).orElse(null);
+        if (found == null) {
+            start();
+            return;
+        }
+        System.err.println("agent: " + entry.name() + " runs already, pid " + found.pid() + ": adopted");
+        process = found;
+        startedAt = turns.now();
+        become(State.STARTING);
+        found.onExit().thenRun(() -> turns.turn(() -> exited(found, "")));
+        ping(found);
+    }
+
+    /** How often it was started, over all lives of this agent where it remembers them. */
+    long starts() { return memory == null ? starts : memory.starts(entry.name()); }
+
     /** Asks it to end with SIGTERM, so that it answers what it has taken; kills it when it does not. */
     void stop(boolean again) {
         startAgain = again;
@@ -91,7 +127,7 @@
         }
         if (state == State.STOPPING) { return; }
         become(State.STOPPING);
-        Process ending = process;
+        ProcessHandle ending = process;
         ending.destroy();
         pending = turns.deadlines().at(turns.now() + config.stopMs(), ending::destroyForcibly);
     }
@@ -110,7 +146,10 @@
         }
     }
 
-    private void exited(Process ended) {
+    /** For the history of effects, beside what the fences say. */
+    private void note(String what) { System.err.println("fence " + System.currentTimeMillis() + " instance 0 " + entry.name() + " " + what); }
+
+    private void exited(ProcessHandle ended, String how) {
         if (ended != process) { return; }
         process = null;
         turns.deadlines().cancel(pending);
@@ -123,7 +162,7 @@
             }
             return;
         }
-        System.err.println("agent: " + entry.name() + " ended by itself with " + ended.exitValue());
+        System.err.println("agent: " + entry.name() + " ended by itself" + how);
         if (turns.now() - startedAt > STEADY_MS) { backoffMs = BACKOFF_MS; }
         backOff();
     }
@@ -140,11 +179,12 @@
 
     private void become(State next) {
         state = next;
+        if (memory != null && next == State.READY) { note("ready pid=" + process.pid()); }
         if (next == State.READY && reloads) { reload(); }
         changed.run();
     }
 
-    private void ping(Process of) {
+    private void ping(ProcessHandle of) {
         if (of != process || state != State.STARTING) { return; }
         Runnable again = () -> turns.deadlines().at(turns.now() + PING_MS, () -> ping(of));
         sockets.connect(address, 1000, channel -> {
--- a/src/main/java/yardusher/cli/AgentCommand.java
+++ b/src/main/java/yardusher/cli/AgentCommand.java
@@ -58,8 +58,18 @@
         return status;
     }
 
+    /** The second address of an instance, as its configuration says; null where that names none or cannot be read now. */
+    private static java.net.InetSocketAddress admin(AgentConfig.Entry entry) {
+        try {
+            return Config.read(entry.config()).admin();
+        } catch (Config.Bad e) {
+            return null;
+        }
+    }
+
     private static int supervise(AgentConfig config) throws IOException {
-        Agent agent = new Agent(config);
+        if (config.fleet() != null) { yardusher.log.Logs.quietLibraries(); }
+        Agent agent = new Agent(config, AgentCommand::admin);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             try {
                 agent.close();
--- a/src/main/java/yardusher/cli/Main.java
+++ b/src/main/java/yardusher/cli/Main.java
@@ -21,7 +21,7 @@
 public final class Main {
     public static final String VERSION = "0.1.0";
     private static final String USAGE = "usage: yardusher serve [CONFIG] | simhost | version | agent start|status|restart|reload|"
-            + "stop FILE [NAME] | agent admin FILE CALL [ID] | admin HOST:PORT CALL [ID] | import NGINX_FILE | limits HOST:PORT KEY MAX_BURST COUNT PERIOD [QUANTITY] | check FILE | orders list|show|open|verify|export FOLDER";
+            + "stop FILE [NAME] | agent admin FILE CALL [ID] | fleet init|members|owners|status|history|roll|ban|unban|stop|step-down|admit|forget FILE ... | admin HOST:PORT CALL [ID] | import NGINX_FILE | limits HOST:PORT KEY MAX_BURST COUNT PERIOD [QUANTITY] | check FILE | orders list|show|open|verify|export FOLDER";
 
     private Main() { }
 
@@ -50,6 +50,7 @@
             options.addOption(Option.builder().longOpt("limits").hasArg().argName("FILE").build());
             options.addOption(Option.builder().longOpt("settings").hasArg().argName("FILE").build());
         }
+        if (command.equals("fleet")) { FleetCommand.options(options); }
         if (command.equals("orders")) { OrdersCommand.options(options); }
         if (command.equals("import")) {
             options.addOption(Option.builder("o").longOpt("output").hasArg().argName("FILE").build());
@@ -85,6 +86,7 @@
             }
             case "keys" -> { return keys(rest); }
             case "orders" -> { return OrdersCommand.run(line); }
+            case "fleet" -> { return FleetCommand.run(line); }
             case "agent" -> { return AgentCommand.run(rest); }
             case "admin" -> { return AdminCommand.run(rest); }
             case "import" -> {
--- a/src/main/java/yardusher/cli/Serve.java
+++ b/src/main/java/yardusher/cli/Serve.java
@@ -22,6 +22,7 @@
 import yardusher.core.Ingress;
 import yardusher.core.OrderLog;
 import yardusher.core.Turns;
+import yardusher.fence.InstanceFence;
 import yardusher.handover.Handover;
 import yardusher.journal.Journal;
 import yardusher.keys.KeyedIntake;
@@ -62,6 +63,7 @@
     private final AdminFront admin;                  // null where no second address is named
     private final KeyedIntake keys;                  // null where it is off
     private final Journal journal;                   // null where it is off
+    private final InstanceFence fence;               // null where the fleet's work has no say here
     private final PeerSocket peers;                  // null where this site has none
     private final Handover handover;
     private final InetSocketAddress adminAt;
@@ -100,6 +102,7 @@
                 : new PeerSocket(config.peerListen(), config.peers(), turns);
         this.adminAt = adminAt;
         handover = new Handover(sockets, new Part(), settings.self(), config.name(), notes, Events.plain(config.name()));
+        fence = own.fenced() ? new InstanceFence() : null;
         journal = own.journal() == null ? null : journal(own);
         if (journal != null) {
             counters.more = () -> " " + journal.line();
@@ -162,6 +165,12 @@
             handover.tellBan(region, out, then);
         }
 
+        @Override
+        public boolean isFenced() { return fence != null; }
+
+        @Override
+        public InstanceFence fence() { return fence; }
+
         @Override
         public void drain(boolean away) {
             drainHere(away);
--- /dev/null
+++ b/src/main/java/yardusher/fleet/FleetSettings.java
@@ -0,0 +1,64 @@
+package yardusher.fleet;
+
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import yardusher.file.Toml;
+import yardusher.net.Sockets;
+import yardusher.register.Member;
+
+/**
+ * What an agent's file says in its table {@code fleet}; left out, an agent knows its own machine alone.
+ *
+ * @param installation the fleet's name, the same at all its agents
+ * @param member this agent's name, which is never used again once it is forgotten
+ * @param folder where it keeps what must outlive it
+ * @param leaseMs how long a holder may be silent
+ * @param heartbeatMs of the register's leader
+ * @param clockErrorPermille by how much two clocks may differ in rate
+ * @param pauseMs added to the wait for a silent holder
+ * @param patienceMs after which a work that waits for somebody unreachable ends
+ * @param readyMs within which an instance has to answer after it was started
+ * @param leaves whether instances go on when the agent ends
+ * @param members names and addresses of the agents, oneself among them, in the file's order
+ */
+public record FleetSettings(String installation, String member, Path folder, int leaseMs, int heartbeatMs, int clockErrorPermille,
+        int pauseMs, int patienceMs, int readyMs, boolean leaves, Map<String, String> members) {
+    private static final Set<String> KEYS = Set.of("installation", "member", "folder", "lease_ms", "heartbeat_ms", "clock_error_permille",
+            "pause_ms", "patience_ms", "ready_ms", "leave_instances", "members");
+    private static final Set<String> MEMBER_KEYS = Set.of("name", "address");
+
+    /** Reads the table; an {@link IllegalArgumentException} names the key and what is allowed. Null where it is left out. */
+    public static FleetSettings of(Toml file) {
+        Toml table = file.table("fleet");
+        if (table == null) { return null; }
+        table.only(KEYS);
+        String installation = name(table, "installation");
+        String member = name(table, "member");
+        Map<String, String> members = new LinkedHashMap<>();
+        for (Toml one : table.tables("members")) {
+            one.only(MEMBER_KEYS);
+            String name = name(one, "name");
+            String address = one.text("address");
+            Sockets.address(address);
+            if (members.containsKey(name)) { throw new IllegalArgumentException("fleet.members: " + name + " stands twice"); }
+            if (members.containsValue(address)) { throw new IllegalArgumentException("fleet.members: two members at " + address); }
+            members.put(name, address);
+        }
+        if (!members.containsKey(member)) { throw new IllegalArgumentException("fleet.members must hold fleet.member, " + member); }
+        if (members.size() > 7) { throw new IllegalArgumentException("fleet.members must be at most 7"); }
+        int heartbeat = table.whole("heartbeat_ms", 200, 20, 10_000);
+        return new FleetSettings(installation, member, Path.of(table.text("folder")), table.whole("lease_ms", 1500, 200, 600_000), heartbeat,
+                table.whole("clock_error_permille", 10, 0, 200), table.whole("pause_ms", 100, 0, 60_000),
+                table.whole("patience_ms", 60_000, 1000, 86_400_000), table.whole("ready_ms", 15_000, 100, 600_000), table.flag("leave_instances", true), members);
+    }
+
+    private static String name(Toml table, String key) {
+        String name = table.text(key);
+        if (!name.matches(Member.PATTERN)) {
+            throw new IllegalArgumentException(key + " must be up to 32 letters, digits, '.', '_' and '-', a letter or digit first");
+        }
+        return name;
+    }
+}
--- a/src/main/java/yardusher/settings/Settings.java
+++ b/src/main/java/yardusher/settings/Settings.java
@@ -13,10 +13,10 @@
  * Our own settings, deploy/yardusher.toml: a table for each subsystem, which is off where its table is left out. The
  * platform's file says nothing of them.
  */
-public record Settings(JournalSettings journal, KeySettings keys, LogSettings log) {
+public record Settings(JournalSettings journal, KeySettings keys, LogSettings log, boolean fenced) {
     /** Everything off. */
-    public static final Settings OFF = new Settings(null, null, null);
-    private static final Set<String> TABLES = Set.of("journal", "keys", "log");
+    public static final Settings OFF = new Settings(null, null, null, false);
+    private static final Set<String> TABLES = Set.of("journal", "keys", "log", "fleet");
 
     /**
      * Reads a file; null and a file that says nothing are {@link #OFF}, and load no parser.
@@ -25,7 +25,13 @@
      */
     public static Settings read(Path file) {
         if (file == null || isSilent(file)) { return OFF; }
-        return Toml.read(file, toml -> new Settings(JournalSettings.of(toml.only(TABLES)), KeySettings.of(toml), LogSettings.of(toml)));
+        return Toml.read(file, toml -> new Settings(JournalSettings.of(toml.only(TABLES)), KeySettings.of(toml), LogSettings.of(toml), fenced(toml)));
+    }
+
+    /** Whether this ingress takes orders of the fleet's work at its second address. */
+    private static boolean fenced(Toml file) {
+        Toml table = file.table("fleet");
+        return table != null && table.only(Set.of("orders")).flag("orders", true);
     }
 
     private static boolean isSilent(Path file) {
--- /dev/null
+++ b/src/test/java/yardusher/fleet/FleetStoryTest.java
@@ -0,0 +1,114 @@
+package yardusher.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Path;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import yardusher.lab.Checker;
+import yardusher.lab.History;
+import yardusher.lab.Installation;
+
+/** Real agents with real instances, every way between agents through a relay. */
+@Timeout(value = 120, unit = TimeUnit.SECONDS)
+class FleetStoryTest {
+    private static final Installation.Tuning QUICK = new Installation.Tuning(800, 100, 8000);
+
+    @TempDir
+    Path folder;
+
+    private static void await(String what, BooleanSupplier so) throws InterruptedException {
+        long until = System.nanoTime() + 20_000_000_000L;
+        while (!so.getAsBoolean()) {
+            if (System.nanoTime() > until) { throw new AssertionError("never: " + what); }
+            Thread.sleep(20);
+        }
+    }
+
+    private static Installation begun(Path folder, int agents, int instances) throws Exception {
+        Installation site = new Installation(folder, agents, instances, QUICK);
+        site.init();
+        for (int i = 0; i < agents; i++) { site.start(i); }
+        for (int i = 0; i < agents; i++) {
+            int agent = i;
+            await("agent " + i + " with ready instances", () -> ready(site, agent));
+        }
+        await("a leader", () -> site.leader(0) >= 0);
+        return site;
+    }
+
+    private static boolean ready(Installation site, int agent) {
+        String status = site.ask(agent, 2000, "AGENT.STATUS");
+        return status != null && status.lines().allMatch(line -> line.contains(" ready "));
+    }
+
+    private static Set<String> names(Installation site) {
+        Set<String> names = new HashSet<>();
+        for (int i = 0; i < site.agents(); i++) {
+            for (int k = 0; k < site.instances(); k++) { names.add("n" + i + "x" + k); }
+        }
+        return names;
+    }
+
+    private static List<String> breaches(Installation site, int away, Set<String> done) throws Exception {
+        return Checker.breaches(site.history(), away, done, names(site));
+    }
+
+    @Test
+    void aRollGoesOnUnderTheNextOwnerAndTheOldOneDoesNoHarmWhenItWakes() throws Exception {
+        try (Installation site = begun(folder, 3, 1)) {
+            assertThat(site.order(1, "command-1", "roll", "restart away=1 failures=0", "-")).contains("roll ").contains(" ordered");
+            assertThat(site.order(2, "command-1", "roll", "restart away=1 failures=0", "-")).contains(" ordered"); // the same once more
+            assertThat(site.order(2, "command-2", "roll", "reload", "-")).startsWith("-REFUSED roll ordered by lab is running");
+            String id = Installation.cell(site.report(1), "roll", "id");
+            await("an owner", () -> site.holder(1, "roll") >= 0);
+            int owner = site.holder(1, "roll");
+            int other = (owner + 1) % 3;
+            site.pause(owner);                       // for longer than its lease; its instance goes on
+            await("another owner", () -> site.holder(other, "roll") >= 0 && site.holder(other, "roll") != owner);
+            assertThat(Installation.cell(site.report(other), "roll", "state")).isEqualTo("running");
+            site.resume(owner);
+            await("the end of the roll", () -> Installation.cell(site.report(other), "roll", "state").equals("done"));
+            assertThat(Installation.cell(site.report(other), "roll", "progress")).startsWith("3 of 3 done");
+            assertThat(breaches(site, 1, Set.of(id))).isEmpty();
+        }
+    }
+
+    @Test
+    void bansReachAllInstancesAndThoseThatStartLater() throws Exception {
+        try (Installation site = begun(folder, 3, 1)) {
+            assertThat(site.order(0, "command-1", "ban", "s-00000001")).contains("bans revision 1");
+            await("the ban at all agents", () -> Installation.cell(site.report(2), "bans", "progress").equals("revision 1 at all 3 agents"));
+            site.kill(1);
+            assertThat(site.order(0, "command-2", "unban", "s-00000001")).contains("bans revision 2");
+            site.start(1);
+            await("the end of the ban at all agents", () -> Installation.cell(site.report(2), "bans", "progress").equals("revision 2 at all 3 agents"));
+            List<History.Event> events = site.history();
+            assertThat(events).filteredOn(event -> event.target().equals("a1") && event.what().startsWith("started")).hasSize(1); // adopted
+            assertThat(breaches(site, 0, Set.of())).isEmpty();
+        }
+    }
+
+    @Test
+    void strangersAndMadeUpTokensAreRefused() throws Exception {
+        try (Installation site = begun(folder, 3, 1)) {
+            assertThat(site.ask(0, 2000, "FLEET.SEAL", "elsewhere", "roll", "5")).startsWith("-ERR this agent belongs to installation lab");
+            assertThat(site.ask(0, 2000, "FLEET.SEAL", "lab", "roll", "999999999")).startsWith("-UNPROVEN");
+            assertThat(site.ask(0, 2000, "FLEET.SEAL", "lab", "roll", "x")).startsWith("-ERR");
+            assertThat(site.ask(0, 2000, "FLEET.SEAL", "lab", "roll", "-1")).startsWith("-ERR");
+            assertThat(site.ask(0, 2000, "FLEET.DO", "lab", "roll", "7", "1/n0x0", "restart n0x0")).startsWith("-UNSEALED");
+            assertThat(site.ask(0, 2000, "FLEET.DO", "lab", "roll", "7", "1/n0x0", "restart nobody")).startsWith("-ERR no instance");
+            assertThat(site.ask(0, 2000, "FLEET.RAFT", "lab", "a1", "nonsense")).startsWith("-ERR");
+            assertThat(site.ask(0, 2000, "FLEET.RAFT", "lab", "nobody", "")).startsWith("-ERR no member");
+            assertThat(site.ask(0, 2000, "FLEET.OP", "lab", "nonsense")).startsWith("-ERR");
+            assertThat(site.ask(0, 2000, "FLEET.OP", "lab")).startsWith("-ERR");
+            assertThat(site.history()).noneMatch(event -> event.what().startsWith("acts"));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/yardusher/fleet/ModelTest.java
@@ -0,0 +1,24 @@
+package yardusher.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import yardusher.lab.Model;
+
+/** Every state of two owners, two targets and a roll that is taken over. Three targets by {@code lab.Model}. */
+class ModelTest {
+    @Test
+    void noStateBreaksARule() {
+        Model.Found found = Model.explore(Model.Without.NOTHING, 3, 2);
+        assertThat(found.breach()).isNull();
+        assertThat(found.states()).isGreaterThan(100_000);
+    }
+
+    @ParameterizedTest
+    @EnumSource(value = Model.Without.class, names = "NOTHING", mode = EnumSource.Mode.EXCLUDE)
+    void withoutAnyOnePartARuleBreaks(Model.Without part) {
+        assertThat(Model.explore(part, 3, 2).breach()).as(part.toString()).isNotNull().last().asString().startsWith("BREACH");
+    }
+}
--- a/src/test/java/yardusher/settings/SettingsTest.java
+++ b/src/test/java/yardusher/settings/SettingsTest.java
@@ -49,7 +49,7 @@
             {"[journal]\nfolder = \"j\"\nrecord_untried = 1\n", "journal.record_untried must be true or false"},
             {"[journal]\nfolder = \"j\"\nmax_mb = 1\n", "journal.max_mb must hold two segments"},
             {"[journal]\nfolder = \"j\"\nspeed = 1\n", "unknown key journal.speed, allowed are durability, flush_ms, folder"},
-            {"[journals]\n", "unknown key journals, allowed are journal, keys, log"},
+            {"[journals]\n", "unknown key journals, allowed are fleet, journal, keys, log"},
             {"journal = 3\n", "journal must be a table"},
             {"[log]\nformat = \"xml\"\n", "log.format must be one of plain, json"},
             {"[[keys.lifetime]]\nclass = \"a\"\nseconds = 0\n", "keys.lifetime.seconds must be a whole number from 1 to 86400"}};
