--- a/src/main/java/yardusher/fleet/FleetAgent.java
+++ b/src/main/java/yardusher/fleet/FleetAgent.java
@@ -42,7 +42,8 @@
     private static final double CALL_MS = 1000;      // for an order's answer
     private static final double TRY_AGAIN_MS = 60;
     private static final double REOPEN_MS = 2000;
-    private static final double TICK_MS = 50;
+    private static final double TICK_MS = 25;        // while a work is held
+    private static final double REST_MS = 500;       // and else: bans for instances that have just started
 
     private final FleetSettings settings;
     private final Sockets sockets;
@@ -228,14 +229,21 @@
             if (work != null && work.token() == holding.token) { holding.undertaking.ordered(work); }
         }
         outpost.changed();
-        look();
+        turns.deadlines().cancel(tick);
+        tick();
     }
 
     private void tick() {
         if (closed) { return; }
+        tick = turns.deadlines().at(turns.now() + REST_MS, this::tick); // before: a fault in what follows must not end it
         look();
         outpost.tellAll();
-        tick = turns.deadlines().at(turns.now() + (holdings.isEmpty() ? TICK_MS : TICK_MS / 2), this::tick);
+        double now = turns.now();
+        double due = leases.nextAt();
+        // What is due already waits for somebody else's word, which brings a turn of its own.
+        double next = !holdings.isEmpty() ? now + TICK_MS : due > now ? Math.min(due + 1, now + REST_MS) : now + REST_MS;
+        turns.deadlines().cancel(tick);
+        tick = turns.deadlines().at(next, this::tick);
     }
 
     private boolean wants(Work work) {
