A member whose claim is refused waits a whole lease before it claims again

Ruled out: renewals that fail; the first is due only after a quarter of a lease. Cause: Leases.claimed set the next claim to 60 to 180 ms from the refusal, also where the winner's grant had been seen already and a lease was to be waited for; it then claimed under the beat it saw, which had not moved yet. Tokens kept it harmless; it cost a change of owners at each start. Change: the later of the two counts. LeasesTest.whoIsRefusedAfterItSawTheWinnerWaitsAWholeLease fails without it.

--- a/src/main/java/yardusher/fleet/Leases.java
+++ b/src/main/java/yardusher/fleet/Leases.java
@@ -149,7 +149,8 @@
         if (one.nonce != nonce || one.token != 0) { return; }
         if (token == 0) {
             one.nonce = 0;
-            one.claimAt = now + (0.5 + random.nextDouble()) * 2 * CLAIM_SPREAD_MS;
+            // Never sooner than what was seen allows: who was refused has perhaps seen the winner's grant already.
+            one.claimAt = Math.max(one.claimAt, now + (0.5 + random.nextDouble()) * 2 * CLAIM_SPREAD_MS);
         }
     }
 
--- a/src/test/java/yardusher/fleet/LeasesTest.java
+++ b/src/test/java/yardusher/fleet/LeasesTest.java
@@ -9,6 +9,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Test;
+import yardusher.register.Answer;
 import yardusher.register.Kind;
 import yardusher.register.Op;
 import yardusher.register.Register;
@@ -39,6 +40,20 @@
         assertThat(one.look(1400, view(register), work -> true)).hasAtLeastOneElementOfType(Leases.Stop.class);
     }
 
+    @Test
+    void whoIsRefusedAfterItSawTheWinnerWaitsAWholeLease() {
+        Register register = new Register();
+        register.apply(1, new Op.Submit("c", "eva", 0, Kind.ROLL, "restart", false));
+        Leases late = new Leases("a2", TERMS, new Random(1));
+        late.look(0, view(register), work -> true);
+        Leases.Claim claim = (Leases.Claim) late.look(100, view(register), work -> true).get(0);
+        register.apply(2, new Op.Claim("a1", 5, 0, Kind.ROLL, 0, 0));      // was first
+        assertThat(late.look(110, view(register), work -> true)).isEmpty();
+        late.claimed(120, Kind.ROLL, claim.nonce(), 0);
+        assertThat(late.look(1100, view(register), work -> true)).isEmpty();
+        assertThat(late.look(1300, view(register), work -> true)).hasAtLeastOneElementOfType(Leases.Claim.class);
+    }
+
     /** Two members with clocks of different rate, answers that are late or lost, and pauses: belief overlaps nowhere. */
     @Property(tries = 200)
     void noTwoBelieveAtOnce(@ForAll long seed, @ForAll @IntRange(min = -5, max = 5) int permille) {
@@ -67,8 +82,8 @@
     private static void answer(Register register, Leases leases, int i, Leases.Act act, double mine, Random random, long[] held) {
         boolean lost = random.nextInt(10) == 0;
         if (act instanceof Leases.Claim claim) {
-            long token = random.nextInt(10) == 0 ? 0 : register.apply(0, new Op.Claim("a" + i, claim.nonce(), 0, Kind.ROLL, claim.seenToken(), claim.seenBeat())).token();
-            leases.claimed(mine, Kind.ROLL, claim.nonce(), lost ? 0 : token);
+            Answer answer = random.nextInt(10) == 0 ? null : register.apply(0, new Op.Claim("a" + i, claim.nonce(), 0, Kind.ROLL, claim.seenToken(), claim.seenBeat()));
+            leases.claimed(mine, Kind.ROLL, claim.nonce(), lost || answer == null || !answer.ok() ? 0 : answer.token());
         } else if (act instanceof Leases.Renew renew) {
             boolean ok = random.nextInt(10) > 0 && register.apply(0, new Op.Renew(Kind.ROLL, renew.token(), renew.beat())).ok();
             leases.renewed(mine, Kind.ROLL, renew.token(), lost ? null : Boolean.valueOf(ok));
