Types that a view, units of work and connection parts share; requests can be bound

Need: three subsystems come that work over several ingresses. They have to reach one another, be started and ended by the program, and tell the decision module where a unit's part may run and how many attempts a region may hold, before it chooses. The module takes Request.only (a server, zone or cell) and Room (most attempts out at a server); without them nothing differs.

--- a/src/main/java/yardusher/Api.java
+++ b/src/main/java/yardusher/Api.java
@@ -89,14 +89,32 @@
 
     /** What a gateway is told. */
     public sealed interface Event permits ServerList, Request, FirstByte, AttemptDone, ClientGone,
-            TimerFired, PeerMessage, Ban, Twin { }
+            TimerFired, PeerMessage, Ban, Twin, Room { }
 
     /** News of the servers. */
     public record ServerList(ListKind kind, List<Server> servers) implements Event { }
 
-    /** A request came in; {@code firstGateway} and {@code spread} name the customer's gateways. */
+    /**
+     * Where a request's attempts may go at all: to one server, or to one zone or cell; -1 for any. It comes beside all
+     * other rules and takes none away.
+     */
+    public record Binding(long server, int zone, int cell) {
+        boolean allows(Host host) {
+            return (server < 0 || server == host.id) && (zone < 0 || zone == host.zone) && (cell < 0 || cell == host.cell);
+        }
+    }
+
+    /**
+     * A request came in; {@code firstGateway} and {@code spread} name the customer's gateways, {@code only} where it may
+     * run, null for anywhere.
+     */
     public record Request(long id, int classIndex, int plan, long customer, double dueMs, double units,
-            int firstGateway, int spread) implements Event { }
+            int firstGateway, int spread, Binding only) implements Event {
+        public Request(long id, int classIndex, int plan, long customer, double dueMs, double units, int firstGateway,
+                int spread) {
+            this(id, classIndex, plan, customer, dueMs, units, firstGateway, spread, null);
+        }
+    }
 
     /** A streamed answer began; the attempt is now the client's. */
     public record FirstByte(long id, int attempt, long server) implements Event { }
@@ -123,6 +141,12 @@
      */
     public record Ban(long server, boolean out) implements Event { }
 
+    /**
+     * So many attempts may be out at a server at once, whatever else is known of it: none is begun beyond that. Said of
+     * a server of the list; holds until it is said anew. A server of which it is not said has no such bound.
+     */
+    public record Room(long server, int most) implements Event { }
+
     /**
      * Another process of this very gateway is there or not. It speaks as a peer with this gateway's number; its rows
      * and sums are those of another life. What the gateway earns under a ceiling is this one's or the other's.
--- a/src/main/java/yardusher/Attempts.java
+++ b/src/main/java/yardusher/Attempts.java
@@ -18,9 +18,7 @@
     private double hanging;                          // part of the attempts that hang by themselves, lately
     private double rerunPays = 1;                    // part of those that come quickly when sent again
 
-    Attempts(Here here) {
-        this.here = here; settings = here.settings;
-    }
+    Attempts(Here here) { this.here = here; settings = here.settings; }
 
     void request(Request q) {
         RequestClass of = settings.classes().get(q.classIndex());
@@ -65,9 +63,10 @@
         }
     }
 
-    /** Whether a request that may have run elsewhere may be sent to this server too. */
+    /** Whether a request may be sent to this server, where it is bound and what may have run elsewhere. */
     boolean mayRunOn(Held held, Host host) {
         RequestClass of = held.of;
+        if (held.request.only() != null && !held.request.only().allows(host)) { return false; }
         if (held.ranOn == null || of.effect() == Effect.IDEMPOTENT) { return true; }
         return of.effect() == Effect.DEDUPLICATED && here.now - held.ranAt < of.windowMs()
                 && (of.group() == Group.ALL || host.zone == held.ranOn.zone)
--- a/src/main/java/yardusher/Host.java
+++ b/src/main/java/yardusher/Host.java
@@ -9,7 +9,7 @@
     private static final double LEAST_PART = 0.01;
     private final Here here;
     final long id;
-    int zone, cell, open;
+    int zone, cell, open, most = Integer.MAX_VALUE;  // most: attempts out at once, by a told bound
     double size = 1, startedAt, blamedAt;
     boolean ready, gone, down;                       // down: failed to connect or lost connections
     boolean banned;                                  // by hand
@@ -52,6 +52,10 @@
         part = Math.max(LEAST_PART, Math.min(2, next));
     }
 
+    void place(Api.Server told) { zone = told.zone(); cell = told.cell(); size = told.size() > 0 ? told.size() : 1; }
+
+    Host bound(int attempts) { most = attempts; return this; }
+
     double load() { return open + ghosts; }
 
     boolean outs(int k) { return !down && here.now < outUntil[k]; }
--- a/src/main/java/yardusher/Policy.java
+++ b/src/main/java/yardusher/Policy.java
@@ -32,6 +32,7 @@
         if (event instanceof ServerList e) { here.servers.list(e); }
         if (event instanceof Twin e) { here.gossip.twin(e); }
         if (event instanceof Ban e) { here.servers.ban(e.server(), e.out()); }
+        if (event instanceof Room e) { here.servers.bound(e.server(), e.most()); }
         if (event instanceof ClientGone e) { here.attempts.gone(e.id()); }
         if (event instanceof TimerFired e && e.token() == SWEEP) { sweep(); }
         if (event instanceof TimerFired e && e.token() == FLUSH) { here.gossip.flush(); }
--- a/src/main/java/yardusher/Servers.java
+++ b/src/main/java/yardusher/Servers.java
@@ -36,6 +36,8 @@
         ghostMs = settings.classes().stream().mapToDouble(RequestClass::deadlineMs).average().orElse(1000);
     }
 
+    void bound(long id, int most) { hosts.computeIfPresent(id, (key, host) -> host.bound(most)); }
+
     void ban(long id, boolean out) {
         Host host = hosts.get(id);
         Double since = out ? bans.putIfAbsent(id, here.now) : bans.remove(id);
@@ -55,8 +57,7 @@
         }
         for (Server server : list.servers()) {
             Host host = hosts.computeIfAbsent(server.id(), id -> new Host(id, bans.containsKey(id), here));
-            host.zone = server.zone(); host.cell = server.cell();
-            host.size = server.size() > 0 ? server.size() : 1;
+            host.place(server);
             host.ready = server.readiness() == Readiness.READY;
             host.gone = server.readiness() == Readiness.GONE;
             if (host.ready && server.startedAtMs() > host.startedAt) {
@@ -103,7 +104,7 @@
             Host host = ready.set(at, ready.get(i)); ready.set(i, host);
             boolean out = here.now < host.outUntil[k] && (host.down || !common);
             boolean tried = host.failures[k] > 0 && host.outUntil[k] > 0 && !common && host.open > 0;
-            if (host.banned || out || tried || host.load() >= host.limit
+            if (host.banned || out || tried || host.load() >= host.limit || host.open >= host.most
                     || !here.attempts.mayRunOn(held, host) || held.last == host && ready.size() > 1) {
                 continue;
             }
@@ -130,7 +131,7 @@
         if (!down && fleetPart < Pressure.LATE && faulty(host, k)) { accuse(host, k); }
     }
 
-    /** Danger: where all servers lose a part of their answers, counts alone put all of them out. */
+    // Danger: where all servers lose a part of their answers, counts alone put all of them out.
     private boolean faulty(Host host, int k) { return host.failing[k] > 0.4; }
 
     /** Danger: one gateway of hundreds sees too few answers to tell that a server fails one class or all. */
--- a/src/main/java/yardusher/core/Admit.java
+++ b/src/main/java/yardusher/core/Admit.java
@@ -17,7 +17,7 @@
     void ask(Transaction t) {
         Order o = t.order;
         tell(new Api.Request(t.number, o.classIndex(), o.plan(), o.customer(), t.deadline, o.units(), o.first(),
-                o.spread()));
+                o.spread(), o.only()));
     }
 
     /** Gives the module an event at the present time, which never goes back. */
--- a/src/main/java/yardusher/core/Order.java
+++ b/src/main/java/yardusher/core/Order.java
@@ -1,5 +1,16 @@
 package yardusher.core;
 
-/** What a front asks for: a transaction before it is taken in. Class and plan are indexes of the settings. */
+import yardusher.Api;
+
+/**
+ * What a front asks for: a transaction before it is taken in. Class and plan are indexes of the settings; {@code only} is
+ * where it may run, null for anywhere.
+ */
 public record Order(int classIndex, int plan, long customer, double units, int first, int spread,
-        double waitMs, Cargo cargo, Terminal terminal) { }
+        double waitMs, Cargo cargo, Terminal terminal, Api.Binding only) {
+    /** One that may run anywhere. */
+    public Order(int classIndex, int plan, long customer, double units, int first, int spread, double waitMs, Cargo cargo,
+            Terminal terminal) {
+        this(classIndex, plan, customer, units, first, spread, waitMs, cargo, terminal, null);
+    }
+}
--- a/src/main/java/yardusher/keys/KeyedIntake.java
+++ b/src/main/java/yardusher/keys/KeyedIntake.java
@@ -189,7 +189,7 @@
         flights.put(asker.key, flight);
         Order o = asker.order;
         flight.stay = core.take(new Order(o.classIndex(), o.plan(), o.customer(), o.units(), o.first(), o.spread(),
-                Math.max(1, asker.deadline - turns.now()), o.cargo(), flight));
+                Math.max(1, asker.deadline - turns.now()), o.cargo(), flight, o.only()));
     }
 
     /** Who waited when a run ended without a value: one leads, or all get to know that it may have run. */
--- /dev/null
+++ b/src/main/java/yardusher/mesh/DatagramMesh.java
@@ -0,0 +1,148 @@
+package yardusher.mesh;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.DatagramChannel;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.zip.CRC32C;
+import net.openhft.hashing.LongHashFunction;
+import yardusher.core.Turns;
+
+/**
+ * The mesh on one UDP port of its own. NIO.2 has no asynchronous datagrams, so one thread waits in receive and gives each
+ * datagram a turn, as {@code peers.PeerSocket} does. A frame: two marks, the kind, a hash of the installation's name, the
+ * CRC32C of what follows the checksum's place, the body. The checksum and the name guard against accidents, not against an
+ * enemy: the port belongs on a network of the installation's own.
+ */
+public final class DatagramMesh implements Mesh {
+    private static final byte MARK = 'y';
+    private static final byte VERSION = 1;
+    private static final int HEAD = 2 + 1 + 8 + 4;
+    private static final Kind[] KINDS = Kind.values();
+
+    private final InetSocketAddress listen;
+    private final long installation;
+    private final Turns turns;
+    private final Map<Kind, Hearer> hearers = new EnumMap<>(Kind.class);
+    private final ByteBuffer out = ByteBuffer.allocateDirect(HEAD + MOST_BODY);
+    private DatagramChannel channel;
+    private InetSocketAddress address;
+    private long sent;
+    private long sentBytes;
+    private long heard;
+    private long foreign;                            // of another installation, version or program
+    private long spoilt;                             // cut, oversized, or with a wrong checksum
+    private long unheard;                            // of a kind that is off here
+    private long unsent;                             // refused by the system
+
+    public DatagramMesh(InetSocketAddress listen, String installation, Turns turns) {
+        this.listen = listen;
+        this.installation = LongHashFunction.xx3().hashChars(installation);
+        this.turns = turns;
+    }
+
+    /** Takes the port; an {@link IOException} where it cannot be had. In a turn. */
+    public void open() throws IOException {
+        if (channel != null) { return; }
+        DatagramChannel opened = DatagramChannel.open();
+        if (opened.supportedOptions().contains(StandardSocketOptions.SO_REUSEPORT)) {
+            opened.setOption(StandardSocketOptions.SO_REUSEPORT, true); // the next version takes over while this one leaves
+        }
+        try {
+            opened.bind(listen);
+        } catch (IOException e) {
+            opened.close();
+            throw e;
+        }
+        channel = opened;
+        address = (InetSocketAddress) opened.getLocalAddress();
+        Thread thread = new Thread(() -> receive(opened), "mesh");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void receive(DatagramChannel from) {
+        ByteBuffer in = ByteBuffer.allocateDirect(2048);
+        while (from.isOpen()) {
+            try {
+                in.clear();
+                InetSocketAddress sender = (InetSocketAddress) from.receive(in);
+                byte[] datagram = new byte[in.flip().remaining()];
+                in.get(datagram);
+                turns.turn(() -> take(sender, datagram));
+            } catch (IOException e) {
+                if (!from.isOpen()) { return; }      // else one refused datagram: the next may be fine
+            }
+        }
+    }
+
+    /** Looks a datagram over and hands its body on. */
+    void take(InetSocketAddress sender, byte[] datagram) {
+        ByteBuffer in = ByteBuffer.wrap(datagram);
+        if (datagram.length < HEAD || in.get() != MARK || in.get() != VERSION) {
+            foreign++;
+            return;
+        }
+        int kind = in.get();
+        boolean ours = in.getLong() == installation;
+        int sum = in.getInt();
+        if (!ours) {
+            foreign++;
+        } else if (datagram.length > HEAD + MOST_BODY || kind < 0 || kind >= KINDS.length || sum != sum(kind, in.duplicate())) {
+            spoilt++;
+        } else if (!hearers.containsKey(KINDS[kind])) {
+            unheard++;
+        } else {
+            heard++;
+            byte[] body = new byte[in.remaining()];
+            in.get(body);
+            hearers.get(KINDS[kind]).heard(sender, body);
+        }
+    }
+
+    private int sum(int kind, ByteBuffer body) {
+        CRC32C sum = new CRC32C();
+        sum.update(kind);
+        sum.update(body);
+        return (int) (sum.getValue() ^ installation);
+    }
+
+    @Override
+    public InetSocketAddress address() { return address == null ? listen : address; }
+
+    @Override
+    public void send(InetSocketAddress to, Kind kind, byte[] body) {
+        if (body.length > MOST_BODY) { throw new IllegalArgumentException("a body of " + body.length + " bytes"); }
+        if (channel == null) { return; }
+        out.clear();
+        out.put(MARK).put(VERSION).put((byte) kind.ordinal()).putLong(installation).putInt(sum(kind.ordinal(), ByteBuffer.wrap(body)));
+        out.put(body).flip();
+        try {
+            channel.send(out, to);
+            sent++;
+            sentBytes += HEAD + body.length;
+        } catch (IOException e) {
+            unsent++;                                // as good as lost on the way
+        }
+    }
+
+    @Override
+    public void hear(Kind kind, Hearer hearer) { hearers.put(kind, hearer); }
+
+    @Override
+    public String line() {
+        return "mesh_sent=" + sent + " mesh_sent_bytes=" + sentBytes + " mesh_heard=" + heard + " mesh_foreign=" + foreign
+                + " mesh_spoilt=" + spoilt + " mesh_unheard=" + unheard + " mesh_unsent=" + unsent;
+    }
+
+    /** Gives the port up. In a turn. */
+    public void close() {
+        try {
+            if (channel != null) { channel.close(); }
+        } catch (IOException e) { /* it is gone either way */ }
+        channel = null;
+    }
+}
--- a/src/main/java/yardusher/settings/Settings.java
+++ b/src/main/java/yardusher/settings/Settings.java
@@ -8,15 +8,19 @@
 import yardusher.journal.JournalSettings;
 import yardusher.keys.KeySettings;
 import yardusher.log.LogSettings;
+import yardusher.parts.PartSettings;
+import yardusher.units.UnitSettings;
+import yardusher.view.ViewSettings;
 
 /**
  * Our own settings, deploy/yardusher.toml: a table for each subsystem, which is off where its table is left out. The
  * platform's file says nothing of them.
  */
-public record Settings(JournalSettings journal, KeySettings keys, LogSettings log, boolean fenced) {
+public record Settings(JournalSettings journal, KeySettings keys, LogSettings log, boolean fenced, ViewSettings view,
+        UnitSettings units, PartSettings parts) {
     /** Everything off. */
-    public static final Settings OFF = new Settings(null, null, null, false);
-    private static final Set<String> TABLES = Set.of("journal", "keys", "log", "fleet");
+    public static final Settings OFF = new Settings(null, null, null, false, null, null, null);
+    private static final Set<String> TABLES = Set.of("journal", "keys", "log", "fleet", "view", "units", "parts");
 
     /**
      * Reads a file; null and a file that says nothing are {@link #OFF}, and load no parser.
@@ -25,7 +29,13 @@
      */
     public static Settings read(Path file) {
         if (file == null || isSilent(file)) { return OFF; }
-        return Toml.read(file, toml -> new Settings(JournalSettings.of(toml.only(TABLES)), KeySettings.of(toml), LogSettings.of(toml), fenced(toml)));
+        return Toml.read(file, toml -> {
+            Settings all = new Settings(JournalSettings.of(toml.only(TABLES)), KeySettings.of(toml), LogSettings.of(toml), fenced(toml),
+                    ViewSettings.of(toml), UnitSettings.of(toml), PartSettings.of(toml));
+            String lone = all.view != null ? null : all.units != null ? "units" : all.parts != null ? "parts" : null;
+            if (lone != null) { throw new IllegalArgumentException(lone + " needs a table view, by which ingresses reach one another"); }
+            return all;
+        });
     }
 
     /** Whether this ingress takes orders of the fleet's work at its second address. */
--- /dev/null
+++ b/src/main/java/yardusher/view/View.java
@@ -0,0 +1,42 @@
+package yardusher.view;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.function.Consumer;
+
+/**
+ * Which ingresses of the installation this one holds to be there. Every ingress keeps a view of its own; nobody leads, no
+ * majority is asked, and no two views are promised to be the same at any instant. In turns only.
+ */
+public interface View {
+    /** What is held of a member. GONE: silent for longer than suspicion lasts; LEFT: it said so. */
+    enum State { ALIVE, SUSPECT, GONE, LEFT }
+
+    /**
+     * A member as it is seen here. {@code incarnation} only grows over the lives of a name; {@code hall} is its zone's
+     * name; {@code at} is its address in the mesh.
+     */
+    record Member(String name, String hall, InetSocketAddress at, long incarnation, State state) { }
+
+    /**
+     * All members that are ALIVE or SUSPECT, this one among them, in the order of their names. {@code digest} is the same
+     * where names, addresses and incarnations are; {@code stillSinceMs} is when it last changed here, on the clock of the
+     * turns; {@code same} of the {@code asked} members heard of lately hold this digest.
+     */
+    record Picture(List<Member> members, long digest, double stillSinceMs, int same, int asked) { }
+
+    /** What changed between two settled pictures, in one batch. */
+    record Change(Picture now, List<Member> came, List<Member> gone) { }
+
+    /** This ingress as the others see it. */
+    Member self();
+
+    /** The picture at this moment, settled or not. */
+    Picture picture();
+
+    /** A member of any state that is remembered; null for an unknown name. */
+    Member member(String name);
+
+    /** Told of each change after it has settled; never a promise that others see the same. */
+    void follow(Consumer<Change> follower);
+}
