--- a/lab/src/yardusher/lab/Installation.java
+++ b/lab/src/yardusher/lab/Installation.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import yardusher.cli.Asking;
+import yardusher.error.WireError;
 import yardusher.resp.Value;
 
 /**
@@ -177,7 +178,7 @@
             return answer instanceof Value.Bulk bulk ? bulk.text() : answer instanceof Value.Failure no ? "-" + no.text()
                     : answer instanceof Value.Many many ? many.items().stream().map(one -> ((Value.Bulk) one).text())
                             .reduce("", (a, b) -> a + b + "\n") : answer.toString();
-        } catch (IOException e) {
+        } catch (WireError e) {
             return null;
         }
     }
--- a/src/main/java/yardusher/admin/AdminCall.java
+++ b/src/main/java/yardusher/admin/AdminCall.java
@@ -3,6 +3,7 @@
 import java.util.Arrays;
 import java.util.Locale;
 import java.util.stream.Collectors;
+import yardusher.error.CommandError;
 
 /**
  * One call at the second address, decoded once: a word, and where the word needs one, a region's id. A call of the fleet's
@@ -26,18 +27,18 @@
     /** Bytes of a line without its end; ids of regions are far shorter. */
     public static final int MOST_LINE = 256;
 
-    /** Reads a line without its end; an {@link IllegalArgumentException} says in a few words what is wrong with it. */
+    /** Reads a line without its end; a {@link CommandError} says in a few words what is wrong with it. */
     public static AdminCall of(String line) {
-        if (line.length() > MOST_LINE) { throw new IllegalArgumentException("line longer than " + MOST_LINE + " bytes"); }
+        if (line.length() > MOST_LINE) { throw new CommandError.Argument("line longer than " + MOST_LINE + " bytes"); }
         // Guards log lines and terminals against bytes that are no text.
-        if (!line.chars().allMatch(c -> c >= ' ' && c <= '~')) { throw new IllegalArgumentException("not a line of text"); }
+        if (!line.chars().allMatch(c -> c >= ' ' && c <= '~')) { throw new CommandError.Argument("not a line of text"); }
         String[] words = line.split(" ", -1);
         Verb verb = Arrays.stream(Verb.values()).filter(one -> one.word().equals(words[0])).findFirst()
-                .orElseThrow(() -> new IllegalArgumentException("unknown call; there are " + words()));
+                .orElseThrow(() -> new CommandError.Unknown("unknown call; there are " + words()));
         if (verb.namesRegion() && (words.length != 2 || words[1].isEmpty())) {
-            throw new IllegalArgumentException(verb.word() + " needs one backend id");
+            throw new CommandError.Argument(verb.word() + " needs one backend id");
         }
-        if (!verb.namesRegion() && words.length != 1) { throw new IllegalArgumentException(verb.word() + " stands alone"); }
+        if (!verb.namesRegion() && words.length != 1) { throw new CommandError.Argument(verb.word() + " stands alone"); }
         return new AdminCall(verb, verb.namesRegion() ? words[1] : null);
     }
 
@@ -54,7 +55,7 @@
     }
 
     private static long number(String word) {
-        if (!word.matches("[1-9][0-9]{0,17}")) { throw new IllegalArgumentException("tokens and revisions are whole numbers"); }
+        if (!word.matches("[1-9][0-9]{0,17}")) { throw new CommandError.Argument("tokens and revisions are whole numbers"); }
         return Long.parseLong(word);
     }
 
--- a/src/main/java/yardusher/admin/AdminFront.java
+++ b/src/main/java/yardusher/admin/AdminFront.java
@@ -8,6 +8,8 @@
 import java.util.Set;
 import yardusher.core.Deadlines;
 import yardusher.core.Turns;
+import yardusher.error.CommandError;
+import yardusher.error.YardusherError;
 import yardusher.net.Lines;
 import yardusher.net.Link;
 import yardusher.net.Sockets;
@@ -103,9 +105,9 @@
                     asking.remove(this);
                     return heir.readable(from);
                 }
-                if (!lines.isEmpty()) { throw new IllegalArgumentException("one line to a connection"); }
+                if (!lines.isEmpty()) { throw new CommandError.Argument("one line to a connection"); }
                 follow(operator.isFenced() ? AdminCall.ofFleet(line) : AdminCall.of(line), this);
-            } catch (IllegalArgumentException e) {
+            } catch (YardusherError e) {
                 told("400 " + e.getMessage() + "\n");
             }
             return false;
--- a/src/main/java/yardusher/admin/Operator.java
+++ b/src/main/java/yardusher/admin/Operator.java
@@ -6,7 +6,7 @@
 
 /**
  * What an ingress does at the calls of its second address. In turns only. A call that cannot be followed is an
- * {@link IllegalArgumentException} whose message is a few plain words.
+ * {@link yardusher.error.YardusherError} whose message is a few plain words.
  */
 public interface Operator {
     /** Whether this process takes clients now. */
--- a/src/main/java/yardusher/agent/AgentConfig.java
+++ b/src/main/java/yardusher/agent/AgentConfig.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import yardusher.error.ConfigError;
 import yardusher.file.Toml;
 import yardusher.fleet.FleetSettings;
 import yardusher.net.Sockets;
@@ -16,7 +17,7 @@
     private static final Set<String> KEYS = Set.of("control", "command", "stop_ms", "instance", "fleet");
     private static final Set<String> INSTANCE_KEYS = Set.of("name", "address", "config", "limits", "settings");
 
-    /** Reads the file; an {@link IllegalArgumentException} says in one line what is wrong with it. */
+    /** Reads the file; a {@link ConfigError} says in one line what is wrong with it. */
     public static AgentConfig read(Path file) { return Toml.read(file, AgentConfig::of); }
 
     private static AgentConfig of(Toml toml) {
@@ -27,15 +28,15 @@
             Entry entry = new Entry(one.text("name"), one.text("address"), one.text("config"), one.text("limits", "none"),
                     one.text("settings", "none"));
             Sockets.address(entry.address());
-            if (!entry.name().matches("[A-Za-z0-9._-]{1,64}")) { throw new IllegalArgumentException("bad name " + entry.name()); }
+            if (!entry.name().matches("[A-Za-z0-9._-]{1,64}")) { throw new ConfigError.Value(null, "instance.name", "1 to 64 letters, digits, '.', '_' and '-'"); }
             if (entries.stream().anyMatch(other -> other.name().equals(entry.name()))) {
-                throw new IllegalArgumentException("instance " + entry.name() + " stands twice");
+                throw new ConfigError.Conflict(null, "instance.name", "instance " + entry.name() + " stands twice");
             }
             entries.add(entry);
         }
         FleetSettings fleet = FleetSettings.of(toml);
         // An agent without instances may still help the others to agree.
-        if (entries.isEmpty() && fleet == null) { throw new IllegalArgumentException("names no instance"); }
+        if (entries.isEmpty() && fleet == null) { throw new ConfigError.Missing(null, "instance", "an instance or a table fleet"); }
         String control = toml.text("control");
         Sockets.address(control);
         List<String> command = toml.texts("command");
--- a/src/main/java/yardusher/agent/Fleet.java
+++ b/src/main/java/yardusher/agent/Fleet.java
@@ -10,6 +10,7 @@
 import java.util.function.Function;
 import yardusher.core.Deadlines;
 import yardusher.core.Turns;
+import yardusher.error.WireError;
 import yardusher.fleet.Targets;
 import yardusher.fleet.Undertaking;
 import yardusher.net.Lines;
@@ -124,7 +125,7 @@
                     String answer;
                     try {
                         answer = lines.next();
-                    } catch (IllegalArgumentException e) {
+                    } catch (WireError e) {
                         answer = "400 " + e.getMessage();
                     }
                     if (answer == null) { return true; }
--- a/src/main/java/yardusher/cli/AdminCommand.java
+++ b/src/main/java/yardusher/cli/AdminCommand.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import yardusher.admin.AdminCall;
 import yardusher.agent.AgentConfig;
+import yardusher.error.CommandError;
+import yardusher.error.WireError;
 import yardusher.net.Sockets;
 
 /** The sub-command admin: one call at the second address of a running instance, or of all that an agent's file names. */
@@ -18,9 +20,9 @@
     private AdminCommand() { }
 
     /** {@code admin HOST:PORT CALL [ID]}: the answer; 1 where it is a no. */
-    static int run(List<String> words) throws IOException {
+    static int run(List<String> words) {
         if (words.size() < 2) {
-            throw new IllegalArgumentException("usage: yardusher admin HOST:PORT CALL [ID]; calls are " + AdminCall.words());
+            throw new CommandError.Usage("usage: yardusher admin HOST:PORT CALL [ID]; calls are " + AdminCall.words());
         }
         AdminCall call = call(words.subList(1, words.size()));
         String answer = ask(Sockets.address(words.get(0)), call);
@@ -29,7 +31,7 @@
     }
 
     /** {@code agent admin FILE CALL [ID]}: the call at every instance of the file, a line for each; 1 where one says no. */
-    static int all(AgentConfig agent, List<String> words) throws Config.Bad {
+    static int all(AgentConfig agent, List<String> words) {
         AdminCall call = call(words);
         int status = 0;
         for (AgentConfig.Entry entry : agent.instances()) {
@@ -37,7 +39,7 @@
             String answer;
             try {
                 answer = at == null ? "400 " + entry.config() + " names no admin_addr\n" : ask(at, call);
-            } catch (IOException e) {
+            } catch (WireError e) {
                 answer = "400 " + e.getMessage() + "\n";
             }
             status = answer.startsWith("400") ? 1 : status;
@@ -49,24 +51,26 @@
     private static AdminCall call(List<String> words) {
         try {
             return AdminCall.of(String.join(" ", words));
-        } catch (IllegalArgumentException e) {
-            throw new IllegalArgumentException("admin: " + e.getMessage(), e);
+        } catch (CommandError e) {
+            throw e.in("admin");
         }
     }
 
-    private static String ask(InetSocketAddress at, AdminCall call) throws IOException {
-        String where = at.getAddress().getHostAddress() + ":" + at.getPort();
+    private static String ask(InetSocketAddress at, AdminCall call) {
+        String where = Sockets.text(at);
         try (Socket socket = new Socket()) {
             socket.connect(at, PATIENCE_MS);
             socket.setSoTimeout(PATIENCE_MS);
             socket.getOutputStream().write((call.line() + "\n").getBytes(StandardCharsets.US_ASCII));
             byte[] answer = socket.getInputStream().readNBytes(MOST_ANSWER);
-            if (answer.length == 0) { throw new IOException(where + " closed without an answer"); }
+            if (answer.length == 0) { throw new WireError.Closed(where); }
             return new String(answer, StandardCharsets.US_ASCII);
         } catch (SocketTimeoutException e) {
-            throw new IOException(where + " does not answer", e);
+            throw new WireError.Silent(where, e);
         } catch (java.net.ConnectException e) {
-            throw new IOException("nothing listens at " + where, e);
+            throw new WireError.Nobody(where, e);
+        } catch (IOException e) {
+            throw new WireError.Closed(where, e);
         }
     }
 }
--- a/src/main/java/yardusher/cli/AgentCommand.java
+++ b/src/main/java/yardusher/cli/AgentCommand.java
@@ -8,6 +8,9 @@
 import java.util.concurrent.CountDownLatch;
 import yardusher.agent.Agent;
 import yardusher.agent.AgentConfig;
+import yardusher.error.CommandError;
+import yardusher.error.ConfigError;
+import yardusher.error.WireError;
 import yardusher.resp.Value;
 
 /** The sub-command agent: without a running agent, start becomes one; all else asks the running one. */
@@ -16,23 +19,23 @@
 
     private AgentCommand() { }
 
-    static int run(List<String> words) throws IOException, Config.Bad {
+    static int run(List<String> words) throws IOException {
         if (words.size() < 2 || !List.of("start", "status", "restart", "reload", "stop", "admin").contains(words.get(0))) {
-            throw new IllegalArgumentException("usage: yardusher agent start|status|restart|reload|stop FILE [NAME ...] | admin FILE CALL [ID]");
+            throw new CommandError.Usage("usage: yardusher agent start|status|restart|reload|stop FILE [NAME ...] | admin FILE CALL [ID]");
         }
         AgentConfig config = AgentConfig.read(Path.of(words.get(1)));
         List<String> names = words.subList(2, words.size());
         if (words.get(0).equals("admin")) { return AdminCommand.all(config, names); }
         for (String name : names) {
             if (config.instances().stream().noneMatch(entry -> entry.name().equals(name))) {
-                throw new IllegalArgumentException("no instance " + name + " in " + words.get(1));
+                throw new ConfigError.UnknownName(words.get(1), "instance.name", "no instance " + name);
             }
         }
         if (words.get(0).equals("start") && names.isEmpty()) { return supervise(config); }
         List<String> command = new ArrayList<>(List.of("AGENT." + words.get(0).toUpperCase(Locale.ROOT)));
         command.addAll(names);
         Value answer = Asking.ask(config.control(), PATIENCE_MS, command.toArray(new String[0]));
-        if (answer instanceof Value.Failure failure) { throw new IOException(failure.text()); }
+        if (answer instanceof Value.Failure failure) { throw new WireError.Refused(config.control(), failure.text()); }
         if (answer instanceof Value.Many many && many.items() != null) { return status(config, many.items()); }
         System.out.println("ok");
         return 0;
@@ -51,7 +54,7 @@
                 if (ready && Asking.ask(words[2].substring("address=".length()), PATIENCE_MS, "INFO") instanceof Value.Bulk info) {
                     System.out.println("  " + info.text());
                 }
-            } catch (IOException e) {
+            } catch (WireError e) {
                 System.out.println("  " + e.getMessage());
             }
         }
@@ -62,7 +65,7 @@
     private static java.net.InetSocketAddress admin(AgentConfig.Entry entry) {
         try {
             return Config.read(entry.config()).admin();
-        } catch (Config.Bad e) {
+        } catch (ConfigError e) {
             return null;
         }
     }
--- a/src/main/java/yardusher/cli/Asking.java
+++ b/src/main/java/yardusher/cli/Asking.java
@@ -5,17 +5,18 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.ByteBuffer;
+import yardusher.error.WireError;
 import yardusher.net.Sockets;
 import yardusher.resp.Decoder;
 import yardusher.resp.Encoder;
 import yardusher.resp.Malformed;
 import yardusher.resp.Value;
 
-/** Asks one RESP command and waits for its answer: for sub-commands, which have nothing else to do. */
+/** Asks one RESP command and waits for its answer: for sub-commands, which have nothing else to do. No answer is a {@link WireError}. */
 public final class Asking {
     private Asking() { }
 
-    public static Value ask(String address, int withinMs, String... words) throws IOException {
+    public static Value ask(String address, int withinMs, String... words) {
         try (Socket socket = new Socket()) {
             socket.connect(Sockets.address(address), withinMs);
             socket.setSoTimeout(withinMs);
@@ -27,16 +28,18 @@
             for (Value answer;;) {
                 ByteBuffer room = decoder.room();
                 int count = in.read(room.array(), room.position(), room.remaining());
-                if (count < 0) { throw new IOException(address + " closed without an answer"); }
+                if (count < 0) { throw new WireError.Closed(address); }
                 decoder.filled(count);
                 if ((answer = decoder.value()) != null) { return answer; }
             }
         } catch (SocketTimeoutException e) {
-            throw new IOException(address + " does not answer", e);
+            throw new WireError.Silent(address, e);
         } catch (java.net.ConnectException e) {
-            throw new IOException("nothing listens at " + address, e);
+            throw new WireError.Nobody(address, e);
         } catch (Malformed e) {
-            throw new IOException(address + " does not speak RESP: " + e.getMessage(), e);
+            throw new WireError.Malformed(address, "does not speak RESP: " + e.getMessage(), e);
+        } catch (IOException e) {
+            throw new WireError.Closed(address, e);
         }
     }
 }
--- a/src/main/java/yardusher/cli/Config.java
+++ b/src/main/java/yardusher/cli/Config.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -9,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import yardusher.Api;
+import yardusher.error.ConfigError;
 import yardusher.net.Sockets;
 import yardusher.wire.Codec;
 import yardusher.wire.SettingsNotes;
@@ -17,25 +19,21 @@
 public record Config(String name, InetSocketAddress listen, InetSocketAddress admin, InetSocketAddress discovery, long seed, int sockets,
         InetSocketAddress peerListen, List<InetSocketAddress> peers, Codec.Fields known, Api.Settings settings,
         List<String> classes, List<String> plans, List<String> zones, double idleMs, double dialMs, List<String> unused) {
-    /** A configuration that cannot be used; the message is one plain line. */
-    public static final class Bad extends Exception {
-        private static final long serialVersionUID = 1L;
-
-        public Bad(String message) { super(message); }
-    }
-
-    public static Config read(String file) throws Bad {
+    /** Reads the file; a {@link ConfigError} names it and says in one line what is wrong. */
+    public static Config read(String file) {
         try (JsonParser parser = new JsonFactory().createParser(Files.readString(Path.of(file)))) {
             if (parser.nextToken() == null || !(Codec.read(parser) instanceof Codec.Fields json)) {
-                throw new Bad(file + ": not a JSON object");
+                throw new ConfigError.Syntax(file, "not a JSON object");
             }
             return of(json);
+        } catch (JsonProcessingException e) {
+            throw new ConfigError.Syntax(file, "not JSON: " + e.getOriginalMessage(), e);
         } catch (IOException e) {
-            String why = e instanceof com.fasterxml.jackson.core.JsonProcessingException j ? "not JSON: "
-                    + j.getOriginalMessage() : "cannot be read";
-            throw new Bad(file + ": " + why.lines().findFirst().orElse(""));
+            throw new ConfigError.Unreadable(file, e);
+        } catch (ConfigError e) {
+            throw e.in(file);
         } catch (RuntimeException e) {
-            throw new Bad(file + ": " + String.valueOf(e.getMessage()).lines().findFirst().orElse(""));
+            throw new ConfigError.Syntax(file, String.valueOf(e.getMessage()).lines().findFirst().orElse(""), e);
         }
     }
 
@@ -67,7 +65,7 @@
                 && zones.equals(next.zones) && idleMs == next.idleMs && dialMs == next.dialMs;
     }
 
-    /** How many regions the configuration knows; an entry that cannot be used is an IllegalArgumentException. */
+    /** How many regions the configuration knows; an entry that cannot be used is a {@link yardusher.error.YardusherError}. */
     int members() {
         int count = 0;
         for (Codec.Fields member : known.objects("members")) {
@@ -79,7 +77,13 @@
         return count;
     }
 
-    private static long seed(String hex) { return Long.parseUnsignedLong(hex, 16); }
+    private static long seed(String hex) {
+        try {
+            return Long.parseUnsignedLong(hex, 16);
+        } catch (NumberFormatException e) {
+            throw new ConfigError.Value(null, "seed", "1 to 16 hex digits");
+        }
+    }
 
     private static List<String> names(Codec.Fields settings, String key) {
         List<String> names = new ArrayList<>();
--- a/src/main/java/yardusher/cli/FleetCommand.java
+++ b/src/main/java/yardusher/cli/FleetCommand.java
@@ -15,6 +15,9 @@
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import yardusher.agent.AgentConfig;
+import yardusher.error.CommandError;
+import yardusher.error.ConfigError;
+import yardusher.error.WireError;
 import yardusher.fleet.FleetAgent;
 import yardusher.fleet.FleetSettings;
 import yardusher.resp.Value;
@@ -45,37 +48,33 @@
 
     static int run(CommandLine line) throws IOException {
         List<String> words = line.getArgList();
-        if (words.size() < 2) { throw new IllegalArgumentException(USAGE); }
+        if (words.size() < 2) { throw new CommandError.Usage(USAGE); }
         String verb = words.get(0);
         AgentConfig config = AgentConfig.read(Path.of(words.get(1)));
         FleetSettings fleet = config.fleet();
-        if (fleet == null) { throw new IllegalArgumentException(words.get(1) + ": has no table fleet"); }
+        if (fleet == null) { throw new ConfigError.Missing(words.get(1), "fleet", "a table fleet"); }
         List<String> rest = words.subList(2, words.size());
         if (verb.equals("init")) {
-            if (!rest.isEmpty()) { throw new IllegalArgumentException(USAGE); }
-            try {
-                FleetAgent.init(fleet, line.hasOption("join"));
-            } catch (IllegalArgumentException e) {
-                throw new IllegalArgumentException(fleet.folder() + ": " + e.getMessage(), e);
-            }
+            if (!rest.isEmpty()) { throw new CommandError.Usage(USAGE); }
+            FleetAgent.init(fleet, line.hasOption("join"));
             System.out.println("member " + fleet.member() + " of " + fleet.installation() + " begun in " + fleet.folder());
             return 0;
         }
         if (READS.contains(verb)) {
-            if (!rest.isEmpty()) { throw new IllegalArgumentException(USAGE); }
+            if (!rest.isEmpty()) { throw new CommandError.Usage(USAGE); }
             return read(config, verb, line.hasOption("json"));
         }
         return order(config, verb, rest, line);
     }
 
-    private static int order(AgentConfig config, String verb, List<String> rest, CommandLine line) throws IOException {
+    private static int order(AgentConfig config, String verb, List<String> rest, CommandLine line) {
         int wanted = switch (verb) {
             case "roll" -> -1;
             case "ban", "unban", "stop", "step-down", "forget" -> 1;
             case "admit" -> 2;
-            default -> throw new IllegalArgumentException(USAGE);
+            default -> throw new CommandError.Usage(USAGE);
         };
-        if (wanted >= 0 && rest.size() != wanted) { throw new IllegalArgumentException(USAGE); }
+        if (wanted >= 0 && rest.size() != wanted) { throw new CommandError.Usage(USAGE); }
         String id = line.hasOption("id") ? line.getOptionValue("id") : UUID.randomUUID().toString();
         List<String> command = new ArrayList<>(List.of("FLEET.ASK", config.fleet().installation(), id,
                 System.getProperty("user.name", "operator").replaceAll("[^!-~]", "_") + "@" + config.fleet().member(), verb));
@@ -89,7 +88,7 @@
         Value answer;
         try {
             answer = Asking.ask(config.control(), PATIENCE_MS, command.toArray(new String[0]));
-        } catch (IOException e) {
+        } catch (WireError e) {
             System.err.println("yardusher: " + e.getMessage() + "; ask again with --id " + id);
             return UNKNOWN;
         }
@@ -102,7 +101,7 @@
     }
 
     /** Follows a work to its end, with a line for each step of its progress. */
-    private static int await(AgentConfig config, String kind) throws IOException {
+    private static int await(AgentConfig config, String kind) {
         for (String last = "";;) {
             Map<String, String> work = table(config).stream().filter(one -> one.get("").equals("work") && one.get("kind").equals(kind))
                     .findFirst().orElse(Map.of());
@@ -123,9 +122,9 @@
     }
 
     /** The agent's report: a map a line, the line's kind under the empty name. */
-    private static List<Map<String, String>> table(AgentConfig config) throws IOException {
+    private static List<Map<String, String>> table(AgentConfig config) {
         Value answer = Asking.ask(config.control(), PATIENCE_MS, "FLEET.READ", config.fleet().installation());
-        if (!(answer instanceof Value.Bulk told)) { throw new IOException(answer instanceof Value.Failure no ? no.text() : "no report"); }
+        if (!(answer instanceof Value.Bulk told)) { throw new WireError.Refused(config.control(), answer instanceof Value.Failure no ? no.text() : "no report"); }
         List<Map<String, String>> table = new ArrayList<>();
         for (String line : told.text().split("\n")) {
             Map<String, String> one = new LinkedHashMap<>();
--- a/src/main/java/yardusher/cli/Main.java
+++ b/src/main/java/yardusher/cli/Main.java
@@ -10,6 +10,10 @@
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import yardusher.error.CommandError;
+import yardusher.error.ConfigError;
+import yardusher.error.WireError;
+import yardusher.error.YardusherError;
 import yardusher.limits.LimitsConfig;
 import yardusher.limits.LimitsFront;
 import yardusher.nginx.Importer;
@@ -29,21 +33,31 @@
         int status;
         try {
             status = run(args);
-        } catch (Config.Bad | ParseException | IllegalArgumentException e) {
+        } catch (YardusherError e) {
+            status = tell(e, args.length > 0 && args[0].equals("check"));
+        } catch (ParseException e) {
+            status = tell(new CommandError.Usage(line(e)), false);
+        } catch (IllegalArgumentException e) {       // of a library, such as a path that cannot be one
+            status = tell(new CommandError.Argument(line(e)), false);
+        } catch (IOException e) {                    // of the machine, where no part knows better what it means
             System.err.println("yardusher: " + line(e));
-            status = 2;
-        } catch (IOException e) {
-            System.err.println("yardusher: " + line(e));
-            status = 1;
+            status = YardusherError.FAILED;
         }
         if (status != 0) { System.exit(status); }
     }
 
+    /** The one place where an error becomes a line and an exit code; whoever checks is told what to do as well. */
+    private static int tell(YardusherError e, boolean advice) {
+        System.err.println("yardusher: " + e.getMessage());
+        if (advice) { System.err.println("what to do: " + e.advice()); }
+        return e.exitCode();
+    }
+
     private static String line(Exception e) {
         return String.valueOf(e.getMessage()).lines().findFirst().orElse(e.getClass().getSimpleName());
     }
 
-    private static int run(String[] args) throws IOException, Config.Bad, ParseException {
+    private static int run(String[] args) throws IOException, ParseException {
         String command = args.length == 0 ? "" : args[0];
         Options options = new Options();
         if (command.equals("serve") || command.equals("check")) {
@@ -64,10 +78,10 @@
             case "serve" -> {
                 atMost(rest, 0, 1);
                 String file = rest.isEmpty() ? System.getenv("RELAY_CONFIG") : rest.get(0);
-                if (file == null) { throw new Config.Bad("serve needs a configuration: name a file or set RELAY_CONFIG"); }
+                if (file == null) { throw new ConfigError.Missing("serve", "RELAY_CONFIG", "a configuration: name a file or set RELAY_CONFIG"); }
                 String limits = line.getOptionValue("limits", "deploy/limits.toml");
                 if (line.hasOption("limits") && !limits.equals("none") && !Files.exists(Path.of(limits))) {
-                    throw new Config.Bad(limits + ": cannot be read");
+                    throw new ConfigError.Unreadable(limits);
                 }
                 return Serve.run(file, limits.equals("none") ? null : Path.of(limits), settings(line));
             }
@@ -97,31 +111,31 @@
                 atMost(rest, 5, 6);
                 return limits(rest);
             }
-            default -> throw new IllegalArgumentException(USAGE);
+            default -> throw new CommandError.Usage(USAGE);
         }
     }
 
     /** The file of our own settings: the one named, else deploy/yardusher.toml where it is there; null for none. */
-    private static Path settings(CommandLine line) throws Config.Bad {
+    private static Path settings(CommandLine line) {
         String named = line.getOptionValue("settings");
         if ("none".equals(named)) { return null; }
         Path file = Path.of(named == null ? "deploy/yardusher.toml" : named);
         if (Files.exists(file)) { return file; }
-        if (named != null) { throw new Config.Bad(named + ": cannot be read"); }
+        if (named != null) { throw new ConfigError.Unreadable(named); }
         return null;
     }
 
     private static void atMost(List<String> words, int least, int most) {
-        if (words.size() < least || words.size() > most) { throw new IllegalArgumentException(USAGE); }
+        if (words.size() < least || words.size() > most) { throw new CommandError.Usage(USAGE); }
     }
 
     /** Reads a configuration as serve would, and the limits file against it. */
-    private static int check(String file, String limitsFile, Path settingsFile) throws Config.Bad {
+    private static int check(String file, String limitsFile, Path settingsFile) {
         Config config = Config.read(file);
         config.members();
         Path limits = Path.of(limitsFile == null ? "deploy/limits.toml" : limitsFile);
         boolean there = Files.exists(limits);
-        if (limitsFile != null && !there) { throw new Config.Bad(limitsFile + ": cannot be read"); }
+        if (limitsFile != null && !there) { throw new ConfigError.Unreadable(limitsFile); }
         if (there) {
             LimitsFront.check(LimitsConfig.read(limits), config.classes(), config.plans(), config.settings().gateways());
         }
@@ -140,13 +154,13 @@
         try {
             text = Files.readString(Path.of(file));
         } catch (IOException e) {
-            throw new IllegalArgumentException(file + ": cannot be read", e);
+            throw new ConfigError.Unreadable(file, e);
         }
         Importer.Result result;
         try {
             result = Importer.run(text, line.getOptionValue("upstream"));
-        } catch (IllegalArgumentException e) {
-            throw new IllegalArgumentException(file + ": " + e.getMessage(), e);
+        } catch (ConfigError e) {
+            throw e.in(file);
         }
         for (String note : result.notes()) { System.err.println(file + ": " + note); }
         if (line.hasOption("strict") && !result.notes().isEmpty()) { return 1; }
@@ -159,21 +173,21 @@
     }
 
     /** Asks a running ingress of this machine about its keys. */
-    private static int keys(List<String> words) throws IOException {
+    private static int keys(List<String> words) {
         boolean stats = words.size() == 2 && words.get(0).equals("stats");
         if (!stats && !(words.size() == 3 && words.get(0).equals("show"))) {
-            throw new IllegalArgumentException("usage: yardusher keys stats HOST:PORT | show HOST:PORT KEY");
+            throw new CommandError.Usage("usage: yardusher keys stats HOST:PORT | show HOST:PORT KEY");
         }
         Value answer = stats ? Asking.ask(words.get(1), 10_000, "KEYS.STATS") : Asking.ask(words.get(1), 10_000, "KEYS.SHOW", words.get(2));
         if (!(answer instanceof Value.Bulk told)) {
-            throw new IOException(answer instanceof Value.Failure failure ? failure.text() + "; are keys on there?" : "not an answer about keys");
+            throw new WireError.Refused(words.get(1), answer instanceof Value.Failure failure ? failure.text() + "; are keys on there?" : "not an answer about keys");
         }
         System.out.println(stats ? told.text().replace(' ', '\n') : told.text());
         return 0;
     }
 
     /** Asks one limit of a running ingress and prints the five figures in words. */
-    private static int limits(List<String> words) throws IOException {
+    private static int limits(List<String> words) {
         String[] command = words.toArray(new String[0]);
         command[0] = "CL.THROTTLE";
         Value answer = Asking.ask(words.get(0), 10_000, command);
@@ -184,6 +198,6 @@
             }
             return 0;
         }
-        throw new IOException(answer instanceof Value.Failure failure ? failure.text() : "not an answer to CL.THROTTLE");
+        throw new WireError.Refused(words.get(0), answer instanceof Value.Failure failure ? failure.text() : "not an answer to CL.THROTTLE");
     }
 }
--- a/src/main/java/yardusher/cli/OrdersCommand.java
+++ b/src/main/java/yardusher/cli/OrdersCommand.java
@@ -12,6 +12,8 @@
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import yardusher.agent.AgentConfig;
+import yardusher.error.CommandError;
+import yardusher.error.ConfigError;
 import yardusher.journal.Orders;
 import yardusher.settings.Settings;
 
@@ -31,12 +33,12 @@
         for (String name : new String[] {"json", "csv", "progress"}) { options.addOption(Option.builder().longOpt(name).build()); }
     }
 
-    static int run(CommandLine line) throws IOException, Config.Bad {
+    static int run(CommandLine line) throws IOException {
         List<String> words = line.getArgList();
         String what = words.isEmpty() ? "" : words.get(0);
         if (!List.of("list", "show", "open", "verify", "export").contains(what)
                 || words.size() < 2 && !line.hasOption("agent") || line.hasOption("json") && line.hasOption("csv")) {
-            throw new IllegalArgumentException(USAGE);
+            throw new CommandError.Usage(USAGE);
         }
         List<String> paths = new ArrayList<>(words.subList(1, words.size()));
         if (line.hasOption("agent")) { paths.addAll(ofAgent(Path.of(line.getOptionValue("agent")))); }
@@ -53,7 +55,7 @@
         if (what.equals("open")) { asked.open(); }
         if (what.equals("show")) {
             if (Orders.show(folders, asked, System.out) > 0) { return 0; }
-            throw new IOException("no such order");
+            throw new CommandError.NotFound("no such order");
         }
         Orders.Form form = line.hasOption("json") ? Orders.Form.JSON
                 : line.hasOption("csv") || what.equals("export") ? Orders.Form.CSV : Orders.Form.TABLE;
@@ -66,7 +68,7 @@
         long count;
         try (PrintStream out = new PrintStream(Files.newOutputStream(file), false, StandardCharsets.UTF_8)) {
             count = Orders.list(folders, asked, form, most, out, err);
-            if (out.checkError()) { throw new IOException(file + ": cannot be written"); }
+            if (out.checkError()) { throw new CommandError.Output(file, null); }
         }
         System.err.println(count + " orders written to " + file);
         return 0;
@@ -75,11 +77,11 @@
     private static long most(String text) {
         if (text == null) { return Long.MAX_VALUE; }
         if (text.matches("[1-9][0-9]{0,17}")) { return Long.parseLong(text); }
-        throw new IllegalArgumentException("most must be a whole number from 1");
+        throw new CommandError.Argument("most must be a whole number from 1");
     }
 
     /** The journals of all instances of an agent's file. */
-    private static List<String> ofAgent(Path file) throws Config.Bad {
+    private static List<String> ofAgent(Path file) {
         List<String> folders = new ArrayList<>();
         for (AgentConfig.Entry entry : AgentConfig.read(file).instances()) {
             if (entry.settings().equals("none")) { continue; }
@@ -88,7 +90,7 @@
             Path folder = own.journal().folder().resolve(Config.read(entry.config()).name());
             if (Files.isDirectory(folder)) { folders.add(folder.toString()); }
         }
-        if (folders.isEmpty()) { throw new IllegalArgumentException(file + ": no instance has a journal"); }
+        if (folders.isEmpty()) { throw new ConfigError.Missing(file, "journal", "an instance that has a journal"); }
         return folders;
     }
 }
--- a/src/main/java/yardusher/cli/Serve.java
+++ b/src/main/java/yardusher/cli/Serve.java
@@ -22,6 +22,9 @@
 import yardusher.core.Ingress;
 import yardusher.core.OrderLog;
 import yardusher.core.Turns;
+import yardusher.error.CommandError;
+import yardusher.error.ConfigError;
+import yardusher.error.WireError;
 import yardusher.fence.InstanceFence;
 import yardusher.handover.Handover;
 import yardusher.journal.Journal;
@@ -70,7 +73,7 @@
     private final int budget;                        // descriptors for clients and regions
     private final Set<String> banned = new LinkedHashSet<>(); // ids of regions out by hand
     private final CountDownLatch ready = new CountDownLatch(1);
-    private volatile IOException unready;            // why no clients can be taken
+    private volatile Exception unready;            // why no clients can be taken
     private final CountDownLatch drained = new CountDownLatch(1);
     private final double longestMs;
     private Config config;                           // as it was last read
@@ -160,7 +163,7 @@
 
         @Override
         public void ban(String region, boolean out, Runnable then) {
-            if (!table.everListed(region)) { throw new IllegalArgumentException("no backend " + region + " was ever listed"); }
+            if (!table.everListed(region)) { throw new CommandError.NotFound("no backend " + region + " was ever listed"); }
             banHere(region, out);
             handover.tellBan(region, out, then);
         }
@@ -275,8 +278,8 @@
     }
 
     private void fault(Throwable e) {
-        if (e instanceof UncheckedIOException cause && ready.getCount() > 0) {
-            unready = cause.getCause();              // an address that cannot be had ends the start
+        if ((e instanceof UncheckedIOException || e instanceof WireError.Listen) && ready.getCount() > 0) {
+            unready = e instanceof UncheckedIOException cause ? cause.getCause() : (WireError) e; // an address that cannot be had ends the start
             ready.countDown();
             return;
         }
@@ -292,13 +295,14 @@
             if (admin != null) { admin.open(); }
             try {
                 handover.start(adminAt);
-            } catch (UncheckedIOException e) {
+            } catch (UncheckedIOException | WireError e) {
                 fault(e);
             }
         });
         try {
             if (!ready.await(START_MS, TimeUnit.MILLISECONDS) || unready != null) {
-                throw unready == null ? new IOException("no clients could be taken") : unready;
+                if (unready instanceof WireError why) { throw why; }
+                throw unready instanceof IOException why ? why : new IOException("no clients could be taken");
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -313,7 +317,7 @@
         Config next;
         try {
             next = Config.read(file);
-        } catch (Config.Bad e) {
+        } catch (ConfigError e) {
             return "keeps its configuration: " + e.getMessage();
         }
         String[] done = new String[1];
@@ -376,14 +380,8 @@
         sockets.shutdown();
     }
 
-    /** A folder that cannot be used is as wrong as a setting that cannot. */
-    private Journal journal(Settings own) {
-        try {
-            return Journal.open(own.journal(), config.name(), config.settings(), config.classes(), config.plans(), turns,
-                    Logs.of(own.log(), config.name()));
-        } catch (IOException e) {
-            throw new IllegalArgumentException("journal.folder " + e.getMessage(), e);
-        }
+    private Journal journal(Settings own) throws IOException {
+        return Journal.open(own.journal(), config.name(), config.settings(), config.classes(), config.plans(), turns, Logs.of(own.log(), config.name()));
     }
 
     /** The keys' intake, with what the journal still knows of keys of earlier lives. */
@@ -400,11 +398,11 @@
         if (journal != null) { journal.close(JOURNAL_END_MS); }
     }
 
-    private static InetSocketAddress address(String fromEnvironment) throws Config.Bad {
+    private static InetSocketAddress address(String fromEnvironment) {
         try {
             return yardusher.net.Sockets.address(fromEnvironment);
-        } catch (IllegalArgumentException e) {
-            throw new Config.Bad("RELAY_ADMIN_ADDR: " + e.getMessage() + "; digits and a port are allowed, as 127.0.0.4:19000");
+        } catch (ConfigError e) {
+            throw e.in("RELAY_ADMIN_ADDR");
         }
     }
 
@@ -421,7 +419,7 @@
     }
 
     /** The sub-command: serves until SIGTERM, then drains and exits 0. */
-    static int run(String file, Path limitsFile, Path settingsFile) throws IOException, Config.Bad {
+    static int run(String file, Path limitsFile, Path settingsFile) throws IOException {
         Config config = Config.read(file);
         String adminAt = System.getenv("RELAY_ADMIN_ADDR"); // goes before the file's: it is this very process's
         Serve serve = new Serve(config, adminAt == null || adminAt.isEmpty() ? config.admin() : address(adminAt), notes(), listens(limitsFile) ? LimitsConfig.read(limitsFile) : null, Settings.read(settingsFile),
--- a/src/main/java/yardusher/clients/PlatformFront.java
+++ b/src/main/java/yardusher/clients/PlatformFront.java
@@ -18,6 +18,8 @@
 import yardusher.core.Intake;
 import yardusher.core.Order;
 import yardusher.core.Terminal;
+import yardusher.error.CommandError;
+import yardusher.error.YardusherError;
 import yardusher.net.Answers;
 import yardusher.net.Budget;
 import yardusher.net.Sockets;
@@ -99,7 +101,7 @@
             classIndex = index(classes, call.className);
             plan = index(plans, call.plan);
             check(call, classIndex);
-        } catch (IllegalArgumentException e) {
+        } catch (YardusherError e) {
             ingress.counters().invalid++;
             slot.reject(e.getMessage());
             return;
@@ -111,7 +113,7 @@
 
     private static int index(Map<String, Integer> of, String name) {
         Integer index = of.get(name);
-        if (index == null) { throw new IllegalArgumentException("unknown class or plan"); }
+        if (index == null) { throw new CommandError.Argument("unknown class or plan"); }
         return index;
     }
 
@@ -120,16 +122,16 @@
         Api.Settings settings = ingress.settings();
         Api.Effect effect = settings.classes().get(classIndex).effect();
         if (call.isGet() != (effect == Api.Effect.IDEMPOTENT) || call.hasBody() == call.isGet()) {
-            throw new IllegalArgumentException("not the command of this class");
+            throw new CommandError.Argument("not the command of this class");
         }
         if ((call.key != null) != (effect == Api.Effect.DEDUPLICATED)) {
-            throw new IllegalArgumentException("a keyed class needs k, and no other has it");
+            throw new CommandError.Argument("a keyed class needs k, and no other has it");
         }
-        if (settings.mostUnits() > 0 && call.units > settings.mostUnits()) { throw new IllegalArgumentException("bad units"); }
+        if (settings.mostUnits() > 0 && call.units > settings.mostUnits()) { throw new CommandError.Argument("bad units"); }
         if (call.spread < 1 || call.spread > settings.gateways() || call.first >= settings.gateways()) {
-            throw new IllegalArgumentException("bad set of ingresses");
+            throw new CommandError.Argument("bad set of ingresses");
         }
-        if (!ids.add(call.id)) { throw new IllegalArgumentException("a request with this id is open"); }
+        if (!ids.add(call.id)) { throw new CommandError.Refused("a request with this id is open"); }
     }
 
     private record Reply(PlatformFront front, Answers.Slot slot, long id) implements Terminal {
--- a/src/main/java/yardusher/disk/Folder.java
+++ b/src/main/java/yardusher/disk/Folder.java
@@ -18,6 +18,13 @@
 public final class Folder implements Storage {
     public static final String LOCK = "lock";
 
+    /** Somebody else writes in the folder. */
+    public static final class Held extends IOException {
+        private static final long serialVersionUID = 1L;
+
+        private Held(String message, Throwable cause) { super(message, cause); }
+    }
+
     private final Path path;
     private final FileChannel lock;
 
@@ -28,27 +35,27 @@
 
     /** Opens a folder to look at it; nothing in it is changed. */
     public static Folder reading(Path path) throws IOException {
-        if (!Files.isDirectory(path)) { throw new IOException(path + ": not a folder"); }
+        if (!Files.isDirectory(path)) { throw new IOException("not a folder"); }
         return new Folder(path, null);
     }
 
-    /** Opens a folder to write in it, makes it where it is not there, and locks it. The message is one plain line. */
+    /** Opens a folder to write in it, makes it where it is not there, and locks it. The message is a few plain words without the path; {@link Held} where another writes. */
     public static Folder writing(Path path, String who) throws IOException {
         FileChannel channel;
         try {
             Files.createDirectories(path);
             channel = FileChannel.open(path.resolve(LOCK), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
         } catch (IOException e) {
-            throw new IOException(path + ": cannot be written", e);
+            throw new IOException("cannot be written", e);
         }
         try {
             FileLock held = channel.tryLock();
-            if (held == null) { throw new IOException(path + ": another process writes here"); }
+            if (held == null) { throw new Held("another process writes here", null); }
             channel.truncate(0);
             channel.write(ByteBuffer.wrap((who + " pid " + ProcessHandle.current().pid() + "\n").getBytes(StandardCharsets.UTF_8)));
         } catch (OverlappingFileLockException e) {
             channel.close();
-            throw new IOException(path + ": written by another instance of this process", e);
+            throw new Held("written by another instance of this process", e);
         } catch (IOException e) {
             channel.close();
             throw e;
--- a/src/main/java/yardusher/error/ConfigError.java
+++ b/src/main/java/yardusher/error/ConfigError.java
@@ -60,6 +60,16 @@
         }
     }
 
+    /** A figure out of its range, named with the value that stands there. */
+    public static final class Range extends ConfigError {
+        private static final long serialVersionUID = 1L;
+
+        public Range(Object file, String key, String value, String allowed) {
+            super("CONFIG_RANGE", file, key + " is " + value + ", allowed is " + allowed, "Set the key to a figure in the range; the platform gives the others of its kind.",
+                    null, "key", key, "value", value, "allowed", allowed);
+        }
+    }
+
     /** A name that stands for nothing known, such as a class, a plan, an instance. */
     public static final class UnknownName extends ConfigError {
         private static final long serialVersionUID = 1L;
@@ -83,7 +93,7 @@
         private static final long serialVersionUID = 1L;
 
         public Address(Object file, String text) {
-            super("CONFIG_ADDRESS", file, "not an address: " + text, "Write digits and a port, as 127.0.0.4:19000; names are not looked up.",
+            super("CONFIG_ADDRESS", file, "not an address: " + text + "; digits and a port are allowed, as 127.0.0.4:19000", "Write digits and a port, as 127.0.0.4:19000; names are not looked up.",
                     null, "value", text);
         }
     }
--- a/src/main/java/yardusher/error/WireError.java
+++ b/src/main/java/yardusher/error/WireError.java
@@ -30,8 +30,10 @@
     public static final class Closed extends WireError {
         private static final long serialVersionUID = 1L;
 
-        public Closed(Object peer) {
-            super("WIRE_CLOSED", peer, "closed without an answer", "It is ending or full: see its log, then ask again.", null);
+        public Closed(Object peer) { this(peer, null); }
+
+        public Closed(Object peer, Throwable cause) {
+            super("WIRE_CLOSED", peer, "closed without an answer", "It is ending or full: see its log, then ask again.", cause);
         }
     }
 
--- a/src/main/java/yardusher/fence/InstanceFence.java
+++ b/src/main/java/yardusher/fence/InstanceFence.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import yardusher.error.RegisterError;
 
 /**
  * What one ingress holds against orders of an old owner: the token its agent told it, and for each region the revision
@@ -14,16 +15,16 @@
     private long token;
     private final Map<String, Long> revisions = new HashMap<>();
 
-    /** Its agent tells it a token; an {@link IllegalArgumentException} where a newer one is known. */
+    /** Its agent tells it a token; a {@link RegisterError.Token} where a newer one is known. */
     public void learn(long told) {
-        if (told < token) { throw new IllegalArgumentException("token " + token + " is newer"); }
+        if (told < token) { throw new RegisterError.Token("token " + token + " is newer", token); }
         token = told;
     }
 
-    /** Whether an order is to be followed; false where a later one holds already. An {@link IllegalArgumentException} refuses. */
+    /** Whether an order is to be followed; false where a later one holds already. A {@link RegisterError.Token} refuses. */
     public boolean isNew(String region, long under, long revision) {
-        if (token == 0) { throw new IllegalArgumentException("no token is known here yet"); }
-        if (under != token) { throw new IllegalArgumentException("token " + token + " is known here"); }
+        if (token == 0) { throw new RegisterError.Token("no token is known here yet", 0); }
+        if (under != token) { throw new RegisterError.Token("token " + token + " is known here", token); }
         return revision > revisions.getOrDefault(region, 0L);
     }
 
--- a/src/main/java/yardusher/fence/Memory.java
+++ b/src/main/java/yardusher/fence/Memory.java
@@ -15,6 +15,7 @@
 import yardusher.disk.Fields;
 import yardusher.disk.Ledger;
 import yardusher.disk.Storage;
+import yardusher.error.RegisterError;
 
 /**
  * An agent's lasting memory: tokens sealed, steps begun and ended, and which processes it has started. Turns write by
@@ -56,8 +57,8 @@
     /**
      * Opens an agent's memory, or begins it where the folder holds none.
      *
-     * @throws IllegalArgumentException where the folder is another member's or installation's
-     * @throws IOException where what it holds is damaged: orders might be followed that were refused before
+     * @throws RegisterError where the folder is another member's or installation's
+     * @throws RegisterError.Damaged where what it holds is damaged: orders might be followed that were refused before
      */
     public static Memory open(Storage storage, String installation, String member, Turns turns) throws IOException {
         Memory memory = new Memory(installation, member, turns);
@@ -68,8 +69,12 @@
             @Override
             public List<Ledger.Line> base() { return memory.base(); }
         };
-        memory.ledger = Ledger.isThere(storage, PREFIX) ? Ledger.open(storage, PREFIX, MAGIC, content, SEGMENT_BYTES)
-                : Ledger.begin(storage, PREFIX, MAGIC, content, SEGMENT_BYTES);
+        try {
+            memory.ledger = Ledger.isThere(storage, PREFIX) ? Ledger.open(storage, PREFIX, MAGIC, content, SEGMENT_BYTES)
+                    : Ledger.begin(storage, PREFIX, MAGIC, content, SEGMENT_BYTES);
+        } catch (IOException e) {
+            throw new RegisterError.Damaged(null, String.valueOf(e.getMessage()), e);
+        }
         return memory;
     }
 
@@ -84,7 +89,7 @@
         switch (line.kind()) {
             case WHOSE -> {
                 if (!f.text(1).equals(installation) || !f.text(2).equals(member)) {
-                    throw new IllegalArgumentException("the folder is that of member " + f.text(2) + " of installation " + f.text(1));
+                    throw new RegisterError.Foreign(null, f.text(2), f.text(1));
                 }
             }
             case SEAL -> {
--- a/src/main/java/yardusher/file/Toml.java
+++ b/src/main/java/yardusher/file/Toml.java
@@ -11,8 +11,10 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Function;
+import yardusher.error.ConfigError;
+import yardusher.error.YardusherError;
 
-/** A table of a TOML file with typed access; every complaint is an IllegalArgumentException in one plain line. */
+/** A table of a TOML file with typed access; every complaint is a {@link ConfigError} that names the key. */
 public final class Toml {
     private final UnmodifiableConfig table;
     private final String prefix;                     // of keys in complaints, such as "journal."
@@ -22,14 +24,16 @@
         this.prefix = prefix;
     }
 
-    /** Reads a file and makes of it what the caller wants; complaints name the file. */
+    /** Reads a file and makes of it what the caller wants; complaints name the file. A reader may still throw what is no error of ours. */
     public static <T> T read(Path file, Function<Toml, T> into) {
         try (Reader text = Files.newBufferedReader(file)) {
             return into.apply(new Toml(new TomlParser().parse(text), ""));
         } catch (IOException e) {
-            throw new IllegalArgumentException(file + ": cannot be read", e);
+            throw new ConfigError.Unreadable(file, e);
+        } catch (YardusherError e) {
+            throw e.in(file);
         } catch (ParsingException | ClassCastException | IllegalArgumentException e) {
-            throw new IllegalArgumentException(file + ": " + String.valueOf(e.getMessage()).lines().findFirst().orElse(""), e);
+            throw new ConfigError.Syntax(file, String.valueOf(e.getMessage()).lines().findFirst().orElse(""), e);
         }
     }
 
@@ -37,14 +41,14 @@
     public Toml only(Set<String> keys) {
         for (UnmodifiableConfig.Entry entry : table.entrySet()) {
             String key = entry.getKey();
-            if (!keys.contains(key)) { throw new IllegalArgumentException("unknown key " + prefix + key + ", allowed are " + String.join(", ", new TreeSet<>(keys))); }
+            if (!keys.contains(key)) { throw new ConfigError.UnknownKey(null, prefix + key, String.join(", ", new TreeSet<>(keys))); }
         }
         return this;
     }
 
     public String text(String key) {
         if (table.get(key) instanceof String text) { return text; }
-        throw new IllegalArgumentException("needs a text in " + prefix + key);
+        throw new ConfigError.Missing(null, prefix + key, "a text in " + prefix + key);
     }
 
     public String text(String key, String absent) { return table.get(key) == null ? absent : text(key); }
@@ -56,13 +60,13 @@
                 && number.intValue() <= most) {
             return number.intValue();
         }
-        throw new IllegalArgumentException(prefix + key + " must be a whole number from " + least + " to " + most);
+        throw value(key, "a whole number from " + least + " to " + most);
     }
 
     public boolean flag(String key, boolean absent) {
         Object value = table.get(key);
         if (value == null || value instanceof Boolean) { return value == null ? absent : (Boolean) value; }
-        throw new IllegalArgumentException(prefix + key + " must be true or false");
+        throw value(key, "true or false");
     }
 
     /** One of a few words. */
@@ -70,18 +74,23 @@
         Object value = table.get(key);
         if (value == null) { return absent; }
         if (List.of(allowed).contains(value)) { return (String) value; }
-        throw new IllegalArgumentException(prefix + key + " must be one of " + String.join(", ", allowed));
+        throw value(key, "one of " + String.join(", ", allowed));
     }
 
     public List<String> texts(String key) {
-        List<Object> items = table.getOrElse(key, List.of());
-        return items.stream().map(String.class::cast).toList();
+        return list(key, String.class, "texts");
     }
 
     /** The tables of an array of tables; empty where it is left out. */
     public List<Toml> tables(String key) {
-        List<UnmodifiableConfig> tables = table.getOrElse(key, List.of());
-        return tables.stream().map(one -> new Toml(one, prefix + key + ".")).toList();
+        return list(key, UnmodifiableConfig.class, "tables").stream().map(one -> new Toml(one, prefix + key + ".")).toList();
+    }
+
+    private <T> List<T> list(String key, Class<T> of, String what) {
+        Object value = table.get(key);
+        if (value == null) { return List.of(); }
+        if (value instanceof List<?> items && items.stream().allMatch(of::isInstance)) { return items.stream().map(of::cast).toList(); }
+        throw value(key, "a list of " + what);
     }
 
     /** One table, or null where it is left out. */
@@ -89,6 +98,8 @@
         Object one = table.get(key);
         if (one == null) { return null; }
         if (one instanceof UnmodifiableConfig found) { return new Toml(found, prefix + key + "."); }
-        throw new IllegalArgumentException(prefix + key + " must be a table");
+        throw value(key, "a table");
     }
+
+    private ConfigError value(String key, String allowed) { return new ConfigError.Value(null, prefix + key, allowed); }
 }
--- a/src/main/java/yardusher/fleet/FleetAgent.java
+++ b/src/main/java/yardusher/fleet/FleetAgent.java
@@ -18,6 +18,10 @@
 import yardusher.core.Turns;
 import yardusher.disk.Folder;
 import yardusher.disk.Storage;
+import yardusher.error.CommandError;
+import yardusher.error.RegisterError;
+import yardusher.error.WireError;
+import yardusher.error.YardusherError;
 import yardusher.fence.Memory;
 import yardusher.net.Answers;
 import yardusher.net.Sockets;
@@ -81,8 +85,7 @@
     /**
      * Opens the agent's folder.
      *
-     * @throws IllegalArgumentException where the folder is another's or holds no member: one plain line
-     * @throws IOException where it cannot be read or is damaged
+     * @throws RegisterError where the folder is another's, holds no member, cannot be read or is damaged: one plain line
      */
     public FleetAgent(FleetSettings settings, Sockets sockets, Targets targets) throws IOException {
         this.settings = settings;
@@ -90,16 +93,16 @@
         turns = sockets.turns();
         random = new Random(System.nanoTime() ^ settings.member().hashCode());
         leases = new Leases(settings.member(), Leases.Terms.of(settings), random);
-        folder = Folder.writing(settings.folder(), settings.member());
+        folder = folder(settings);
         try {
             store = Store.open(folder, settings.installation(), settings.member());
             memory = Memory.open(folder, settings.installation(), settings.member(), turns);
         } catch (IOException e) {
             folder.close();
-            throw new IOException(settings.folder() + ": " + e.getMessage(), e);
-        } catch (IllegalArgumentException e) {
+            throw new RegisterError.Damaged(settings.folder(), String.valueOf(e.getMessage()), e);
+        } catch (RegisterError e) {
             folder.close();
-            throw new IllegalArgumentException(settings.folder() + ": " + e.getMessage(), e);
+            throw e.in(settings.folder());
         }
         outpost = new Outpost(memory, targets, turns, () -> view);
         settings.members().forEach((name, address) -> peer(name, address));
@@ -107,8 +110,18 @@
 
     /** Begins a member in a folder that holds none: once in a member's life. */
     public static void init(FleetSettings settings, boolean joins) throws IOException {
-        try (Storage folder = Folder.writing(settings.folder(), settings.member())) {
+        try (Storage folder = folder(settings)) {
             Store.begin(folder, settings.installation(), settings.member(), joins).close();
+        } catch (RegisterError e) {
+            throw e.in(settings.folder());
+        }
+    }
+
+    private static Storage folder(FleetSettings settings) {
+        try {
+            return Folder.writing(settings.folder(), settings.member());
+        } catch (IOException e) {
+            throw new RegisterError.Folder(settings.folder(), String.valueOf(e.getMessage()), e);
         }
     }
 
@@ -433,7 +446,9 @@
                 case "FLEET.CHANGE" -> change(text(words, 2), text(words, 3).equals("in"), slot);
                 default -> slot.answer(failure("ERR unknown command"));
             }
-        } catch (IOException | IllegalArgumentException e) {
+        } catch (IOException e) {
+            slot.answer(failure("ERR " + new WireError.Malformed(null, String.valueOf(e.getMessage())).getMessage()));
+        } catch (YardusherError e) {
             slot.answer(failure("ERR " + e.getMessage()));
         }
     }
@@ -446,20 +461,20 @@
     }
 
     private static String text(byte[][] words, int at) {
-        if (at >= words.length) { throw new IllegalArgumentException("wrong number of arguments"); }
+        if (at >= words.length) { throw new CommandError.Argument("wrong number of arguments"); }
         return new String(words[at], StandardCharsets.UTF_8);
     }
 
     private void raft(byte[][] words, Answers.Slot slot) throws IOException {
-        if (words.length != 4) { throw new IllegalArgumentException("wrong number of arguments"); }
-        if (!peers.containsKey(text(words, 2))) { throw new IllegalArgumentException("no member " + text(words, 2)); }
+        if (words.length != 4) { throw new CommandError.Argument("wrong number of arguments"); }
+        if (!peers.containsKey(text(words, 2))) { throw new CommandError.NotFound("no member " + text(words, 2)); }
         node.hear(words[3]);
         slot.answer(new Encoder(16).simple("OK").toBytes());
     }
 
     /** A member asks this one, which it takes for the leader. */
     private void operation(byte[][] words, Answers.Slot slot) throws IOException {
-        if (words.length != 3 || words[2].length > Op.MOST_BYTES) { throw new IllegalArgumentException("an operation of at most " + Op.MOST_BYTES + " bytes is needed"); }
+        if (words.length != 3 || words[2].length > Op.MOST_BYTES) { throw new CommandError.Argument("an operation of at most " + Op.MOST_BYTES + " bytes is needed"); }
         answer(Op.decode(words[2]), slot);
     }
 
@@ -472,16 +487,16 @@
     /** An operator's order, with its id: passed to the register by whichever agent is asked. */
     private void order(byte[][] words, Answers.Slot slot) {
         String command = text(words, 2);
-        if (!command.matches("[0-9a-zA-Z-]{8,64}")) { throw new IllegalArgumentException("a command's id is 8 to 64 letters, digits and '-'"); }
+        if (!command.matches("[0-9a-zA-Z-]{8,64}")) { throw new CommandError.Argument("a command's id is 8 to 64 letters, digits and '-'"); }
         String by = text(words, 3);
-        if (!by.matches("[!-~]{1,64}")) { throw new IllegalArgumentException("who orders is up to 64 printable characters"); }
+        if (!by.matches("[!-~]{1,64}")) { throw new CommandError.Argument("who orders is up to 64 printable characters"); }
         String verb = text(words, 4);
         long now = System.currentTimeMillis();
         Op op = switch (verb) {
             case "roll" -> new Op.Submit(command, by, now, Kind.ROLL, Order.of(text(words, 5)).toString(), text(words, 6).equals("take-over"));
             case "ban", "unban" -> {
                 String region = text(words, 5);
-                if (!region.matches(yardusher.register.Bans.REGION)) { throw new IllegalArgumentException("no name of a region: " + region); }
+                if (!region.matches(yardusher.register.Bans.REGION)) { throw new CommandError.Argument("no name of a region: " + region); }
                 yield new Op.Submit(command, by, now, Kind.BANS, region + (verb.equals("ban") ? " out" : " in"), false);
             }
             case "stop" -> new Op.Stop(command, by, now, Kind.of(text(words, 5)));
@@ -491,7 +506,7 @@
                 yield new Op.Admit(command, new Member(text(words, 5)).name(), text(words, 6));
             }
             case "forget" -> new Op.Forget(command, new Member(text(words, 5)).name());
-            default -> throw new IllegalArgumentException("no order " + verb);
+            default -> throw new CommandError.Unknown("no order " + verb);
         };
         untilAnswered(op, turns.now() + 4000, answer -> {
             if (answer == null) {
--- a/src/main/java/yardusher/fleet/FleetSettings.java
+++ b/src/main/java/yardusher/fleet/FleetSettings.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
+import yardusher.error.ConfigError;
 import yardusher.file.Toml;
 import yardusher.net.Sockets;
 import yardusher.register.Member;
@@ -29,7 +30,7 @@
             "pause_ms", "patience_ms", "ready_ms", "leave_instances", "members");
     private static final Set<String> MEMBER_KEYS = Set.of("name", "address");
 
-    /** Reads the table; an {@link IllegalArgumentException} names the key and what is allowed. Null where it is left out. */
+    /** Reads the table; a {@link ConfigError} names the key and what is allowed. Null where it is left out. */
     public static FleetSettings of(Toml file) {
         Toml table = file.table("fleet");
         if (table == null) { return null; }
@@ -42,12 +43,12 @@
             String name = name(one, "name");
             String address = one.text("address");
             Sockets.address(address);
-            if (members.containsKey(name)) { throw new IllegalArgumentException("fleet.members: " + name + " stands twice"); }
-            if (members.containsValue(address)) { throw new IllegalArgumentException("fleet.members: two members at " + address); }
+            if (members.containsKey(name)) { throw new ConfigError.Conflict(null, "fleet.members", "fleet.members: " + name + " stands twice"); }
+            if (members.containsValue(address)) { throw new ConfigError.Conflict(null, "fleet.members", "fleet.members: two members at " + address); }
             members.put(name, address);
         }
-        if (!members.containsKey(member)) { throw new IllegalArgumentException("fleet.members must hold fleet.member, " + member); }
-        if (members.size() > 7) { throw new IllegalArgumentException("fleet.members must be at most 7"); }
+        if (!members.containsKey(member)) { throw new ConfigError.Conflict(null, "fleet.members", "fleet.members must hold fleet.member, " + member); }
+        if (members.size() > 7) { throw new ConfigError.Value(null, "fleet.members", "at most 7"); }
         int heartbeat = table.whole("heartbeat_ms", 200, 20, 10_000);
         return new FleetSettings(installation, member, Path.of(table.text("folder")), table.whole("lease_ms", 1500, 200, 600_000), heartbeat,
                 table.whole("clock_error_permille", 10, 0, 200), table.whole("pause_ms", 100, 0, 60_000),
@@ -57,7 +58,7 @@
     private static String name(Toml table, String key) {
         String name = table.text(key);
         if (!name.matches(Member.PATTERN)) {
-            throw new IllegalArgumentException(key + " must be up to 32 letters, digits, '.', '_' and '-', a letter or digit first");
+            throw new ConfigError.Value(null, "fleet." + key, "up to 32 letters, digits, '.', '_' and '-', a letter or digit first");
         }
         return name;
     }
--- a/src/main/java/yardusher/fleet/Order.java
+++ b/src/main/java/yardusher/fleet/Order.java
@@ -1,5 +1,7 @@
 package yardusher.fleet;
 
+import yardusher.error.CommandError;
+
 /**
  * A roll as it was ordered, in words: {@code restart away=1 failures=0}.
  *
@@ -10,7 +12,7 @@
 record Order(String act, int away, int failures) {
     static final String USAGE = "restart|reload away=N failures=N";
 
-    /** Reads the words; an {@link IllegalArgumentException} says what is allowed. */
+    /** Reads the words; a {@link CommandError} says what is allowed. */
     static Order of(String text) {
         String act = null;
         int away = 1;
@@ -23,10 +25,10 @@
             } else if (word.matches("failures=[0-9]{1,4}")) {
                 failures = Integer.parseInt(word.substring(9));
             } else {
-                throw new IllegalArgumentException("a roll is ordered as " + USAGE + ", not " + word);
+                throw new CommandError.Argument("a roll is ordered as " + USAGE + ", not " + word);
             }
         }
-        if (act == null) { throw new IllegalArgumentException("a roll is ordered as " + USAGE); }
+        if (act == null) { throw new CommandError.Argument("a roll is ordered as " + USAGE); }
         return new Order(act, away, failures);
     }
 
--- a/src/main/java/yardusher/fleet/Outpost.java
+++ b/src/main/java/yardusher/fleet/Outpost.java
@@ -8,6 +8,8 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import yardusher.core.Turns;
+import yardusher.error.CommandError;
+import yardusher.error.YardusherError;
 import yardusher.fence.Fence;
 import yardusher.fence.Memory;
 import yardusher.register.Bans;
@@ -82,13 +84,13 @@
     /** One command of an owner; the answer is a bulk string, or an error that begins with its kind. */
     void command(String[] words, Consumer<Value> then) {
         try {
-            if (words.length != (words[0].equals("FLEET.SEAL") ? 3 : 5)) { throw new IllegalArgumentException("wrong number of arguments"); }
+            if (words.length != (words[0].equals("FLEET.SEAL") ? 3 : 5)) { throw new CommandError.Argument("wrong number of arguments"); }
             Kind kind = Kind.of(words[1]);
-            if (!words[2].matches("[0-9]{1,18}")) { throw new IllegalArgumentException("a token is a whole number"); }
+            if (!words[2].matches("[0-9]{1,18}")) { throw new CommandError.Argument("a token is a whole number"); }
             long token = Long.parseLong(words[2]);
-            if (token == 0 || token > MOST_TOKEN) { throw new IllegalArgumentException("no token"); }
+            if (token == 0 || token > MOST_TOKEN) { throw new CommandError.Argument("no token"); }
             if (words[0].equals("FLEET.SEAL")) { seal(kind, token, then); } else { order(kind, token, words[3], words[4], then); }
-        } catch (IllegalArgumentException e) {
+        } catch (YardusherError e) {
             then.accept(new Value.Failure("ERR " + e.getMessage()));
         }
     }
@@ -148,7 +150,7 @@
     }
 
     private void order(Kind kind, long token, String step, String act, Consumer<Value> then) {
-        if (!step.matches("[0-9a-z]{1,20}/[A-Za-z0-9._-]{1,64}")) { throw new IllegalArgumentException("no name of a step"); }
+        if (!step.matches("[0-9a-z]{1,20}/[A-Za-z0-9._-]{1,64}")) { throw new CommandError.Argument("no name of a step"); }
         check(kind, step, act);
         long newest = given(kind);
         Fence.Verdict verdict = token < newest ? new Fence.Refused(newest) : fence.order(kind.word(), token, step);
@@ -176,12 +178,12 @@
     private void check(Kind kind, String step, String act) {
         String[] words = act.split(" ", 2);
         if (kind == Kind.BANS) {
-            if (!step.matches("bans/[0-9]{1,18}") || words.length != 2 || !words[0].equals("set")) { throw new IllegalArgumentException("no order of bans"); }
+            if (!step.matches("bans/[0-9]{1,18}") || words.length != 2 || !words[0].equals("set")) { throw new CommandError.Argument("no order of bans"); }
             Bans.of(words[1]);
         } else if (words.length != 2 || !words[0].equals("restart") && !words[0].equals("reload")) {
-            throw new IllegalArgumentException("no order of a roll");
+            throw new CommandError.Argument("no order of a roll");
         } else if (!targets.has(words[1])) {
-            throw new IllegalArgumentException("no instance " + words[1]);
+            throw new CommandError.NotFound("no instance " + words[1]);
         }
     }
 
--- a/src/main/java/yardusher/handover/Handover.java
+++ b/src/main/java/yardusher/handover/Handover.java
@@ -10,6 +10,8 @@
 import yardusher.core.Deadlines;
 import yardusher.core.Neighbours;
 import yardusher.core.Turns;
+import yardusher.error.CommandError;
+import yardusher.error.WireError;
 import yardusher.log.Events;
 import yardusher.net.Lines;
 import yardusher.net.Link;
@@ -97,6 +99,8 @@
                 before = Note.read(folder, name);
             } catch (IOException e) {
                 events.warn("starts without the process before", "why", e.getMessage());
+            } catch (WireError e) {
+                events.warn("starts without the process before", e);
             }
         }
         if (before == null) {
@@ -150,16 +154,16 @@
 
     /**
      * The next version asks for what is known, with this line; what it says afterwards comes to the result. An
-     * {@link IllegalArgumentException} for one that may not.
+     * {@link CommandError} for one that may not.
      */
     public Link.Owner succeed(String line, Lines lines, Link link) {
         String[] words = line.split(" ", -1);
         if (words.length != 3 || own == null || !MessageDigest.isEqual(words[2].getBytes(StandardCharsets.ISO_8859_1),
                 own.token().getBytes(StandardCharsets.ISO_8859_1))) {
-            throw new IllegalArgumentException("no such call");
+            throw new CommandError.Unknown("no such call");
         }
-        if (!words[1].equals(Integer.toString(Note.VERSION))) { throw new IllegalArgumentException("another version is spoken here"); }
-        if (other != null) { throw new IllegalArgumentException("another process is there already"); }
+        if (!words[1].equals(Integer.toString(Note.VERSION))) { throw new CommandError.Refused("another version is spoken here"); }
+        if (other != null) { throw new CommandError.Refused("another process is there already"); }
         Other heir = new Other(lines, this);
         heir.on(link);
         other = heir;
--- a/src/main/java/yardusher/handover/Note.java
+++ b/src/main/java/yardusher/handover/Note.java
@@ -10,6 +10,8 @@
 import java.security.SecureRandom;
 import java.util.HexFormat;
 import java.util.List;
+import yardusher.error.ConfigError;
+import yardusher.error.WireError;
 import yardusher.net.Sockets;
 
 /**
@@ -46,21 +48,21 @@
         }
     }
 
-    /** The note of the instance of this name; null where there is none. An {@link IOException} says what is wrong with one. */
+    /** The note of the instance of this name; null where there is none. A {@link WireError} says what is wrong with one. */
     public static Note read(Path folder, String name) throws IOException {
         Path file = file(folder, name);
         if (!Files.exists(file)) { return null; }
-        if (Files.size(file) > MOST_BYTES) { throw new IOException(file + " is no note of an ingress"); }
+        if (Files.size(file) > MOST_BYTES) { throw new WireError.Malformed(file, "is no note of an ingress"); }
         List<String> lines = new String(Files.readAllBytes(file), StandardCharsets.ISO_8859_1).lines().toList();
-        if (lines.isEmpty() || !lines.get(0).startsWith("yardusher ")) { throw new IOException(file + " is no note of an ingress"); }
-        if (!lines.get(0).equals("yardusher " + VERSION)) { throw new IOException(file + " is of another version"); }
+        if (lines.isEmpty() || !lines.get(0).startsWith("yardusher ")) { throw new WireError.Malformed(file, "is no note of an ingress"); }
+        if (!lines.get(0).equals("yardusher " + VERSION)) { throw new WireError.Version(file, "is of another version"); }
         if (lines.size() != 4 || !lines.get(3).equals("end") || !lines.get(2).matches("[0-9a-f]{32}")) {
-            throw new IOException(file + " is torn");
+            throw new WireError.Malformed(file, "is torn");
         }
         try {
             return new Note(Sockets.address(lines.get(1)), lines.get(2));
-        } catch (IllegalArgumentException e) {
-            throw new IOException(file + " is torn", e);
+        } catch (ConfigError e) {
+            throw new WireError.Malformed(file, "is torn", e);
         }
     }
 
@@ -68,6 +70,6 @@
     public void remove(Path folder, String name) {
         try {
             if (equals(read(folder, name))) { Files.delete(file(folder, name)); }
-        } catch (IOException e) { /* whoever reads it finds nobody there */ }
+        } catch (IOException | WireError e) { /* whoever reads it finds nobody there */ }
     }
 }
--- a/src/main/java/yardusher/handover/Other.java
+++ b/src/main/java/yardusher/handover/Other.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import yardusher.error.WireError;
 import yardusher.net.Lines;
 import yardusher.net.Link;
 
@@ -49,7 +50,7 @@
         try {
             for (String line; !link.isClosed() && (line = lines.next()) != null;) { ear.heard(this, Word.of(line)); }
             return true;
-        } catch (IllegalArgumentException e) {
+        } catch (WireError e) {
             close();
             return false;
         }
--- a/src/main/java/yardusher/handover/Word.java
+++ b/src/main/java/yardusher/handover/Word.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
+import yardusher.error.WireError;
 
 /** One line that two processes of one ingress say to each other, decoded once. */
 public sealed interface Word {
@@ -39,7 +40,7 @@
 
     private static String coded(String body) { return Base64.getEncoder().encodeToString(body.getBytes(StandardCharsets.UTF_8)); }
 
-    /** Reads a line without its end; an {@link IllegalArgumentException} for one that is none of these. */
+    /** Reads a line without its end; a {@link WireError.Malformed} for one that is none of these. */
     static Word of(String line) {
         String[] words = line.split(" ", -1);
         String name = words[0] + " " + (words.length - 1);
@@ -50,11 +51,15 @@
             case "whole 0" -> { return new Whole(); }
             case "serving 0" -> { return new Serving(); }
             case "heard 2", "send 2" -> {
-                int number = Integer.parseInt(words[1]);
-                String body = new String(Base64.getDecoder().decode(words[2]), StandardCharsets.UTF_8);
-                return words[0].equals("heard") ? new Heard(number, body) : new Send(number, body);
+                try {
+                    int number = Integer.parseInt(words[1]);
+                    String body = new String(Base64.getDecoder().decode(words[2]), StandardCharsets.UTF_8);
+                    return words[0].equals("heard") ? new Heard(number, body) : new Send(number, body);
+                } catch (IllegalArgumentException e) { // no number, or no Base64
+                    throw new WireError.Malformed(null, "no datagram in a word between two processes of an ingress", e);
+                }
             }
-            default -> throw new IllegalArgumentException("no word between two processes of an ingress");
+            default -> throw new WireError.Malformed(null, "no word between two processes of an ingress");
         }
     }
 }
--- a/src/main/java/yardusher/journal/Journal.java
+++ b/src/main/java/yardusher/journal/Journal.java
@@ -13,6 +13,7 @@
 import yardusher.core.Turns;
 import yardusher.disk.Folder;
 import yardusher.disk.Storage;
+import yardusher.error.JournalError;
 import yardusher.log.Events;
 
 /**
@@ -77,12 +78,19 @@
      * Opens the folder, finds what the last life left open and begins a new life. Reads and writes the disk, so it is
      * called before the first turn. {@code events} gets whatever an operator should know.
      *
-     * @throws IOException in one plain line where the folder cannot be used or another process uses it
+     * @throws JournalError in one plain line where the folder cannot be used or another process uses it
      */
     public static Journal open(JournalSettings settings, String instance, Api.Settings site, List<String> classes,
             List<String> plans, Turns turns, Events events) throws IOException {
-        return open(Folder.writing(settings.folder().resolve(instance), instance), settings, instance, site, classes, plans,
-                turns, events);
+        Folder folder;
+        try {
+            folder = Folder.writing(settings.folder().resolve(instance), instance);
+        } catch (Folder.Held e) {
+            throw new JournalError.Held("journal.folder " + settings.folder().resolve(instance), e.getMessage(), e);
+        } catch (IOException e) {
+            throw new JournalError.Folder("journal.folder " + settings.folder().resolve(instance), String.valueOf(e.getMessage()), e);
+        }
+        return open(folder, settings, instance, site, classes, plans, turns, events);
     }
 
     static Journal open(Storage storage, JournalSettings settings, String instance, Api.Settings site,
@@ -96,7 +104,7 @@
             return new Journal(turns, site, settings, segments, found, events, instance);
         } catch (IOException e) {
             storage.close();
-            throw new IOException(settings.folder().resolve(instance) + ": cannot be written: " + e.getMessage(), e);
+            throw new JournalError.Folder("journal.folder " + settings.folder().resolve(instance), "cannot be written: " + e.getMessage(), e);
         }
     }
 
--- a/src/main/java/yardusher/journal/JournalSettings.java
+++ b/src/main/java/yardusher/journal/JournalSettings.java
@@ -2,6 +2,7 @@
 
 import java.nio.file.Path;
 import java.util.Set;
+import yardusher.error.ConfigError;
 import yardusher.file.Toml;
 
 /**
@@ -25,7 +26,7 @@
             "max_mb", "reserve_kb", "keep_hours", "keep_least_minutes", "when_full", "retry_after_ms",
             "record_untried");
 
-    /** Reads the table; an IllegalArgumentException names the key and what is allowed. Null where it is left out. */
+    /** Reads the table; a {@link ConfigError} names the key and what is allowed. Null where it is left out. */
     public static JournalSettings of(Toml file) {
         Toml table = file.table("journal");
         if (table == null) { return null; }
@@ -40,7 +41,7 @@
                 table.whole("retry_after_ms", 500, 1, 60_000),
                 table.flag("record_untried", false));
         if (settings.mostBytes < 2 * settings.segmentBytes + settings.reserveBytes) {
-            throw new IllegalArgumentException("journal.max_mb must hold two segments of segment_kb and reserve_kb");
+            throw new ConfigError.Conflict(null, "journal.max_mb", "journal.max_mb must hold two segments of segment_kb and reserve_kb");
         }
         return settings;
     }
--- a/src/main/java/yardusher/journal/Orders.java
+++ b/src/main/java/yardusher/journal/Orders.java
@@ -25,6 +25,8 @@
 import org.apache.commons.csv.CSVPrinter;
 import yardusher.disk.Folder;
 import yardusher.disk.Storage;
+import yardusher.error.CommandError;
+import yardusher.error.JournalError;
 import yardusher.list.ServiceTable;
 
 /** What the sub-command {@code orders} does with one or more folders of journals. */
@@ -43,13 +45,13 @@
         List<Path> folders = new ArrayList<>();
         for (String text : paths) {
             Path path = Path.of(text);
-            if (!Files.isDirectory(path)) { throw new IllegalArgumentException(text + ": not a folder"); }
+            if (!Files.isDirectory(path)) { throw new JournalError.Folder(text, "not a folder"); }
             int before = folders.size();
             if (isJournal(path)) { folders.add(path); }
             try (Stream<Path> inside = Files.list(path)) {
                 inside.sorted().filter(Files::isDirectory).filter(Orders::isJournal).forEach(folders::add);
             }
-            if (folders.size() == before) { throw new IllegalArgumentException(text + ": holds no journal"); }
+            if (folders.size() == before) { throw new JournalError.None(text); }
         }
         return folders;
     }
@@ -62,7 +64,7 @@
         }
     }
 
-    /** What is asked for, from texts as people give them; an IllegalArgumentException says which is wrong. */
+    /** What is asked for, from texts as people give them; a {@link CommandError} says which is wrong. */
     public static final class Asked {
         private final Map<SegmentIndex.Field, Long> values = new EnumMap<>(SegmentIndex.Field.class);
         private Set<Order.State> states = Set.of();
@@ -78,7 +80,7 @@
         public Asked by(String field, String text) {
             SegmentIndex.Field of = SegmentIndex.Field.valueOf(field.toUpperCase(Locale.ROOT));
             if (of != SegmentIndex.Field.REGION && !text.matches("[0-9a-f]{1,16}")) {
-                throw new IllegalArgumentException(field + " must be 1 to 16 hex digits");
+                throw new CommandError.Argument(field + " must be 1 to 16 hex digits");
             }
             values.put(of, of == SegmentIndex.Field.REGION ? ServiceTable.id(text) : Long.parseUnsignedLong(text, 16));
             return this;
@@ -92,7 +94,7 @@
                     continue;
                 }
                 wanted.add(Stream.of(Order.State.values()).filter(state -> state.flag().equals(word)).findFirst()
-                        .orElseThrow(() -> new IllegalArgumentException("state must be some of "
+                        .orElseThrow(() -> new CommandError.Argument("state must be some of "
                                 + String.join(", ", Stream.of(Order.State.values()).map(Order.State::flag).toList()) + ", unknown")));
             }
             states = wanted;
@@ -122,7 +124,7 @@
                                 .replaceAll("T$", "").toUpperCase(Locale.ROOT)));
                 return at.getEpochSecond() * 1_000_000 + at.getNano() / 1000;
             } catch (DateTimeParseException e) {
-                throw new IllegalArgumentException(name + " must be a time such as 2026-12-01T09:30:00Z, or as long ago as 15m, 2h or 1d", e);
+                throw new CommandError.Argument(name + " must be a time such as 2026-12-01T09:30:00Z, or as long ago as 15m, 2h or 1d");
             }
         }
 
--- a/src/main/java/yardusher/keys/KeySettings.java
+++ b/src/main/java/yardusher/keys/KeySettings.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import yardusher.error.ConfigError;
 import yardusher.file.Toml;
 
 /**
@@ -11,7 +12,7 @@
  */
 public record KeySettings(int answerBytes, int mostRunning, int mostWaiting, double lifetimeMs, Map<String, Double> lifetimesMs,
         double retryAfterMs) {
-    /** Reads the table; an IllegalArgumentException names the key and what is allowed. Null where it is left out. */
+    /** Reads the table; a {@link ConfigError} names the key and what is allowed. Null where it is left out. */
     public static KeySettings of(Toml file) {
         Toml table = file.table("keys");
         if (table == null) { return null; }
@@ -20,7 +21,7 @@
         for (Toml one : table.tables("lifetime")) {
             one.only(java.util.Set.of("class", "seconds"));
             if (lifetimes.put(one.text("class"), 1000.0 * one.whole("seconds", 600, 1, 86_400)) != null) {
-                throw new IllegalArgumentException("keys.lifetime names the class " + one.text("class") + " twice");
+                throw new ConfigError.Conflict(null, "keys.lifetime", "keys.lifetime names the class " + one.text("class") + " twice");
             }
         }
         return new KeySettings(1024 * table.whole("answers_kb", 8192, 256, 1 << 20), table.whole("most_running", 10_000, 1, 1_000_000),
@@ -31,7 +32,7 @@
     /** Complains of a lifetime for a class that the site does not have. */
     public void check(List<String> classes) {
         for (String name : lifetimesMs.keySet()) {
-            if (!classes.contains(name)) { throw new IllegalArgumentException("keys.lifetime names the unknown class " + name); }
+            if (!classes.contains(name)) { throw new ConfigError.UnknownName(null, "keys.lifetime", "keys.lifetime names the unknown class " + name); }
         }
     }
 
--- a/src/main/java/yardusher/limits/LimitsConfig.java
+++ b/src/main/java/yardusher/limits/LimitsConfig.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
+import yardusher.error.ConfigError;
 import yardusher.file.Toml;
 import yardusher.net.Sockets;
 
@@ -21,7 +22,7 @@
             Set.of("listen", "class", "wait_ms", "queries_per_s", "partner", "others");
     private static final Set<String> PARTNER_KEYS = Set.of("key", "customer", "plan", "first", "spread");
 
-    /** Reads the file; an {@link IllegalArgumentException} says in one line what is wrong with it. */
+    /** Reads the file; a {@link ConfigError} says in one line what is wrong with it. */
     public static LimitsConfig read(Path file) { return Toml.read(file, LimitsConfig::of); }
 
     private static LimitsConfig of(Toml toml) {
@@ -32,7 +33,7 @@
             one.only(PARTNER_KEYS);
             String key = one.text("key");
             if (partners.put(key, partner(one, customer(one.text("customer")))) != null) {
-                throw new IllegalArgumentException("partner " + key + " stands twice");
+                throw new ConfigError.Conflict(null, "partner.key", "partner " + key + " stands twice");
             }
         }
         Toml others = toml.table("others");
@@ -50,16 +51,19 @@
     Partner partner(String key) {
         Partner named = partners.get(key);
         if (named != null || others == null || !key.matches("[0-9a-f]{16}")) { return named; }
-        try {
-            return new Partner(customer(key), others.plan(), others.first(), others.spread());
-        } catch (IllegalArgumentException e) {
-            return null;
-        }
+        long customer = number(key);
+        return customer < 0 ? null : new Partner(customer, others.plan(), others.first(), others.spread());
     }
 
     private static long customer(String hex) {
-        long number = hex.matches("[0-9a-f]{1,16}") ? Long.parseUnsignedLong(hex, 16) : -1;
-        if (number < 0 || number >= 1L << 33) { throw new IllegalArgumentException("bad customer \"" + hex + "\""); }
+        long number = number(hex);
+        if (number < 0) { throw new ConfigError.Value(null, "partner.customer", "up to 16 hex digits below 2^33, not \"" + hex + "\""); }
         return number;
     }
+
+    /** A customer's number; -1 where it is none. */
+    private static long number(String hex) {
+        long number = hex.matches("[0-9a-f]{1,16}") ? Long.parseUnsignedLong(hex, 16) : -1;
+        return number < 1L << 33 ? number : -1;
+    }
 }
--- a/src/main/java/yardusher/limits/LimitsFront.java
+++ b/src/main/java/yardusher/limits/LimitsFront.java
@@ -11,6 +11,8 @@
 import yardusher.core.Ingress;
 import yardusher.core.Order;
 import yardusher.core.Terminal;
+import yardusher.error.CommandError;
+import yardusher.error.ConfigError;
 import yardusher.net.Answers;
 import yardusher.net.Budget;
 import yardusher.net.Sockets;
@@ -55,7 +57,7 @@
     /** Whether the file fits the settings: classes, plans and sets that exist. */
     public static void check(LimitsConfig config, List<String> classNames, List<String> planNames, int ingresses) {
         if (!classNames.contains(config.className())) {
-            throw new IllegalArgumentException("limits: unknown class " + config.className());
+            throw new ConfigError.UnknownName("limits", "class", "unknown class " + config.className());
         }
         config.partners().forEach((key, partner) -> check(key, partner, planNames, ingresses));
         if (config.others() != null) { check("others", config.others(), planNames, ingresses); }
@@ -63,10 +65,10 @@
 
     private static void check(String key, LimitsConfig.Partner partner, List<String> planNames, int ingresses) {
         if (!planNames.contains(partner.plan())) {
-            throw new IllegalArgumentException("limits: " + key + " has the unknown plan " + partner.plan());
+            throw new ConfigError.UnknownName("limits", key + ".plan", key + " has the unknown plan " + partner.plan());
         }
         if (partner.first() >= ingresses || partner.spread() > ingresses) {
-            throw new IllegalArgumentException("limits: " + key + " names more ingresses than there are");
+            throw new ConfigError.Conflict("limits", key + ".spread", key + " names more ingresses than there are");
         }
     }
 
@@ -85,16 +87,16 @@
         try {
             Throttle asked = Throttle.of(words);
             LimitsConfig.Partner partner = config.partner(asked.key());
-            if (partner == null) { throw new IllegalArgumentException("no such partner"); }
+            if (partner == null) { throw new CommandError.NotFound("no such partner"); }
             int plan = plans.indexOf(partner.plan());
             Api.Plan limits = ingress.settings().plans().get(plan);
-            if (!asked.agreesWith(limits)) { throw new IllegalArgumentException(contradiction(partner, limits)); }
+            if (!asked.agreesWith(limits)) { throw new CommandError.Argument(contradiction(partner, limits)); }
             if (asked.quantity() == 0) {
                 query(partner, plan, slot);
             } else {
                 use(asked, partner, plan, slot);
             }
-        } catch (IllegalArgumentException e) {
+        } catch (CommandError e) {
             ingress.counters().invalid++;
             slot.reject(e.getMessage());
         }
@@ -132,7 +134,7 @@
     private void use(Throttle asked, LimitsConfig.Partner partner, int plan, Answers.Slot slot) {
         double most = ingress.settings().mostUnits();
         if (asked.quantity() > most) {
-            throw new IllegalArgumentException("quantity is at most " + (long) most);
+            throw new CommandError.Argument("quantity is at most " + (long) most);
         }
         if (open >= MOST_OPEN) {
             error(slot, "too many limit commands at once");
--- a/src/main/java/yardusher/limits/Throttle.java
+++ b/src/main/java/yardusher/limits/Throttle.java
@@ -2,17 +2,18 @@
 
 import java.nio.charset.StandardCharsets;
 import yardusher.Api;
+import yardusher.error.CommandError;
 
 /** One CL.THROTTLE command, decoded once: key max_burst count period [quantity]. */
 record Throttle(String key, long maxBurst, long count, long periodS, int quantity) {
     private static final long MOST = 1_000_000_000;
 
-    /** Reads a command; an {@link IllegalArgumentException} says what is wrong with it. */
+    /** Reads a command; a {@link CommandError} says what is wrong with it. */
     static Throttle of(byte[][] words) {
         if (words.length < 5 || words.length > 6) {
-            throw new IllegalArgumentException("wrong number of arguments for 'cl.throttle' command");
+            throw new CommandError.Argument("wrong number of arguments for 'cl.throttle' command");
         }
-        if (words[1].length == 0 || words[1].length > 128) { throw new IllegalArgumentException("bad key"); }
+        if (words[1].length == 0 || words[1].length > 128) { throw new CommandError.Argument("bad key"); }
         return new Throttle(new String(words[1], StandardCharsets.UTF_8), whole(words[2], 0, "max_burst"),
                 whole(words[3], 1, "count"), whole(words[4], 1, "period"),
                 words.length < 6 ? 1 : (int) whole(words[5], 0, "quantity"));
@@ -25,7 +26,7 @@
                 number = Long.parseLong(new String(digits, StandardCharsets.US_ASCII));
             } catch (NumberFormatException e) { /* said below */ }
         }
-        if (number < least || number > MOST) { throw new IllegalArgumentException("invalid " + name); }
+        if (number < least || number > MOST) { throw new CommandError.Argument("invalid " + name); }
         return number;
     }
 
--- a/src/main/java/yardusher/log/Events.java
+++ b/src/main/java/yardusher/log/Events.java
@@ -1,5 +1,8 @@
 package yardusher.log;
 
+import java.util.Arrays;
+import yardusher.error.YardusherError;
+
 /**
  * What a part of the program has to tell an operator: a text that is the same for each event of a kind, and names and
  * values in turn. Without a table {@code log} in our settings it is a plain line on standard error and nothing is loaded;
@@ -10,6 +13,15 @@
 
     void warn(String text, Object... pairs);
 
+    /** The same with what the error's type knows: its code, where, its details, and its words under {@code why}. */
+    default void warn(String text, YardusherError error) {
+        Object[] fields = error.fields();
+        Object[] pairs = Arrays.copyOf(fields, fields.length + 2);
+        pairs[fields.length] = "why";
+        pairs[fields.length + 1] = error.what();
+        warn(text, pairs);
+    }
+
     /** Lines such as {@code n3 journal: torn tail cut off file=orders-1.seg bytes=17}. */
     static Events plain(String instance) {
         return new Events() {
--- a/src/main/java/yardusher/log/LogSettings.java
+++ b/src/main/java/yardusher/log/LogSettings.java
@@ -5,7 +5,7 @@
 
 /** What deploy/yardusher.toml says in its table {@code log}. */
 public record LogSettings(boolean json, String level) {
-    /** Reads the table; an IllegalArgumentException names the key and what is allowed. Null where it is left out. */
+    /** Reads the table; a {@link yardusher.error.ConfigError} names the key and what is allowed. Null where it is left out. */
     public static LogSettings of(Toml file) {
         Toml table = file.table("log");
         if (table == null) { return null; }
--- a/src/main/java/yardusher/net/Lines.java
+++ b/src/main/java/yardusher/net/Lines.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import yardusher.error.WireError;
 import yardusher.resp.Inbound;
 
 /** Takes lines out of bytes cut anywhere. One fixed buffer, the longest line and its end. */
@@ -27,7 +28,7 @@
     public boolean isEmpty() { return start == end; }
 
     /**
-     * The next line without its end (LF or CR LF), or null while it is not whole. An {@link IllegalArgumentException}
+     * The next line without its end (LF or CR LF), or null while it is not whole. A {@link WireError}
      * for one that is too long.
      */
     public String next() {
@@ -38,7 +39,7 @@
             start = i + 1;
             return line;
         }
-        if (end - start == bytes.length) { throw new IllegalArgumentException("line longer than " + (bytes.length - 2) + " bytes"); }
+        if (end - start == bytes.length) { throw new WireError.Malformed(null, "line longer than " + (bytes.length - 2) + " bytes"); }
         return null;
     }
 }
--- a/src/main/java/yardusher/net/Sockets.java
+++ b/src/main/java/yardusher/net/Sockets.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.SocketException;
 import java.net.StandardSocketOptions;
 import java.net.UnknownHostException;
 import java.nio.channels.AsynchronousChannelGroup;
@@ -13,6 +14,8 @@
 import java.util.function.Predicate;
 import yardusher.core.Deadlines;
 import yardusher.core.Turns;
+import yardusher.error.ConfigError;
+import yardusher.error.WireError;
 
 /** Opens connections and listens, on one channel group with one thread of its own. */
 public final class Sockets {
@@ -31,20 +34,23 @@
 
     public Turns turns() { return turns; }
 
-    /** An address of digits and a port, such as 127.0.0.4:6379. Names are not looked up. */
+    /** An address of digits and a port, such as 127.0.0.4:6379. Names are not looked up. Else a {@link ConfigError}. */
     public static InetSocketAddress address(String text) {
         int colon = text.lastIndexOf(':');
         String host = colon < 0 ? "" : text.substring(0, colon);
         if (!host.matches("[0-9.]+|\\[[0-9a-fA-F:.]+]")) {
-            throw new IllegalArgumentException("not an address: " + text);
+            throw new ConfigError.Address(null, text);
         }
         try {
             return new InetSocketAddress(InetAddress.getByName(host), Integer.parseInt(text.substring(colon + 1)));
-        } catch (UnknownHostException | NumberFormatException e) {
-            throw new IllegalArgumentException("not an address: " + text, e);
+        } catch (UnknownHostException | IllegalArgumentException e) {
+            throw new ConfigError.Address(null, text);
         }
     }
 
+    /** The other way round, for messages. */
+    public static String text(InetSocketAddress at) { return at.getAddress().getHostAddress() + ":" + at.getPort(); }
+
     /** A listening socket. */
     public final class Door {
         private final AsynchronousServerSocketChannel channel;
@@ -65,9 +71,13 @@
 
         public InetSocketAddress address() throws IOException { return (InetSocketAddress) channel.getLocalAddress(); }
 
-        /** Listens; until then nobody can come. */
+        /** Listens; until then nobody can come. A {@link WireError} where another process holds the address. */
         public void bind() throws IOException {
-            channel.bind(at, 1024);
+            try {
+                channel.bind(at, 1024);
+            } catch (SocketException e) {
+                throw new WireError.Listen(text(at), e.getMessage(), e);
+            }
             bound = true;
         }
 
--- a/src/main/java/yardusher/nginx/Importer.java
+++ b/src/main/java/yardusher/nginx/Importer.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import yardusher.error.ConfigError;
 
 /**
  * Turns nginx's upstream and location blocks into a configuration of ours: the servers of one upstream become
@@ -69,11 +70,11 @@
             }
             switch (d.name()) {
                 case "upstream" -> {
-                    if (d.block() == null || d.word(1) == null) { throw new NginxParser.Bad(d.line(), "upstream needs a name and a block"); }
-                    if (upstreams.put(d.word(1), d) != null) { throw new NginxParser.Bad(d.line(), "upstream " + d.word(1) + " stands twice"); }
+                    if (d.block() == null || d.word(1) == null) { throw NginxParser.bad(d.line(), "upstream needs a name and a block"); }
+                    if (upstreams.put(d.word(1), d) != null) { throw NginxParser.bad(d.line(), "upstream " + d.word(1) + " stands twice"); }
                 }
                 case "location" -> {
-                    if (d.block() == null) { throw new NginxParser.Bad(d.line(), "location needs a block"); }
+                    if (d.block() == null) { throw NginxParser.bad(d.line(), "location needs a block"); }
                     locations.add(d);
                 }
                 case "limit_req_zone" -> zone(d);
@@ -142,8 +143,8 @@
         String chosen = wanted != null ? wanted : used.size() == 1 ? used.iterator().next()
                 : upstreams.size() == 1 ? upstreams.keySet().iterator().next() : null;
         if (chosen == null || !upstreams.containsKey(chosen)) {
-            throw new IllegalArgumentException(upstreams.isEmpty() ? "no upstream block"
-                    : "name one upstream of " + String.join(", ", upstreams.keySet()));
+            throw new ConfigError.Missing(null, "upstream", upstreams.isEmpty() ? "an upstream block"
+                    : "one upstream named, of " + String.join(", ", upstreams.keySet()));
         }
         List<Region> regions = regions(upstreams.get(chosen));
         upstreams.forEach((name, d) -> {
@@ -158,7 +159,7 @@
                 note(location, to == null ? "does not pass to an upstream" : "passes to " + to + ", not to " + chosen);
             }
         });
-        if (classes.isEmpty()) { throw new IllegalArgumentException("no location passes to " + chosen); }
+        if (classes.isEmpty()) { throw new ConfigError.Missing(null, "location", "a location that passes to " + chosen); }
         notes.sort(java.util.Comparator.comparingInt(Importer::lineOf));
         return new Result(json(regions, classes), notes);
     }
--- a/src/main/java/yardusher/nginx/NginxParser.java
+++ b/src/main/java/yardusher/nginx/NginxParser.java
@@ -2,17 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import yardusher.error.ConfigError;
 
 /** Reads nginx's configuration language: words, quotes, comments, semicolons and blocks. Bounded in depth. */
 final class NginxParser {
     private static final int MOST_DEPTH = 32;
 
     /** A file that is not in nginx's form; the message names the line. */
-    static final class Bad extends IllegalArgumentException {
-        private static final long serialVersionUID = 1L;
-
-        Bad(int line, String what) { super("line " + line + ": " + what); }
-    }
+    static ConfigError bad(int line, String what) { return new ConfigError.Syntax(null, "line " + line + ": " + what); }
 
     private final String text;
     private int at;
@@ -23,27 +20,27 @@
     static List<Directive> parse(String text) { return new NginxParser(text).block(0, 1); }
 
     private List<Directive> block(int depth, int openedAt) {
-        if (depth > MOST_DEPTH) { throw new Bad(line, "blocks nested too deep"); }
+        if (depth > MOST_DEPTH) { throw bad(line, "blocks nested too deep"); }
         List<Directive> directives = new ArrayList<>();
         List<String> words = new ArrayList<>();
         int begun = line;
         for (;;) {
             skip();
             if (at == text.length()) {
-                if (!words.isEmpty()) { throw new Bad(begun, "directive \"" + words.get(0) + "\" is not ended by \";\""); }
-                if (depth > 0) { throw new Bad(openedAt, "block is not closed"); }
+                if (!words.isEmpty()) { throw bad(begun, "directive \"" + words.get(0) + "\" is not ended by \";\""); }
+                if (depth > 0) { throw bad(openedAt, "block is not closed"); }
                 return directives;
             }
             char c = text.charAt(at);
             if (c == ';' || c == '{') {
                 at++;
-                if (words.isEmpty()) { throw new Bad(line, "unexpected \"" + c + "\""); }
+                if (words.isEmpty()) { throw bad(line, "unexpected \"" + c + "\""); }
                 directives.add(new Directive(List.copyOf(words), begun, c == ';' ? null : block(depth + 1, begun)));
                 words.clear();
             } else if (c == '}') {
                 at++;
-                if (!words.isEmpty()) { throw new Bad(begun, "directive \"" + words.get(0) + "\" is not ended by \";\""); }
-                if (depth == 0) { throw new Bad(line, "unexpected \"}\""); }
+                if (!words.isEmpty()) { throw bad(begun, "directive \"" + words.get(0) + "\" is not ended by \";\""); }
+                if (depth == 0) { throw bad(line, "unexpected \"}\""); }
                 return directives;
             } else {
                 if (words.isEmpty()) { begun = line; }
@@ -80,14 +77,14 @@
                 if (c == '\\' && at + 1 < text.length()) { c = text.charAt(++at); }
                 word.append(c);
             }
-            throw new Bad(begun, "quote is not closed");
+            throw bad(begun, "quote is not closed");
         }
         for (; at < text.length(); at++) {
             char c = text.charAt(at);
             boolean variable = c == '{' && word.length() > 0 && word.charAt(word.length() - 1) == '$'; // ${name}
             if (variable) {
                 int end = text.indexOf('}', at);
-                if (end < 0) { throw new Bad(line, "variable is not closed"); }
+                if (end < 0) { throw bad(line, "variable is not closed"); }
                 word.append(text, at, end + 1);
                 at = end;
                 continue;
--- a/src/main/java/yardusher/register/Bans.java
+++ b/src/main/java/yardusher/register/Bans.java
@@ -3,6 +3,8 @@
 import java.util.Collection;
 import java.util.Map;
 import java.util.TreeMap;
+import yardusher.error.RegisterError;
+import yardusher.error.WireError;
 
 /**
  * The regions that are out by hand, and those let in again since, each with the revision that said so last. Written as
@@ -21,19 +23,19 @@
 
     private Bans() { }
 
-    /** Reads the written form; an {@link IllegalArgumentException} where it is none. */
+    /** Reads the written form; a {@link WireError.Malformed} where it is none. */
     public static Bans of(String text) {
         Bans bans = new Bans();
         if (text.isEmpty()) { return bans; }
         for (String one : text.split(",")) {
             String[] parts = one.split(":", -1);
-            if (parts.length != 3 || !parts[0].matches("[0-9]{1,18}")) { throw new IllegalArgumentException("no list of bans"); }
+            if (parts.length != 3 || !parts[0].matches("[0-9]{1,18}")) { throw new WireError.Malformed(null, "no list of bans"); }
             bans.byRegion.put(parts[1], new Ban(parts[1], Long.parseLong(parts[0]), parts[2].equals("out")));
         }
         return bans;
     }
 
-    /** With one more order; an {@link IllegalArgumentException} where no room is left. */
+    /** With one more order; a {@link RegisterError.Refused} where no room is left. */
     public Bans with(String region, long revision, boolean out) {
         Bans next = new Bans();
         next.byRegion.putAll(byRegion);
@@ -41,7 +43,7 @@
         while (next.byRegion.size() > MOST) {
             Ban oldest = next.byRegion.values().stream().filter(ban -> !ban.out())
                     .min((a, b) -> Long.compare(a.revision(), b.revision())).orElse(null);
-            if (oldest == null) { throw new IllegalArgumentException(MOST + " regions are out already"); }
+            if (oldest == null) { throw new RegisterError.Refused(MOST + " regions are out already"); }
             next.byRegion.remove(oldest.region());
         }
         return next;
--- a/src/main/java/yardusher/register/Kind.java
+++ b/src/main/java/yardusher/register/Kind.java
@@ -2,6 +2,7 @@
 
 import java.util.Arrays;
 import java.util.Locale;
+import yardusher.error.CommandError;
 
 /** The kinds of work that are done once for the fleet. There is at most one work of each kind, under the kind's name. */
 public enum Kind {
@@ -16,9 +17,9 @@
     /** Whether the work goes on by itself: a further order changes it and conflicts with nobody. */
     public boolean goesOn() { return this == BANS; }
 
-    /** The kind of a name; an {@link IllegalArgumentException} names those there are. */
+    /** The kind of a name; a {@link CommandError} names those there are. */
     public static Kind of(String word) {
         return Arrays.stream(values()).filter(kind -> kind.word().equals(word)).findFirst()
-                .orElseThrow(() -> new IllegalArgumentException("no work " + word + "; there are roll, bans"));
+                .orElseThrow(() -> new CommandError.Argument("no work " + word + "; there are roll, bans"));
     }
 }
--- a/src/main/java/yardusher/register/Member.java
+++ b/src/main/java/yardusher/register/Member.java
@@ -1,6 +1,7 @@
 package yardusher.register;
 
 import io.microraft.RaftEndpoint;
+import yardusher.error.CommandError;
 
 /** An agent as the register's consensus knows it: by its name, which is never used twice. */
 public record Member(String name) implements RaftEndpoint {
@@ -8,7 +9,7 @@
     public static final String PATTERN = "[A-Za-z0-9][A-Za-z0-9._-]{0,31}";
 
     public Member {
-        if (!name.matches(PATTERN)) { throw new IllegalArgumentException("bad member name"); }
+        if (!name.matches(PATTERN)) { throw new CommandError.Argument("a member's name is up to 32 letters, digits, '.', '_' and '-', a letter or digit first"); }
     }
 
     @Override
--- a/src/main/java/yardusher/register/Models.java
+++ b/src/main/java/yardusher/register/Models.java
@@ -14,6 +14,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import yardusher.disk.Fields;
+import yardusher.error.CommandError;
 
 /** What the consensus library keeps and sends beside messages, as protobuf messages: entries, members, snapshot parts. */
 final class Models {
@@ -79,7 +80,7 @@
     static RaftEndpoint member(String name) throws IOException {
         try {
             return name.isEmpty() ? null : new Member(name);
-        } catch (IllegalArgumentException e) {
+        } catch (CommandError e) {
             throw new IOException(e.getMessage(), e);
         }
     }
--- a/src/main/java/yardusher/register/Register.java
+++ b/src/main/java/yardusher/register/Register.java
@@ -13,6 +13,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import yardusher.disk.Fields;
+import yardusher.error.YardusherError;
 
 /**
  * The register of owners: for each work its holder, token, lease beat and checkpoint. A state machine that every member
@@ -76,7 +77,7 @@
             try {
                 String spec = Bans.of(now.spec()).with(words[0], now.revision() + 1, words[1].equals("out")).toString();
                 now = now.ordered(spec, o.by(), o.atMs());
-            } catch (IllegalArgumentException e) {
+            } catch (YardusherError e) {
                 return Answer.no(now.token(), e.getMessage());
             }
             works.put(o.kind(), now);
--- a/src/main/java/yardusher/register/Store.java
+++ b/src/main/java/yardusher/register/Store.java
@@ -17,6 +17,7 @@
 import yardusher.disk.Fields;
 import yardusher.disk.Ledger;
 import yardusher.disk.Storage;
+import yardusher.error.RegisterError;
 
 /**
  * A member's term, vote, log and snapshot, on a {@link Ledger}: checksummed, and synced before an answer that rests on
@@ -53,7 +54,7 @@
      * there already takes it in; else it is one of the first.
      */
     public static Store begin(Storage storage, String installation, String member, boolean joins) throws IOException {
-        if (isThere(storage)) { throw new IllegalArgumentException("the folder holds a member's store already"); }
+        if (isThere(storage)) { throw new RegisterError.Occupied(null); }
         Store store = new Store(installation, member, joins);
         store.ledger = Ledger.begin(storage, PREFIX, MAGIC, store.content(), SEGMENT_BYTES);
         return store;
@@ -62,15 +63,19 @@
     /**
      * Opens the store of a member.
      *
-     * @throws IllegalArgumentException where the folder is another member's or installation's, or holds no store
-     * @throws IOException where what it holds is damaged: the member must not take part
+     * @throws RegisterError where the folder is another member's or installation's, holds no store, or where what it holds
+     *         is damaged: the member must not take part
      */
     public static Store open(Storage storage, String installation, String member) throws IOException {
         if (!isThere(storage)) {
-            throw new IllegalArgumentException("the folder holds no store of " + member + "; a new member is begun by fleet init");
+            throw new RegisterError.Empty(null, member);
         }
         Store store = new Store(installation, member, false);
-        store.ledger = Ledger.open(storage, PREFIX, MAGIC, store.content(), SEGMENT_BYTES);
+        try {
+            store.ledger = Ledger.open(storage, PREFIX, MAGIC, store.content(), SEGMENT_BYTES);
+        } catch (IOException e) {
+            throw new RegisterError.Damaged(null, String.valueOf(e.getMessage()), e);
+        }
         return store;
     }
 
@@ -115,7 +120,7 @@
         if (line.kind() == WHOSE) {
             Fields f = Fields.read(line.body());
             if (!f.text(1).equals(installation) || !f.text(2).equals(member)) {
-                throw new IllegalArgumentException("the folder is that of member " + f.text(2) + " of installation " + f.text(1));
+                throw new RegisterError.Foreign(null, f.text(2), f.text(1));
             }
             joins = f.flag(3);
             return;
--- a/src/main/java/yardusher/resp/Call.java
+++ b/src/main/java/yardusher/resp/Call.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import net.openhft.hashing.LongHashFunction;
 import yardusher.core.Cargo;
+import yardusher.error.CommandError;
 
 /**
  * A platform command, CALL.GET or CALL.POST, decoded once: customer, id, the list of names and values, body.
@@ -54,15 +55,15 @@
     public boolean hasBody() { return words.length == 5; }
 
     /**
-     * Reads a command; an {@link IllegalArgumentException} says what is wrong with it. Guards the regions, which
+     * Reads a command; a {@link CommandError} says what is wrong with it. Guards the regions, which
      * take a form that no client sends as a fault of the ingress: every word is read to its end.
      */
     public static Call of(byte[][] words) {
-        if (words.length < 4 || words.length > 5) { throw new IllegalArgumentException("wrong number of arguments"); }
+        if (words.length < 4 || words.length > 5) { throw new CommandError.Argument("wrong number of arguments"); }
         long customer = hex(words[1], "customer");
-        if (customer < 0 || customer >= 1L << 33) { throw new IllegalArgumentException("bad customer"); }
+        if (customer < 0 || customer >= 1L << 33) { throw new CommandError.Argument("bad customer"); }
         long id = hex(words[2], "request id");
-        if (words[3].length > MOST_LIST) { throw new IllegalArgumentException("list too long"); }
+        if (words[3].length > MOST_LIST) { throw new CommandError.Argument("list too long"); }
         String list = new String(words[3], StandardCharsets.ISO_8859_1);
         String c = null;
         String t = null;
@@ -76,12 +77,12 @@
             int comma = list.indexOf(',', from);
             int to = comma < 0 ? list.length() : comma;
             int is = list.indexOf('=', from);
-            if (is < 0 || is >= to - 1) { throw new IllegalArgumentException("bad list"); }
+            if (is < 0 || is >= to - 1) { throw new CommandError.Argument("bad list"); }
             String name = list.substring(from, is);
             String value = visible(list.substring(is + 1, to));
             int bit = 1 << NAMES.indexOf(name);
-            if (!NAMES.contains(name)) { throw new IllegalArgumentException("unknown name in list"); }
-            if ((seen & bit) != 0) { throw new IllegalArgumentException("a name stands twice in the list"); }
+            if (!NAMES.contains(name)) { throw new CommandError.Argument("unknown name in list"); }
+            if ((seen & bit) != 0) { throw new CommandError.Argument("a name stands twice in the list"); }
             seen |= bit;
             switch (name) {
                 case "c" -> c = value;
@@ -95,8 +96,8 @@
             }
             from = to + 1;
         }
-        if (c == null || t == null || d < 1) { throw new IllegalArgumentException("c, t and d are needed"); }
-        if (units <= 0 || spread < 0 || first < 0) { throw new IllegalArgumentException("units, spread and first are needed"); }
+        if (c == null || t == null || d < 1) { throw new CommandError.Argument("c, t and d are needed"); }
+        if (units <= 0 || spread < 0 || first < 0) { throw new CommandError.Argument("units, spread and first are needed"); }
         if (k != null) { hex(k.getBytes(StandardCharsets.ISO_8859_1), "k"); }
         return new Call(words, list, id, k, customer, c, t, d, units, spread, first);
     }
@@ -105,13 +106,13 @@
 
     private static String visible(String value) {
         for (int i = 0; i < value.length(); i++) {
-            if (value.charAt(i) <= ' ' || value.charAt(i) > '~') { throw new IllegalArgumentException("bad list"); }
+            if (value.charAt(i) <= ' ' || value.charAt(i) > '~') { throw new CommandError.Argument("bad list"); }
         }
         return value;
     }
 
     private static double units(String value) {
-        if (value.length() > 12 || !value.matches("[0-9]+(\\.[0-9]+)?")) { throw new IllegalArgumentException("bad units"); }
+        if (value.length() > 12 || !value.matches("[0-9]+(\\.[0-9]+)?")) { throw new CommandError.Argument("bad units"); }
         return Double.parseDouble(value);
     }
 
@@ -120,7 +121,7 @@
         for (int i = 0; i < value.length(); i++) {
             int digit = value.charAt(i) - '0';
             number = number * 10 + digit;
-            if (digit < 0 || digit > 9 || number > most) { throw new IllegalArgumentException("bad number in list"); }
+            if (digit < 0 || digit > 9 || number > most) { throw new CommandError.Argument("bad number in list"); }
         }
         return number;
     }
@@ -130,10 +131,10 @@
         long number = 0;
         for (byte b : digits) {
             int digit = b >= '0' && b <= '9' ? b - '0' : b >= 'a' && b <= 'f' ? b - 'a' + 10 : -1;
-            if (digit < 0) { throw new IllegalArgumentException("bad " + what); }
+            if (digit < 0) { throw new CommandError.Argument("bad " + what); }
             number = number << 4 | digit;
         }
-        if (digits.length != 16) { throw new IllegalArgumentException("bad " + what); }
+        if (digits.length != 16) { throw new CommandError.Argument("bad " + what); }
         return number;
     }
 
--- a/src/main/java/yardusher/settings/Settings.java
+++ b/src/main/java/yardusher/settings/Settings.java
@@ -4,6 +4,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Set;
+import yardusher.error.ConfigError;
 import yardusher.file.Toml;
 import yardusher.journal.JournalSettings;
 import yardusher.keys.KeySettings;
@@ -25,7 +26,7 @@
     /**
      * Reads a file; null and a file that says nothing are {@link #OFF}, and load no parser.
      *
-     * @throws IllegalArgumentException in one plain line that names the file, the key and what is allowed
+     * @throws yardusher.error.ConfigError in one plain line that names the file, the key and what is allowed
      */
     public static Settings read(Path file) {
         if (file == null || isSilent(file)) { return OFF; }
@@ -33,7 +34,7 @@
             Settings all = new Settings(JournalSettings.of(toml.only(TABLES)), KeySettings.of(toml), LogSettings.of(toml), fenced(toml),
                     ViewSettings.of(toml), UnitSettings.of(toml), PartSettings.of(toml));
             String lone = all.view != null ? null : all.units != null ? "units" : all.parts != null ? "parts" : null;
-            if (lone != null) { throw new IllegalArgumentException(lone + " needs a table view, by which ingresses reach one another"); }
+            if (lone != null) { throw new ConfigError.Conflict(null, lone, lone + " needs a table view, by which ingresses reach one another"); }
             return all;
         });
     }
@@ -48,7 +49,7 @@
         try {
             return Files.readString(file).lines().map(String::strip).allMatch(line -> line.isEmpty() || line.startsWith("#"));
         } catch (IOException e) {
-            throw new IllegalArgumentException(file + ": cannot be read", e);
+            throw new ConfigError.Unreadable(file, e);
         }
     }
 }
--- a/src/main/java/yardusher/wire/Codec.java
+++ b/src/main/java/yardusher/wire/Codec.java
@@ -9,21 +9,13 @@
 import java.util.List;
 import java.util.Map;
 import yardusher.Api;
+import yardusher.error.WireError;
 
 /** Translates between the wire's messages and the types of {@link Api}. Unknown keys are skipped. */
 public final class Codec {
     private Codec() { }
 
-    /** Input that is not a legal message; the text says what is wrong. */
-    public static final class Malformed extends RuntimeException {
-        private static final long serialVersionUID = 1L;
-
-        Malformed(String message) {
-            super(message);
-        }
-    }
-
-    /** A JSON object with typed access; a needed value that is absent is {@link Malformed}. */
+    /** A JSON object with typed access; a needed value that is absent is a {@link WireError.Malformed}. */
     public static final class Fields {
         private final Map<String, Object> values = new HashMap<>();
 
@@ -31,7 +23,7 @@
             if (values.get(key) instanceof Number number) {
                 return number.doubleValue();
             }
-            throw new Malformed("needs a number in \"" + key + "\"");
+            throw new WireError.Malformed(null, "needs a number in \"" + key + "\"");
         }
 
         public double number(String key, double absent) {
@@ -42,7 +34,7 @@
             if (values.get(key) instanceof Number number) {
                 return number.longValue();
             }
-            throw new Malformed("needs a whole number in \"" + key + "\"");
+            throw new WireError.Malformed(null, "needs a whole number in \"" + key + "\"");
         }
 
         int small(String key) {
@@ -59,21 +51,21 @@
             if (values.get(key) instanceof String text) {
                 return text;
             }
-            throw new Malformed("needs a text in \"" + key + "\"");
+            throw new WireError.Malformed(null, "needs a text in \"" + key + "\"");
         }
 
         public Fields object(String key) {
             if (values.get(key) instanceof Fields fields) {
                 return fields;
             }
-            throw new Malformed("needs an object in \"" + key + "\"");
+            throw new WireError.Malformed(null, "needs an object in \"" + key + "\"");
         }
 
         public List<Fields> objects(String key) {
             List<Fields> found = new ArrayList<>();
             for (Object item : list(key)) {
                 if (!(item instanceof Fields fields)) {
-                    throw new Malformed("needs objects in \"" + key + "\"");
+                    throw new WireError.Malformed(null, "needs objects in \"" + key + "\"");
                 }
                 found.add(fields);
             }
@@ -84,7 +76,7 @@
             if (values.get(key) instanceof List<?> list) {
                 return list;
             }
-            throw new Malformed("needs an array in \"" + key + "\"");
+            throw new WireError.Malformed(null, "needs an array in \"" + key + "\"");
         }
 
         double[] numbers(String key) {
@@ -140,13 +132,13 @@
                 case "idempotent" -> Api.Effect.IDEMPOTENT;
                 case "deduplicated" -> Api.Effect.DEDUPLICATED;
                 case "at_most_once" -> Api.Effect.AT_MOST_ONCE;
-                default -> throw new Malformed("unknown effect \"" + c.text("effect") + "\"");
+                default -> throw new WireError.Malformed(null, "unknown effect \"" + c.text("effect") + "\"");
             };
             Api.Group group = effect != Api.Effect.DEDUPLICATED ? Api.Group.ALL : switch (c.text("group")) {
                 case "all" -> Api.Group.ALL;
                 case "zone" -> Api.Group.ZONE;
                 case "cell" -> Api.Group.CELL;
-                default -> throw new Malformed("unknown group \"" + c.text("group") + "\"");
+                default -> throw new WireError.Malformed(null, "unknown group \"" + c.text("group") + "\"");
             };
             classes.add(new Api.RequestClass(c.number("aim_ms"), c.number("hard_limit_ms"),
                     c.number("worth", 1), c.number("late_value", 0), effect, group,
@@ -213,7 +205,7 @@
             case 1 -> Api.ListKind.FAILED;
             case 2 -> Api.ListKind.CACHED;
             case 3 -> Api.ListKind.DELTA;
-            default -> throw new Malformed("unknown kind of roster_change");
+            default -> throw new WireError.Malformed(null, "unknown kind of roster_change");
         };
         List<Api.Server> servers = new ArrayList<>();
         if (kind != Api.ListKind.FAILED) {
@@ -222,7 +214,7 @@
                     case 0 -> Api.Readiness.GONE;
                     case 1 -> Api.Readiness.READY;
                     case 2 -> Api.Readiness.DRAINING;
-                    default -> throw new Malformed("unknown readiness");
+                    default -> throw new WireError.Malformed(null, "unknown readiness");
                 };
                 servers.add(new Api.Server(row.whole("host"), (int) row.number("site", 0),
                         (int) row.number("cell", 0), row.number("size", 1),
@@ -242,7 +234,7 @@
             case "connection_lost" -> Api.Outcome.CONNECTION_LOST;
             case "called_off" -> Api.Outcome.CANCELLED;
             case "not_sent" -> Api.Outcome.NOT_SENT;
-            default -> throw new Malformed("unknown ending \"" + code + "\"");
+            default -> throw new WireError.Malformed(null, "unknown ending \"" + code + "\"");
         };
     }
 
--- a/src/main/java/yardusher/wire/SettingsNotes.java
+++ b/src/main/java/yardusher/wire/SettingsNotes.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import yardusher.Api;
+import yardusher.error.ConfigError;
 
 /**
  * Holds an operator's settings against what the program does with them: figures that no deployment can have are an error,
@@ -11,7 +12,7 @@
 public final class SettingsNotes {
     private SettingsNotes() { }
 
-    /** Figures that cannot be: {@link Codec.Malformed} with the key and what is allowed. */
+    /** Figures that cannot be: a {@link ConfigError} with the key and what is allowed. */
     public static Api.Settings verified(Api.Settings s, int zones) {
         within("peers_total", s.gateways(), 1, 10_000);
         within("me", s.self(), 0, s.gateways() - 1);
@@ -22,7 +23,7 @@
         within("domain.peer_in_per_s", s.peerIntakePerS(), 0, 1e6);
         within("rules.cold_from", s.rules().coldFrom(), 0, 1);
         within("rules.warm_after_ms", s.rules().warmAfterMs(), 0, 3_600_000);
-        if (s.classes().isEmpty()) { throw new Codec.Malformed("needs at least one entry in \"classes\""); }
+        if (s.classes().isEmpty()) { throw new ConfigError.Missing(null, "classes", "at least one entry in \"classes\""); }
         for (int i = 0; i < s.classes().size(); i++) {
             Api.RequestClass c = s.classes().get(i);
             String at = "classes[" + i + "].";
@@ -46,7 +47,7 @@
 
     private static void within(String key, double value, double least, double most) {
         if (!(value >= least && value <= most)) {
-            throw new Codec.Malformed(key + " is " + plain(value) + ", allowed is " + plain(least) + " to " + plain(most));
+            throw new ConfigError.Range(null, key, plain(value), plain(least) + " to " + plain(most));
         }
     }
 
--- a/src/main/java/yardusher/wire/WireHost.java
+++ b/src/main/java/yardusher/wire/WireHost.java
@@ -18,6 +18,7 @@
 import java.util.Map;
 import yardusher.Api;
 import yardusher.Policy;
+import yardusher.error.WireError;
 
 /** Hosts instances of the module on the simulator's wire: a batch a line in, a reply a line out. */
 public final class WireHost {
@@ -39,7 +40,7 @@
             } catch (JsonProcessingException e) {
                 errors.println("line " + number + ": not JSON: " + e.getOriginalMessage());
                 return 1;
-            } catch (Codec.Malformed e) {
+            } catch (WireError e) {
                 errors.println("line " + number + ": " + e.getMessage());
                 return 1;
             }
@@ -63,7 +64,7 @@
                 for (Codec.Fields event : gateway.objects("events")) {
                     try {
                         deliver(id, now, event);
-                    } catch (Codec.Malformed e) {
+                    } catch (WireError e) {
                         throw e;
                     } catch (RuntimeException | StackOverflowError e) {
                         e.printStackTrace(errors);
@@ -103,7 +104,7 @@
                 Policy policy = instances.get(id);
                 Api.Event event = Codec.event(fields);
                 if (policy == null) {
-                    throw new Codec.Malformed("event for gateway " + id + " before its start");
+                    throw new WireError.Malformed(null, "event for gateway " + id + " before its start");
                 }
                 if (event != null) {
                     policy.on(now, event);
@@ -115,14 +116,14 @@
     private static Codec.Fields parse(String line) throws IOException {
         try (JsonParser parser = JSON.createParser(line)) {
             if (parser.nextToken() == null) {
-                throw new Codec.Malformed("empty line");
+                throw new WireError.Malformed(null, "empty line");
             }
             Object value = Codec.read(parser);
             if (!(value instanceof Codec.Fields fields)) {
-                throw new Codec.Malformed("not an object");
+                throw new WireError.Malformed(null, "not an object");
             }
             if (parser.nextToken() != null) {
-                throw new Codec.Malformed("more than one value");
+                throw new WireError.Malformed(null, "more than one value");
             }
             return fields;
         }
