A start that fails exits with its error's code and names the address it could not have

Found: with the listening address taken, serve printed 'Address already in use' without the address and, by its shutdown hook, exited 0 after a drain. Now one line with the address, exit 1, and no drain; a test starts the real command on a taken address. The same for the peers' port and the mesh.

--- a/src/main/java/yardusher/cli/Serve.java
+++ b/src/main/java/yardusher/cli/Serve.java
@@ -24,7 +24,7 @@
 import yardusher.core.Turns;
 import yardusher.error.CommandError;
 import yardusher.error.ConfigError;
-import yardusher.error.WireError;
+import yardusher.error.YardusherError;
 import yardusher.fence.InstanceFence;
 import yardusher.handover.Handover;
 import yardusher.journal.Journal;
@@ -278,8 +278,8 @@
     }
 
     private void fault(Throwable e) {
-        if ((e instanceof UncheckedIOException || e instanceof WireError.Listen) && ready.getCount() > 0) {
-            unready = e instanceof UncheckedIOException cause ? cause.getCause() : (WireError) e; // an address that cannot be had ends the start
+        if ((e instanceof UncheckedIOException || e instanceof YardusherError) && ready.getCount() > 0) {
+            unready = e instanceof UncheckedIOException cause ? cause.getCause() : (YardusherError) e; // an address that cannot be had ends the start
             ready.countDown();
             return;
         }
@@ -295,13 +295,13 @@
             if (admin != null) { admin.open(); }
             try {
                 handover.start(adminAt);
-            } catch (UncheckedIOException | WireError e) {
+            } catch (UncheckedIOException | YardusherError e) {
                 fault(e);
             }
         });
         try {
             if (!ready.await(START_MS, TimeUnit.MILLISECONDS) || unready != null) {
-                if (unready instanceof WireError why) { throw why; }
+                if (unready instanceof YardusherError why) { throw why; }
                 throw unready instanceof IOException why ? why : new IOException("no clients could be taken");
             }
         } catch (InterruptedException e) {
@@ -424,7 +424,7 @@
         String adminAt = System.getenv("RELAY_ADMIN_ADDR"); // goes before the file's: it is this very process's
         Serve serve = new Serve(config, adminAt == null || adminAt.isEmpty() ? config.admin() : address(adminAt), notes(), listens(limitsFile) ? LimitsConfig.read(limitsFile) : null, Settings.read(settingsFile),
                 clock());
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+        Thread end = new Thread(() -> {
             try {
                 serve.drain();
             } catch (InterruptedException e) { /* the process ends all the same */ }
@@ -433,10 +433,18 @@
             System.err.println(config.name() + " ends: " + serve.countersLine());
             System.err.flush();
             Runtime.getRuntime().halt(0);
-        }, "drain"));
+        }, "drain");
+        Runtime.getRuntime().addShutdownHook(end);
         // Before the first PING is answered: the default of this signal would end the process.
         Signal.handle(new Signal("HUP"), hup -> System.err.println(config.name() + " " + serve.reload(file)));
-        serve.start();
+        try {
+            serve.start();
+        } catch (IOException | RuntimeException e) {
+            // Danger: the hook's end is 0, as of a process that served and was asked to end.
+            if (!end.isAlive()) { Runtime.getRuntime().removeShutdownHook(end); }
+            serve.close();
+            throw e;
+        }
         System.err.println(config.name() + " serves at " + serve.front.answers().address()
                 + (serve.limitsFront == null ? "" : ", limits at " + serve.limitsFront.answers().address()));
         try {
--- a/src/main/java/yardusher/handover/Handover.java
+++ b/src/main/java/yardusher/handover/Handover.java
@@ -12,6 +12,7 @@
 import yardusher.core.Turns;
 import yardusher.error.CommandError;
 import yardusher.error.WireError;
+import yardusher.error.YardusherError;
 import yardusher.log.Events;
 import yardusher.net.Lines;
 import yardusher.net.Link;
@@ -256,6 +257,8 @@
                 own.write(folder, name);             // the other's note leads nowhere now
             } catch (IOException e) {
                 events.warn("the peers' port or the note cannot be taken back", "why", e.getMessage());
+            } catch (YardusherError e) {
+                events.warn("the peers' port or the note cannot be taken back", e);
             }
         }
         program.shares(false, true);
--- a/src/main/java/yardusher/mesh/DatagramMesh.java
+++ b/src/main/java/yardusher/mesh/DatagramMesh.java
@@ -10,6 +10,8 @@
 import java.util.zip.CRC32C;
 import net.openhft.hashing.LongHashFunction;
 import yardusher.core.Turns;
+import yardusher.error.ViewError;
+import yardusher.net.Sockets;
 
 /**
  * The mesh on one UDP port of its own. NIO.2 has no asynchronous datagrams, so one thread waits in receive and gives each
@@ -44,7 +46,7 @@
         this.turns = turns;
     }
 
-    /** Takes the port; an {@link IOException} where it cannot be had. In a turn. */
+    /** Takes the port; a {@link ViewError.Listen} where it cannot be had. In a turn. */
     public void open() throws IOException {
         if (channel != null) { return; }
         DatagramChannel opened = DatagramChannel.open();
@@ -55,7 +57,7 @@
             opened.bind(listen);
         } catch (IOException e) {
             opened.close();
-            throw e;
+            throw new ViewError.Listen(Sockets.text(listen), e.getMessage(), e);
         }
         channel = opened;
         address = (InetSocketAddress) opened.getLocalAddress();
--- a/src/main/java/yardusher/peers/PeerSocket.java
+++ b/src/main/java/yardusher/peers/PeerSocket.java
@@ -12,6 +12,8 @@
 import java.util.Map;
 import yardusher.core.Neighbours;
 import yardusher.core.Turns;
+import yardusher.error.WireError;
+import yardusher.net.Sockets;
 
 /**
  * Datagrams between ingresses. NIO.2 has no asynchronous datagram channel (PeersStoryTest shows it), so one thread
@@ -48,7 +50,12 @@
         if (opened.supportedOptions().contains(StandardSocketOptions.SO_REUSEPORT)) {
             opened.setOption(StandardSocketOptions.SO_REUSEPORT, true);
         }
-        opened.bind(listen);
+        try {
+            opened.bind(listen);
+        } catch (IOException e) {
+            opened.close();
+            throw new WireError.Listen(Sockets.text(listen), e.getMessage(), e);
+        }
         channel = opened;
         Thread thread = new Thread(() -> receive(opened, hearer), "peers");
         thread.setDaemon(true);
--- a/src/test/java/yardusher/settings/SettingsTest.java
+++ b/src/test/java/yardusher/settings/SettingsTest.java
@@ -5,12 +5,16 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -85,28 +89,38 @@
                 .contains("\"level\":\"WARN\"", "\"loggerName\":\"n0\"", "\"message\":\"journal cannot record orders\"", "{\"health\":\"full\"}");
     }
 
+    @Test
+    void anAddressThatAnotherProcessHoldsIsNamedAndExit1() throws Exception {
+        try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            String at = "127.0.0.1:" + taken.getLocalPort();
+            Path config = Files.writeString(folder.resolve("taken.json"), Files.readString(Path.of("src/test/resources/ingress.json"))
+                    .replaceFirst("\"listen\": *\"[^\"]*\"", "\"listen\": \"" + at + "\""));
+            assertThat(refused(1, "serve", config.toString(), "--limits", "none", "--settings", "none"))
+                    .startsWith("yardusher: " + at + ": cannot be listened at: ");
+        }
+    }
+
     /** Starts an ingress that cannot start, and gives what it said in its one line. */
     private static String refused(Path own) throws Exception {
-        Process child = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
-                System.getProperty("java.class.path"), "yardusher.cli.Main", "serve", "src/test/resources/ingress.json", "--limits", "none",
-                "--settings", own.toString()).redirectErrorStream(true).start();
+        return refused(2, "serve", "src/test/resources/ingress.json", "--limits", "none", "--settings", own.toString());
+    }
+
+    private static String refused(int status, String... words) throws Exception {
+        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+                System.getProperty("java.class.path"), "yardusher.cli.Main"));
+        command.addAll(List.of(words));
+        Process child = new ProcessBuilder(command).redirectErrorStream(true).start();
         String said = new String(child.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         assertThat(child.waitFor(30, TimeUnit.SECONDS)).isTrue();
-        assertThat(child.exitValue()).isEqualTo(2);
-        assertThat(said.lines()).hasSize(1);
+        assertThat(child.exitValue()).as(said).isEqualTo(status);
+        assertThat(said.lines()).as(said).hasSize(words[0].equals("check") ? 2 : 1);
         return said.strip();
     }
 
     @Test
     void whoeverChecksIsAlsoToldWhatToDo() throws Exception {
         Path bad = Files.writeString(folder.resolve("bad.toml"), "[log]\nformat = \"xml\"\n");
-        Process child = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
-                System.getProperty("java.class.path"), "yardusher.cli.Main", "check", "src/test/resources/ingress.json", "--settings", bad.toString())
-                        .redirectErrorStream(true).start();
-        String said = new String(child.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
-        assertThat(child.waitFor(30, TimeUnit.SECONDS)).isTrue();
-        assertThat(child.exitValue()).isEqualTo(2);
-        assertThat(said.lines()).containsExactly("yardusher: " + bad + ": log.format must be one of plain, json",
+        assertThat(refused(2, "check", "src/test/resources/ingress.json", "--settings", bad.toString()).lines()).containsExactly("yardusher: " + bad + ": log.format must be one of plain, json",
                 "what to do: " + new ConfigError.Value(null, "", "").advice());
     }
 
