Refactoring: serve is a list of subsystems that our settings turn on

Change: JournalSubsystem and KeysSubsystem make, join, tell and end their part; Subsystems is the list, in the order of making, and Serve asks the list alone. A reload reads our own settings too where a subsystem is on, and each says what it took over. The second address can ask a subsystem's report. Nothing is made or loaded where no table is there.

--- a/src/main/java/yardusher/admin/Operator.java
+++ b/src/main/java/yardusher/admin/Operator.java
@@ -15,6 +15,9 @@
     /** The figures, a line each, every line ended. */
     String figures();
 
+    /** What a subsystem says to a call of its own, lines that are each ended; null where none has such a call. */
+    String report(String call);
+
     /** Keeps a region out by hand, or ends that; {@code then} runs once it holds. */
     void ban(String region, boolean out, Runnable then);
 
--- a/src/main/java/yardusher/cli/Serve.java
+++ b/src/main/java/yardusher/cli/Serve.java
@@ -20,12 +20,10 @@
 import yardusher.clients.PlatformFront;
 import yardusher.core.Counters;
 import yardusher.core.Ingress;
-import yardusher.core.OrderLog;
+import yardusher.core.Intake;
 import yardusher.core.Turns;
 import yardusher.fence.InstanceFence;
 import yardusher.handover.Handover;
-import yardusher.journal.Journal;
-import yardusher.keys.KeyedIntake;
 import yardusher.limits.LimitsConfig;
 import yardusher.limits.LimitsFront;
 import yardusher.list.ServiceTable;
@@ -40,12 +38,12 @@
 import yardusher.resp.Decoder;
 import yardusher.servers.RegionPool;
 import yardusher.settings.Settings;
+import yardusher.subsystem.Site;
 
 /** One real ingress: all parts put together, from the start to an orderly end. */
 public final class Serve {
     private static final double ACCEPT_ON_MS = 500;  // after SIGTERM connections keep coming 0.2 to 0.4 s
     private static final long START_MS = 6000;       // a new version is due to take clients by then
-    private static final long JOURNAL_END_MS = 2000; // at the end, for a slow disk to take the last outcomes
     private static final int OWN_DESCRIPTORS = 64;   // of the JVM, the listeners and the watch
 
     private static final int BODIES_PART = 8;        // of the heap, for large bodies, but one always fits
@@ -61,11 +59,11 @@
     private final Watch watch;
     private final ServiceTable table;
     private final AdminFront admin;                  // null where no second address is named
-    private final KeyedIntake keys;                  // null where it is off
-    private final Journal journal;                   // null where it is off
+    private final Subsystems parts;
     private final InstanceFence fence;               // null where the fleet's work has no say here
     private final PeerSocket peers;                  // null where this site has none
     private final Handover handover;
+    private final Events events;
     private final InetSocketAddress adminAt;
     private final int budget;                        // descriptors for clients and regions
     private final Set<String> banned = new LinkedHashSet<>(); // ids of regions out by hand
@@ -102,29 +100,27 @@
                 : new PeerSocket(config.peerListen(), config.peers(), turns);
         this.adminAt = adminAt;
         handover = new Handover(sockets, new Part(), settings.self(), config.name(), notes, Events.plain(config.name()));
+        events = Logs.of(own.log(), config.name());
         fence = own.fenced() ? new InstanceFence() : null;
-        journal = own.journal() == null ? null : journal(own);
-        if (journal != null) {
-            counters.more = () -> " " + journal.line();
-            if (own.keys() != null) { journal.recordPrints(); }
-        }
-        Object[] made = new Object[7];
+        parts = Subsystems.of(own, config, turns);
+        Object[] made = new Object[6];
         Exception[] problem = new Exception[1];
         turns.turn(() -> {
             try {
-                Ingress core = new Ingress(settings, config.seed(), turns, pool, handover, counters, journal == null ? OrderLog.NONE : journal);
+                Ingress core = new Ingress(settings, config.seed(), turns, pool, handover, counters, parts.orders());
                 pool.serve(core);
                 ServiceTable table = new ServiceTable(config.zones(), pool);
                 core.tell(table.take(config.known(), Api.ListKind.CACHED));
                 made[0] = core;
                 made[5] = table;
                 made[1] = new Watch(sockets, config.discovery(), table, core, config.seed());
-                if (own.keys() != null) { made[4] = keyed(own, core); }
-                made[2] = new PlatformFront(sockets, config.listen(), core, made[4] == null ? core : (KeyedIntake) made[4],
-                        config.classes(), config.plans(), 1, bodies);
+                Intake intake = parts.intake(site(core, table, null), core);
+                PlatformFront clients = new PlatformFront(sockets, config.listen(), core, intake, config.classes(), config.plans(), 1, bodies);
+                made[2] = clients;
                 made[3] = limits == null ? null
                         : new LimitsFront(sockets, core, limits, config.classes(), config.plans());
-                made[6] = adminAt == null ? null : new AdminFront(sockets, adminAt, new Calls());
+                made[4] = adminAt == null ? null : new AdminFront(sockets, adminAt, new Calls());
+                parts.join(site(core, table, clients));
             } catch (IOException | RuntimeException e) {
                 problem[0] = e;
             }
@@ -136,16 +132,14 @@
         front = (PlatformFront) made[2];
         limitsFront = (LimitsFront) made[3];
         share(false);
-        java.util.function.Supplier<String> rest = counters.more;
-        counters.more = () -> " " + bodies.line() + rest.get();
-        keys = (KeyedIntake) made[4];
+        counters.more = () -> " " + bodies.line() + parts.line();
         table = (ServiceTable) made[5];
-        admin = (AdminFront) made[6];
-        if (keys != null) {
-            front.answerKeys(keys::told, keys::line);
-            java.util.function.Supplier<String> before = counters.more;
-            counters.more = () -> before.get() + " " + keys.line();
-        }
+        admin = (AdminFront) made[4];
+    }
+
+    private Site site(Ingress core, ServiceTable table, PlatformFront clients) {
+        return new Site(config.name(), config.seed(), turns, sockets, config.settings(), config.classes(), config.plans(), config.zones(), core,
+                pool, table, clients, events, parts.mesh(), parts.view());
     }
 
     /** What the calls at the second address do. */
@@ -165,6 +159,9 @@
             handover.tellBan(region, out, then);
         }
 
+        @Override
+        public String report(String call) { return parts.report(call); }
+
         @Override
         public boolean isFenced() { return fence != null; }
 
@@ -291,7 +288,10 @@
             watch.start();
             if (admin != null) { admin.open(); }
             try {
+                parts.start();
                 handover.start(adminAt);
+            } catch (IOException e) {
+                fault(new UncheckedIOException(e));
             } catch (UncheckedIOException e) {
                 fault(e);
             }
@@ -309,11 +309,16 @@
      * Takes over what a configuration file read anew can change while all goes on: where discovery is found. The
      * counter is not asked by these decisions. A file that cannot be used changes nothing. The result says which.
      */
-    public String reload(String file) {
+    public String reload(String file) { return reload(file, null); }
+
+    /** The same, with the file of our own settings, null for none. What each subsystem cannot take over it says itself. */
+    public String reload(String file, Path settingsFile) {
         Config next;
+        Settings own;
         try {
             next = Config.read(file);
-        } catch (Config.Bad e) {
+            own = parts.all().isEmpty() ? Settings.OFF : Settings.read(settingsFile);
+        } catch (Config.Bad | IllegalArgumentException e) {
             return "keeps its configuration: " + e.getMessage();
         }
         String[] done = new String[1];
@@ -322,7 +327,8 @@
             boolean more = !config.sameBut(next);
             config = next;
             counters.reloads++;
-            done[0] = "reloaded: discovery at " + next.discovery() + (more ? "; the rest of the file waits for a restart" : "");
+            done[0] = "reloaded: discovery at " + next.discovery() + (more ? "; the rest of the file waits for a restart" : "")
+                    + parts.reload(own);
         });
         return done[0];
     }
@@ -330,6 +336,7 @@
     /** Accepts for a while, answers all that was taken, and returns well before the platform would kill it. */
     public void drain() throws InterruptedException {
         turns.turn(() -> {
+            parts.drain();
             if (handover.hasHeir()) {
                 front.answers().leave();
                 if (limitsFront != null) { limitsFront.answers().leave(); }
@@ -349,7 +356,7 @@
     }
 
     private void waitForOpen() {
-        if (ingress.openCount() == 0 && front.answers().terminalCount() == 0
+        if (ingress.openCount() == 0 && !parts.isBusy() && front.answers().terminalCount() == 0
                 && (limitsFront == null || limitsFront.answers().terminalCount() == 0)) {
             drained.countDown();
         } else {
@@ -370,36 +377,13 @@
             if (peers != null) { peers.close(); }
             if (admin != null) { admin.close(); }
             closeFronts();
+            parts.close();
         });
-        endJournal();
+        parts.end();
         turns.stop();
         sockets.shutdown();
     }
 
-    /** A folder that cannot be used is as wrong as a setting that cannot. */
-    private Journal journal(Settings own) {
-        try {
-            return Journal.open(own.journal(), config.name(), config.settings(), config.classes(), config.plans(), turns,
-                    Logs.of(own.log(), config.name()));
-        } catch (IOException e) {
-            throw new IllegalArgumentException("journal.folder " + e.getMessage(), e);
-        }
-    }
-
-    /** The keys' intake, with what the journal still knows of keys of earlier lives. */
-    private KeyedIntake keyed(Settings own, Ingress core) throws IOException {
-        KeyedIntake intake = new KeyedIntake(core, turns, own.keys(), config.settings().classes(), config.classes());
-        if (own.journal() != null) {
-            Journal.earlier(own.journal(), config.name(), turns.now() - intake.longestLifetimeMs(), (key, print, className, sentAt, endedAt, ran) ->
-                    intake.restore(key, print, config.classes().indexOf(className), sentAt, endedAt, ran));
-        }
-        return intake;
-    }
-
-    private void endJournal() {
-        if (journal != null) { journal.close(JOURNAL_END_MS); }
-    }
-
     private static InetSocketAddress address(String fromEnvironment) throws Config.Bad {
         try {
             return yardusher.net.Sockets.address(fromEnvironment);
@@ -430,14 +414,17 @@
             try {
                 serve.drain();
             } catch (InterruptedException e) { /* the process ends all the same */ }
-            serve.turns.turn(serve.handover::end);
-            serve.endJournal();
+            serve.turns.turn(() -> {
+                serve.handover.end();
+                serve.parts.close();
+            });
+            serve.parts.end();
             System.err.println(config.name() + " ends: " + serve.countersLine());
             System.err.flush();
             Runtime.getRuntime().halt(0);
         }, "drain"));
         // Before the first PING is answered: the default of this signal would end the process.
-        Signal.handle(new Signal("HUP"), hup -> System.err.println(config.name() + " " + serve.reload(file)));
+        Signal.handle(new Signal("HUP"), hup -> System.err.println(config.name() + " " + serve.reload(file, settingsFile)));
         serve.start();
         System.err.println(config.name() + " serves at " + serve.front.answers().address()
                 + (serve.limitsFront == null ? "" : ", limits at " + serve.limitsFront.answers().address()));
--- /dev/null
+++ b/src/main/java/yardusher/cli/Subsystems.java
@@ -0,0 +1,81 @@
+package yardusher.cli;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.stream.Collectors;
+import yardusher.core.Intake;
+import yardusher.core.OrderLog;
+import yardusher.core.Turns;
+import yardusher.journal.JournalSubsystem;
+import yardusher.keys.KeysSubsystem;
+import yardusher.log.Logs;
+import yardusher.mesh.Mesh;
+import yardusher.settings.Settings;
+import yardusher.subsystem.Site;
+import yardusher.subsystem.Subsystem;
+import yardusher.view.View;
+
+/**
+ * The subsystems that our settings turn on, in the order in which they are made, started and asked; they are drained and
+ * closed the other way round. {@code mesh} and {@code view} are null where the view is off.
+ */
+record Subsystems(List<Subsystem> all, Mesh mesh, View view) {
+    /** Makes those whose tables are there; an {@link IllegalArgumentException} where one cannot be made as it is set. */
+    static Subsystems of(Settings own, Config config, Turns turns) {
+        List<Subsystem> all = new ArrayList<>();
+        if (own.journal() != null) {
+            all.add(new JournalSubsystem(own.journal(), own.keys() != null, config.name(), config.settings(), config.classes(),
+                    config.plans(), turns, Logs.of(own.log(), config.name())));
+        }
+        if (own.keys() != null) { all.add(new KeysSubsystem(own.keys(), own.journal())); }
+        return new Subsystems(all, null, null);
+    }
+
+    OrderLog orders() {
+        OrderLog log = OrderLog.NONE;
+        for (Subsystem one : all) { log = one.orders(log); }
+        return log;
+    }
+
+    Intake intake(Site site, Intake core) throws IOException {
+        Intake intake = core;
+        for (Subsystem one : all) { intake = one.intake(site, intake); }
+        return intake;
+    }
+
+    void join(Site site) throws IOException {
+        for (Subsystem one : all) { one.join(site); }
+    }
+
+    void start() throws IOException {
+        for (Subsystem one : all) { one.start(); }
+    }
+
+    /** What the parts say of settings read anew, each behind a semicolon; empty for nothing. */
+    String reload(Settings next) {
+        return all.stream().map(one -> Objects.toString(one.reload(next), "")).filter(said -> !said.isEmpty()).map(said -> "; " + said)
+                .collect(Collectors.joining());
+    }
+
+    /** Names and values of all parts, each part's behind a space. */
+    String line() { return all.stream().map(Subsystem::line).filter(said -> !said.isEmpty()).map(said -> " " + said).collect(Collectors.joining()); }
+
+    /** The answer of the part whose call it is; null for nobody's. */
+    String report(String call) { return all.stream().map(one -> one.report(call)).filter(Objects::nonNull).findFirst().orElse(null); }
+
+    void drain() {
+        for (int i = all.size() - 1; i >= 0; i--) { all.get(i).drain(); }
+    }
+
+    boolean isBusy() { return all.stream().anyMatch(Subsystem::isBusy); }
+
+    void close() {
+        for (int i = all.size() - 1; i >= 0; i--) { all.get(i).close(); }
+    }
+
+    void end() {
+        for (int i = all.size() - 1; i >= 0; i--) { all.get(i).end(); }
+    }
+}
--- /dev/null
+++ b/src/main/java/yardusher/journal/JournalSubsystem.java
@@ -0,0 +1,39 @@
+package yardusher.journal;
+
+import java.io.IOException;
+import java.util.List;
+import yardusher.Api;
+import yardusher.core.OrderLog;
+import yardusher.core.Turns;
+import yardusher.log.Events;
+import yardusher.subsystem.Subsystem;
+
+/** The journal of sent orders as a part of an ingress. */
+public final class JournalSubsystem implements Subsystem {
+    private static final long END_MS = 2000;         // at the end, for a slow disk to take the last outcomes
+
+    private final Journal journal;
+
+    /** {@code prints}: what is asked for is recorded by its print too, for who looks for repeats. Reads the disk. */
+    public JournalSubsystem(JournalSettings settings, boolean prints, String instance, Api.Settings site, List<String> classes,
+            List<String> plans, Turns turns, Events events) {
+        try {
+            journal = Journal.open(settings, instance, site, classes, plans, turns, events);
+        } catch (IOException e) {                    // a folder that cannot be used is as wrong as a setting that cannot
+            throw new IllegalArgumentException("journal.folder " + e.getMessage(), e);
+        }
+        if (prints) { journal.recordPrints(); }
+    }
+
+    @Override
+    public String name() { return "journal"; }
+
+    @Override
+    public OrderLog orders(OrderLog inner) { return journal; }
+
+    @Override
+    public String line() { return journal.line(); }
+
+    @Override
+    public void end() { journal.close(END_MS); }
+}
--- /dev/null
+++ b/src/main/java/yardusher/keys/KeysSubsystem.java
@@ -0,0 +1,42 @@
+package yardusher.keys;
+
+import java.io.IOException;
+import java.util.List;
+import yardusher.core.Intake;
+import yardusher.journal.Journal;
+import yardusher.journal.JournalSettings;
+import yardusher.subsystem.Site;
+import yardusher.subsystem.Subsystem;
+
+/** Idempotency keys as a part of an ingress: stand between the fronts and the core, with what the journal knows of earlier lives. */
+public final class KeysSubsystem implements Subsystem {
+    private final KeySettings settings;
+    private final JournalSettings journal;
+    private KeyedIntake intake;
+
+    /** {@code journal} is null where there is none: then a restart forgets all keys. */
+    public KeysSubsystem(KeySettings settings, JournalSettings journal) {
+        this.settings = settings;
+        this.journal = journal;
+    }
+
+    @Override
+    public String name() { return "keys"; }
+
+    @Override
+    public Intake intake(Site site, Intake inner) throws IOException {
+        List<String> classes = site.classes();
+        intake = new KeyedIntake(inner, site.turns(), settings, site.settings().classes(), classes);
+        if (journal != null) {
+            Journal.earlier(journal, site.name(), site.turns().now() - intake.longestLifetimeMs(), (key, print, className, sentAt, endedAt, ran) ->
+                    intake.restore(key, print, classes.indexOf(className), sentAt, endedAt, ran));
+        }
+        return intake;
+    }
+
+    @Override
+    public void join(Site site) { site.front().answerKeys(intake::told, intake::line); }
+
+    @Override
+    public String line() { return intake.line(); }
+}
