--- a/src/main/java/yardusher/journal/JournalSubsystem.java
+++ b/src/main/java/yardusher/journal/JournalSubsystem.java
@@ -17,11 +17,7 @@
     /** {@code prints}: what is asked for is recorded by its print too, for who looks for repeats. Reads the disk. */
     public JournalSubsystem(JournalSettings settings, boolean prints, String instance, Api.Settings site, List<String> classes,
             List<String> plans, Turns turns, Events events) {
-        try {
-            journal = Journal.open(settings, instance, site, classes, plans, turns, events);
-        } catch (IOException e) {                    // a folder that cannot be used is as wrong as a setting that cannot
-            throw new IllegalArgumentException("journal.folder " + e.getMessage(), e);
-        }
+        journal = Journal.open(settings, instance, site, classes, plans, turns, events);
         if (prints) { journal.recordPrints(); }
     }
 
