Reload works where the process was started with SIGHUP ignored

Cause: a process inherits which signals are ignored. Under nohup, and from some schedulers, SIGHUP is; a JVM that finds it so leaves it, Signal.handle says nothing, and no configuration is ever read anew, so that the watch stays at the old discovery.

The agent starts its instances so too. serve says in one line at its start when the signal cannot reach it, and what can be done.

--- a/src/main/java/yardusher/agent/Instance.java
+++ b/src/main/java/yardusher/agent/Instance.java
@@ -65,7 +65,7 @@
         }
         if (process != null) { return; }
         turns.deadlines().cancel(pending);
-        List<String> command = new ArrayList<>(config.command());
+        List<String> command = new ArrayList<>(Hangup.restored(config.command())); // an agent under nohup hands it down
         command.addAll(List.of("serve", entry.config(), "--limits", entry.limits(), "--settings", entry.settings()));
         startedAt = turns.now();
         reloads = false;
--- a/src/main/java/yardusher/cli/Serve.java
+++ b/src/main/java/yardusher/cli/Serve.java
@@ -17,6 +17,7 @@
 import yardusher.admin.AdminFront;
 import yardusher.admin.Figures;
 import yardusher.admin.Operator;
+import yardusher.agent.Hangup;
 import yardusher.clients.PlatformFront;
 import yardusher.core.Counters;
 import yardusher.core.Ingress;
@@ -438,6 +439,7 @@
         }, "drain"));
         // Before the first PING is answered: the default of this signal would end the process.
         Signal.handle(new Signal("HUP"), hup -> System.err.println(config.name() + " " + serve.reload(file)));
+        if (Hangup.isIgnored()) { System.err.println(config.name() + " " + Hangup.TOLD); }
         serve.start();
         System.err.println(config.name() + " serves at " + serve.front.answers().address()
                 + (serve.limitsFront == null ? "" : ", limits at " + serve.limitsFront.answers().address()));
--- a/src/test/java/yardusher/story/StartStoryTest.java
+++ b/src/test/java/yardusher/story/StartStoryTest.java
@@ -23,6 +23,8 @@
         Files.setPosixFilePermissions(java, PosixFilePermissions.fromString("rwxr-xr-x"));
         Path bash = folder.resolve("bash");
         if (!Files.exists(bash)) { Files.createSymbolicLink(bash, Path.of("/bin/bash")); }
+        Path env = folder.resolve("env");            // for a start with SIGHUP ignored
+        if (!Files.exists(env)) { Files.createSymbolicLink(env, Path.of("/usr/bin/env")); }
         Matcher run = Pattern.compile("(?m)^run = \"(.*)\"$").matcher(Files.readString(Path.of("deploy/balancer.toml")));
         assertThat(run.find()).isTrue();
         ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run.group(1)).redirectErrorStream(true);
