--- a/src/main/java/yardusher/cli/Subsystems.java
+++ b/src/main/java/yardusher/cli/Subsystems.java
@@ -22,8 +22,8 @@
  * closed the other way round. {@code mesh} and {@code view} are null where the view is off.
  */
 record Subsystems(List<Subsystem> all, Mesh mesh, View view) {
-    /** Makes those whose tables are there; an {@link IllegalArgumentException} where one cannot be made as it is set. */
-    static Subsystems of(Settings own, Config config, Turns turns) {
+    /** Makes those whose tables are there; a {@link yardusher.error.YardusherError} where one cannot be made as it is set. */
+    static Subsystems of(Settings own, Config config, Turns turns) throws IOException {
         List<Subsystem> all = new ArrayList<>();
         if (own.journal() != null) {
             all.add(new JournalSubsystem(own.journal(), own.keys() != null, config.name(), config.settings(), config.classes(),
