--- a/lab/src/yardusher/lab/Installation.java
+++ b/lab/src/yardusher/lab/Installation.java
@@ -94,13 +94,7 @@
         Files.writeString(file(i), out);
     }
 
-    private static List<String> command() {
-        String jar = System.getProperty("lab.jar");
-        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx48m", "-Xss256k"));
-        command.addAll(jar != null ? List.of("-jar", jar) : List.of("-cp", System.getProperty("java.class.path"), "yardusher.cli.Main"));
-        return command;
-    }
+    private static List<String> command() { return Programs.command(48); }
 
     /** An agent's file. */
     public Path file(int agent) { return folder.resolve("a" + agent + ".toml"); }
