--- a/lab/src/yardusher/lab/Region.java
+++ b/lab/src/yardusher/lab/Region.java
@@ -104,6 +104,7 @@
     private final AtomicLong accepted = new AtomicLong();
     private final AtomicLong begun = new AtomicLong();
     private final AtomicInteger running = new AtomicInteger();
+    private final Thread thread;
     private ServerSocketChannel door;
     private long numbers;
     private boolean frozen;
@@ -121,7 +122,7 @@
         random = new Random(seed);
         script = words -> served(name + " " + words.get(2));
         listen();
-        Thread thread = new Thread(this::run, "region " + name);
+        thread = new Thread(this::run, "region " + name);
         thread.setDaemon(true);
         thread.start();
     }
@@ -367,5 +368,10 @@
     public void close() throws IOException {
         closed = true;
         selector.wakeup();
+        try {
+            thread.join(10_000);                     // its last lines are of the history too
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 }
