--- a/lab/src/yardusher/lab/Group.java
+++ b/lab/src/yardusher/lab/Group.java
@@ -47,6 +47,7 @@
     private IntFunction<String> settings = i -> null;
     private Edit edit = (i, json) -> json;
     private int heapMb = 24;
+    private List<String> options = List.of();
 
     /** Changes the JSON of an ingress before it is written. */
     public interface Edit {
@@ -101,6 +102,12 @@
         return this;
     }
 
+    /** More words for the virtual machine of each process. */
+    public Group options(List<String> more) {
+        options = more;
+        return this;
+    }
+
     /** A port of a process under a name of its own, for datagrams; the same for all its lives. */
     public synchronized InetSocketAddress port(int ingress, String name) {
         if (!ports.containsKey(name)) {
@@ -181,6 +188,7 @@
         if (isAlive(i)) { return; }
         Files.writeString(config(i), json(i));
         List<String> command = Programs.command(heapMb);
+        command.addAll(1, options);
         String own = settings.apply(i);
         if (own != null) { Files.writeString(folder.resolve("n" + i + ".toml"), own); }
         command.addAll(List.of("serve", config(i).toString(), "--limits", "none", "--settings", own == null ? "none" : folder.resolve("n" + i + ".toml").toString()));
