Refactoring: each part of the decision module is given what it uses, no more

Need: `Here` knew all parts and every part knew `Here`, so that no file could be read alone. Now parts take settings, clock, chance, the way out and the parts that they use, and are made in one order in Policy: Peers, Ceilings, Quotas, Gossip, Servers, Pressure, Standings, Attempts. None is given one that is made later, so there is no cycle: what stands against servers goes out by `Teller` and comes in as an argument of `receive`, the choice of a server keeps its own rule on repeats, advice stands with the attempts, earnings under a ceiling are settled by Quotas.

--- a/src/main/java/yardusher/Attempts.java
+++ b/src/main/java/yardusher/Attempts.java
@@ -1,8 +1,8 @@
 package yardusher;
 
 import java.util.*;
+import java.util.function.*;
 import yardusher.Api.*;
-import yardusher.Quotas.Customer;
 
 /** Attempts: which are made, what their ends tell, and what follows. */
 final class Attempts {
@@ -11,32 +11,37 @@
     private static final double PAYS = 0.5;          // part of the reruns that is to come quickly
     private static final int LOOKS = 8;              // else one in so many is sent again all the same
     private static final double LEAST = 0.2;         // least limit of a server: one attempt, then a pause
-    private final Here here;
-    private final Settings settings;
+    private final Settings settings; private final Clock clock; private final SplittableRandom random;
+    private final Consumer<Action> out; private final Quotas quotas; private final Standings standings;
+    private final Servers servers; private final Pressure pressure;
+    private final BiConsumer<Customer, Boolean> told; // own row changed: by its counts, or by mere asking
     final Map<Long, Held> requests = new HashMap<>();  // looked up by id only, never walked
     private double retryTokens = RETRY_MOST;
     private double hanging;                          // part of the attempts that hang by themselves, lately
     private double rerunPays = 1;                    // part of those that come quickly when sent again
 
-    Attempts(Here here) {
-        this.here = here; settings = here.settings;
+    Attempts(Settings settings, Clock clock, SplittableRandom random, Consumer<Action> out, Quotas quotas,
+            Standings standings, Servers servers, Pressure pressure, BiConsumer<Customer, Boolean> told) {
+        this.settings = settings; this.clock = clock; this.random = random; this.out = out;
+        this.quotas = quotas; this.standings = standings; this.servers = servers;
+        this.pressure = pressure; this.told = told;
     }
 
     void request(Request q) {
         RequestClass of = settings.classes().get(q.classIndex());
-        Customer c = here.quotas.customer(q.customer(), q.plan());
+        Customer c = quotas.customer(q.customer(), q.plan());
         boolean moved = c.first != q.firstGateway() || c.spread != Math.min(q.spread(), settings.gateways());
         if (moved) { c.reachedBy(q.firstGateway(), q.spread()); }
-        c.usedAt = here.now;
-        Held held = new Held(q, of, c, here.now);
-        Reason why = q.dueMs() > here.now ? here.quotas.beyond(c, q.units()) : Reason.LATE;
-        why = why == null && here.pressure.shed(q) ? Reason.PRESSURE : why;
+        c.usedAt = clock.now;
+        Held held = new Held(q, of, c, clock.now);
+        Reason why = q.dueMs() > clock.now ? quotas.beyond(c, q.units()) : Reason.LATE;
+        why = why == null && pressure.shed(q) ? Reason.PRESSURE : why;
         c.ask(q.units());
-        Host host = why == null ? here.servers.choose(held) : null;
+        Host host = why == null ? servers.choose(held) : null;
         if (host == null) {
-            here.gossip.changed(c, false);
+            told.accept(c, false);
             Reason told = why == null ? Reason.NO_SERVER : why;
-            here.out.accept(new Refuse(q.id(), here.quotas.advice(c, q), told));
+            out.accept(new Refuse(q.id(), advice(c, q), told));
             return;
         }
         c.count(q.units());
@@ -45,8 +50,19 @@
         send(held, host);
     }
 
+    /**
+     * Honest advice with a refusal: when the quota has room again, or else the next look at the pressure. It
+     * used to be none, since clients told to wait come back after their aim; measured, the two are alike.
+     */
+    private double advice(Customer c, Request q) {
+        double most = settings.limits().maxRetryAfterMs();
+        if (most <= 0) { return 0; }
+        double wait = standings.of(q.customer(), q.plan(), q.units(), c.first, c.spread).retryAfterMs();
+        return Math.min(most, Math.max(1, wait > 0 ? wait : Clock.SWEEP_MS));
+    }
+
     /** A streamed answer began. */
-    void begun(long id) { requests.computeIfPresent(id, (key, held) -> held.begin(here.now)); }
+    void begun(long id) { requests.computeIfPresent(id, (key, held) -> held.begin(clock.now)); }
 
     private void send(Held held, Host host) {
         double until = held.request.dueMs();
@@ -54,26 +70,17 @@
         if (held.of.lateValue() == 0 && !held.of.streamed() && settings.limits().mayCancel()) {
             until = Math.min(until, aimAt); // worth nothing later: the server is free for others
         }
-        held.attempts++; held.last = host; held.sentAt = here.now; here.servers.outstanding++;
-        if (host.open++ == 0) { host.quietSince = here.now; }
+        held.attempts++; held.last = host; held.sentAt = clock.now; servers.outstanding++;
+        if (host.open++ == 0) { host.quietSince = clock.now; }
         held.customer.mine.open++;
-        here.gossip.changed(held.customer, true);
-        here.out.accept(new Send(held.request.id(), host.id, Math.max(0.001, until - here.now)));
-        double check = here.now + held.of.aimMs() / 2;
+        told.accept(held.customer, true);
+        out.accept(new Send(held.request.id(), host.id, Math.max(0.001, until - clock.now)));
+        double check = clock.now + held.of.aimMs() / 2;
         if (held.of.effect() != Effect.AT_MOST_ONCE && check < until) {
-            here.out.accept(new SetTimer(check, held.request.id() + 2));
+            out.accept(new SetTimer(check, held.request.id() + Clock.REQUESTS));
         }
     }
 
-    /** Whether a request that may have run elsewhere may be sent to this server too. */
-    boolean mayRunOn(Held held, Host host) {
-        RequestClass of = held.of;
-        if (held.ranOn == null || of.effect() == Effect.IDEMPOTENT) { return true; }
-        return of.effect() == Effect.DEDUPLICATED && here.now - held.ranAt < of.windowMs()
-                && (of.group() == Group.ALL || host.zone == held.ranOn.zone)
-                && (of.group() != Group.CELL || host.cell == held.ranOn.cell);
-    }
-
     /**
      * Half the aim has passed: on a server that showed no life since the send, start over elsewhere; also
      * where only this attempt hangs while all else is quick, as some did lately. Danger: one of hundreds of
@@ -84,37 +91,37 @@
         Held held = requests.get(id);
         if (held == null || held.gone || held.begun) { return; }
         int k = held.request.classIndex();
-        double waited = here.now - held.sentAt;
+        double waited = clock.now - held.sentAt;
         if (waited < held.of.aimMs() / 2 - 1
                 || held.last.quietSince > held.sentAt && !(hanging > 0.02 && alone(held) && rerunMayPay())
-                || held.last.open < 2 && waited < 3 * here.servers.classMs[k]
-                        && here.now >= held.last.outUntil[k]
+                || held.last.open < 2 && waited < 3 * servers.classMs[k]
+                        && clock.now >= held.last.outUntil[k]
                 || retryTokens < 1 || held.attempts >= settings.limits().maxAttempts()) {
             return;
         }
         if (!settings.limits().mayCancel()) { return; }
         if (alone(held)) { held.lone = held.attempts; held.waited = waited; }
-        here.out.accept(new Cancel(id, held.attempts - 1));
+        out.accept(new Cancel(id, held.attempts - 1));
     }
 
     /** Danger: in overload all is late, and what is sent twice makes it worse. */
     private boolean rerunMayPay() {
-        return here.pressure.shedPart < 0.05 && (rerunPays > PAYS || here.random.nextInt(LOOKS) == 0);
+        return pressure.shedPart < 0.05 && (rerunPays > PAYS || random.nextInt(LOOKS) == 0);
     }
 
     /** Whether an attempt hangs by itself: its server has answered others since, and all are quick. */
     private boolean alone(Held held) {
-        return held.last.quietSince > held.sentAt && here.servers.fleetPart < 0.25
-                && here.now - held.sentAt > 3 * here.servers.classMs[held.request.classIndex()];
+        return held.last.quietSince > held.sentAt && servers.fleetPart < 0.25
+                && clock.now - held.sentAt > 3 * servers.classMs[held.request.classIndex()];
     }
 
     void done(AttemptDone e) {
         Held held = requests.get(e.id());
         if (held == null || e.attempt() != held.attempts - 1) { return; }
         Host host = held.last;
-        here.servers.outstanding--; host.open--; held.customer.mine.open--;
-        if (held.customer.plan.openCap() > 0) { here.gossip.changed(held.customer, true); }
-        here.servers.report(host, e.load());
+        servers.outstanding--; host.open--; held.customer.mine.open--;
+        if (held.customer.plan.openCap() > 0) { told.accept(held.customer, true); }
+        host.reports(e.load());
         judge(held, host, e);
         if (e.billed() > 0) { held.customer.count(e.billed() - held.request.units()); }
         if (e.finished() || held.gone) { requests.remove(e.id()); return; }
@@ -130,22 +137,22 @@
         }
         switch (e.outcome()) {
             case SERVED -> {
-                host.quietSince = here.now; hanging *= 0.99;
-                here.servers.answered(host, k);
-                here.servers.took(k, e.tookMs(), held.of.aimMs());
-                sample(host, e.tookMs() / here.servers.classMs[k], held);
+                host.quietSince = clock.now; hanging *= 0.99;
+                servers.answered(host, k);
+                servers.took(k, e.tookMs(), held.of.aimMs());
+                sample(host, e.tookMs() / servers.classMs[k], held);
             }
-            case SERVER_ERROR -> { host.quietSince = here.now; here.servers.failed(host, k, false); }
-            case REJECTED -> host.fullUntil = here.now + 2 * here.servers.typicalMs;
-            case CONNECT_FAILED -> here.servers.failed(host, k, true);
+            case SERVER_ERROR -> { host.quietSince = clock.now; servers.failed(host, k, false); }
+            case REJECTED -> host.fullUntil = clock.now + 2 * servers.typicalMs;
+            case CONNECT_FAILED -> servers.failed(host, k, true);
             // Danger: servers that cut single connections, all of them held to be down. One that is down
             // refuses the next connection too, at no risk; so a lost one is a failure like any other.
-            case CONNECTION_LOST -> here.servers.failed(host, k, false);
+            case CONNECTION_LOST -> servers.failed(host, k, false);
             case TIMED_OUT, CANCELLED -> {
-                if (host.quietSince <= held.sentAt) { here.servers.failed(host, k, false); }
+                if (host.quietSince <= held.sentAt) { servers.failed(host, k, false); }
                 host.ghosts += alone(held) ? 0 : 1;
                 hanging += alone(held) ? 0.01 * (1 - hanging) : 0;
-                sample(host, Math.max(1, e.tookMs() / here.servers.classMs[k]), held);
+                sample(host, Math.max(1, e.tookMs() / servers.classMs[k]), held);
             }
             default -> { }
         }
@@ -157,18 +164,18 @@
      * the aim. Catches overload, slow servers and full queues alike; harms if the aim is below the work.
      */
     private void sample(Host host, double ratio, Held held) {
-        double usual = here.servers.classMs[held.request.classIndex()];
-        double took = held.begun ? ratio * usual : here.now - held.sentAt;
+        double usual = servers.classMs[held.request.classIndex()];
+        double took = held.begun ? ratio * usual : clock.now - held.sentAt;
         double part = took / held.of.aimMs();
         host.took(part);
-        boolean late = host.part > 0.4 || here.servers.fleetPart > 0.3 && part > 0.5;
-        if (late && here.now - host.cutAt > here.servers.typicalMs) {
+        boolean late = host.part > 0.4 || servers.fleetPart > 0.3 && part > 0.5;
+        if (late && clock.now - host.cutAt > servers.typicalMs) {
             host.limit = Math.max(LEAST, Math.min(host.limit, host.load() + 1) * 0.85);
-            host.cutAt = here.now;
+            host.cutAt = clock.now;
         } else if (host.part < 0.35 && part < 0.5 && host.load() + 1 >= Pressure.BUSY * host.limit) {
             host.limit += 1 / Math.max(1, host.limit);
         }
-        host.ratio += 0.1 * (Math.min(ratio, 10) - host.ratio); host.sampledAt = here.now;
+        host.ratio += 0.1 * (Math.min(ratio, 10) - host.ratio); host.sampledAt = clock.now;
     }
 
     private void retryOrEnd(Held held, Outcome outcome) {
@@ -177,24 +184,24 @@
         double until = held.of.lateValue() == 0 ? Math.min(q.dueMs(), aimAt) : q.dueMs();
         boolean cheap = outcome == Outcome.CONNECT_FAILED;
         if (outcome != Outcome.NOT_SENT && held.attempts < settings.limits().maxAttempts()
-                && here.now + here.servers.classMs[q.classIndex()] / 2 < until
+                && clock.now + servers.classMs[q.classIndex()] / 2 < until
                 && (cheap || retryTokens >= 1)) {
-            Host host = here.servers.choose(held);
+            Host host = servers.choose(held);
             if (host != null) { retryTokens -= cheap ? 0 : 1; send(held, host); return; }
         }
         requests.remove(q.id());
         boolean harmless = held.ranOn == null || held.of.effect() == Effect.IDEMPOTENT
                 || held.of.effect() == Effect.DEDUPLICATED && held.of.group() == Group.ALL;
-        boolean refused = harmless && here.now < q.dueMs();
-        here.out.accept(!refused ? new Fail(q.id())
-                : new Refuse(q.id(), here.quotas.advice(held.customer, q), Reason.ATTEMPTS));
+        boolean refused = harmless && clock.now < q.dueMs();
+        out.accept(!refused ? new Fail(q.id())
+                : new Refuse(q.id(), advice(held.customer, q), Reason.ATTEMPTS));
     }
 
     void gone(long id) {
         Held held = requests.get(id);
         if (held != null && !held.gone) {
             held.gone = true;                        // its outcome still follows
-            if (settings.limits().mayCancel()) { here.out.accept(new Cancel(id, held.attempts - 1)); }
+            if (settings.limits().mayCancel()) { out.accept(new Cancel(id, held.attempts - 1)); }
         }
     }
 }
--- /dev/null
+++ b/src/main/java/yardusher/Customer.java
@@ -0,0 +1,151 @@
+package yardusher;
+
+import java.util.*;
+import yardusher.Api.*;
+
+/**
+ * A customer's counts: ten-slot rows and the store that they stand for, and which gateways it is met at.
+ * State: its own row, one for each life of a gateway that told its counts, and one for each that passed on
+ * the sums of all others.
+ */
+final class Customer {
+    static final int NEIGHBOURS = 3;                 // told of each change; the source recommends two or more
+    static final int DIRECT = 12;                    // a set of no more others is told of each change at once
+    private static final double NEWS_PART = 0.1;     // of a quota's worth, that passing on its sums may cost
+    private static final double SUM_BYTES = 16;      // a customer's sums in a message, about
+    private final Settings settings; private final Clock clock; private final Peers peers;
+    final long id;
+    final int planIndex;
+    final Plan plan;
+    final double slotMs, windowMs, bornAt;
+    final Row mine;
+    final List<Row> rows = new ArrayList<>();    // told by their sources
+    final List<Row> sums = new ArrayList<>();    // of all others, told by who passes them on
+    long head;
+    int first = -1, spread = 1, turn, rank = -1; // rank: which of the meeting peers this gateway is
+    double usedAt, passAt, newsAt = Double.NEGATIVE_INFINITY, newsEvery;
+    double toldAt = Double.NEGATIVE_INFINITY, tellAt = Double.POSITIVE_INFINITY;
+    boolean fresh, news;                         // own changes, others' changes not yet told
+    double base;                                 // the store's level before the ten slots
+    double level, levelAt, lastShare;            // the ceiling's escrow
+
+    Customer(long id, int planIndex, Settings settings, Clock clock, Peers peers) {
+        this.settings = settings; this.clock = clock; this.peers = peers; this.id = id;
+        this.planIndex = planIndex; mine = new Row(settings.self(), peers.life);
+        bornAt = usedAt = levelAt = clock.now;
+        plan = settings.plans().get(planIndex);
+        windowMs = plan.ratePerS() > 0 ? plan.burst() / plan.ratePerS() * 1000 : 1000; // as the source
+        slotMs = windowMs / Row.SLOTS; head = (long) Math.floor(clock.now / slotMs);
+        // What was used before a start is not known: as if the store had been empty a window ago.
+        base = clock.now - clock.startedAt < windowMs ? plan.burst() / Row.SLOTS : plan.burst();
+    }
+
+    void reachedBy(int firstGateway, int gateways) {
+        first = firstGateway; spread = Math.max(1, Math.min(gateways, settings.gateways()));
+        rank = -1;
+        for (int k = direct() ? NEIGHBOURS : 0; k < NEIGHBOURS; k++) {
+            rank = meeting(k) == settings.self() ? k : rank;
+        }
+    }
+
+    /** Whether all are told of each change: a round of messages takes a small part of a window. */
+    boolean direct() { return spread - 1 <= Math.max(DIRECT, peers.intake * windowMs / 3); }
+
+    int member(int k) { return Math.floorMod(first + k, settings.gateways()); }
+
+    /** Peers drawn by the customer's number, so that all its gateways draw the same. */
+    int meeting(int k) { return member((Peers.drawn(id, spread) + k * (spread / NEIGHBOURS)) % spread); }
+
+    boolean has(int g) { return first >= 0 && Math.floorMod(g - first, settings.gateways()) < spread; }
+
+    Row row(List<Row> of, int gateway, int ofLife) {
+        for (Row r : of) { if (r.gateway == gateway && r.life == ofLife) { return r; } }
+        of.add(new Row(gateway, ofLife));
+        return of.get(of.size() - 1);
+    }
+
+    /** Turns all rows up to the present slot; what is older than ten slots drops, also after a stall. */
+    void turn() {
+        long slot = (long) Math.floor(clock.now / slotMs);
+        if (slot == head) { return; }
+        int steps = (int) Math.min(Row.SLOTS, slot - head);
+        for (int i = 1; i <= steps; i++) {
+            int at = (int) Math.floorMod(slot - steps + i, (long) Row.SLOTS);
+            double told = 0, passed = 0;
+            for (Row row : rows) { told += row.slots[at]; row.slots[at] = 0; }
+            for (Row row : sums) { passed = Math.max(passed, row.slots[at]); row.slots[at] = 0; }
+            base = refilled(base, mine.slots[at] + Math.max(told, passed), 1);
+            mine.slots[at] = 0;
+        }
+        base = refilled(base, 0, slot - head - steps); head = slot;
+        rows.removeIf(row -> row.sum() == 0 && (row.open == 0 || clock.now - row.openAt > windowMs)
+                && clock.now - row.askedAt > windowMs); // empty rows are dropped
+        sums.removeIf(row -> clock.now - row.askedAt > windowMs);
+    }
+
+    /** The store after so many slots, in the first of which units were taken, of what this gives too. */
+    double refilled(double level, double units, double slots) {
+        // What went beyond a quota took nothing of it; made good where a ceiling or late sums need it.
+        double debt = direct() && plan.ceilingRate() <= 0 ? 0 : plan.burst();
+        double left = level - units + plan.ratePerS() * slotMs / 1000 * slots;
+        return Math.min(plan.burst(), Math.max(-debt, left));
+    }
+
+    /** What the store holds now: its level before the ten slots, and what these took and gave since. */
+    double room(double[] others) {
+        double room = base;
+        for (int age = Row.SLOTS - 1; age >= 0; age--) {
+            double part = age > 0 ? 1 : clock.now / slotMs - head;
+            room = refilled(room, others[age] + mine.slots[index(age)], part);
+        }
+        return room;
+    }
+
+    int index(int age) { return (int) Math.floorMod(head - age, (long) Row.SLOTS); }
+
+    /** Units of the others by age: as their rows tell, or as the fullest sums passed on do. */
+    double[] others(int but) {
+        turn();
+        double[] units = new double[Row.SLOTS + 2];  // then their sum, and what they were asked
+        int itsLife = peers.lives.getOrDefault(but, -1);
+        for (Row row : rows) { if (row.gateway != but || row.life != itsLife) { add(units, row); } }
+        for (Row row : sums) {
+            if (but < 0 && row.sum() > units[Row.SLOTS]) {
+                Arrays.fill(units, 0);
+                add(units, row);
+            }
+        }
+        return units;
+    }
+
+    private void add(double[] units, Row row) {
+        for (int age = 0; age < Row.SLOTS; age++) {
+            units[age] += row.slots[index(age)]; units[Row.SLOTS] += row.slots[index(age)];
+        }
+        units[Row.SLOTS + 1] += asked(row);
+    }
+
+    double asked(Row row) { return row.asked * Math.exp((row.askedAt - clock.now) / windowMs); }
+
+    void ask(double units) { mine.asked = asked(mine) + units; mine.askedAt = clock.now; }
+
+    double used() { return others(-1)[Row.SLOTS] + mine.sum(); }
+
+    void count(double units) { turn(); mine.slots[index(0)] += units; }
+
+    /** Attempts out at all gateways; what a silent peer told counts no longer than a window. */
+    int open() {
+        int open = mine.open;
+        for (Row row : rows) { open += clock.now - row.openAt < windowMs ? row.open : 0; }
+        return open;
+    }
+
+    /** Sums are passed on no oftener than part of the quota's worth pays for or all can take in. */
+    double passEvery() {
+        if (direct()) { return slotMs; }
+        double each = spread * SUM_BYTES / RowText.MOST_BYTES * settings.peerPrice();
+        double requests = plan.ratePerS() / Math.max(1, settings.mostUnits() / 2);
+        double crowd = Math.max(1, peers.heardRate / Math.max(1e-9, peers.intake / 2));
+        return Math.max(slotMs, Math.min(windowMs / 2, 1000 * each / (NEWS_PART * requests))) * crowd;
+    }
+}
--- a/src/main/java/yardusher/Held.java
+++ b/src/main/java/yardusher/Held.java
@@ -6,7 +6,7 @@
 final class Held {
     final Request request;
     final RequestClass of;
-    final Quotas.Customer customer;
+    final Customer customer;
     final double arrivedAt;
     int attempts;
     Host last, ranOn;                                // ranOn: first server on which it may have run
@@ -15,7 +15,7 @@
     double waited;                                   // for that one
     boolean gone, begun;                             // begun: a streamed answer, its own deadline
 
-    Held(Request request, RequestClass of, Quotas.Customer customer, double arrivedAt) {
+    Held(Request request, RequestClass of, Customer customer, double arrivedAt) {
         this.request = request; this.of = of; this.customer = customer; this.arrivedAt = arrivedAt;
     }
 
--- a/src/main/java/yardusher/Host.java
+++ b/src/main/java/yardusher/Host.java
@@ -1,13 +1,16 @@
 package yardusher;
 
 import java.util.Arrays;
+import yardusher.Api.Metric;
+import yardusher.Api.Settings;
 
 /** What is known of a server of the list, with its health by class. */
 final class Host {
     private static final double FIRST = 20;          // first limit of a server, over all gateways
     private static final double STEP = 0.1;          // by which one answer moves the part
     private static final double LEAST_PART = 0.01;
-    private final Here here;
+    private final Settings settings;
+    private final Clock clock;
     final long id;
     int zone, cell, open;
     double size = 1, startedAt, blamedAt;
@@ -24,11 +27,11 @@
     double fullUntil, coldSince = Double.NEGATIVE_INFINITY;
     double queue, busy = 0.5, reportedAt = Double.NEGATIVE_INFINITY;
 
-    Host(long id, boolean banned, Here here) {
-        this.here = here; this.id = id; this.banned = banned;
-        double share = FIRST / here.settings.gateways();
-        limit = 1 + share; blamedAt = here.now;
-        int classes = here.settings.classes().size();
+    Host(long id, boolean banned, Settings settings, Clock clock) {
+        this.settings = settings; this.clock = clock; this.id = id; this.banned = banned;
+        double share = FIRST / settings.gateways();
+        limit = 1 + share; blamedAt = clock.now;
+        int classes = settings.classes().size();
         failures = new int[classes]; failing = new double[classes];
         outUntil = new double[classes]; blame = new double[classes];
         Arrays.fill(failing, 0.5);               // not known yet
@@ -37,8 +40,8 @@
     /** Danger: a ban outlived by what was learned before it, and a cold server taken for a warm one. */
     void readmit(double bannedAt) {
         banned = down = false; ghosts = fullUntil = part = 0; ratio = 1;
-        limit = 1 + FIRST / here.settings.gateways(); quietSince = here.now;
-        coldSince = startedAt > bannedAt ? startedAt : here.now; // the list says when, or not yet
+        limit = 1 + FIRST / settings.gateways(); quietSince = clock.now;
+        coldSince = startedAt > bannedAt ? startedAt : clock.now; // the list says when, or not yet
         Arrays.fill(failures, 0); Arrays.fill(failing, 0.5);
         Arrays.fill(outUntil, 0); Arrays.fill(blame, 0);
     }
@@ -52,7 +55,16 @@
         part = Math.max(LEAST_PART, Math.min(2, next));
     }
 
+    /** Notes a load report that came with an answer; null for none. */
+    void reports(double[] load) {
+        for (int i = 0; load != null && i < Math.min(load.length, settings.report().size()); i++) {
+            if (settings.report().get(i) == Metric.QUEUE) { queue = load[i]; }
+            if (settings.report().get(i) == Metric.CPU) { busy = Math.min(1, load[i]); }
+            reportedAt = clock.now;
+        }
+    }
+
     double load() { return open + ghosts; }
 
-    boolean outs(int k) { return !down && here.now < outUntil[k]; }
+    boolean outs(int k) { return !down && clock.now < outUntil[k]; }
 }
--- /dev/null
+++ b/src/main/java/yardusher/Peers.java
@@ -0,0 +1,19 @@
+package yardusher;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** The other gateways as speakers. Written by gossip; others read here how old and how whole their counts can be. */
+final class Peers {
+    static final int LIVES = 60;                     // numbers of lives, which come again
+    final int life;                                  // tells this life's counts from a former one's
+    final double intake;                             // messages to take in, and to send, a millisecond
+    final Map<Integer, Integer> lives = new HashMap<>(); // of the peers heard; looked up only
+    double heardRate, heardAt;                       // messages a millisecond that came in, over a second
+    boolean twin, owns = true;                       // another process of this gateway; which one earns
+
+    Peers(int life, double intake) { this.life = life; this.intake = intake; }
+
+    /** A number that all gateways draw alike for a customer or a server. */
+    static int drawn(long id, int of) { return (int) (((id + 1) * 0x9E3779B97F4A7C15L >>> 20) % of); }
+}
--- a/src/main/java/yardusher/Policy.java
+++ b/src/main/java/yardusher/Policy.java
@@ -1,49 +1,61 @@
 package yardusher;
 
-// Types, events and actions: Api.java. The parts, each with its state: Quotas, Ceilings, Gossip, Servers,
-// Attempts, Pressure. Quotas and Gossip follow the Tarantool quotas README; see README.md, The decisions.
+// Types, events and actions: Api.java. Each part has its state, and is given what it uses alone: those made
+// before it. Counts and gossip follow the Tarantool quotas README; see README.md, The decisions.
 
+import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import yardusher.Api.*;
 
 /** The decisions of one gateway; see {@link Api} for the contracts. */
 public final class Policy {
-    static final double SWEEP_MS = 400;              // upkeep of servers and pressure
-    static final long SWEEP = 0, FLUSH = 1;          // timer tokens; a request's is its id + 2
-    final Here here;
+    private final Consumer<Action> out; private final Clock clock;
+    final Quotas quotas; final Servers servers;
+    private final Gossip gossip; private final Pressure pressure;
+    private final Standings standings; private final Attempts attempts;
 
     /** Starts an instance; {@code nowMs} is the clock at the start. */
     public Policy(Settings settings, long seed, double nowMs, Consumer<Action> out) {
-        here = new Here(settings, seed, nowMs, out);
-        here.gossip.greet();
-        out.accept(new SetTimer(nowMs + SWEEP_MS, SWEEP));
+        this.out = out; clock = new Clock(nowMs);
+        SplittableRandom random = new SplittableRandom(seed);
+        Peers peers = new Peers(random.nextInt(Peers.LIVES), Gossip.intake(settings));
+        Ceilings ceilings = new Ceilings(clock, peers);
+        quotas = new Quotas(settings, clock, random, peers, ceilings);
+        gossip = new Gossip(settings, clock, random, out, peers, quotas);
+        servers = new Servers(settings, clock, random, out, gossip);
+        pressure = new Pressure(settings, servers);
+        standings = new Standings(quotas, ceilings);
+        attempts = new Attempts(settings, clock, random, out, quotas, standings, servers, pressure,
+                gossip::changed);
+        gossip.greet();
+        out.accept(new SetTimer(nowMs + Clock.SWEEP_MS, Clock.SWEEP));
         if (settings.askMembership()) { out.accept(new Subscribe()); }
     }
 
     /** Takes one event; actions go to the consumer given at the start, before this returns. */
     public void on(double nowMs, Event event) {
-        if (!(nowMs >= here.now)) {
-            throw new IllegalArgumentException("the clock went back from " + here.now + " to " + nowMs);
+        if (!(nowMs >= clock.now)) {
+            throw new IllegalArgumentException("the clock went back from " + clock.now + " to " + nowMs);
         }
-        here.now = nowMs;
-        if (event instanceof Request e) { here.attempts.request(e); }
-        if (event instanceof AttemptDone e) { here.attempts.done(e); }
-        if (event instanceof PeerMessage e) { here.gossip.receive(e); }
-        if (event instanceof ServerList e) { here.servers.list(e); }
-        if (event instanceof Twin e) { here.gossip.twin(e); }
-        if (event instanceof Ban e) { here.servers.ban(e.server(), e.out()); }
-        if (event instanceof ClientGone e) { here.attempts.gone(e.id()); }
-        if (event instanceof TimerFired e && e.token() == SWEEP) { sweep(); }
-        if (event instanceof TimerFired e && e.token() == FLUSH) { here.gossip.flush(); }
-        if (event instanceof TimerFired e && e.token() > FLUSH) { here.attempts.check(e.token() - 2); }
-        if (event instanceof FirstByte e) { here.attempts.begun(e.id()); }
+        clock.now = nowMs;
+        if (event instanceof Request e) { attempts.request(e); }
+        if (event instanceof AttemptDone e) { attempts.done(e); }
+        if (event instanceof PeerMessage e) { gossip.receive(e, servers::heard); }
+        if (event instanceof ServerList e) { servers.list(e); }
+        if (event instanceof Twin e) { quotas.earns(e.owns()); gossip.twin(e); }
+        if (event instanceof Ban e) { servers.ban(e.server(), e.out()); }
+        if (event instanceof ClientGone e) { attempts.gone(e.id()); }
+        if (event instanceof TimerFired e && e.token() == Clock.SWEEP) { sweep(); }
+        if (event instanceof TimerFired e && e.token() == Clock.FLUSH) { gossip.flush(); }
+        if (event instanceof TimerFired e && e.token() > Clock.FLUSH) { attempts.check(Clock.request(e)); }
+        if (event instanceof FirstByte e) { attempts.begun(e.id()); }
     }
 
     private void sweep() {
-        here.out.accept(new SetTimer(here.now + SWEEP_MS, SWEEP)); // from now: no backlog after a stall
-        here.quotas.sweep();
-        here.servers.sweep();
-        here.pressure.sweep();
+        out.accept(new SetTimer(clock.now + Clock.SWEEP_MS, Clock.SWEEP)); // from now: no backlog
+        quotas.sweep();
+        servers.sweep();
+        pressure.sweep();
     }
 
     /**
@@ -51,10 +63,10 @@
      * taken, no row is made and no random number drawn, so asking changes no later decision.
      */
     public Standing standing(double nowMs, long id, int planIndex, double units, int first, int gateways) {
-        here.now = Math.max(here.now, nowMs);
-        return Standings.of(here, id, planIndex, units, first, gateways);
+        clock.now = Math.max(clock.now, nowMs);
+        return standings.of(id, planIndex, units, first, gateways);
     }
 
     /** How many servers of the list get no attempts now, by hand or since they fail in every class. */
-    public int avoided(double nowMs) { return here.servers.avoided(nowMs); }
+    public int avoided(double nowMs) { return servers.avoided(nowMs); }
 }
--- a/src/main/java/yardusher/Pressure.java
+++ b/src/main/java/yardusher/Pressure.java
@@ -9,28 +9,26 @@
  */
 final class Pressure {
     static final double BUSY = 0.7;          // part of all servers' limits at which shedding starts
-    static final double LATE = 0.35;                 // part of the aim that answers take, likewise
-    private final Here here;
-    private final Settings settings;
+    private final Settings settings; private final Servers servers;
     private final double[] weight;                   // asked work of each class and plan, fading
     double shedPart;                                 // part of the work to refuse
     private double shedBelow;                        // worth a millisecond under which all is refused
     private double shedAt, shedDue;                  // part refused of what has exactly that worth
 
-    Pressure(Here here) {
-        this.here = here; settings = here.settings;
-        weight = new double[here.servers.classMs.length * Math.max(1, settings.plans().size())];
+    Pressure(Settings settings, Servers servers) {
+        this.settings = settings; this.servers = servers;
+        weight = new double[servers.classMs.length * Math.max(1, settings.plans().size())];
     }
 
     private double worth(int index) {
         int plans = Math.max(1, settings.plans().size());
         return settings.classes().get(index / plans).worth() * settings.plans().get(index % plans).value()
-                / here.servers.classMs[index / plans];
+                / servers.classMs[index / plans];
     }
 
     boolean shed(Request q) {
         int index = q.classIndex() * Math.max(1, settings.plans().size()) + q.plan();
-        weight[index] += here.servers.classMs[q.classIndex()];
+        weight[index] += servers.classMs[q.classIndex()];
         if (shedPart <= 0) { return false; }
         double worth = worth(index);
         if (Math.abs(worth - shedBelow) > 1e-9) { return worth < shedBelow; }
@@ -42,13 +40,13 @@
 
     void sweep() {
         double load = 0, room = 0;
-        for (Host host : here.servers.ready) {
+        for (Host host : servers.ready) {
             if (host.down || host.banned) { continue; }
-            load += host.load(); room += host.limit * here.servers.warmth(host);
+            load += host.load(); room += host.limit * servers.warmth(host);
         }
         double pressure = room > 0 ? load / room : 0;
         // A gateway of hundreds never fills its part of the limits: it goes by the answers of all servers.
-        double slow = 1.5 * (here.servers.fleetPart - LATE);
+        double slow = 1.5 * (servers.fleetPart - Servers.LATE);
         double wanted = Math.max(0, Math.min(0.9, Math.max((pressure - BUSY) / (1 - BUSY), slow)));
         shedPart += 0.5 * (wanted - shedPart);
         List<Integer> order = new ArrayList<>();
--- a/src/main/java/yardusher/Row.java
+++ b/src/main/java/yardusher/Row.java
@@ -2,8 +2,9 @@
 
 /** Counts by slot; absolute slot i stands at i mod 10. */
 final class Row {
+    static final int SLOTS = 10;                     // the source's ten tenths of a window
     final int gateway, life;
-    final double[] slots = new double[Quotas.SLOTS];
+    final double[] slots = new double[SLOTS];
     int seq = -1, open;
     double openAt, asked, askedAt;                   // units asked, let in or not; fade over a window
 
--- a/src/main/java/yardusher/RowText.java
+++ b/src/main/java/yardusher/RowText.java
@@ -4,7 +4,9 @@
 
 /** A row of counts, or sums of rows, in a message between gateways: whole units, by the age of their slot. */
 record RowText(int tag, long customer, int first, int spread, double asked, int open, long[] counts) {
+    static final int OWN = 0, SUM = 1, FAULT = 2, OUT = 3, KINDS = 4; // what a tag tells, besides the plan
     private static final double ASKED_STEP = 0.1;    // asked units go as a logarithm: floods are far above
+    static final int MOST_BYTES = 256;               // of one message
     private static final int MOST = 11;              // units of one digit; more take several
 
     private static int numbered(Settings settings) { return settings.gateways() < Digits.BASE ? 1 : 2; }
@@ -20,7 +22,7 @@
         Digits.put(body, spread, numbered(settings));
         long steps = (long) Math.ceil(Math.log1p(asked) / ASKED_STEP);
         Digits.put(body, Math.min(Digits.BASE - 1, steps), 1);
-        Digits.put(body, Math.min(Digits.BASE - 1, open), capped(settings, tag / Gossip.KINDS) ? 1 : 0);
+        Digits.put(body, Math.min(Digits.BASE - 1, open), capped(settings, tag / KINDS) ? 1 : 0);
         for (int age = 0; age < counts.length; age++) {
             for (long left = counts[age]; left > 0; left -= MOST) {
                 Digits.put(body, (MOST + 1) * age + Math.min(MOST, left), 1);
@@ -29,6 +31,18 @@
         Digits.put(body, 0, 1);
     }
 
+    /** What is known of a customer: its own row here, or the sums of all rows but the peer's that is told. */
+    static RowText of(int kind, Customer c, int peer) {
+        double[] units = c.others(peer);
+        double asked = kind == OWN ? c.asked(c.mine) : units[Row.SLOTS + 1] + c.asked(c.mine);
+        long[] counts = new long[Row.SLOTS];
+        for (int age = 0; age < Row.SLOTS; age++) {
+            counts[age] = Math.round(c.mine.slots[c.index(age)] + (kind == OWN ? 0 : units[age]));
+        }
+        int tag = kind + KINDS * c.planIndex, open = kind == OWN ? c.mine.open : 0;
+        return new RowText(tag, c.id, Math.max(0, c.first), c.spread, asked, open, counts);
+    }
+
     /** The row that begins behind its tag, or null where it is cut short or none of this site's. */
     static RowText read(int tag, int plan, Digits text, Settings settings) {
         long id = text.get(5);
@@ -36,7 +50,7 @@
         long asked = text.get(1);
         boolean known = plan < settings.plans().size();
         int open = known && capped(settings, plan) ? (int) text.get(1) : 0;
-        long[] counts = new long[Quotas.SLOTS];
+        long[] counts = new long[Row.SLOTS];
         long entry;
         while ((entry = text.get(1)) > 0) { counts[(int) entry / (MOST + 1)] += entry % (MOST + 1); }
         boolean fits = known && first < settings.gateways() && spread >= 1 && spread <= settings.gateways();
--- a/src/main/java/yardusher/Servers.java
+++ b/src/main/java/yardusher/Servers.java
@@ -1,6 +1,7 @@
 package yardusher;
 
 import java.util.*;
+import java.util.function.Consumer;
 import yardusher.Api.*;
 
 /**
@@ -15,8 +16,9 @@
     private static final double COMMON = 0.75;       // part of the servers that fail by no fault of their own
     static final double BLAME_MS = 2000;
     static final double FAILING = 0.2;               // weight of one answer in how a server fares
-    private final Here here;
-    private final Settings settings;
+    static final double LATE = 0.35;                 // part of the aim that answers take when they are late
+    private final Settings settings; private final Clock clock; private final SplittableRandom random;
+    private final Consumer<Action> out; private final Teller teller;
     final double[] classMs;                          // usual latency of each class
     double typicalMs = 100, fleetPart;               // usual latency; part of the aim that answers take
     private double fleetAt;
@@ -29,8 +31,9 @@
     int outstanding;
     private double askAt = Double.POSITIVE_INFINITY; // when to ask for the list again
 
-    Servers(Here here) {
-        this.here = here; settings = here.settings;
+    Servers(Settings settings, Clock clock, SplittableRandom random, Consumer<Action> out, Teller teller) {
+        this.settings = settings; this.clock = clock; this.random = random; this.out = out;
+        this.teller = teller;
         classMs = settings.classes().stream().mapToDouble(of -> of.aimMs() / 5).toArray();
         outCount = new int[classMs.length];
         ghostMs = settings.classes().stream().mapToDouble(RequestClass::deadlineMs).average().orElse(1000);
@@ -38,7 +41,7 @@
 
     void ban(long id, boolean out) {
         Host host = hosts.get(id);
-        Double since = out ? bans.putIfAbsent(id, here.now) : bans.remove(id);
+        Double since = out ? bans.putIfAbsent(id, clock.now) : bans.remove(id);
         if (host == null) { return; }
         if (out) { host.banned = true; } else if (since != null) { host.readmit(since); }
     }
@@ -49,12 +52,13 @@
     }
 
     void list(ServerList list) {
-        if (list.kind() == ListKind.FAILED && settings.askMembership()) { askAt = here.now + 1000; }
+        if (list.kind() == ListKind.FAILED && settings.askMembership()) { askAt = clock.now + 1000; }
         if (list.kind() == ListKind.FULL || list.kind() == ListKind.CACHED) {
             hosts.values().forEach(host -> { host.ready = false; host.gone = true; });
         }
         for (Server server : list.servers()) {
-            Host host = hosts.computeIfAbsent(server.id(), id -> new Host(id, bans.containsKey(id), here));
+            Host host = hosts.computeIfAbsent(server.id(),
+                    id -> new Host(id, bans.containsKey(id), settings, clock));
             host.zone = server.zone(); host.cell = server.cell();
             host.size = server.size() > 0 ? server.size() : 1;
             host.ready = server.readiness() == Readiness.READY;
@@ -62,7 +66,7 @@
             if (host.ready && server.startedAtMs() > host.startedAt) {
                 host.startedAt = server.startedAtMs();
                 host.coldSince = Math.max(host.coldSince, server.startedAtMs());
-                if (host.down) { Arrays.fill(host.outUntil, here.now); } // a new process since
+                if (host.down) { Arrays.fill(host.outUntil, clock.now); } // a new process since
             }
         }
         ready = new ArrayList<>(hosts.values());
@@ -71,20 +75,20 @@
 
     double warmth(Host host) {
         Rules rules = settings.rules();
-        double age = (here.now - host.coldSince) / Math.max(1, rules.warmAfterMs());
+        double age = (clock.now - host.coldSince) / Math.max(1, rules.warmAfterMs());
         return Math.min(1, rules.coldFrom() + (1 - rules.coldFrom()) * Math.max(0, age));
     }
 
     private double cost(Host host) {
         double load = 1 + host.load();
-        if (here.now - host.reportedAt < 1000) {
+        if (clock.now - host.reportedAt < 1000) {
             load += host.queue / settings.gateways(); load *= 0.5 + host.busy;
         }
         double cost = load * host.ratio / host.size;   // a cold one is held back by its draws alone
         if (host.zone != settings.zone() && settings.crossZonePrice() > 0) { cost *= 1.2; }
-        double quiet = host.open > 0 ? here.now - host.quietSince : 0;
+        double quiet = host.open > 0 ? clock.now - host.quietSince : 0;
         if (quiet > 3 * typicalMs) { cost *= 1 + quiet / typicalMs; } // takes work and answers nothing
-        return here.now < host.fullUntil ? 4 * cost : cost;
+        return clock.now < host.fullUntil ? 4 * cost : cost;
     }
 
     /**
@@ -99,24 +103,33 @@
         boolean common = outCount[k] > COMMON * ready.size(); // most of them fail: no server's own fault
         int drawn = 0;
         for (int i = 0; i < ready.size() && drawn < 3 + outstanding; i++) {
-            int at = i + here.random.nextInt(ready.size() - i);
+            int at = i + random.nextInt(ready.size() - i);
             Host host = ready.set(at, ready.get(i)); ready.set(i, host);
-            boolean out = here.now < host.outUntil[k] && (host.down || !common);
+            boolean out = clock.now < host.outUntil[k] && (host.down || !common);
             boolean tried = host.failures[k] > 0 && host.outUntil[k] > 0 && !common && host.open > 0;
             if (host.banned || out || tried || host.load() >= host.limit
-                    || !here.attempts.mayRunOn(held, host) || held.last == host && ready.size() > 1) {
+                    || !mayRunOn(held, host) || held.last == host && ready.size() > 1) {
                 continue;
             }
             drawn++;
             double warmth = warmth(host), mean = outstanding / (double) ready.size();
             double most = Math.min(warmth * (1 + mean), Math.max(0.99, warmth * host.limit - 1));
-            if (warmth < 1 && (host.load() > most || here.random.nextDouble() >= warmth)) { continue; }
-            double cost = cost(host) * (0.9 + 0.2 * here.random.nextDouble());
+            if (warmth < 1 && (host.load() > most || random.nextDouble() >= warmth)) { continue; }
+            double cost = cost(host) * (0.9 + 0.2 * random.nextDouble());
             if (best == null || cost < bestCost) { best = host; bestCost = cost; }
         }
         return best;
     }
 
+    /** Whether a request that may have run elsewhere may be sent to this server too. */
+    private boolean mayRunOn(Held held, Host host) {
+        RequestClass of = held.of;
+        if (held.ranOn == null || of.effect() == Effect.IDEMPOTENT) { return true; }
+        return of.effect() == Effect.DEDUPLICATED && clock.now - held.ranAt < of.windowMs()
+                && (of.group() == Group.ALL || host.zone == held.ranOn.zone)
+                && (of.group() != Group.CELL || host.cell == held.ranOn.cell);
+    }
+
     void failed(Host host, int k, boolean down) {
         host.down |= down;
         for (int i = down ? 0 : k; i < (down ? classMs.length : k + 1); i++) {
@@ -124,10 +137,10 @@
             host.failing[i] += FAILING * (1 - host.failing[i]);
             if (!down && (host.failures[i] < BLAMED || !faulty(host, i))) { continue; }
             double most = Math.min(EJECT_MOST_MS, EJECT_MS * (1 << Math.min(4, host.failures[i] - 1)));
-            host.outUntil[i] = Math.max(host.outUntil[i], here.now + most);
+            host.outUntil[i] = Math.max(host.outUntil[i], clock.now + most);
         }
         // Danger: in overload all time out, and giving some up overloads the rest; others must be quick.
-        if (!down && fleetPart < Pressure.LATE && faulty(host, k)) { accuse(host, k); }
+        if (!down && fleetPart < LATE && faulty(host, k)) { accuse(host, k); }
     }
 
     /** Danger: where all servers lose a part of their answers, counts alone put all of them out. */
@@ -136,59 +149,51 @@
     /** Danger: one gateway of hundreds sees too few answers to tell that a server fails one class or all. */
     private void accuse(Host host, int k) {
         int gateways = settings.gateways();
-        for (int i = 0; i < Math.min(Gossip.NEIGHBOURS, gateways); i++) {
-            int apart = Math.max(1, gateways / Gossip.NEIGHBOURS);
-            int peer = (Quotas.drawn(host.id, gateways) + i * apart) % gateways;
+        for (int i = 0; i < Math.min(Customer.NEIGHBOURS, gateways); i++) {
+            int apart = Math.max(1, gateways / Customer.NEIGHBOURS);
+            int peer = (Peers.drawn(host.id, gateways) + i * apart) % gateways;
             if (peer == settings.self()) { blame(host, k); }
-            here.gossip.enqueue(peer, new Gossip.Fault(Gossip.FAULT, host.id, k));
+            teller.accuse(peer, new Fault(false, host.id, k));
         }
     }
 
     /** Another gateway held a failure, or all failures told, against a server. */
-    void heard(boolean failure, long id, int k) {
-        Host host = hosts.get(id);
+    void heard(Fault fault) {
+        Host host = hosts.get(fault.host());
+        int k = fault.classIndex();
         if (host == null || k < 0 || k >= classMs.length) { return; }
-        if (failure) { blame(host, k); } else { verdict(host, k); }
+        if (fault.out()) { verdict(host, k); } else { blame(host, k); }
     }
 
     private void blame(Host host, int k) {
-        double faded = Math.exp((host.blamedAt - here.now) / BLAME_MS);
+        double faded = Math.exp((host.blamedAt - clock.now) / BLAME_MS);
         for (int i = 0; i < classMs.length; i++) { host.blame[i] *= faded; }
-        host.blamedAt = here.now;
-        if (++host.blame[k] > BLAMED + 1 && settings.gateways() > Gossip.NEIGHBOURS) { verdict(host, k); }
+        host.blamedAt = clock.now;
+        if (++host.blame[k] > BLAMED + 1 && settings.gateways() > Customer.NEIGHBOURS) { verdict(host, k); }
     }
 
     /** A server is out for a class; who did not know passes it on once, to some that it speaks to next. */
     private void verdict(Host host, int k) {
-        if (host.outUntil[k] > here.now + EJECT_MOST_MS / 4 || host.failing[k] < 0.2) { return; }
-        host.outUntil[k] = here.now + EJECT_MOST_MS / 2;
-        Gossip.Fault out = new Gossip.Fault(Gossip.OUT, host.id, k);
-        for (int i = 0; i < Gossip.NEIGHBOURS; i++) { here.gossip.verdicts.add(out); }
+        if (host.outUntil[k] > clock.now + EJECT_MOST_MS / 4 || host.failing[k] < 0.2) { return; }
+        host.outUntil[k] = clock.now + EJECT_MOST_MS / 2;
+        teller.pass(new Fault(true, host.id, k));
     }
 
     void answered(Host host, int k) {
-        if (host.down) { host.coldSince = here.now; } // back before the list says so: as cold as any other
+        if (host.down) { host.coldSince = clock.now; } // back before the list says so: as cold as any other
         if (host.down) { Arrays.fill(host.failures, 0); }
         host.down = false; host.failures[k] = 0; host.failing[k] *= 1 - FAILING;
         host.outUntil[k] = 0;
     }
 
-    void report(Host host, double[] load) {
-        for (int i = 0; load != null && i < Math.min(load.length, settings.report().size()); i++) {
-            if (settings.report().get(i) == Metric.QUEUE) { host.queue = load[i]; }
-            if (settings.report().get(i) == Metric.CPU) { host.busy = Math.min(1, load[i]); }
-            host.reportedAt = here.now;
-        }
-    }
-
     void sweep() {
-        if (here.now >= askAt) { askAt = Double.POSITIVE_INFINITY; here.out.accept(new Subscribe()); }
+        if (clock.now >= askAt) { askAt = Double.POSITIVE_INFINITY; out.accept(new Subscribe()); }
         hosts.values().removeIf(host -> host.gone && host.open == 0); // new ones have new numbers
         Arrays.fill(outCount, 0);
         for (Host host : ready) {
-            boolean old = here.now - host.sampledAt > 5 * Policy.SWEEP_MS;
+            boolean old = clock.now - host.sampledAt > 5 * Clock.SWEEP_MS;
             host.ratio += old ? 0.05 * (1 - host.ratio) : 0;
-            host.ghosts *= Math.max(0, 1 - Policy.SWEEP_MS / ghostMs);
+            host.ghosts *= Math.max(0, 1 - Clock.SWEEP_MS / ghostMs);
             for (int k = 0; k < outCount.length; k++) { outCount[k] += host.outs(k) ? 1 : 0; }
         }
     }
@@ -197,8 +202,8 @@
     void took(int k, double tookMs, double aimMs) {
         classMs[k] += 0.03 * (tookMs - classMs[k]);
         typicalMs += 0.03 * (tookMs - typicalMs);
-        double pooled = Math.max(0.03, Math.min(0.2, (here.now - fleetAt) / BLAME_MS)); // few weigh more
+        double pooled = Math.max(0.03, Math.min(0.2, (clock.now - fleetAt) / BLAME_MS)); // few weigh more
         fleetPart += pooled * (Math.min(2, tookMs / aimMs) - fleetPart);
-        fleetAt = here.now;
+        fleetAt = clock.now;
     }
 }
--- a/src/main/java/yardusher/Standings.java
+++ b/src/main/java/yardusher/Standings.java
@@ -3,15 +3,12 @@
 import yardusher.Api.Standing;
 
 /** Answers how customers stand; decides nothing and changes nothing. */
-final class Standings {
-    private Standings() { }
-
+record Standings(Quotas quotas, Ceilings ceilings) {
     /** How a customer stands; see {@link Policy#standing}. */
-    static Standing of(Here here, long id, int planIndex, double units, int first, int gateways) {
-        Quotas quotas = here.quotas;
-        Quotas.Customer c = quotas.customers.get(id);
+    Standing of(long id, int planIndex, double units, int first, int gateways) {
+        Customer c = quotas.customers.get(id);
         boolean unseen = c == null || c.planIndex != planIndex;
-        if (unseen) { c = quotas.new Customer(id, planIndex); c.reachedBy(first, gateways); }
+        if (unseen) { c = quotas.fresh(id, planIndex); c.reachedBy(first, gateways); }
         double[] others = c.others(-1);
         double room = Double.POSITIVE_INFINITY, wait = 0, reset = 0;
         if (c.plan.ratePerS() > 0) { // of what is not heard of yet, half is the likeliest
@@ -21,8 +18,8 @@
         }
         if (c.plan.openCap() > 0) { room = Math.min(room, c.plan.openCap() - c.open()); }
         if (c.plan.ceilingRate() > 0) {
-            double share = here.ceilings.share(c);
-            double left = here.ceilings.level(c, share) - here.ceilings.least(c, share);
+            double share = ceilings.share(c);
+            double left = ceilings.level(c, share) - ceilings.least(c, share);
             room = Math.min(room, left);
             wait = Math.max(wait, (units - left) / (share * c.plan.ceilingRate()) * 1000);
         }
--- /dev/null
+++ b/src/main/java/yardusher/Teller.java
@@ -0,0 +1,10 @@
+package yardusher;
+
+/** Carries what is held against servers to other gateways. */
+interface Teller {
+    /** Tells one of them. */
+    void accuse(int peer, Fault fault);
+
+    /** Goes along with the next messages, to some that are spoken to next. */
+    void pass(Fault fault);
+}
--- a/src/test/java/yardusher/PolicyTest.java
+++ b/src/test/java/yardusher/PolicyTest.java
@@ -278,8 +278,8 @@
             g.on(new ServerList(ListKind.DELTA, List.of(new Server(5000 + i, 0, 0, 1, 0, Readiness.READY))));
             g.on(new ServerList(ListKind.DELTA, List.of(new Server(5000 + i, 0, 0, 1, 0, Readiness.GONE))));
         }
-        assertTrue(g.policy.here.quotas.customers.size() < 300, "customers");
-        assertTrue(g.policy.here.servers.hosts.size() < 300, "hosts");
+        assertTrue(g.policy.quotas.customers.size() < 300, "customers");
+        assertTrue(g.policy.servers.hosts.size() < 300, "hosts");
     }
 
     @Test
--- a/src/test/java/yardusher/deployments/DeploymentRun.java
+++ b/src/test/java/yardusher/deployments/DeploymentRun.java
@@ -24,6 +24,8 @@
     private static final double ENDS_MS = 10_000, SLACK_MS = 16;
     final List<String> broken = new ArrayList<>();
     int requests, sends, served;
+    /** Changes with any action of any gateway; the same in every run and JVM. */
+    long digest;
 
     private record Due(double at, long order, Runnable work) { }
 
@@ -321,6 +323,7 @@
     }
 
     private void act(Gateway g, int life, Action action) {
+        digest = 31 * digest + g.number + action.toString().hashCode();
         if (plant == Plant.ANSWERS_NEVER && action instanceof Refuse) { return; }
         if (plant == Plant.ANSWERS_TWICE && action instanceof Refuse a) { ends(g, a.id(), "refused"); }
         if (action instanceof Send a) {
--- a/src/test/java/yardusher/deployments/DeploymentsTest.java
+++ b/src/test/java/yardusher/deployments/DeploymentsTest.java
@@ -42,7 +42,7 @@
     public static void main(String[] args) {
         long first = Long.parseLong(args[0]), count = Long.parseLong(args[1]);
         Map<String, Integer> byRule = new TreeMap<>();
-        long[] sums = new long[3];
+        long[] sums = new long[4];
         LongStream.range(first, first + count).parallel().forEach(seed -> {
             DeploymentRun run;
             try {
@@ -56,12 +56,13 @@
                 sums[0] += run.requests;
                 sums[1] += run.sends;
                 sums[2] += run.served;
+                sums[3] += 31 * run.digest + seed;
                 if (run.broken.isEmpty()) { return; }
                 byRule.merge(run.broken.get(0).replaceAll("^.*? ms: (\\w+).*$", "$1"), 1, Integer::sum);
                 System.out.println("seed " + seed + ": " + run.broken.get(0) + " (and " + (run.broken.size() - 1) + " more)");
             }
         });
-        System.out.printf("%d deployments from seed %d: %d requests, %d attempts, %d served; broken in %s%n", count, first, sums[0], sums[1],
-                sums[2], byRule.isEmpty() ? "none" : byRule);
+        System.out.printf("%d deployments from seed %d: %d requests, %d attempts, %d served, digest %016x; broken in %s%n", count, first, sums[0], sums[1],
+                sums[2], sums[3], byRule.isEmpty() ? "none" : byRule);
     }
 }
