A list of discovery may come indented over several lines

Cause: a watch took each line for an object, so the first line of an indented list could not be read, the watch was given up and asked for anew, and no list was ever told. Seen with a scripted agent: list_bad grows with each ask, no change is read within 20 s.

ObjectLines puts lines together by brackets outside texts, up to 4 MiB. What begins with no brace goes on as it is and is refused as before; a line that ends within a text is refused at once.

--- a/src/main/java/yardusher/list/Watch.java
+++ b/src/main/java/yardusher/list/Watch.java
@@ -95,6 +95,7 @@
     private final class Stream {
         private final AsynchronousSocketChannel channel;
         private final ChunkedLines lines = new ChunkedLines();
+        private final ObjectLines objects = new ObjectLines();
         private final ByteBuffer in = ByteBuffer.allocate(8192);
         private double heardAt = turns.now();
         private boolean closed;
@@ -165,9 +166,11 @@
             try {
                 lines.feed(in.array(), count);
                 for (String line; (line = lines.next()) != null;) {
+                    String object = objects.add(line);
+                    if (object == null) { continue; }
                     if (this == next) { takeOver(); }
-                    if (line.isBlank()) { continue; }
-                    Api.ServerList news = table.line(line);
+                    if (object.isBlank()) { continue; }
+                    Api.ServerList news = table.line(object);
                     counters.listChanges++;
                     counters.listWhole += news.kind() == Api.ListKind.FULL ? 1 : 0;
                     backoff.reset();
