--- a/lab/src/yardusher/lab/Group.java
+++ b/lab/src/yardusher/lab/Group.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntFunction;
 import yardusher.cli.Asking;
+import yardusher.error.WireError;
 import yardusher.resp.Malformed;
 import yardusher.resp.Value;
 
@@ -247,7 +248,7 @@
         try {
             Value answer = Asking.ask(Programs.text(admins[i]), withinMs, words);
             return answer instanceof Value.Bulk bulk ? bulk.text() : answer instanceof Value.Failure no ? "-" + no.text() : String.valueOf(answer);
-        } catch (yardusher.error.WireError e) {
+        } catch (WireError e) {
             return null;
         }
     }
--- a/src/main/java/yardusher/cli/Serve.java
+++ b/src/main/java/yardusher/cli/Serve.java
@@ -416,7 +416,7 @@
         String adminAt = System.getenv("RELAY_ADMIN_ADDR"); // goes before the file's: it is this very process's
         Serve serve = new Serve(config, adminAt == null || adminAt.isEmpty() ? config.admin() : address(adminAt), notes(), listens(limitsFile) ? LimitsConfig.read(limitsFile) : null, Settings.read(settingsFile),
                 clock());
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+        Thread end = new Thread(() -> {
             try {
                 serve.drain();
             } catch (InterruptedException e) { /* the process ends all the same */ }
@@ -428,11 +428,19 @@
             System.err.println(config.name() + " ends: " + serve.countersLine());
             System.err.flush();
             Runtime.getRuntime().halt(0);
-        }, "drain"));
+        }, "drain");
+        Runtime.getRuntime().addShutdownHook(end);
         // Before the first PING is answered: the default of this signal would end the process.
         Signal.handle(new Signal("HUP"), hup -> System.err.println(config.name() + " " + serve.reload(file, settingsFile)));
         if (Hangup.isIgnored()) { System.err.println(config.name() + " " + Hangup.TOLD); }
-        serve.start();
+        try {
+            serve.start();
+        } catch (IOException | RuntimeException e) {
+            // Danger: the hook's end is 0, as of a process that served and was asked to end.
+            if (!end.isAlive()) { Runtime.getRuntime().removeShutdownHook(end); }
+            serve.close();
+            throw e;
+        }
         System.err.println(config.name() + " serves at " + serve.front.answers().address()
                 + (serve.limitsFront == null ? "" : ", limits at " + serve.limitsFront.answers().address()));
         try {
