--- /dev/null
+++ b/src/main/java/yardusher/fleet/Desk.java
@@ -0,0 +1,169 @@
+package yardusher.fleet;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.function.Consumer;
+import yardusher.core.Turns;
+import yardusher.net.Answers;
+import yardusher.net.Sockets;
+import yardusher.register.Kind;
+import yardusher.register.Member;
+import yardusher.register.Op;
+import yardusher.register.View;
+import yardusher.resp.Encoder;
+import yardusher.resp.Value;
+
+/** Answers the commands of the fleet that come in: other members' messages, operations and orders, and the operators' own. In turns. */
+final class Desk {
+    private static final double TRY_AGAIN_MS = 60;
+
+    private final FleetSettings settings;
+    private final Turns turns;
+    private final Seat seat;
+    private final Fellows fellows;
+    private final Outpost outpost;
+
+    Desk(FleetSettings settings, Turns turns, Seat seat, Fellows fellows, Outpost outpost) {
+        this.settings = settings;
+        this.turns = turns;
+        this.seat = seat;
+        this.fellows = fellows;
+        this.outpost = outpost;
+    }
+
+    /** Answers a command of the fleet's, now or later. */
+    void command(byte[][] words, Answers.Slot slot) {
+        String name = new String(words[0], StandardCharsets.ISO_8859_1).toUpperCase(Locale.ROOT);
+        if (words.length < 2 || !new String(words[1], StandardCharsets.UTF_8).equals(settings.installation())) {
+            slot.answer(failure("ERR this agent belongs to installation " + settings.installation()));
+            return;
+        }
+        try {
+            switch (name) {
+                case "FLEET.RAFT" -> raft(words, slot);
+                case "FLEET.OP" -> operation(words, slot);
+                case "FLEET.SEAL", "FLEET.DO" -> {
+                    String[] texts = new String[words.length - 1];
+                    texts[0] = name;
+                    for (int i = 2; i < words.length; i++) { texts[i - 1] = new String(words[i], StandardCharsets.UTF_8); }
+                    outpost.command(texts, answer -> slot.answer(encoded(answer)));
+                }
+                case "FLEET.ASK" -> order(words, slot);
+                case "FLEET.READ" -> read(slot);
+                case "FLEET.MEMBERS" -> slot.answer(new Encoder(256).bulk(membersText()).toBytes());
+                case "FLEET.CHANGE" -> change(text(words, 2), text(words, 3).equals("in"), slot);
+                default -> slot.answer(failure("ERR unknown command"));
+            }
+        } catch (IOException | IllegalArgumentException e) {
+            slot.answer(failure("ERR " + e.getMessage()));
+        }
+    }
+
+    private static byte[] failure(String text) { return new Encoder(64).failure(text).toBytes(); }
+
+    private static byte[] encoded(Value answer) {
+        return answer instanceof Value.Failure failure ? failure(failure.text())
+                : new Encoder(256).bulk(((Value.Bulk) answer).bytes()).toBytes();
+    }
+
+    private static String text(byte[][] words, int at) {
+        if (at >= words.length) { throw new IllegalArgumentException("wrong number of arguments"); }
+        return new String(words[at], StandardCharsets.UTF_8);
+    }
+
+    private void raft(byte[][] words, Answers.Slot slot) throws IOException {
+        if (words.length != 4) { throw new IllegalArgumentException("wrong number of arguments"); }
+        if (fellows.peer(text(words, 2)) == null) { throw new IllegalArgumentException("no member " + text(words, 2)); }
+        seat.node().hear(words[3]);
+        slot.answer(new Encoder(16).simple("OK").toBytes());
+    }
+
+    /** A member asks this one, which it takes for the leader. */
+    private void operation(byte[][] words, Answers.Slot slot) throws IOException {
+        if (words.length != 3 || words[2].length > Op.MOST_BYTES) { throw new IllegalArgumentException("an operation of at most " + Op.MOST_BYTES + " bytes is needed"); }
+        answer(Op.decode(words[2]), slot);
+    }
+
+    private void answer(Op op, Answers.Slot slot) {
+        seat.here(op, (answer, leader) -> slot.answer(answer == null
+                ? failure("TRYAGAIN " + (leader == null ? "nobody leads" : leader + " leads"))
+                : new Encoder(128).bulk(answer.encode()).toBytes()));
+    }
+
+    /** An operator's order, with its id: passed to the register by whichever agent is asked. */
+    private void order(byte[][] words, Answers.Slot slot) {
+        String command = text(words, 2);
+        if (!command.matches("[0-9a-zA-Z-]{8,64}")) { throw new IllegalArgumentException("a command's id is 8 to 64 letters, digits and '-'"); }
+        String by = text(words, 3);
+        if (!by.matches("[!-~]{1,64}")) { throw new IllegalArgumentException("who orders is up to 64 printable characters"); }
+        String verb = text(words, 4);
+        long now = System.currentTimeMillis();
+        Op op = switch (verb) {
+            case "roll" -> new Op.Submit(command, by, now, Kind.ROLL, Order.of(text(words, 5)).toString(), text(words, 6).equals("take-over"));
+            case "ban", "unban" -> {
+                String region = text(words, 5);
+                if (!region.matches(yardusher.register.Bans.REGION)) { throw new IllegalArgumentException("no name of a region: " + region); }
+                yield new Op.Submit(command, by, now, Kind.BANS, region + (verb.equals("ban") ? " out" : " in"), false);
+            }
+            case "stop" -> new Op.Stop(command, by, now, Kind.of(text(words, 5)));
+            case "step-down" -> new Op.StepDown(command, by, Kind.of(text(words, 5)));
+            case "admit" -> {
+                Sockets.address(text(words, 6));
+                yield new Op.Admit(command, new Member(text(words, 5)).name(), text(words, 6));
+            }
+            case "forget" -> new Op.Forget(command, new Member(text(words, 5)).name());
+            default -> throw new IllegalArgumentException("no order " + verb);
+        };
+        seat.untilAnswered(op, turns.now() + 4000, answer -> {
+            if (answer == null) {
+                slot.answer(failure("TRYAGAIN no majority of the agents answers; it is not known whether the order was taken. Ask again with id " + command));
+            } else if (!answer.ok()) {
+                slot.answer(failure("REFUSED " + answer.text()));
+            } else if (op instanceof Op.Admit admit) {
+                member(admit.member(), true, turns.now() + 4000, slot, answer.text());
+            } else if (op instanceof Op.Forget forget) {
+                member(forget.member(), false, turns.now() + 4000, slot, answer.text());
+            } else {
+                slot.answer(new Encoder(128).bulk(answer.text()).toBytes());
+            }
+        });
+    }
+
+    /** Changes who takes part, at the leader, until that is so. */
+    private void member(String member, boolean in, double until, Answers.Slot slot, String text) {
+        Consumer<Boolean> then = done -> {
+            if (done) {
+                slot.answer(new Encoder(128).bulk(text).toBytes());
+            } else if (turns.now() > until || seat.isClosed()) {
+                slot.answer(failure("TRYAGAIN the members could not be changed yet; ask again"));
+            } else {
+                turns.deadlines().at(turns.now() + TRY_AGAIN_MS, () -> member(member, in, until, slot, text));
+            }
+        };
+        seat.change(member, in, then);
+    }
+
+    private void change(String member, boolean in, Answers.Slot slot) {
+        seat.changeHere(new Member(member).name(), in, done ->
+                slot.answer(done ? new Encoder(16).bulk("done").toBytes() : failure("TRYAGAIN not now")));
+    }
+
+    /** The whole state: through the register, or this member's own copy, and which of the two it is. */
+    private void read(Answers.Slot slot) {
+        seat.untilAnswered(new Op.Read(), turns.now() + 1500, answer -> {
+            try {
+                View told = answer == null || answer.state() == null ? seat.view() : View.of(answer.state());
+                slot.answer(new Encoder(1024).bulk(Report.text(told, answer == null, settings, seat.node(), seat.addresses())).toBytes());
+            } catch (IOException e) {
+                slot.answer(failure("ERR " + e.getMessage()));
+            }
+        });
+    }
+
+    private String membersText() {
+        StringBuilder out = new StringBuilder();
+        seat.addresses().forEach((name, address) -> out.append(name).append(' ').append(address).append('\n'));
+        return out.toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/yardusher/fleet/Seat.java
@@ -0,0 +1,250 @@
+package yardusher.fleet;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.Consumer;
+import yardusher.core.Deadlines;
+import yardusher.core.Turns;
+import yardusher.disk.Storage;
+import yardusher.register.Answer;
+import yardusher.register.Loop;
+import yardusher.register.Node;
+import yardusher.register.Op;
+import yardusher.register.Store;
+import yardusher.register.View;
+import yardusher.resp.Value;
+
+/**
+ * This agent's seat in the register: its node and the disk under it, opened anew after a fault; operations asked of whoever
+ * leads; and the newest copy of the register. In the agent's turns, but for the register's own thread, which waits on the disk.
+ */
+final class Seat {
+    private static final double OP_MS = 1000;        // for an operation's way to the leader and back
+    private static final double TRY_AGAIN_MS = 60;
+    private static final double REOPEN_MS = 2000;
+
+    private final FleetSettings settings;
+    private final Fellows fellows;
+    private final Turns turns;
+    private final Random random;
+    private final Storage folder;
+    private final Runnable changed;
+    private Store store;
+    private Loop loop;
+    private Node node;
+    private View view = View.NOTHING;
+    private boolean closed;
+
+    /** {@code changed}: told in a turn when there is a newer copy. The store is open and becomes this one's. */
+    Seat(FleetSettings settings, Fellows fellows, Turns turns, Random random, Storage folder, Store store, Runnable changed) {
+        this.settings = settings;
+        this.fellows = fellows;
+        this.turns = turns;
+        this.random = random;
+        this.folder = folder;
+        this.store = store;
+        this.changed = changed;
+    }
+
+    View view() { return view; }
+
+    Node node() { return node; }
+
+    boolean isClosed() { return closed; }
+
+    /** Members and where they are, as this agent knows them. */
+    Map<String, String> addresses() {
+        Map<String, String> all = new LinkedHashMap<>();
+        settings.members().forEach((name, address) -> {
+            if (node == null || store.joins() || node.members().contains(name)) { all.put(name, address); }
+        });
+        view.addresses().forEach((name, address) -> all.putIfAbsent(name, address));
+        return all;
+    }
+
+    void begin() {
+        loop = new Loop("register", settings.heartbeatMs());
+        List<String> first = new ArrayList<>(settings.members().keySet());
+        if (store.joins()) { first.remove(settings.member()); }
+        Node[] made = new Node[1];
+        made[0] = new Node(settings.installation(), settings.member(), first, store, settings.heartbeatMs(), loop,
+                () -> System.nanoTime() / 1e6, new Random(random.nextLong()), new Node.World() {
+                    @Override
+                    public void send(String member, byte[] message) { turns.turn(() -> sendRaft(member, message)); }
+
+                    @Override
+                    public boolean reaches(String member) { return true; }
+
+                    @Override
+                    public void changed(View now) {
+                        turns.turn(() -> {
+                            if (node != made[0]) { return; }
+                            view = now;
+                            changed.run();
+                        });
+                    }
+
+                    @Override
+                    public void broken(IOException why) { turns.turn(() -> brokenStore(made[0], why)); }
+                });
+        node = made[0];
+        node.start();
+    }
+
+    /** Takes no part until the store can be opened anew: what it holds is then read again from the disk. */
+    private void brokenStore(Node failed, IOException why) {
+        if (node != failed || closed) { return; }
+        System.err.println("agent: " + settings.member() + " takes no part in the register: " + why.getMessage());
+        failed.stop(() -> { });
+        loop.shutdown();
+        turns.deadlines().at(turns.now() + REOPEN_MS, this::reopen);
+    }
+
+    private void reopen() {
+        if (closed) { return; }
+        Loop opening = new Loop("register", settings.heartbeatMs());
+        Store failed = store;
+        opening.execute(() -> {
+            Store opened = null;
+            IOException why = null;
+            try {
+                failed.close();
+                opened = Store.open(folder, settings.installation(), settings.member());
+            } catch (IOException e) {
+                why = e;
+            }
+            Store found = opened;
+            IOException told = why;
+            turns.turn(() -> {
+                opening.shutdown();
+                if (closed) { return; }
+                if (found == null) {
+                    System.err.println("agent: " + settings.member() + " takes no part in the register: " + told.getMessage());
+                    turns.deadlines().at(turns.now() + REOPEN_MS, this::reopen);
+                    return;
+                }
+                store = found;
+                System.err.println("agent: " + settings.member() + " takes part in the register again");
+                begin();
+            });
+        });
+    }
+
+    private void sendRaft(String member, byte[] message) {
+        Peer peer = fellows.peer(member);
+        if (peer == null || closed) { return; }
+        peer.ask(fellows.command("FLEET.RAFT").bulk(settings.member()).bulk(message).toBytes(), OP_MS, answer -> { }, () -> { });
+    }
+
+    // ---- operations of the register
+
+    /** Asks the register, through whoever leads; {@code then} hears null where nobody can say, in a turn. */
+    void ask(Op op, Consumer<Answer> then) {
+        here(op, (answer, leader) -> {
+            if (answer != null || leader == null || leader.equals(settings.member()) || fellows.peer(leader) == null) {
+                then.accept(answer);
+                return;
+            }
+            fellows.peer(leader).ask(fellows.command("FLEET.OP").bulk(op.encode()).toBytes(), OP_MS, value -> then.accept(decoded(value)),
+                    () -> then.accept(null));
+        });
+    }
+
+    private static Answer decoded(Value value) {
+        try {
+            return value instanceof Value.Bulk bulk && bulk.bytes() != null ? Answer.decode(bulk.bytes()) : null;
+        } catch (IOException e) {
+            return null;
+        }
+    }
+
+    /** What this member's own node says; the leader is null where nobody can say. */
+    interface Here {
+        void said(Answer answer, String leader);
+    }
+
+    /** Asks this member's own node, for at most {@link #OP_MS}. */
+    void here(Op op, Here then) {
+        boolean[] over = new boolean[1];
+        Deadlines.Entry limit = turns.deadlines().at(turns.now() + OP_MS, () -> {
+            if (!over[0]) {
+                over[0] = true;
+                then.said(null, null);
+            }
+        });
+        node.ask(op, new Node.Asked() {
+            @Override
+            public void answered(Answer answer) { tell(answer, null); }
+
+            @Override
+            public void notHere(String leader, boolean unknown) { tell(null, unknown ? null : leader); }
+
+            private void tell(Answer answer, String leader) {
+                turns.turn(() -> {
+                    turns.deadlines().cancel(limit);
+                    if (!over[0]) {
+                        over[0] = true;
+                        then.said(answer, leader);
+                    }
+                });
+            }
+        });
+    }
+
+    /** Asks until there is an answer or that time has come; then null. */
+    void untilAnswered(Op op, double until, Consumer<Answer> then) {
+        ask(op, answer -> {
+            if (answer != null || turns.now() > until || closed) {
+                then.accept(answer);
+            } else {
+                turns.deadlines().at(turns.now() + TRY_AGAIN_MS, () -> untilAnswered(op, until, then));
+            }
+        });
+    }
+
+    /** Changes who takes part, once, wherever the leader is; whether it was done. */
+    void change(String member, boolean in, Consumer<Boolean> then) {
+        String leader = node.leader();
+        if (leader == null) {
+            then.accept(false);
+        } else if (leader.equals(settings.member())) {
+            changeHere(member, in, then);
+        } else if (fellows.peer(leader) != null) {
+            fellows.peer(leader).ask(fellows.command("FLEET.CHANGE", member, in ? "in" : "out").toBytes(), OP_MS,
+                    answer -> then.accept(answer instanceof Value.Bulk), () -> then.accept(false));
+        } else {
+            then.accept(false);
+        }
+    }
+
+    /** The same at this member's own node. */
+    void changeHere(String member, boolean in, Consumer<Boolean> then) {
+        node.change(member, in, new Node.Asked() {
+            @Override
+            public void answered(Answer answer) { turns.turn(() -> then.accept(true)); }
+
+            @Override
+            public void notHere(String leader, boolean unknown) { turns.turn(() -> then.accept(false)); }
+        });
+    }
+
+    /** Operations asked before are still answered for as long as this program has turns. */
+    void close() { closed = true; }
+
+    /** Takes no more part. */
+    void stop() { node.stop(loop::shutdown); }
+
+    /** After the last turn: what must outlive the process is on disk. */
+    void end() throws IOException {
+        try {
+            loop.await(1000);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        store.close();
+    }
+}
