--- /dev/null
+++ b/src/main/java/yardusher/net/Crowd.java
@@ -0,0 +1,125 @@
+package yardusher.net;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * The connections that a front holds, within a bound: who has said nothing yet, who is idle, who only gets its last bytes, and
+ * who gives way to a newcomer. Guards the usual clients against connections that are kept and not used. Times are passed in.
+ */
+final class Crowd {
+    // To the end of a connection's first command, or of any begun: a slow client may take 2 s, and a bad one is owed
+    // an answer in 3 s.
+    private static final double SILENT_MS = 2500;
+    private static final double IDLE_MS = 2000;    // a connection with nothing open may be closed after this
+    private static final double CALM_IDLE_MS = 10_000; // and is, where there is room for others
+    private static final double SILENT_WAY_MS = 30; // where no room is left, these give way to a newcomer:
+    private static final double IDLE_WAY_MS = 250; // who connected and said nothing, then who is idle
+    private static final double SHORT_IDLE_MS = 100; // where many are idle, the longest so is closed after this
+
+    private final Set<TerminalLink> terminals = new LinkedHashSet<>();
+    /** Terminals with nothing open, the longest so first: those that never ended a command, and the others. */
+    private final Set<TerminalLink> silent = new LinkedHashSet<>();
+    private final Set<TerminalLink> idle = new LinkedHashSet<>();
+    /** Connections that get their last bytes. They still hold descriptors, so they have a bound too. */
+    private final Set<Link> leaving = new LinkedHashSet<>();
+    private int mostTerminals;
+    private int mostLeaving;
+    private int mostIdle;
+
+    /** How many connections are held at the most; the longest idle beyond that close. */
+    void limit(int most) {
+        mostLeaving = Math.max(2, most / 5);
+        mostTerminals = Math.max(1, most - mostLeaving);
+        mostIdle = Math.max(1, mostTerminals / 4);
+        for (TerminalLink terminal : new ArrayList<>(idle)) {
+            if (terminals.size() > mostTerminals) { terminal.finish(); }
+        }
+    }
+
+    int size() { return terminals.size(); }
+
+    List<TerminalLink> all() { return new ArrayList<>(terminals); }
+
+    /** {@code twice}: twice as many may be here. */
+    boolean hasRoom(boolean twice) {
+        int most = twice ? 2 * mostTerminals : mostTerminals;
+        return terminals.size() < most && terminals.size() + leaving.size() < most + mostLeaving;
+    }
+
+    /** Who is to give way to a newcomer, or null: who said nothing for longest, then who is idle, then who is slow at its first command. */
+    TerminalLink givesWay(double now) {
+        TerminalLink longest = first(mute(), SILENT_WAY_MS, now);
+        if (longest == null) { longest = first(idle, IDLE_WAY_MS, now); }
+        return longest == null ? first(silent, SILENT_WAY_MS, now) : longest;
+    }
+
+    /** The longest silent that has not begun a command, if any. */
+    private Set<TerminalLink> mute() {
+        for (TerminalLink one : silent) {
+            if (!one.hasBegun()) { return Set.of(one); }
+        }
+        return Set.of();
+    }
+
+    private static TerminalLink first(Set<TerminalLink> of, double quietMs, double now) {
+        TerminalLink first = of.isEmpty() ? null : of.iterator().next();
+        return first != null && now - first.quietSince() >= quietMs ? first : null;
+    }
+
+    void joins(TerminalLink terminal) {
+        terminals.add(terminal);
+        silent.add(terminal);
+    }
+
+    /** It has something open. */
+    void isBusy(TerminalLink terminal) {
+        silent.remove(terminal);
+        idle.remove(terminal);
+    }
+
+    /** It has nothing open any more. */
+    void isIdle(TerminalLink terminal, double now) {
+        idle.add(terminal);
+        // Guards clients that use a new connection for each request and keep the old one: what they hold
+        // idle is out of what they may hold at all, and they would find none left for their requests.
+        TerminalLink longest = idle.size() > mostIdle ? first(idle, SHORT_IDLE_MS, now) : null;
+        if (longest != null) { longest.drop(); }
+    }
+
+    /** It is none of the terminals any more; true where one more has room for that. */
+    boolean leaves(TerminalLink terminal) {
+        isBusy(terminal);
+        return terminals.remove(terminal) && terminals.size() == mostTerminals - 1;
+    }
+
+    /** Ends a connection once its last bytes are taken. {@code many}: all may do so at once. */
+    void finishes(Link link, boolean many) {
+        leaving.add(link);
+        link.finish(() -> leaving.remove(link));
+        if (leaving.size() > (many ? mostTerminals : mostLeaving)) { leaving.iterator().next().close(); }
+    }
+
+    void closeLeaving() { new ArrayList<>(leaving).forEach(Link::close); }
+
+    /** Closes what has been silent or idle too long, and what never ends a command it has begun. */
+    void reap(double now) {
+        boolean crowded = terminals.size() > mostTerminals / 2;
+        reap(silent, now - SILENT_MS, now - SILENT_MS);
+        reap(idle, now - (crowded ? IDLE_MS : CALM_IDLE_MS), now - SILENT_MS);
+    }
+
+    private void reap(Set<TerminalLink> of, double quietBefore, double begunBefore) {
+        for (TerminalLink terminal : new ArrayList<>(of)) {
+            // Guards who has begun a command against an end without a word: a silent one is told, an idle one has its time.
+            boolean begun = terminal.hasBegun();
+            if (terminal.begunAt() < begunBefore || begun && of == silent && terminal.quietSince() < quietBefore) {
+                terminal.lose("command not ended");
+            } else if (!begun && terminal.quietSince() < quietBefore) {
+                terminal.drop();
+            }
+        }
+    }
+}
