--- a/src/main/java/yardusher/fleet/Desk.java
+++ b/src/main/java/yardusher/fleet/Desk.java
@@ -5,6 +5,9 @@
 import java.util.Locale;
 import java.util.function.Consumer;
 import yardusher.core.Turns;
+import yardusher.error.CommandError;
+import yardusher.error.WireError;
+import yardusher.error.YardusherError;
 import yardusher.net.Answers;
 import yardusher.net.Sockets;
 import yardusher.register.Kind;
@@ -55,7 +58,9 @@
                 case "FLEET.CHANGE" -> change(text(words, 2), text(words, 3).equals("in"), slot);
                 default -> slot.answer(failure("ERR unknown command"));
             }
-        } catch (IOException | IllegalArgumentException e) {
+        } catch (IOException e) {
+            slot.answer(failure("ERR " + new WireError.Malformed(null, String.valueOf(e.getMessage())).getMessage()));
+        } catch (YardusherError e) {
             slot.answer(failure("ERR " + e.getMessage()));
         }
     }
@@ -68,20 +73,20 @@
     }
 
     private static String text(byte[][] words, int at) {
-        if (at >= words.length) { throw new IllegalArgumentException("wrong number of arguments"); }
+        if (at >= words.length) { throw new CommandError.Argument("wrong number of arguments"); }
         return new String(words[at], StandardCharsets.UTF_8);
     }
 
     private void raft(byte[][] words, Answers.Slot slot) throws IOException {
-        if (words.length != 4) { throw new IllegalArgumentException("wrong number of arguments"); }
-        if (fellows.peer(text(words, 2)) == null) { throw new IllegalArgumentException("no member " + text(words, 2)); }
+        if (words.length != 4) { throw new CommandError.Argument("wrong number of arguments"); }
+        if (fellows.peer(text(words, 2)) == null) { throw new CommandError.NotFound("no member " + text(words, 2)); }
         seat.node().hear(words[3]);
         slot.answer(new Encoder(16).simple("OK").toBytes());
     }
 
     /** A member asks this one, which it takes for the leader. */
     private void operation(byte[][] words, Answers.Slot slot) throws IOException {
-        if (words.length != 3 || words[2].length > Op.MOST_BYTES) { throw new IllegalArgumentException("an operation of at most " + Op.MOST_BYTES + " bytes is needed"); }
+        if (words.length != 3 || words[2].length > Op.MOST_BYTES) { throw new CommandError.Argument("an operation of at most " + Op.MOST_BYTES + " bytes is needed"); }
         answer(Op.decode(words[2]), slot);
     }
 
@@ -94,16 +99,16 @@
     /** An operator's order, with its id: passed to the register by whichever agent is asked. */
     private void order(byte[][] words, Answers.Slot slot) {
         String command = text(words, 2);
-        if (!command.matches("[0-9a-zA-Z-]{8,64}")) { throw new IllegalArgumentException("a command's id is 8 to 64 letters, digits and '-'"); }
+        if (!command.matches("[0-9a-zA-Z-]{8,64}")) { throw new CommandError.Argument("a command's id is 8 to 64 letters, digits and '-'"); }
         String by = text(words, 3);
-        if (!by.matches("[!-~]{1,64}")) { throw new IllegalArgumentException("who orders is up to 64 printable characters"); }
+        if (!by.matches("[!-~]{1,64}")) { throw new CommandError.Argument("who orders is up to 64 printable characters"); }
         String verb = text(words, 4);
         long now = System.currentTimeMillis();
         Op op = switch (verb) {
             case "roll" -> new Op.Submit(command, by, now, Kind.ROLL, Order.of(text(words, 5)).toString(), text(words, 6).equals("take-over"));
             case "ban", "unban" -> {
                 String region = text(words, 5);
-                if (!region.matches(yardusher.register.Bans.REGION)) { throw new IllegalArgumentException("no name of a region: " + region); }
+                if (!region.matches(yardusher.register.Bans.REGION)) { throw new CommandError.Argument("no name of a region: " + region); }
                 yield new Op.Submit(command, by, now, Kind.BANS, region + (verb.equals("ban") ? " out" : " in"), false);
             }
             case "stop" -> new Op.Stop(command, by, now, Kind.of(text(words, 5)));
@@ -113,7 +118,7 @@
                 yield new Op.Admit(command, new Member(text(words, 5)).name(), text(words, 6));
             }
             case "forget" -> new Op.Forget(command, new Member(text(words, 5)).name());
-            default -> throw new IllegalArgumentException("no order " + verb);
+            default -> throw new CommandError.Unknown("no order " + verb);
         };
         seat.untilAnswered(op, turns.now() + 4000, answer -> {
             if (answer == null) {
--- a/src/main/java/yardusher/fleet/FleetAgent.java
+++ b/src/main/java/yardusher/fleet/FleetAgent.java
@@ -4,6 +4,7 @@
 import java.util.Random;
 import yardusher.disk.Folder;
 import yardusher.disk.Storage;
+import yardusher.error.RegisterError;
 import yardusher.fence.Memory;
 import yardusher.net.Answers;
 import yardusher.net.Sockets;
@@ -26,24 +27,23 @@
     /**
      * Opens the agent's folder.
      *
-     * @throws IllegalArgumentException where the folder is another's or holds no member: one plain line
-     * @throws IOException where it cannot be read or is damaged
+     * @throws RegisterError where the folder is another's, holds no member, cannot be read or is damaged: one plain line
      */
     public FleetAgent(FleetSettings settings, Sockets sockets, Targets targets) throws IOException {
         Random random = new Random(System.nanoTime() ^ settings.member().hashCode());
         Leases leases = new Leases(settings.member(), Leases.Terms.of(settings), random);
         fellows = new Fellows(settings, sockets, random);
-        folder = Folder.writing(settings.folder(), settings.member());
+        folder = folder(settings);
         Store store;
         try {
             store = Store.open(folder, settings.installation(), settings.member());
             memory = Memory.open(folder, settings.installation(), settings.member(), sockets.turns());
         } catch (IOException e) {
             folder.close();
-            throw new IOException(settings.folder() + ": " + e.getMessage(), e);
-        } catch (IllegalArgumentException e) {
+            throw new RegisterError.Damaged(settings.folder(), String.valueOf(e.getMessage()), e);
+        } catch (RegisterError e) {
             folder.close();
-            throw new IllegalArgumentException(settings.folder() + ": " + e.getMessage(), e);
+            throw e.in(settings.folder());
         }
         seat = new Seat(settings, fellows, sockets.turns(), random, folder, store, this::changed);
         outpost = new Outpost(memory, targets, sockets.turns(), seat::view);
@@ -54,8 +54,18 @@
 
     /** Begins a member in a folder that holds none: once in a member's life. */
     public static void init(FleetSettings settings, boolean joins) throws IOException {
-        try (Storage folder = Folder.writing(settings.folder(), settings.member())) {
+        try (Storage folder = folder(settings)) {
             Store.begin(folder, settings.installation(), settings.member(), joins).close();
+        } catch (RegisterError e) {
+            throw e.in(settings.folder());
+        }
+    }
+
+    private static Storage folder(FleetSettings settings) {
+        try {
+            return Folder.writing(settings.folder(), settings.member());
+        } catch (IOException e) {
+            throw new RegisterError.Folder(settings.folder(), String.valueOf(e.getMessage()), e);
         }
     }
 
--- a/src/main/java/yardusher/settings/Settings.java
+++ b/src/main/java/yardusher/settings/Settings.java
@@ -4,28 +4,39 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Set;
+import yardusher.error.ConfigError;
 import yardusher.file.Toml;
 import yardusher.journal.JournalSettings;
 import yardusher.keys.KeySettings;
 import yardusher.log.LogSettings;
+import yardusher.parts.PartSettings;
+import yardusher.units.UnitSettings;
+import yardusher.view.ViewSettings;
 
 /**
  * Our own settings, deploy/yardusher.toml: a table for each subsystem, which is off where its table is left out. The
  * platform's file says nothing of them.
  */
-public record Settings(JournalSettings journal, KeySettings keys, LogSettings log, boolean fenced) {
+public record Settings(JournalSettings journal, KeySettings keys, LogSettings log, boolean fenced, ViewSettings view,
+        UnitSettings units, PartSettings parts) {
     /** Everything off. */
-    public static final Settings OFF = new Settings(null, null, null, false);
-    private static final Set<String> TABLES = Set.of("journal", "keys", "log", "fleet");
+    public static final Settings OFF = new Settings(null, null, null, false, null, null, null);
+    private static final Set<String> TABLES = Set.of("journal", "keys", "log", "fleet", "view", "units", "parts");
 
     /**
      * Reads a file; null and a file that says nothing are {@link #OFF}, and load no parser.
      *
-     * @throws IllegalArgumentException in one plain line that names the file, the key and what is allowed
+     * @throws yardusher.error.ConfigError in one plain line that names the file, the key and what is allowed
      */
     public static Settings read(Path file) {
         if (file == null || isSilent(file)) { return OFF; }
-        return Toml.read(file, toml -> new Settings(JournalSettings.of(toml.only(TABLES)), KeySettings.of(toml), LogSettings.of(toml), fenced(toml)));
+        return Toml.read(file, toml -> {
+            Settings all = new Settings(JournalSettings.of(toml.only(TABLES)), KeySettings.of(toml), LogSettings.of(toml), fenced(toml),
+                    ViewSettings.of(toml), UnitSettings.of(toml), PartSettings.of(toml));
+            String lone = all.view != null ? null : all.units != null ? "units" : all.parts != null ? "parts" : null;
+            if (lone != null) { throw new ConfigError.Conflict(null, lone, lone + " needs a table view, by which ingresses reach one another"); }
+            return all;
+        });
     }
 
     /** Whether this ingress takes orders of the fleet's work at its second address. */
@@ -38,7 +49,7 @@
         try {
             return Files.readString(file).lines().map(String::strip).allMatch(line -> line.isEmpty() || line.startsWith("#"));
         } catch (IOException e) {
-            throw new IllegalArgumentException(file + ": cannot be read", e);
+            throw new ConfigError.Unreadable(file, e);
         }
     }
 }
