Lab: fleet runs under constant load, side by side, with plants in the real program

Installation has regions, discovery and terminals; FleetRun keeps a load up and holds what was served against the regions' histories; Plant compiles changed sources into a folder that stands before the program's classes.

--- a/lab/src/yardusher/lab/FleetRun.java
+++ b/lab/src/yardusher/lab/FleetRun.java
@@ -4,10 +4,13 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * One seed of an installation under faults: agents that die, are paused and come back, ways that are cut, lose, hold and
@@ -16,9 +19,11 @@
  */
 public final class FleetRun {
     private static final long CALM_MS = 60_000;
+    private static final double LOAD_PER_S = 40;
+    private static final int TRIES = 6;
 
     /** How a seed went. */
-    public record Verdict(long seed, int faults, int rolls, int rollsDone, int owners, long effects, List<String> breaches) { }
+    public record Verdict(long seed, int faults, int rolls, int rollsDone, int owners, long effects, int transactions, List<String> breaches) { }
 
     private final Installation site;
     private final Random random;
@@ -35,10 +40,15 @@
 
     /** Plays a seed in a folder that is not there yet. */
     public static Verdict play(Path folder, long seed, int agents, int instances, int troubles) throws IOException, InterruptedException {
-        try (Installation site = new Installation(folder, agents, instances, new Installation.Tuning(800, 100, 20_000))) {
+        return play(folder, seed, agents, instances, troubles, null);
+    }
+
+    /** With something left out of the agents' program, or null. */
+    static Verdict play(Path folder, long seed, int agents, int instances, int troubles, Plant plant) throws IOException, InterruptedException {
+        try (Installation site = new Installation(folder, agents, instances, new Installation.Tuning(800, 100, 20_000), plant)) {
             FleetRun run = new FleetRun(site, seed);
             try {
-                return run.play(seed, troubles);
+                return run.underLoad(seed, troubles);
             } finally {
                 Files.write(folder.resolve("schedule.txt"), run.schedule);
             }
@@ -47,14 +57,33 @@
 
     private void say(String what) { schedule.add((System.currentTimeMillis() - began) + " " + what); }
 
-    private Verdict play(long seed, int troubles) throws IOException, InterruptedException {
-        say("seed " + seed + ", away " + away);
+    /** Transactions come all the while; each has to be served in the end, with what a region made for it. */
+    private Verdict underLoad(long seed, int troubles) throws IOException, InterruptedException {
+        Terminals terminals = site.terminals();
         site.init();
         for (int i = 0; i < site.agents(); i++) { site.start(i); }
         List<String> breaches = new ArrayList<>();
         for (int i = 0; i < site.agents(); i++) {
             if (!await(i, 20_000)) { breaches.add("agent " + i + " was never ready"); }
         }
+        Verdict verdict;
+        try (Terminals.Load load = terminals.load(4, LOAD_PER_S, TRIES, (terminal, number) -> {
+            long customer = 1000 + terminal * 100L + number % 100;
+            return number % 2 == 0 ? terminals.get(customer, 1500, 0, 3) : terminals.post(customer, 1500, 0, 3, terminal * 1_000_000L + number, "b");
+        })) {
+            verdict = play(seed, troubles, breaches);
+        }
+        Map<String, Terminals.Try> last = new HashMap<>();
+        for (Terminals.Try one : site.terminalHistory()) { last.put(one.retryOf(), one); }
+        long lost = last.values().stream().filter(one -> one.end() != Terminals.End.SERVED).count();
+        if (lost > 0) { breaches.add(lost + " transactions of " + last.size() + " were not served in " + TRIES + " tries"); }
+        breaches.addAll(Checks.served(site.regionHistory(), site.terminalHistory()));
+        breaches.addAll(Checks.connections(site.regionHistory()));
+        return new Verdict(seed, verdict.faults(), verdict.rolls(), verdict.rollsDone(), verdict.owners(), verdict.effects(), last.size(), breaches);
+    }
+
+    private Verdict play(long seed, int troubles, List<String> breaches) throws IOException, InterruptedException {
+        say("seed " + seed + ", away " + away);
         int rolls = 1;
         order(0, seed + "-roll-" + rolls, "-");
         for (int i = 0; i < troubles && breaches.isEmpty(); i++) {
@@ -78,7 +107,7 @@
         }
         int owners = (int) history.stream().filter(event -> event.what().equals("seals")).map(History.Event::token).distinct().count();
         long effects = history.stream().filter(event -> event.what().startsWith("acts")).count();
-        return new Verdict(seed, faults, rolls, done.size(), owners, effects, breaches);
+        return new Verdict(seed, faults, rolls, done.size(), owners, effects, 0, breaches);
     }
 
     private Set<String> names() {
@@ -192,24 +221,47 @@
         return null;
     }
 
-    /** {@code FOLDER FIRST COUNT [AGENTS [INSTANCES [TROUBLES]]]}: a line a seed, kept folders of those with breaches. */
+    /**
+     * {@code FOLDER FIRST COUNT [AGENTS [INSTANCES [TROUBLES [SIDE [PLANT]]]]]}: a line a seed, SIDE of them side by side; keeps the
+     * folders of those with breaches. With a plant it ends at the first breach, and 1 says that there was none.
+     */
     public static void main(String[] args) throws Exception {
         long first = Long.parseLong(args[1]);
         long count = Long.parseLong(args[2]);
         int agents = args.length > 3 ? Integer.parseInt(args[3]) : 5;
         int instances = args.length > 4 ? Integer.parseInt(args[4]) : 2;
         int troubles = args.length > 5 ? Integer.parseInt(args[5]) : 8;
-        int broken = 0;
-        for (long seed = first; seed < first + count; seed++) {
-            Path folder = Path.of(args[0]).resolve("seed-" + seed);
-            long from = System.nanoTime();
-            Verdict verdict = play(folder, seed, agents, instances, troubles);
-            System.out.printf("seed %d: %d faults, %d rolls ordered, %d done, %d owners, %d effects, %.0f s%s%n", seed, verdict.faults(), verdict.rolls(),
-                    verdict.rollsDone(), verdict.owners(), verdict.effects(), (System.nanoTime() - from) / 1e9,
-                    verdict.breaches().isEmpty() ? "" : "  BREACH " + verdict.breaches());
-            if (verdict.breaches().isEmpty()) { Installation.delete(folder); } else { broken++; }
+        int side = args.length > 6 ? Integer.parseInt(args[6]) : 1;
+        Path root = Files.createDirectories(Path.of(args[0]));
+        Plant plant = args.length > 7 ? Plant.of(args[7], root.resolve("planted-" + args[7])) : null;
+        AtomicLong next = new AtomicLong(first);
+        AtomicLong played = new AtomicLong();
+        AtomicLong broken = new AtomicLong();
+        List<Thread> threads = new ArrayList<>();
+        for (int i = 0; i < side; i++) {
+            Thread thread = new Thread(() -> {
+                for (long seed; (seed = next.getAndIncrement()) < first + count && (plant == null || broken.get() == 0);) {
+                    Path folder = root.resolve("seed-" + seed);
+                    long from = System.nanoTime();
+                    try {
+                        if (Files.exists(folder)) { Installation.delete(folder); }
+                        Verdict verdict = play(folder, seed, agents, instances, troubles, plant);
+                        System.out.printf("seed %d: %d faults, %d rolls ordered, %d done, %d owners, %d effects, %d transactions, %.0f s%s%n", seed,
+                                verdict.faults(), verdict.rolls(), verdict.rollsDone(), verdict.owners(), verdict.effects(), verdict.transactions(),
+                                (System.nanoTime() - from) / 1e9, verdict.breaches().isEmpty() ? "" : "  BREACH " + verdict.breaches());
+                        if (verdict.breaches().isEmpty()) { Installation.delete(folder); } else { broken.incrementAndGet(); }
+                    } catch (IOException | InterruptedException | RuntimeException e) {
+                        System.out.println("seed " + seed + ": the run itself failed: " + e);
+                        broken.incrementAndGet();
+                    }
+                    played.incrementAndGet();
+                }
+            });
+            threads.add(thread);
+            thread.start();
         }
-        System.out.println(count + " seeds, " + broken + " with a breach");
-        System.exit(broken == 0 ? 0 : 1);
+        for (Thread thread : threads) { thread.join(); }
+        System.out.println(played + " seeds, " + broken + " with a breach");
+        System.exit((broken.get() == 0) == (plant == null) ? 0 : 1);
     }
 }
--- a/lab/src/yardusher/lab/Installation.java
+++ b/lab/src/yardusher/lab/Installation.java
@@ -1,18 +1,18 @@
 package yardusher.lab;
 
+import java.io.Closeable;
 import java.io.File;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import yardusher.cli.Asking;
@@ -39,11 +39,25 @@
     private final InetSocketAddress[] controls;
     private final Process[] processes;
     private final Map<List<Integer>, Relay> ways = new LinkedHashMap<>();
-    private final Map<String, InetSocketAddress> addresses = new HashMap<>(); // of instances
+    private final int number = Programs.nextGroup();
+    private final List<InetSocketAddress> addresses = new ArrayList<>(); // of instances, agent by agent
+    private final Plant plant;
+    private final Set<Integer> piped = new HashSet<>();
+    private final Discovery discovery;
+    private final List<Region> regions = new ArrayList<>();
+    private final Chronicle<Region.Event> regionHistory;
+    private final Chronicle<Terminals.Try> terminalHistory;
+    private final Terminals terminals;
     private final Thread whenCutOff = new Thread(this::end);
 
-    /** {@code instances}: of each agent. {@code region}: one that every instance knows of. */
+    /** {@code instances}: of each agent. */
     public Installation(Path folder, int agents, int instances, Tuning tuning) throws IOException {
+        this(folder, agents, instances, tuning, null);
+    }
+
+    /** With something left out of the agents' program, or null. Three stand-in regions are known to every instance. */
+    public Installation(Path folder, int agents, int instances, Tuning tuning, Plant plant) throws IOException {
+        this.plant = plant;
         this.folder = folder;
         this.agents = agents;
         this.instances = instances;
@@ -57,21 +71,26 @@
                 if (i != j) { ways.put(List.of(i, j), new Relay(controls[i].getAddress(), controls[j])); }
             }
         }
+        regionHistory = new Chronicle<>(folder.resolve("regions.tsv"));
+        terminalHistory = new Chronicle<>(folder.resolve("terminals.tsv"));
+        discovery = new Discovery(Programs.place(number, 200), agents * instances);
+        for (int i = 0; i < 3; i++) {
+            Region region = new Region("r" + i, Programs.free(Programs.place(number, 202 + i)), regionHistory, i).takes(1, 8);
+            regions.add(region);
+            discovery.put(new Discovery.Entry("s-0000000" + (i + 1), region.address(), "hall-" + "abc".charAt(i), i, "Ready", 1.0, 0));
+        }
         for (int i = 0; i < agents; i++) { write(i); }
+        terminals = new Terminals(addresses, terminalHistory, number);
         Runtime.getRuntime().addShutdownHook(whenCutOff); // a run that is cut off leaves no process behind either
     }
 
-    private static InetSocketAddress free(int machine) throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0." + (20 + machine)))) {
-            return (InetSocketAddress) socket.getLocalSocketAddress();
-        }
-    }
+    private InetSocketAddress free(int machine) throws IOException { return Programs.free(Programs.place(number, machine)); }
 
-    private static String text(InetSocketAddress at) { return at.getAddress().getHostAddress() + ":" + at.getPort(); }
+    private static String text(InetSocketAddress at) { return Programs.text(at); }
 
     private void write(int i) throws IOException {
         StringBuilder out = new StringBuilder("control = \"" + text(controls[i]) + "\"\nstop_ms = 8000\ncommand = [");
-        for (String word : command()) { out.append('\'').append(word).append("', "); }
+        for (String word : Programs.command(24)) { out.append('\'').append(word).append("', "); }
         out.setLength(out.length() - 2);
         out.append("]\n\n[fleet]\ninstallation = \"" + NAME + "\"\nmember = \"a" + i + "\"\nfolder = '" + folder.resolve("a" + i)
                 + "'\nlease_ms = " + tuning.leaseMs() + "\nheartbeat_ms = " + tuning.heartbeatMs() + "\npatience_ms = " + tuning.patienceMs() + "\n");
@@ -84,12 +103,12 @@
         for (int k = 0; k < instances; k++) {
             String name = "n" + i + "x" + k;
             InetSocketAddress listen = free(i);
-            addresses.put(name, listen);
+            addresses.add(listen);
             Path config = folder.resolve(name + ".json");
             Files.writeString(config, template.replace("\"name\": \"n0\"", "\"name\": \"" + name + "\"")
                     .replace("\"listen\": \"127.0.0.1:0\"", "\"listen\": \"" + text(listen) + "\",\n \"admin_addr\": \"" + text(free(i)) + "\"")
-                    .replace("\"members\": []", "\"members\": [{\"id\": \"s-00000001\", \"host_port\": \"127.0.0.1:1\", \"locality\": \"a\","
-                            + " \"flavor\": \"std-4\", \"cell\": 0, \"phase\": \"Ready\", \"size\": 1.0, \"up_since_ms\": 0}]"));
+                    .replace("127.0.0.1:9\"", text(discovery.address(i * instances + k)) + "\"")
+                    .replaceAll("(?s)\"known\": \\{.*?},", "\"known\": " + java.util.regex.Matcher.quoteReplacement(discovery.list()) + ","));
             out.append("[[instance]]\nname = \"" + name + "\"\naddress = \"" + text(listen) + "\"\nconfig = '" + config + "'\nsettings = '" + settings + "'\n");
         }
         Files.writeString(file(i), out);
@@ -114,9 +133,22 @@
 
     /** Begins each member once. */
     public void init() throws IOException, InterruptedException {
-        for (int i = 0; i < agents; i++) { run(i, "fleet", "init", file(i).toString()); }
+        List<Process> all = new ArrayList<>();
+        for (int i = 0; i < agents; i++) {
+            List<String> command = command();
+            command.addAll(List.of("fleet", "init", file(i).toString()));
+            all.add(new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.DISCARD).start());
+        }
+        for (Process one : all) { one.waitFor(); }
     }
 
+    /** Terminals, whose ingresses are the instances, agent by agent. */
+    public Terminals terminals() { return terminals; }
+
+    public List<Region.Event> regionHistory() { return regionHistory.all(); }
+
+    public List<Terminals.Try> terminalHistory() { return terminalHistory.all(); }
+
     /** Runs a sub-command to its end and gives what it said, its exit status first. */
     public String run(int agent, String... words) throws IOException, InterruptedException {
         List<String> command = command();
@@ -127,12 +159,28 @@
     }
 
     public void start(int agent) throws IOException {
-        List<String> command = command();
+        List<String> command = new ArrayList<>();
+        // A limit on the size of files would be one on the log too, so a process that has none writes it.
+        if (piped.contains(agent)) { command.addAll(List.of("bash", "-c", "exec \"$@\" > >(exec cat >> '" + log(agent) + "') 2>&1", "bash")); }
+        command.addAll(plant == null ? command() : plant.command(48));
         command.addAll(List.of("agent", "start", file(agent).toString()));
         processes[agent] = new ProcessBuilder(command).redirectInput(new File("/dev/null")).redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(log(agent).toFile())).start();
     }
 
+    /** From its next start on its files can be kept from growing by {@link #full}. */
+    public void limitable(int agent) { piped.add(agent); }
+
+    /**
+     * No file of an agent that is {@link #limitable} grows any more, as on a full disk; or there is room again. What its
+     * processes see is "File too large" in place of "No space left on device": a disk with a quota is not to be had here.
+     */
+    public void full(int agent, boolean yes) throws IOException, InterruptedException {
+        String limit = yes ? "--fsize=0:unlimited" : "--fsize=unlimited:unlimited";
+        int status = new ProcessBuilder("prlimit", "--pid", Long.toString(processes[agent].pid()), limit).inheritIO().start().waitFor();
+        if (status != 0) { throw new IOException("prlimit ended with " + status); }
+    }
+
     /** Starts one more agent from a file; its output is dropped and its end is its starter's. */
     public ProcessHandle agent(Path file) throws IOException {
         List<String> command = command();
@@ -248,9 +296,12 @@
                         .ifPresent(ProcessHandle::destroyForcibly);
             }
         }
-        for (Relay relay : ways.values()) {
+        List<Closeable> rest = new ArrayList<>(ways.values());
+        rest.addAll(regions);
+        rest.addAll(List.of(terminals, discovery, regionHistory, terminalHistory));
+        for (Closeable one : rest) {
             try {
-                relay.close();
+                one.close();
             } catch (IOException e) { /* it is gone either way */ }
         }
     }
--- /dev/null
+++ b/lab/src/yardusher/lab/Plant.java
@@ -0,0 +1,85 @@
+package yardusher.lab;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import javax.tools.JavaCompiler;
+import javax.tools.ToolProvider;
+
+/**
+ * The program with something left out, to see that the rules notice it in real processes: a few lines of its sources are
+ * changed, compiled into a folder, and stand before the program's own classes. The sources and the build stay as they are.
+ * Needs the sources in the working folder; a line that is not there any more is an error, so a plant never turns harmless.
+ */
+final class Plant {
+    private static final Path SOURCES = Path.of("src/main/java/yardusher");
+
+    private record Edit(String file, String from, String to) { }
+
+    private static final Edit SLOW_DISK = new Edit("fence/Memory.java", "ledger.append(lines);",
+            "if (Math.random() < 0.25) { try { Thread.sleep(1500); } catch (InterruptedException e) { /* later */ } }\n ledger.append(lines);");
+
+    private static final Map<String, List<Edit>> ALL = new LinkedHashMap<>();
+
+    static {
+        ALL.put("no-fence", List.of(
+                new Edit("fence/Fence.java", "if (token < kept.sealed) { return false; }", ""),
+                new Edit("fence/Fence.java", "if (token < kept.sealed) { return new Refused(kept.sealed); }", ""),
+                new Edit("fence/Fence.java", "if (token > kept.sealed) { return new Unsealed(kept.sealed); }", ""),
+                new Edit("fence/Fence.java", "return sealed(work) == token;", "return true;"),
+                new Edit("fleet/Outpost.java", "long newest = Math.max(given(kind), fence.sealed(kind.word()));", "long newest = 0;"),
+                new Edit("fleet/Outpost.java", "long newest = given(kind);", "long newest = 0;"),
+                new Edit("fleet/Outpost.java", "|| token < given(kind))", "|| false)")));
+        ALL.put("no-step-ids", List.of(new Edit("fence/Fence.java", "Step known = kept.steps.get(step);", "Step known = null;")));
+        ALL.put("no-resume", List.of(new Edit("fleet/Outpost.java", "targets.starts(instance) > Long.parseLong(before)", "false")));
+        ALL.put("no-look", List.of(SLOW_DISK, new Edit("fleet/Outpost.java", "!fence.may(kind.word(), token) || token < given(kind)", "false")));
+        ALL.put("no-lease", List.of(new Edit("fleet/Holder.java", "holdings.get(holding.kind) == holding && leases.holds(turns.now(), holding.kind, holding.token)",
+                "true")));
+        // Two that are no breach: what guards against them has to hold.
+        ALL.put("slow-disk", List.of(SLOW_DISK));
+    }
+
+    private final Path classes;
+
+    private Plant(Path classes) { this.classes = classes; }
+
+    static List<String> names() { return List.copyOf(ALL.keySet()); }
+
+    /** Compiles a plant into a folder. */
+    static Plant of(String name, Path folder) throws IOException {
+        List<Edit> edits = ALL.get(name);
+        if (edits == null) { throw new IllegalArgumentException("one of " + names() + ", not " + name); }
+        Map<String, String> texts = new LinkedHashMap<>();
+        for (Edit edit : edits) {
+            String text = texts.containsKey(edit.file()) ? texts.get(edit.file()) : Files.readString(SOURCES.resolve(edit.file()));
+            if (!text.contains(edit.from())) { throw new IOException(edit.file() + " no longer has: " + edit.from()); }
+            texts.put(edit.file(), text.replace(edit.from(), edit.to()));
+        }
+        List<String> words = new ArrayList<>(List.of("-nowarn", "-d", folder.resolve("classes").toString(), "-cp", classPath()));
+        Files.createDirectories(folder.resolve("classes"));
+        for (Map.Entry<String, String> text : texts.entrySet()) {
+            Path file = folder.resolve("yardusher").resolve(text.getKey());
+            Files.createDirectories(file.getParent());
+            Files.writeString(file, text.getValue());
+            words.add(file.toString());
+        }
+        JavaCompiler compiler = ToolProvider.getSystemJavaCompiler();
+        ByteArrayOutputStream said = new ByteArrayOutputStream();
+        if (compiler.run(null, said, said, words.toArray(new String[0])) != 0) { throw new IOException(said.toString(StandardCharsets.UTF_8)); }
+        return new Plant(folder.resolve("classes"));
+    }
+
+    private static String classPath() {
+        String jar = System.getProperty("lab.jar");
+        return jar != null ? jar : System.getProperty("java.class.path");
+    }
+
+    /** The words before the sub-command. */
+    List<String> command(int heapMb) { return Programs.command(heapMb, classes); }
+}
--- a/lab/src/yardusher/lab/Programs.java
+++ b/lab/src/yardusher/lab/Programs.java
@@ -25,10 +25,17 @@
     private Programs() { }
 
     /** The words before the sub-command. {@code heapMb}: the most that its heap takes. */
-    static List<String> command(int heapMb) {
+    static List<String> command(int heapMb) { return command(heapMb, null); }
+
+    /** With classes of a folder in place of the program's own of the same names, or null. */
+    static List<String> command(int heapMb, Path instead) {
         String jar = System.getProperty("lab.jar");
         List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData", "-Xmx" + heapMb + "m", "-Xss256k"));
+        if (instead != null) {
+            command.addAll(List.of("-cp", instead + java.io.File.pathSeparator + (jar != null ? jar : System.getProperty("java.class.path")), "yardusher.cli.Main"));
+            return command;
+        }
         if (jar != null) {
             Path archive = Path.of(jar.replaceAll("\\.jar$", ".jsa"));
             if (Files.exists(archive)) { command.addAll(List.of("-Xlog:disable", "-Xlog:all=error:stderr", "-XX:SharedArchiveFile=" + archive)); }
--- a/src/test/java/yardusher/lab/GroupTest.java
+++ b/src/test/java/yardusher/lab/GroupTest.java
@@ -50,7 +50,8 @@
                         && one.sentMs() > Group.now() - 500 && one.end() == Terminals.End.SERVED));
                 await(() -> group.datagrams().way(0, 2).sent.get() > 0 && group.datagrams().way(2, 0).sent.get() > 0);
             }
-            assertThat(group.datagrams().way(0, 2).lost.get()).isEqualTo(group.datagrams().way(0, 2).sent.get());
+            long sent = group.datagrams().way(0, 2).sent.get();
+            await(() -> group.datagrams().way(0, 2).lost.get() >= sent);
             assertThat(group.datagrams().way(2, 0).lost.get()).isZero();
 
             Map<String, Terminals.Try> ends = new HashMap<>();
