--- a/lab/src/yardusher/lab/Starts.java
+++ b/lab/src/yardusher/lab/Starts.java
@@ -13,7 +13,6 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.DoubleSummaryStatistics;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
@@ -29,19 +28,15 @@
 
     private Starts() { }
 
-    /** One start's figures: to the first PONG, then after the requests. CPU is user and system time of all its threads. */
-    private record Figures(double startCpuMs, double startMs, double requestCpuUs, double answered, double peakKb, double threads, double classes) {
-        double[] all() { return new double[] {startCpuMs, startMs, requestCpuUs, answered, peakKb, threads, classes}; }
+    /** One start's figures: to the first PONG, 0.3 s later when the list is there, then after the requests. CPU is user and system time of all its threads. */
+    private record Figures(double startCpuMs, double listedCpuMs, double startMs, double requestCpuUs, double answered, double peakKb, double threads, double classes) {
+        double[] all() { return new double[] {startCpuMs, listedCpuMs, startMs, requestCpuUs, answered, peakKb, threads, classes}; }
     }
 
-    private static final String[] NAMES = {"start_cpu_ms", "start_ms", "request_cpu_us", "answered", "peak_kb", "threads", "classes"};
+    private static final String[] NAMES = {"start_cpu_ms", "listed_cpu_ms", "start_ms", "request_cpu_us", "answered", "peak_kb", "threads", "classes"};
 
-    /** {@code list FOLDER FILE}, or {@code ROUNDS REQUESTS FOLDER ...}: each folder holds a build, {@code deploy/start.sh} and {@code target/yardusher.jar} with its archive. */
+    /** {@code ROUNDS REQUESTS FOLDER ...}: each folder holds a build, {@code deploy/start.sh} and {@code target/yardusher.jar} with its archive. */
     public static void main(String[] args) throws Exception {
-        if (args[0].equals("list")) {
-            list(Path.of(args[1]).toAbsolutePath(), Path.of(args[2]).toAbsolutePath());
-            System.exit(0);
-        }
         int rounds = Integer.parseInt(args[0]);
         int requests = Integer.parseInt(args[1]);
         List<Path> sides = Arrays.stream(args).skip(2).map(Path::of).map(Path::toAbsolutePath).toList();
@@ -55,7 +50,7 @@
             for (int round = -1; round < rounds; round++) {   // the first is not counted: files come into the cache
                 for (int i = 0; i < sides.size(); i++) {
                     int side = round % 2 == 0 ? i : sides.size() - 1 - i;
-                    Figures one = run(sides.get(side), folder, place, discovery, requests, null);
+                    Figures one = run(sides.get(side), folder, place, discovery, requests);
                     if (round >= 0) { all.get(side).add(one); }
                 }
             }
@@ -73,32 +68,9 @@
         System.exit(0);
     }
 
-    /**
-     * Writes anew the list of classes of which the build makes its archive: what a start, requests and an end load, and of the
-     * list before what still stands for a class (no lambda: their names change) and was not met here.
-     */
-    private static void list(Path side, Path file) throws Exception {
-        Path seen = Files.createTempFile("classes", ".lst");
-        Path folder = Files.createTempDirectory("starts");
-        InetAddress place = Programs.place(Programs.nextGroup(), 1);
-        try (Discovery discovery = new Discovery(place, 1);
-                Region region = new Region("r0", Programs.free(place), new Chronicle<>(Path.of("/dev/null")), 1).takes(1, 2)) {
-            discovery.put(new Discovery.Entry("s-0000003b", region.address(), "a", 0, "Ready", 1, 0));
-            run(side, folder, place, discovery, 400, seen);
-        }
-        LinkedHashSet<String> lines = new LinkedHashSet<>(Files.readAllLines(seen));
-        lines.removeIf(line -> line.startsWith("#") || line.contains("sun/tools/") || line.contains("attach"));
-        for (String line : Files.readAllLines(file)) {
-            if (line.startsWith("@") || lines.contains(line)) { continue; }
-            if (ClassLoader.getSystemResource(line + ".class") != null) { lines.add(line); }
-        }
-        Files.write(file, lines);
-        System.out.println(lines.size() + " lines in " + file);
-    }
-
     private static String round(double value) { return value >= 1000 ? String.valueOf(Math.round(value)) : String.valueOf(Math.round(value * 10) / 10.0); }
 
-    private static Figures run(Path side, Path folder, InetAddress place, Discovery discovery, int requests, Path seen)
+    private static Figures run(Path side, Path folder, InetAddress place, Discovery discovery, int requests)
             throws IOException, InterruptedException {
         InetSocketAddress at = Programs.free(place);
         String json = new String(Starts.class.getResourceAsStream("/ingress.json").readAllBytes(), StandardCharsets.UTF_8)
@@ -109,7 +81,6 @@
                 .directory(side.toFile()).redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile());
         builder.environment().put("RELAY_CONFIG", config.toString());
         builder.environment().put("TMPDIR", folder.toString());
-        if (seen != null) { builder.environment().put("JDK_JAVA_OPTIONS", "-Xshare:off -XX:DumpLoadedClassList=" + seen); }
         long from = System.nanoTime();
         Process process = builder.start();
         try {
@@ -120,18 +91,12 @@
             double startMs = (System.nanoTime() - from) / 1e6;
             double startCpu = cpuMs(process.pid());
             Thread.sleep(300);                       // the list comes, and what a start leaves for later
+            double listedCpu = cpuMs(process.pid());
             ask(at, requests / 4, discovery);        // code warms up
             double before = cpuMs(process.pid());
             int answered = ask(at, requests, discovery);
-            if (seen != null) {
-                new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
-                Thread.sleep(300);
-                process.destroy();
-                process.waitFor(10, TimeUnit.SECONDS);
-                return null;
-            }
             double requestUs = 1000 * (cpuMs(process.pid()) - before) / requests;
-            return new Figures(startCpu, startMs, requestUs, answered, status(process.pid(), "VmHWM"), status(process.pid(), "Threads"), classes(process.pid()));
+            return new Figures(startCpu, listedCpu, startMs, requestUs, answered, status(process.pid(), "VmHWM"), status(process.pid(), "Threads"), classes(process.pid()));
         } finally {
             process.destroyForcibly();
             process.waitFor(5, TimeUnit.SECONDS);
