--- a/lab/src/yardusher/lab/Programs.java
+++ b/lab/src/yardusher/lab/Programs.java
@@ -17,7 +17,8 @@
 
 /**
  * How the lab starts this program and what it does to its processes. The built jar is run where the system property
- * {@code lab.jar} names one (with the class archive beside it), else the class path of this process.
+ * {@code lab.jar} names one (with the class archive beside it), else the class path of this process. {@code lab.options}: more
+ * options for each JVM, {@code -verbose:class}, say.
  */
 final class Programs {
     private static final AtomicInteger GROUPS = new AtomicInteger((int) (ProcessHandle.current().pid() % 200) * 250);
@@ -32,6 +33,8 @@
         String jar = System.getProperty("lab.jar");
         List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData", "-Xmx" + heapMb + "m", "-Xss256k"));
+        String more = System.getProperty("lab.options", "");
+        if (!more.isBlank()) { command.addAll(List.of(more.trim().split(" +"))); }
         if (instead != null) {
             command.addAll(List.of("-cp", instead + java.io.File.pathSeparator + (jar != null ? jar : System.getProperty("java.class.path")), "yardusher.cli.Main"));
             return command;
