--- a/src/main/java/yardusher/admin/AdminCall.java
+++ b/src/main/java/yardusher/admin/AdminCall.java
@@ -14,11 +14,14 @@
 
     /** What can be asked for. */
     public enum Verb {
-        HEALTH, COUNTERS, CORDON, UNCORDON, QUIESCE, RESUME;
+        HEALTH, COUNTERS, CORDON, UNCORDON, QUIESCE, RESUME, MEMBERS, UNITS, PARTS;
 
         /** Whether a region's id follows. */
         public boolean namesRegion() { return this == CORDON || this == UNCORDON; }
 
+        /** Whether a subsystem answers, the one that knows the word. */
+        public boolean isReport() { return this == MEMBERS || this == UNITS || this == PARTS; }
+
         /** The word as it is written on the line. */
         public String word() { return name().toLowerCase(Locale.ROOT); }
     }
--- a/src/main/java/yardusher/admin/AdminFront.java
+++ b/src/main/java/yardusher/admin/AdminFront.java
@@ -62,6 +62,11 @@
         }
         switch (call.verb()) {
             case HEALTH -> caller.told(operator.takesClients() ? "200 yes\n" : "400 no clients are taken\n");
+            case MEMBERS, UNITS, PARTS -> {
+                String report = operator.report(call.verb().word());
+                if (report == null) { throw new IllegalArgumentException(call.verb().word() + " is off here"); }
+                caller.told(report + "EOF\n");
+            }
             case COUNTERS -> caller.told(operator.figures() + "EOF\n");
             case CORDON, UNCORDON -> {
                 operator.ban(call.id(), call.verb() == AdminCall.Verb.CORDON, () -> caller.told("200 done\n"));
--- a/src/main/java/yardusher/admin/Operator.java
+++ b/src/main/java/yardusher/admin/Operator.java
@@ -15,6 +15,9 @@
     /** The figures, a line each, every line ended. */
     String figures();
 
+    /** What a subsystem reports, lines that are each ended; null where the one that knows this word is off. */
+    default String report(String word) { return null; }
+
     /** Keeps a region out by hand, or ends that; {@code then} runs once it holds. */
     void ban(String region, boolean out, Runnable then);
 
