--- a/src/main/java/yardusher/view/View.java
+++ b/src/main/java/yardusher/view/View.java
@@ -37,6 +37,12 @@
     /** A member of any state that is remembered; null for an unknown name. */
     Member member(String name);
 
+    /**
+     * The process that holds a name, by the number that it drew at its start: it differs between two lives of a name, and stays
+     * where an incarnation went up because the member was suspected. 0 for an unknown name.
+     */
+    default long life(String name) { return 0; }
+
     /** Told of each change after it has settled; never a promise that others see the same. */
     void follow(Consumer<Change> follower);
 }
