--- /dev/null
+++ b/lab/src/yardusher/lab/ViewFleet.java
@@ -0,0 +1,170 @@
+package yardusher.lab;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.UnaryOperator;
+import yardusher.error.ViewError;
+import yardusher.view.Membership;
+import yardusher.view.View;
+import yardusher.view.ViewSettings;
+
+/** Members of one view on a {@link ViewNet}: they start, die, leave, come again. What each comes to hold goes to a checker. */
+final class ViewFleet {
+    /** One life of one process. */
+    final class Life implements ViewNet.Process, Membership.World {
+        final int number;                            // of this life, over all
+        final int place;
+        final String name;
+        final double beganMs;
+        private final double clockMs;                // what its clock is off by
+        final Membership membership;
+        final List<String> told = new ArrayList<>();
+        final List<View.Change> batches = new ArrayList<>();
+        boolean over;
+
+        private Life(int number, int place, String name, String hall, double clockMs, Membership.Flaw flaw) {
+            this.number = number;
+            this.place = place;
+            this.name = name;
+            this.clockMs = clockMs;
+            beganMs = net.now();
+            membership = Membership.flawed(settings, name, hall, ViewNet.address(place), seed * 7919 + number, time(net.now()), this, known, flaw);
+            membership.follow(batches::add);
+            membership.start(time(net.now()), ViewNet.address(place));
+        }
+
+        private double time(double now) { return now + clockMs; }
+
+        @Override
+        public void heard(double now, byte[] body) { membership.heard(time(now), body); }
+
+        @Override
+        public void tick(double now) { membership.tick(time(now)); }
+
+        @Override
+        public double next() { return membership.next() - clockMs; }
+
+        @Override
+        public void send(InetSocketAddress to, byte[] body) { net.send(place, to, body); }
+
+        @Override
+        public void wrong(ViewError error) { told.add(error.code()); }
+
+        @Override
+        public void held(String of, long life, long incarnation, View.State state) {
+            if (checker != null && !(of.equals(name) && membership != null && membership.phase() != Membership.Phase.IN)) {
+                checker.held(net.now(), number, of, life, incarnation, state);
+            }
+        }
+    }
+
+    final ViewNet net;
+    final ViewSettings settings;
+    private final long seed;
+    private final ViewChecker checker;               // null where nothing is checked
+    private final Membership.Flaw flaw;
+    private final Map<Integer, Life> running = new LinkedHashMap<>();  // by place
+    private final Map<Object, Object> whos = new HashMap<>();
+    private final UnaryOperator<Object> known = who -> {
+        Object before = whos.putIfAbsent(who, who);
+        return before == null ? who : before;
+    };
+    private int lives;
+
+    /** {@code seeds}: the first so many places. */
+    ViewFleet(ViewNet net, long seed, int seeds, ViewChecker checker, Membership.Flaw flaw) {
+        this.net = net;
+        this.seed = seed;
+        this.checker = checker;
+        this.flaw = flaw;
+        List<InetSocketAddress> at = new ArrayList<>();
+        for (int i = 0; i < seeds; i++) { at.add(ViewNet.address(i)); }
+        settings = new ViewSettings(ViewNet.address(0), "lab", at);
+    }
+
+    static String name(int place) { return "n" + place; }
+
+    Life start(int place) { return start(place, name(place), 0); }
+
+    /** Under another name than the place's, or with a clock that is off. */
+    Life start(int place, String name, double clockMs) {
+        Life life = new Life(lives++, place, name, "hall-" + (char) ('a' + place % 3), clockMs, flaw);
+        running.put(place, life);
+        net.put(place, life);
+        return life;
+    }
+
+    void kill(int place) {
+        Life life = running.remove(place);
+        if (life == null) { return; }
+        life.over = true;
+        net.put(place, null);
+        if (checker != null) { checker.ended(net.now(), life.membership.life()); }
+    }
+
+    void leave(int place) {
+        Life life = running.get(place);
+        if (life == null) { return; }
+        if (checker != null) { checker.ended(net.now(), life.membership.life()); }
+        life.membership.leave(net.now() + life.clockMs);
+        kill(place);
+    }
+
+    Life at(int place) { return running.get(place); }
+
+    List<Life> running() { return List.copyOf(running.values()); }
+
+    List<Life> taking() { return running().stream().filter(life -> life.membership.phase() == Membership.Phase.IN).toList(); }
+
+    /** Whether all who run and take part hold the same picture of so many. */
+    boolean isSettled(int size) {
+        long digest = 0;
+        boolean first = true;
+        for (Life life : running.values()) {
+            if (net.isStopped(life.place)) { continue; }
+            if (life.membership.phase() != Membership.Phase.IN || life.membership.size() != size || !first && life.membership.digest() != digest) { return false; }
+            digest = life.membership.digest();
+            first = false;
+        }
+        return true;
+    }
+
+    /** Goes on until all are settled on so many, looking each 10 ms; the time it took, or -1 after {@code mostMs}. */
+    double awaitSettled(int size, double mostMs) {
+        double from = net.now();
+        while (!isSettled(size)) {
+            if (net.now() - from > mostMs) { return -1; }
+            net.until(net.now() + 10);
+        }
+        return net.now() - from;
+    }
+
+    /** Asks the checker to compare what is with what is held. */
+    void calm() {
+        Map<String, Long> truth = new HashMap<>();
+        Map<Integer, Long> digests = new HashMap<>();
+        for (Life life : taking()) {
+            truth.put(life.name, life.membership.life());
+            digests.put(life.number, life.membership.digest());
+        }
+        checker.calm(net.now(), truth, digests, digests.keySet());
+    }
+
+    /** Starts so many at one moment and waits until all know all; the time it took, or -1. */
+    double begin(int size, double mostMs) {
+        for (int i = 0; i < size; i++) { net.place(); }
+        for (int i = 0; i < size; i++) { start(i); }
+        return awaitSettled(size, mostMs);
+    }
+
+    static double percentile(double[] values, double share) {
+        double[] sorted = values.clone();
+        Arrays.sort(sorted);
+        return sorted.length == 0 ? Double.NaN : sorted[(int) Math.min(sorted.length - 1, Math.ceil(share * sorted.length) - 1)];
+    }
+}
--- a/src/main/java/yardusher/admin/Operator.java
+++ b/src/main/java/yardusher/admin/Operator.java
@@ -15,8 +15,8 @@
     /** The figures, a line each, every line ended. */
     String figures();
 
-    /** What a subsystem reports, lines that are each ended; null where the one that knows this word is off. */
-    default String report(String word) { return null; }
+    /** What a subsystem says to a call of its own, lines that are each ended; null where none has such a call. */
+    String report(String call);
 
     /** Keeps a region out by hand, or ends that; {@code then} runs once it holds. */
     void ban(String region, boolean out, Runnable then);
--- a/src/main/java/yardusher/view/Membership.java
+++ b/src/main/java/yardusher/view/Membership.java
@@ -23,11 +23,11 @@
     public interface World {
         void send(InetSocketAddress to, byte[] body);
 
-        /** Something an operator may want to know. */
-        void said(String text, Object... pairs);
-
         /** Something an operator should know. */
         void wrong(ViewError error);
+
+        /** What is held of a member has changed; for who watches the watchers. */
+        default void held(String name, long life, long incarnation, State state) { }
     }
 
     /** Where this ingress stands. */
@@ -155,7 +155,7 @@
         this.flaw = flaw;
         random = new Random(seed);
         wire = new Wire(known);
-        roster = new Roster(self.name(), settings.rememberS() * 1000.0, now);
+        roster = new Roster(self.name(), settings.rememberS() * 1000.0, now, world);
         settled = new Settled(roster, settings.settleMs());
         roundMs = settings.probeMs();
         gossipMs = roundMs / 3;
@@ -712,6 +712,9 @@
 
     public Phase phase() { return phase; }
 
+    /** The number that this process has drawn. */
+    public long life() { return life; }
+
     public void follow(Consumer<View.Change> follower) { settled.follow(follower); }
 
     /** This ingress as the others see it; GONE while another holds its name. */
--- a/src/main/java/yardusher/view/Roster.java
+++ b/src/main/java/yardusher/view/Roster.java
@@ -42,6 +42,7 @@
 
     private final String own;
     private final double rememberMs;
+    private final Membership.World world;
     private final Map<String, Entry> all = new HashMap<>();
     private final List<Entry> ring = new ArrayList<>();       // who is there, by place
     private final List<Entry> gone = new ArrayList<>();       // in no order
@@ -53,7 +54,8 @@
     private int mostThere;
     private int left;
 
-    Roster(String own, double rememberMs, double now) {
+    Roster(String own, double rememberMs, double now, Membership.World world) {
+        this.world = world;
         this.own = own;
         this.rememberMs = rememberMs;
         changedMs = now;
@@ -203,6 +205,7 @@
         } else {
             left++;
         }
+        world.held(entry.name, entry.life, entry.incarnation, entry.state);
     }
 
     private int index(Entry entry) {
--- a/src/main/java/yardusher/view/ViewSubsystem.java
+++ b/src/main/java/yardusher/view/ViewSubsystem.java
@@ -41,9 +41,6 @@
         @Override
         public void send(InetSocketAddress to, byte[] body) { mesh.send(to, Mesh.Kind.VIEW, body); }
 
-        @Override
-        public void said(String text, Object... pairs) { events.info("view: " + text, pairs); }
-
         @Override
         public void wrong(ViewError error) { events.warn("view: " + error.what(), error.fields()); }
     }
