--- a/lab/src/yardusher/lab/ViewTry.java
+++ b/lab/src/yardusher/lab/ViewTry.java
@@ -11,7 +11,12 @@
             ViewNet net = new ViewNet(seed, 1.7e12);
             net.lose(loss);
             ViewFleet fleet = new ViewFleet(net, seed, 3, checker, null);
-            double joined = fleet.begin(n, 60_000);
+            double joined = fleet.begin(n, 4_000);
+            if (joined < 0) {
+                System.out.println("phases " + fleet.running().stream().filter(l -> l.membership.phase() != yardusher.view.Membership.Phase.IN).map(l -> l.name + l.membership.phase()).toList());
+                System.out.println("sizes " + fleet.running().stream().filter(l -> l.membership.size() < n/2).map(l -> l.name + ":" + l.membership.size()).toList());
+                joined = 4000 + fleet.awaitSettled(n, 60_000);
+            }
             net.until(net.now() + 20_000);
             net.forgetFigures();
             net.until(net.now() + 20_000);
@@ -30,7 +35,6 @@
             double healed = fleet.awaitSettled(n - 1, 60_000);
             System.out.printf("seed %d joined %.0f crash settled %.0f first %.0f last %.0f heal %.0f sent/s %.1f bytes/s %.0f false accused %d lost %d changes %d real %.1f s%n", seed, joined, settled, lost.length > 0 ? lost[0] : -1, lost.length > 0 ? lost[lost.length - 1] : -1, healed,
                     sent / 20.0 / n, bytes / 20.0 / n, checker.falselyAccused().size(), checker.falselyLost().size(), checker.changes(), (System.nanoTime() - t) / 1e9);
-            if (fleet.at(0) != null && joined < 0) { System.out.println(fleet.at(0).membership.report(net.now())); }
         }
     }
 }
--- a/src/main/java/yardusher/view/Membership.java
+++ b/src/main/java/yardusher/view/Membership.java
@@ -49,6 +49,7 @@
         final Entry target;
         final long life;
         final int number;
+        double againAt;                              // the next step: a second ping, then others are asked
         double askAt;
         double failAt;
         boolean asked;
@@ -121,6 +122,7 @@
     private int number;
     private int joinNumber;
     private int joins;
+    private int alone;                               // how often seeds were asked while nobody else was known
     private double enteredMs;
     private double dueAt = Double.POSITIVE_INFINITY;
     private double roundAt = Double.POSITIVE_INFINITY;
@@ -211,7 +213,7 @@
             roster.forget(now);
             forgetAt = now + FORGET_EVERY_MS;
         }
-        settled.look(now, picture(now));
+        settled.look(now, this::picture);
         dueAt = nextDue(now);
     }
 
@@ -219,7 +221,7 @@
         if (phase == Phase.LEFT) { return Double.POSITIVE_INFINITY; }
         if (gossipAt == Double.POSITIVE_INFINITY && !rumours.isEmpty() && phase == Phase.IN) { gossipAt = now + gossipMs * random.nextDouble(); }
         double next = Math.min(Math.min(Math.min(roundAt, gossipAt), Math.min(goneAt, seedAt)), Math.min(joinAt, forgetAt));
-        for (Probe probe : probes) { next = Math.min(next, probe.asked ? probe.failAt : probe.askAt); }
+        for (Probe probe : probes) { next = Math.min(next, probe.asked ? probe.failAt : Math.min(probe.askAt, probe.againAt)); }
         for (Favour favour : favours.values()) { next = Math.min(next, favour.until); }
         for (Entry entry : roster.suspects()) { next = Math.min(next, deadline(entry)); }
         return Math.min(next, settled.next(now));
@@ -230,6 +232,7 @@
         late++;
         if (ms > roundMs / 2) { health.worse(1); }
         for (Probe probe : probes) {
+            probe.againAt += ms;
             probe.askAt += ms;
             probe.failAt += ms;
         }
@@ -270,7 +273,8 @@
     private void probe(Entry target, double now) {
         if (target == own || probes.stream().anyMatch(one -> one.target == target)) { return; }
         Probe probe = new Probe(target, ++number);
-        probe.askAt = now + roundMs / 2 * health.factor();
+        probe.againAt = now + roundMs * 0.3 * health.factor();
+        probe.askAt = now + roundMs * 0.5 * health.factor();
         probe.failAt = now + roundMs * health.factor();
         probes.add(probe);
         ping(target, probe.number, now);
@@ -288,8 +292,13 @@
             probes.remove(probe);
             return;
         }
+        if (probe.againAt <= now) {
+            probe.againAt = Double.POSITIVE_INFINITY;
+            ping(probe.target, probe.number, now);   // one lost datagram is no reason to bother others
+        }
         if (!probe.asked && probe.askAt <= now) {
             probe.asked = true;
+            ping(probe.target, probe.number, now);
             if (flaw != Flaw.NO_HELPERS) {
                 for (Entry helper : some(HELPERS, probe.target)) {
                     probe.helpers++;
@@ -334,7 +343,8 @@
 
     /** A seed that is not held to be there is asked for as long as this process runs. */
     private void askSeed(double now) {
-        seedAt = now + SEED_EVERY_MS * (0.5 + random.nextDouble());
+        alone = roster.there().size() > 1 ? 0 : alone + 1;    // admitted by a seed that knew nobody, or cut off
+        seedAt = now + (alone == 0 ? SEED_EVERY_MS : backoff(alone)) * (0.5 + random.nextDouble());
         List<InetSocketAddress> silent = seeds().stream().filter(at -> roster.there().stream().noneMatch(one -> one.who.at().equals(at))).toList();
         if (!silent.isEmpty() && flaw != Flaw.NO_ASKING_THE_GONE) {
             write(silent.get(random.nextInt(silent.size())), fill(writer(Wire.Type.PING).probe(0, 0), now));
@@ -472,8 +482,7 @@
             return;
         }
         joins++;
-        double wait = phase == Phase.TAKEN ? JOIN_MOST_MS : Math.min(JOIN_MOST_MS, JOIN_LEAST_MS * Math.pow(1.4, Math.min(joins, 20)));
-        joinAt = now + wait * (0.6 + 0.8 * random.nextDouble());
+        joinAt = now + (phase == Phase.TAKEN ? JOIN_MOST_MS : backoff(joins)) * (0.6 + 0.8 * random.nextDouble());
         List<InetSocketAddress> seeds = new ArrayList<>(seeds());
         // Whoever is known by now may be asked as well, where no seed answers.
         for (Entry one : some(2, own)) { seeds.add(one.who.at()); }
@@ -482,9 +491,12 @@
             world.wrong(new ViewError.NoSeed(String.join(" ", settings.seeds().stream().map(Membership::text).toList())));
         }
         joinNumber = ++number;
-        write(seeds.get(random.nextInt(seeds.size())), writer(Wire.Type.JOIN).probe(joinNumber, 0));
+        Collections.shuffle(seeds, random);
+        for (InetSocketAddress seed : seeds.subList(0, Math.min(joins == 1 ? 1 : 2, seeds.size()))) { write(seed, writer(Wire.Type.JOIN).probe(joinNumber, 0)); }
     }
 
+    private static double backoff(int tries) { return Math.min(JOIN_MOST_MS, JOIN_LEAST_MS * Math.pow(1.25, Math.min(tries, 30))); }
+
     /** Takes part, above whatever was known of the name. */
     private void enter(double now, long above) {
         if (above >= incarnation) { incarnation = above + 1; }
@@ -498,7 +510,7 @@
         joinAt = Double.POSITIVE_INFINITY;
         joins = 0;
         roundAt = now + roundMs * random.nextDouble();
-        seedAt = now + SEED_EVERY_MS * random.nextDouble();
+        seedAt = now + JOIN_LEAST_MS * (0.5 + random.nextDouble());
         if (!roster.gone().isEmpty()) { goneAt = now + GONE_EVERY_MS * random.nextDouble(); }
     }
 
@@ -735,7 +747,7 @@
         return entry == null ? 0 : entry.life;
     }
 
-    /** Of name, address and incarnation of all who are there. */
+    /** Of name, address and process of all who are there. */
     public long digest() { return roster.digest(); }
 
     /** When that last changed here. */
--- a/src/main/java/yardusher/view/Roster.java
+++ b/src/main/java/yardusher/view/Roster.java
@@ -51,6 +51,8 @@
     private long digest;
     private double changedMs;
     private long version;
+    private long sum;
+    private long sumOf = -1;
     private int mostThere;
     private int left;
 
@@ -74,7 +76,7 @@
 
     int left() { return left; }
 
-    /** Of name, address and incarnation of who is there. */
+    /** Of name, address and life of who is there. */
     long digest() { return digest; }
 
     /** When that last changed. */
@@ -87,8 +89,11 @@
     long[] buckets() { return buckets.clone(); }
 
     long bucketsDigest() {
-        long sum = 0;
-        for (int i = 0; i < BUCKETS; i++) { sum = sum * 0x9e3779b97f4a7c15L + buckets[i]; }
+        if (sumOf != version) {
+            sumOf = version;
+            sum = 0;
+            for (int i = 0; i < BUCKETS; i++) { sum = sum * 0x9e3779b97f4a7c15L + buckets[i]; }
+        }
         return sum;
     }
 
@@ -159,12 +164,14 @@
 
     /** Nothing is held of that name any more. */
     void drop(Entry entry, double now) {
-        out(entry, now);
+        if (entry.isThere()) { changedMs = now; }
+        out(entry);
         all.remove(entry.name);
     }
 
     private void put(Entry entry, News news, double now) {
-        out(entry, now);
+        long before = digest;
+        out(entry);
         entry.who = news.who().equals(entry.who) ? entry.who : news.who();
         entry.life = news.life();
         entry.born = news.born();
@@ -172,17 +179,17 @@
         entry.state = news.state();
         entry.accusers = news.accusers();
         entry.sinceMs = now - news.ageS() * 1000.0;
-        in(entry, now);
+        in(entry);
+        if (digest != before) { changedMs = now; }
     }
 
-    private void out(Entry entry, double now) {
+    private void out(Entry entry) {
         version++;
         if (entry.who == null) { return; }
         buckets[bucket(entry.name)] ^= sum(entry);
         if (entry.isThere()) {
             ring.remove(index(entry));
             digest ^= seen(entry);
-            changedMs = now;
             if (entry.state == State.SUSPECT) { suspects.remove(entry); }
         } else if (entry.state == State.GONE) {
             gone.remove(entry);
@@ -191,13 +198,12 @@
         }
     }
 
-    private void in(Entry entry, double now) {
+    private void in(Entry entry) {
         all.put(entry.name, entry);
         buckets[bucket(entry.name)] ^= sum(entry);
         if (entry.isThere()) {
             ring.add(-index(entry) - 1, entry);
             digest ^= seen(entry);
-            changedMs = now;
             mostThere = Math.max(mostThere, ring.size());
             if (entry.state == State.SUSPECT) { suspects.add(entry); }
         } else if (entry.state == State.GONE) {
@@ -231,8 +237,9 @@
     /** How many steps before the other it stands on the ring. */
     int before(Entry entry, Entry other) { return Math.floorMod(index(other) - index(entry), Math.max(1, ring.size())); }
 
+    /** Not the incarnation: who was suspected and said that it is there is still the same process, and the picture the same. */
     private static long seen(Entry entry) {
-        return mix(mix(entry.place, address(entry.who.at())), entry.incarnation);
+        return mix(mix(mix(entry.place, address(entry.who.at())), entry.born), entry.life);
     }
 
     /** SUSPECT counts as ALIVE: suspicion ends by itself, and tables that differ in it need not be compared. */
--- a/src/main/java/yardusher/view/Settled.java
+++ b/src/main/java/yardusher/view/Settled.java
@@ -6,13 +6,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.DoubleFunction;
 
 /**
- * When the picture is told on: once it has stood still for so long and nobody in it is suspected, so that a hall that dies is
- * one change; and whatever it does, no later than {@code mostMs} after it began to change.
+ * When the picture is told on: once it has stood still for so long and nobody in it is suspected by two or more, so that a
+ * hall that dies is one change; and whatever it does, no later than {@code mostMs} after it began to change.
  */
 final class Settled {
     private static final double LEAST_MOST_MS = 3000;
+    private static final int SERIOUS = 2;            // accusers: one alone may have lost its datagrams
 
     private record Told(View.Member member, long life) { }
 
@@ -40,11 +42,11 @@
         }
         if (sinceMs == Double.POSITIVE_INFINITY) { sinceMs = Math.max(roster.changedMs(), now - mostMs); }
         double last = sinceMs + mostMs;
-        return roster.suspects().isEmpty() ? Math.min(last, roster.changedMs() + stillMs) : last;
+        return roster.suspects().stream().anyMatch(one -> one.accusers.length >= SERIOUS) ? last : Math.min(last, roster.changedMs() + stillMs);
     }
 
     /** Tells what has settled, if it has. */
-    void look(double now, View.Picture picture) {
+    void look(double now, DoubleFunction<View.Picture> picture) {
         if (next(now) > now) { return; }
         toldDigest = roster.digest();
         sinceMs = Double.POSITIVE_INFINITY;
@@ -64,7 +66,7 @@
         if (came.isEmpty() && gone.isEmpty()) { return; }    // refuted, or back again before it was told
         came.sort(Comparator.comparing(View.Member::name));
         gone.sort(Comparator.comparing(View.Member::name));
-        View.Change change = new View.Change(picture, List.copyOf(came), List.copyOf(gone));
+        View.Change change = new View.Change(picture.apply(now), List.copyOf(came), List.copyOf(gone));
         for (Consumer<View.Change> follower : followers) { follower.accept(change); }
     }
 }
