--- a/lab/src/yardusher/lab/ViewFleet.java
+++ b/lab/src/yardusher/lab/ViewFleet.java
@@ -134,6 +134,18 @@
         return true;
     }
 
+    /** Goes on until exactly one process of each of these names takes part and all of those hold the same picture of so many. */
+    double awaitSettledOf(java.util.Set<String> names, double mostMs) {
+        double from = net.now();
+        for (;;) {
+            List<Life> taking = taking();
+            if (taking.size() == names.size() && taking.stream().allMatch(life -> life.membership.size() == names.size()
+                    && life.membership.digest() == taking.get(0).membership.digest())) { return net.now() - from; }
+            if (net.now() - from > mostMs) { return -1; }
+            net.until(net.now() + 10);
+        }
+    }
+
     /** Goes on until all are settled on so many, looking each 10 ms; the time it took, or -1 after {@code mostMs}. */
     double awaitSettled(int size, double mostMs) {
         double from = net.now();
