--- a/lab/src/yardusher/lab/ViewChecker.java
+++ b/lab/src/yardusher/lab/ViewChecker.java
@@ -28,6 +28,7 @@
     private final double graceMs;
     private final Map<Integer, Map<String, Held>> holds = new HashMap<>();
     private final Map<Integer, Map<String, Set<Long>>> over = new HashMap<>();  // lives that left or were replaced, by observer and name
+    private final Map<Integer, String> names = new HashMap<>();
     private final Map<Long, Double> ended = new HashMap<>();
     private final Map<String, List<Trouble>> troubles = new HashMap<>();
     private final List<Change> lost = new ArrayList<>();
@@ -56,6 +57,9 @@
         if (state == State.SUSPECT && (before == null || before.state() == State.ALIVE)) { accused.add(change); }
     }
 
+    /** That observer is the process of that name: in its own trouble, and when it reads what came meanwhile, it may be wrong. */
+    void observer(int observer, String name) { names.put(observer, name); }
+
     /** The process of that life ended, for whatever cause. */
     void ended(double atMs, long life) { ended.putIfAbsent(life, atMs); }
 
@@ -89,7 +93,7 @@
     /** Those who were held to be gone and ran, without trouble that excuses it. */
     List<Change> falselyLost() {
         return lost.stream().filter(one -> one.atMs() < ended.getOrDefault(one.held().life(), Double.POSITIVE_INFINITY)
-                && !excused(one.name(), one.atMs())).toList();
+                && !excused(one.name(), one.atMs()) && !excused(names.get(one.observer()), one.atMs())).toList();
     }
 
     /** Those who were suspected and ran, however short. */
--- a/lab/src/yardusher/lab/ViewFleet.java
+++ b/lab/src/yardusher/lab/ViewFleet.java
@@ -32,6 +32,7 @@
             this.place = place;
             this.name = name;
             this.clockMs = clockMs;
+            if (checker != null) { checker.observer(number, name); }
             beganMs = net.now();
             membership = Membership.flawed(settings, name, hall, ViewNet.address(place), seed * 7919 + number, time(net.now()), this, known, flaw);
             membership.follow(batches::add);
--- a/src/main/java/yardusher/view/Membership.java
+++ b/src/main/java/yardusher/view/Membership.java
@@ -237,7 +237,8 @@
             probe.failAt += ms;
         }
         for (Favour favour : favours.values()) { favour.until += ms; }
-        for (Entry entry : roster.suspects()) { entry.sinceMs += ms; }
+        // After a long sleep what was said meanwhile waits in the socket, and is heard before anybody is given up.
+        for (Entry entry : roster.suspects()) { entry.sinceMs += ms > roundMs / 2 ? ms + roundMs : ms; }
     }
 
     private double deadline(Entry suspect) {
