--- a/src/main/java/yardusher/cli/Subsystems.java
+++ b/src/main/java/yardusher/cli/Subsystems.java
@@ -23,8 +23,8 @@
  * closed the other way round. {@code mesh} and {@code view} are null where the view is off.
  */
 record Subsystems(List<Subsystem> all, Mesh mesh, View view) {
-    /** Makes those whose tables are there; an {@link IllegalArgumentException} where one cannot be made as it is set. */
-    static Subsystems of(Settings own, Config config, Turns turns) {
+    /** Makes those whose tables are there; a {@link yardusher.error.YardusherError} where one cannot be made as it is set. */
+    static Subsystems of(Settings own, Config config, Turns turns) throws IOException {
         List<Subsystem> all = new ArrayList<>();
         ViewSubsystem view = null;
         if (own.view() != null) {                    // made first, so closed last: others say their last words over its mesh
