--- a/src/main/java/yardusher/cli/Subsystems.java
+++ b/src/main/java/yardusher/cli/Subsystems.java
@@ -16,6 +16,7 @@
 import yardusher.subsystem.Site;
 import yardusher.subsystem.Subsystem;
 import yardusher.view.View;
+import yardusher.view.ViewSubsystem;
 
 /**
  * The subsystems that our settings turn on, in the order in which they are made, started and asked; they are drained and
@@ -25,12 +26,18 @@
     /** Makes those whose tables are there; a {@link yardusher.error.YardusherError} where one cannot be made as it is set. */
     static Subsystems of(Settings own, Config config, Turns turns) throws IOException {
         List<Subsystem> all = new ArrayList<>();
+        ViewSubsystem view = null;
+        if (own.view() != null) {                    // made first, so closed last: others say their last words over its mesh
+            view = new ViewSubsystem(own.view(), config.name(), config.zones().get(config.settings().zone()), config.seed(), turns,
+                    Logs.of(own.log(), config.name()));
+            all.add(view);
+        }
         if (own.journal() != null) {
             all.add(new JournalSubsystem(own.journal(), own.keys() != null, config.name(), config.settings(), config.classes(),
                     config.plans(), turns, Logs.of(own.log(), config.name())));
         }
         if (own.keys() != null) { all.add(new KeysSubsystem(own.keys(), own.journal())); }
-        return new Subsystems(all, null, null);
+        return new Subsystems(all, view == null ? null : view.mesh(), view);
     }
 
     OrderLog orders() {
--- a/src/main/java/yardusher/view/View.java
+++ b/src/main/java/yardusher/view/View.java
@@ -20,7 +20,8 @@
 
     /**
      * All members that are ALIVE or SUSPECT, this one among them, in the order of their names. {@code digest} is the same
-     * where names, addresses and incarnations are; {@code stillSinceMs} is when it last changed here, on the clock of the
+     * where names, addresses and processes are (a process that was suspected and said that it is there has a higher incarnation and
+     * is the same); {@code stillSinceMs} is when it last changed here, on the clock of the
      * turns; {@code same} of the {@code asked} members heard of lately hold this digest.
      */
     record Picture(List<Member> members, long digest, double stillSinceMs, int same, int asked) { }
@@ -37,6 +38,12 @@
     /** A member of any state that is remembered; null for an unknown name. */
     Member member(String name);
 
+    /**
+     * The process that holds a name, by the number that it drew at its start: it differs between two lives of a name, and stays
+     * where an incarnation went up because the member was suspected. 0 for an unknown name.
+     */
+    default long life(String name) { return 0; }
+
     /** Told of each change after it has settled; never a promise that others see the same. */
     void follow(Consumer<Change> follower);
 }
