--- a/src/main/java/yardusher/list/ServiceTable.java
+++ b/src/main/java/yardusher/list/ServiceTable.java
@@ -26,6 +26,8 @@
     private final Map<Long, InetSocketAddress> known = new LinkedHashMap<>();
     /** Ids as they were told, for as long as there are no more than MOST_TOLD newer ones. */
     private final Set<String> told = new LinkedHashSet<>();
+    private final Map<Long, Api.Server> listed = new LinkedHashMap<>();
+    private Runnable follower = () -> { };
     private long revision;
 
     public ServiceTable(List<String> zones, RegionPool pool) {
@@ -38,6 +40,12 @@
     /** How many regions are listed now. */
     public int size() { return known.size(); }
 
+    /** The regions listed now, as they were told last. */
+    public Map<Long, Api.Server> listed() { return listed; }
+
+    /** Runs after each change, before the module is told of it. */
+    public void follow(Runnable next) { follower = next; }
+
     /** Whether a region of this id is listed or was once, among the last 4,096 told. */
     public boolean everListed(String id) { return told.contains(id); }
 
@@ -83,11 +91,13 @@
                 continue;
             }
             known.put(server.id(), addresses.get(i));
+            listed.put(server.id(), server);
             pool.place(server.id(), addresses.get(i));
             if (server.readiness() == Api.Readiness.DRAINING) { pool.leave(server.id(), false); }
         }
         absent.forEach(this::forget);
         revision = (long) news.number("revision", revision);
+        follower.run();
         return new Api.ServerList(as != null ? as : complete ? Api.ListKind.FULL : Api.ListKind.DELTA, servers);
     }
 
@@ -112,6 +122,7 @@
 
     private void forget(long id) {
         known.remove(id);
+        listed.remove(id);
         pool.leave(id, true);
     }
 
--- a/src/main/java/yardusher/net/Link.java
+++ b/src/main/java/yardusher/net/Link.java
@@ -46,6 +46,7 @@
     private boolean reading;
     private boolean finishing;
     private boolean draining;
+    private boolean leaving;
     private long drained;
     private Deadlines.Entry drainEnd;
     private Runnable whenClosed = () -> { };
@@ -119,7 +120,23 @@
         if (!writing && queue.isEmpty()) { drain(); }
     }
 
+    /**
+     * Ends the sending and waits, for as long as it takes, until the peer has closed its side too; {@code then} runs once
+     * it has. What still waits to be written is dropped, and so is what comes. The owner is told nothing more.
+     */
+    public void leave(Runnable then) {
+        if (closed) {
+            then.run();
+            return;
+        }
+        whenClosed = then;
+        finishing = true;
+        leaving = true;
+        if (!writing) { drain(); }                   // else what is under way ends first
+    }
+
     private void drain() {
+        queue.clear();
         draining = true;
         try {
             channel.shutdownOutput();
@@ -132,7 +149,7 @@
 
     private void drained(int count) {
         drained += Math.max(0, count);
-        if (count < 0 || drained > MOST_DRAINED) {
+        if (count < 0 || drained > MOST_DRAINED && !leaving) {
             close();
         } else {
             read(SCRATCH.duplicate());
@@ -159,6 +176,11 @@
 
     private void flush() {
         if (closed) { return; }
+        if (leaving) {
+            writing = false;
+            drain();
+            return;
+        }
         ByteBuffer first = queue.peek();
         if (queue.size() > 1 && queued <= MERGED) {
             int size = 0;
@@ -196,6 +218,11 @@
 
     private void wrote(int count) {
         if (closed) { return; }
+        if (leaving) {
+            writing = false;
+            drain();
+            return;
+        }
         queued -= count;
         if (sliced) { queue.peek().position(queue.peek().position() + count); }
         if (!queue.peek().hasRemaining()) { queue.poll(); }
--- a/src/main/java/yardusher/net/Sockets.java
+++ b/src/main/java/yardusher/net/Sockets.java
@@ -191,6 +191,37 @@
         };
     }
 
+    /**
+     * Connects, however long the system tries; one of the two is called, in a turn. For whoever must know how a dial ended
+     * after having given it up: a channel that is closed on the way may have been accepted all the same.
+     */
+    public void dial(InetSocketAddress to, Consumer<AsynchronousSocketChannel> then, Runnable orElse) {
+        AsynchronousSocketChannel channel;
+        try {
+            channel = AsynchronousSocketChannel.open(group);
+        } catch (IOException e) {
+            turns.afterwards(orElse);
+            return;
+        }
+        channel.connect(to, null, new CompletionHandler<Void, Void>() {
+            @Override
+            public void completed(Void nothing, Void none) {
+                turns.turn(() -> {
+                    quick(channel);
+                    then.accept(channel);
+                });
+            }
+
+            @Override
+            public void failed(Throwable why, Void none) {
+                turns.turn(() -> {
+                    shut(channel);
+                    orElse.run();
+                });
+            }
+        });
+    }
+
     private static void quick(AsynchronousSocketChannel channel) {
         try {
             channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
--- /dev/null
+++ b/src/main/java/yardusher/parts/Memory.java
@@ -0,0 +1,23 @@
+package yardusher.parts;
+
+/**
+ * What outlives a process: how many units it may have lent to each other ingress at each region. Written before a loan is
+ * told to anyone, so that what is read after a death is never too little.
+ */
+interface Memory {
+    /** Remembers nothing: whoever starts asks all others. */
+    Memory NONE = new Memory() {
+        @Override
+        public int lent(long region, int ingress) { return UNKNOWN; }
+
+        @Override
+        public boolean put(long region, int ingress, int lent) { return true; }
+    };
+    int UNKNOWN = -1;
+
+    /** The most that earlier lives have lent there; {@link #UNKNOWN} where this is not known. */
+    int lent(long region, int ingress);
+
+    /** Writes it down; false where there is no room, and then nothing may be lent. */
+    boolean put(long region, int ingress, int lent);
+}
--- /dev/null
+++ b/src/main/java/yardusher/parts/Negotiator.java
@@ -0,0 +1,538 @@
+package yardusher.parts;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import yardusher.parts.Ledger.Region;
+
+/**
+ * The decisions of one life of one ingress on its connections: what it needs, to whom it lends and gives back, what it tells
+ * whom and when. Free of I/O and clock: times are milliseconds of Unix time that never go back, everything else comes and
+ * goes by {@link World}. Nothing here can break the number, which {@link Ledger} keeps; what is decided on old news, on a
+ * wrong list of members or on made-up needs costs use only.
+ */
+final class Negotiator {
+    /** What it sees and does. */
+    interface World {
+        /** Connections to a region that carry an attempt. */
+        int busy(long region);
+
+        /** Requests that were turned away for want of room, since the start. */
+        long refused();
+
+        /** Attempts begun, since the start. */
+        long begun();
+
+        /** No more attempts than this are to be out at a region. */
+        void room(long region, int most);
+
+        /** Closes so many connections that stand idle; the result says how many it began to close. */
+        int shed(long region, int count);
+
+        void send(InetSocketAddress to, byte[] body);
+    }
+
+    /** {@code least}: units wanted at each region while there is traffic; {@code movesPerS} by region, at the most. */
+    record Rules(int least, int weight, double movesPerS) { }
+
+    static final double FRESH_MS = 3000;             // who was silent for longer is asked for nothing
+    private static final double BEAT_MS = 1000;      // to each other, where nothing is to be told
+    private static final double SILENT_BEAT_MS = 4000;
+    private static final int WHOLE_BEATS = 4;        // each so many beats tell all that stands
+    private static final double REPEAT_MS = 100;     // what was not heard is told again
+    private static final double ACTIVE_MS = 2000;
+    private static final double BUSY_TICK_MS = 20;
+    private static final double IDLE_TICK_MS = 100;
+    private static final double RATE_MS = 300;       // over which refusals and attempts are counted
+    private static final double TURN_MS = 10_000;    // where some get none, others do after this
+    private static final double HOME_MS = 10_000;    // what is borrowed and not used so long goes back, one by one
+    private static final double AHEAD_MS = 86_400_000; // a life that begins a day from now is made up
+
+    /** A region as this ingress stands there. */
+    static final class Stand {
+        final Region region;
+        private final Need need = new Need();
+        int wants;
+        int leaving;                                 // connections on their way to be closed at both ends
+        int owed;                                    // units to be given as soon as connections close
+        private int room = -1;
+        private double tokens;
+        private double idleSince;
+        private double homeAt;
+        private double newsAt = Double.NEGATIVE_INFINITY;
+        private int newsHas;
+        private int newsNeed;
+
+        Stand(Region region, double now) {
+            this.region = region;
+            idleSince = now;
+        }
+    }
+
+    /** Another ingress, by its number. */
+    private static final class Other {
+        final int number;
+        InetSocketAddress at;
+        double heardAt = Double.NEGATIVE_INFINITY;
+        double sentAt = Double.NEGATIVE_INFINITY;
+        double beatAt;
+        int beats;
+        int weight = 1;
+        int order;
+        boolean settledMe;                           // it knows what its earlier lives lent to this one
+        boolean urgent;
+
+        Other(int number) { this.number = number; }
+    }
+
+    private final Ledger ledger;
+    private final Rules rules;
+    private final World world;
+    private final Division division = new Division();
+    private final Map<Long, Stand> stands = new HashMap<>();
+    private final Other[] others;
+    private List<InetSocketAddress> members = List.of();
+    private double lastTick;
+    private double activeAt = Double.NEGATIVE_INFINITY;
+    private double refusals;                         // a millisecond, lately
+    private double attempts;
+    private long refusedBefore;
+    private long begunBefore;
+    private double hellosAt;
+    private int order;
+    private boolean leaves;                          // the process ends: it needs nothing any more
+    long bad;                                        // bodies that are no telling
+    long foreign;                                    // of another count of ingresses, or of this ingress's own number
+    long stale;                                      // of a life that has ended
+    long moved;                                      // units lent or given back
+    long heard;
+    long told;
+    long toldBytes;
+
+    Negotiator(Ledger ledger, Rules rules, World world, double now) {
+        this.ledger = ledger;
+        this.rules = rules;
+        this.world = world;
+        lastTick = now;
+        others = new Other[ledger.count];
+        for (int i = 0; i < others.length; i++) {
+            if (i != ledger.self) { others[i] = new Other(i); }
+        }
+        refusedBefore = world.refused();
+        begunBefore = world.begun();
+    }
+
+    Ledger ledger() { return ledger; }
+
+    Collection<Stand> stands() { return stands.values(); }
+
+    Stand stand(long region) { return stands.get(region); }
+
+    /** A listed region holds so many connections in all, now. */
+    void number(double now, long region, int number) {
+        Region one = ledger.number(region, number);
+        if (!stands.containsKey(region)) { stands.put(region, new Stand(one, now)); }
+        room(stands.get(region));
+    }
+
+    /** A region is no longer listed. */
+    void gone(long region) {
+        ledger.gone(region);
+        Stand stand = stands.get(region);
+        if (stand != null) { stand.wants = 0; }
+    }
+
+    /** Who is there, by the view: only whom to ask first. */
+    void members(List<InetSocketAddress> there) { members = there; }
+
+    /** The process ends: nothing is needed any more, and all that is borrowed goes back. */
+    void leave() { leaves = true; }
+
+    /** A connection is to be dialled; false where there is no unit for it. */
+    boolean take(long region) {
+        Stand stand = stands.get(region);
+        return stand != null && !stand.region.gone && spare(stand) > 0 && ledger.take(stand.region);
+    }
+
+    /** Whether a connection that comes to rest is to be closed, since its unit is owed. */
+    boolean isSurplus(long region) {
+        Stand stand = stands.get(region);
+        return stand == null || stand.region.gone || ledger.spare(stand.region) + stand.leaving < stand.owed;
+    }
+
+    /** A connection begins to close; its unit stays in use until the region has closed too. */
+    void leaving(long region) {
+        Stand stand = stands.get(region);
+        if (stand == null) { return; }
+        stand.leaving++;
+        room(stand);
+    }
+
+    /** A connection is over at both ends. */
+    void ended(long region, boolean wasLeaving) {
+        Stand stand = stands.get(region);
+        if (stand == null) { return; }
+        ledger.ended(stand.region);
+        if (wasLeaving) { stand.leaving--; }
+        room(stand);
+    }
+
+    private int spare(Stand stand) { return ledger.spare(stand.region); }
+
+    private void room(Stand stand) {
+        int most = stand.region.gone ? 0 : Math.max(0, ledger.allowance(stand.region) - stand.owed - stand.leaving);
+        if (most != stand.room) {
+            stand.room = most;
+            world.room(stand.region.id, most);
+        }
+    }
+
+    /** A region came into the module's list anew: its room is to be told again. */
+    void relisted(long region) {
+        Stand stand = stands.get(region);
+        if (stand == null) { return; }
+        stand.room = -1;
+        room(stand);
+    }
+
+    /** Takes a body in. */
+    void heard(double now, InetSocketAddress from, byte[] body) {
+        Telling telling;
+        try {
+            telling = Telling.of(body);
+        } catch (IllegalArgumentException e) {
+            bad++;
+            return;
+        }
+        int number = telling.number();
+        if (telling.count() != ledger.count || number == ledger.self) {
+            foreign++;
+            return;
+        }
+        if (telling.life() > now + AHEAD_MS) {
+            bad++;
+            return;
+        }
+        long before = ledger.life(number);
+        if (!ledger.alive(number, telling.life())) {
+            stale++;
+            return;
+        }
+        heard++;
+        Other other = others[number];
+        boolean reborn = before != telling.life();
+        if (reborn) {
+            other.settledMe = false;
+            other.order = telling.order() - 1;
+            other.urgent = true;
+            stands.values().forEach(this::room);
+        }
+        other.at = from;
+        other.heardAt = now;
+        other.weight = telling.weight();
+        if (telling.to() != ledger.life) {           // it does not know this life yet
+            other.urgent = true;
+            return;
+        }
+        other.settledMe = telling.settled();
+        if (telling.whole() && !ledger.isSettled(number)) {
+            Map<Long, Integer> held = new HashMap<>();
+            telling.rows().forEach(row -> held.put(row.region(), row.old()));
+            ledger.settle(number, held);
+            other.urgent = true;
+            stands.values().forEach(this::room);
+        }
+        boolean newer = telling.order() - other.order > 0;
+        if (newer) { other.order = telling.order(); }
+        for (Telling.Row row : telling.rows()) {
+            if (!ledger.row(number, row)) { continue; }
+            Region region = ledger.region(row.region());
+            if (region == null) { continue; }
+            Account account = region.account(number);
+            if (newer) {
+                account.has = row.has();
+                account.need = row.need();
+            }
+            if (telling.asks()) {
+                account.isDirty = true;
+                other.urgent = true;
+            }
+            Stand stand = stands.get(row.region());
+            if (stand != null) { room(stand); }
+        }
+    }
+
+    /** Looks, decides and tells; the result is when it is to be called again at the latest. */
+    double tick(double now) {
+        look(now);
+        for (Stand stand : stands.values()) {
+            give(stand, now);
+            room(stand);
+        }
+        forget();
+        tell(now);
+        return now + (now - activeAt < ACTIVE_MS || leaves ? BUSY_TICK_MS : IDLE_TICK_MS);
+    }
+
+    private void forget() {
+        ledger.sweep();
+        stands.values().removeIf(stand -> stand.region.gone && ledger.region(stand.region.id) == null);
+    }
+
+    /** What is needed, by what is out and what was turned away. */
+    private void look(double now) {
+        double since = Math.max(0, now - lastTick);
+        lastTick = now;
+        long refused = world.refused();
+        long begun = world.begun();
+        if (refused != refusedBefore || begun != begunBefore) { activeAt = now; }
+        double part = since <= 0 ? 0 : 1 - Math.exp(-since / RATE_MS);
+        if (since > 0) {
+            refusals += part * ((refused - refusedBefore) / since - refusals);
+            attempts += part * ((begun - begunBefore) / since - attempts);
+            refusedBefore = refused;
+            begunBefore = begun;
+        }
+        int busy = 0;
+        int listed = 0;
+        for (Stand stand : stands.values()) {
+            busy += world.busy(stand.region.id);
+            listed += stand.region.gone ? 0 : 1;
+        }
+        if (busy > 0) { activeAt = now; }
+        // By Little's law: what was turned away would have been out as long as what was let in.
+        double holdMs = attempts > 1e-6 ? busy / attempts : 100;
+        double unmet = refusals * Math.min(5000, Math.max(1, holdMs)) / Math.max(1, listed);
+        boolean active = now - activeAt < ACTIVE_MS && !leaves;
+        for (Stand stand : stands.values()) {
+            if (stand.region.gone || leaves) {
+                stand.wants = 0;
+                continue;
+            }
+            stand.need.seen(since, world.busy(stand.region.id), unmet < 0.01 ? 0 : unmet);
+            stand.wants = Math.min(stand.region.number, stand.need.units(rules.least, active));
+        }
+    }
+
+    private boolean isFresh(Other other, double now) { return other != null && now - other.heardAt < FRESH_MS; }
+
+    /** Lends and gives back what others need more, and makes room for it. */
+    private void give(Stand stand, double now) {
+        Region region = stand.region;
+        stand.owed = 0;
+        if (region.gone) {
+            stand.owed = ledger.allowance(region);
+            for (Other other : others) {
+                if (other != null && region.accounts[other.number] != null) { giveBack(stand, other, region.accounts[other.number].held()); }
+            }
+            world.shed(region.id, region.open);
+            return;
+        }
+        double most = Math.max(8, rules.movesPerS / 4);
+        stand.tokens = Math.min(most, stand.tokens + rules.movesPerS * BUSY_TICK_MS / 1000);
+        division.clear();
+        int allowance = ledger.allowance(region);
+        division.add(ledger.self, allowance, stand.wants, rules.weight);
+        for (Other other : others) {
+            if (!isFresh(other, now) || region.accounts[other.number] == null) { continue; }
+            Account account = region.accounts[other.number];
+            int underWay = Math.max(0, account.granted - account.seenTaken) + Math.max(0, account.returned - account.seenReturned);
+            division.add(other.number, account.has + underWay, account.need, other.weight);
+        }
+        if (division.isWanted()) {
+            stand.idleSince = now;
+            division.divide(region.id, (long) (now / TURN_MS));
+            division.gifts(ledger.self, (taker, units) -> gift(stand, taker, units, now));
+        } else if (stand.wants >= allowance) {
+            stand.idleSince = now;
+        } else if (now - stand.idleSince > HOME_MS && now >= stand.homeAt) {
+            home(stand, now);
+        }
+        // Where the number fell below what is open, or units are owed: connections close between requests.
+        int over = stand.owed - Math.max(0, spare(stand)) + Math.max(0, -spare(stand)) - stand.leaving;
+        if (over > 0) { world.shed(region.id, over); }
+    }
+
+    private void gift(Stand stand, int taker, int units, double now) {
+        int wanted = Math.min(units, (int) stand.tokens);
+        Other other = others[taker];
+        int left = wanted - giveBack(stand, other, wanted);
+        if (left > 0) {
+            int lent = ledger.lend(stand.region, taker, left);
+            if (lent > 0) { done(stand, other, lent); }
+            left -= lent;
+        }
+        // What is held of a third goes home to it, and from there to whoever needs it.
+        while (left > 0 && spare(stand) > 0) {
+            Other owner = null;
+            for (Other one : others) {
+                if (isFresh(one, now) && held(stand, one) > 0 && (owner == null || held(stand, one) > held(stand, owner))) { owner = one; }
+            }
+            int gone = owner == null ? 0 : giveBack(stand, owner, left);
+            if (gone == 0) { break; }
+            left -= gone;
+        }
+        stand.owed += left;
+    }
+
+    private int held(Stand stand, Other other) {
+        Account account = stand.region.accounts[other.number];
+        return account == null ? 0 : account.held();
+    }
+
+    private int giveBack(Stand stand, Other owner, int units) {
+        if (units <= 0 || held(stand, owner) == 0) { return 0; }
+        int gone = ledger.giveBack(stand.region, owner.number, units);
+        if (gone > 0) { done(stand, owner, gone); }
+        return gone;
+    }
+
+    private void done(Stand stand, Other other, int units) {
+        stand.region.account(other.number).isDirty = true;
+        other.urgent = true;
+        stand.tokens -= units;
+        moved += units;
+    }
+
+    /** Nobody needs it and neither does this one: borrowed units go home, so that a death here costs less. */
+    private void home(Stand stand, double now) {
+        for (Other other : others) {
+            if (isFresh(other, now) && held(stand, other) > 0) {
+                if (giveBack(stand, other, 1) == 0) { stand.owed = 1; } // once an idle connection has closed
+                stand.homeAt = now + BEAT_MS;
+                return;
+            }
+        }
+        stand.homeAt = now + HOME_MS;
+    }
+
+    private void tell(double now) {
+        double apart = Math.max(BUSY_TICK_MS, 2.0 * ledger.count); // so that news cost no more at more ingresses
+        List<Stand> news = new ArrayList<>();
+        for (Stand stand : stands.values()) {
+            int has = ledger.allowance(stand.region);
+            boolean differs = has != stand.newsHas || stand.wants != stand.newsNeed;
+            boolean short0 = stand.wants > has || stand.newsNeed > stand.newsHas || now - stand.idleSince < ACTIVE_MS;
+            if (differs && short0 && now - stand.newsAt >= apart) {
+                stand.newsAt = now;
+                stand.newsHas = has;
+                stand.newsNeed = stand.wants;
+                news.add(stand);
+            }
+        }
+        for (Other other : others) {
+            if (other != null && other.at != null) { tell(other, news, now); }
+        }
+        if (now >= hellosAt) {
+            hellosAt = now + BEAT_MS;
+            for (InetSocketAddress member : members) {
+                if (!isKnown(member, now)) { send(member, new Telling(ledger.self, ledger.count, rules.weight, ledger.life, 0, ++order, false, false, false, List.of()), now, null); }
+            }
+        }
+    }
+
+    private boolean isKnown(InetSocketAddress at, double now) {
+        for (Other other : others) {
+            if (other != null && at.equals(other.at) && now - other.heardAt < SILENT_BEAT_MS) { return true; }
+        }
+        return false;
+    }
+
+    private void tell(Other other, List<Stand> news, double now) {
+        boolean fresh = isFresh(other, now);
+        boolean beat = now >= other.beatAt;
+        boolean again = fresh && now - other.sentAt >= REPEAT_MS && (isUnheard(other) || !other.settledMe);
+        if (!beat && !other.urgent && !again && (news.isEmpty() || !fresh)) { return; }
+        if (beat) {
+            other.beatAt = now + (fresh ? BEAT_MS : SILENT_BEAT_MS);
+            other.beats++;
+        }
+        boolean all = beat && other.beats % WHOLE_BEATS == 1 || !other.settledMe;
+        other.urgent = false;
+        List<Telling.Row> rows = new ArrayList<>();
+        boolean asks = false;
+        int olds = 0;
+        for (Region region : ledger.regions()) {     // what is held of earlier lives first: it is to be told whole
+            Account account = region.accounts[other.number];
+            if (account != null && account.old > 0 && !other.settledMe) { rows.add(row(region, account)); }
+        }
+        olds = rows.size();
+        for (Region region : ledger.regions()) {
+            Account account = region.account(other.number);
+            Stand stand = stands.get(region.id);
+            if (account.old > 0 && !other.settledMe) { continue; }
+            boolean changed = account.toldHas != ledger.allowance(region) || stand != null && account.toldNeed != stand.wants;
+            boolean unheard = account.isUnheard();
+            asks |= unheard;
+            if (all || account.isDirty || unheard && (again || beat) || beat && changed || stand != null && news.contains(stand)) {
+                rows.add(row(region, account));
+            }
+        }
+        boolean whole = !other.settledMe && olds <= Telling.ROWS;
+        int from = 0;
+        do {
+            List<Telling.Row> some = rows.subList(from, Math.min(rows.size(), from + Telling.ROWS));
+            from += some.size();
+            send(other.at, new Telling(ledger.self, ledger.count, rules.weight, ledger.life, ledger.life(other.number), ++order,
+                    ledger.isSettled(other.number), whole, asks, some), now, other);
+            whole = false;                           // what is held of earlier lives stood in the first
+        } while (from < rows.size());
+    }
+
+    private boolean isUnheard(Other other) {
+        for (Region region : ledger.regions()) {
+            Account account = region.accounts[other.number];
+            if (account != null && account.isUnheard()) { return true; }
+        }
+        return false;
+    }
+
+    private Telling.Row row(Region region, Account account) {
+        Stand stand = stands.get(region.id);
+        account.isDirty = false;
+        account.toldHas = ledger.allowance(region);
+        account.toldNeed = stand == null ? 0 : stand.wants;
+        return new Telling.Row(region.id, account.granted, account.back, account.taken, account.returned, account.old, account.toldHas, account.toldNeed);
+    }
+
+    private void send(InetSocketAddress to, Telling telling, double now, Other other) {
+        byte[] body = telling.bytes();
+        told++;
+        toldBytes += body.length;
+        if (other != null) { other.sentAt = now; }
+        world.send(to, body);
+    }
+
+    /** Whether something is still held or open, of what is to go back at the end. */
+    boolean holds() {
+        for (Region region : ledger.regions()) {
+            if (region.held() > 0 || region.open > 0) { return true; }
+        }
+        return false;
+    }
+
+    /** Others heard lately. */
+    int freshOthers(double now) {
+        int fresh = 0;
+        for (Other other : others) { fresh += isFresh(other, now) ? 1 : 0; }
+        return fresh;
+    }
+
+    /** Units that cannot be used as this one knows: lent to who is silent, and the silent ones' own shares. */
+    int leak(double now) {
+        int leak = 0;
+        for (Stand stand : stands.values()) {
+            Region region = stand.region;
+            if (region.gone) { continue; }
+            for (Other other : others) {
+                if (other == null || isFresh(other, now)) { continue; }
+                Account account = region.accounts[other.number];
+                leak += Ledger.share(region.id, region.number, other.number, ledger.count) + (account == null ? 0 : account.lent() - account.held());
+            }
+        }
+        return leak;
+    }
+}
--- /dev/null
+++ b/src/main/java/yardusher/parts/Telling.java
@@ -0,0 +1,106 @@
+package yardusher.parts;
+
+import java.nio.BufferUnderflowException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * One datagram from one ingress to another. {@code number} of {@code count} ingresses and {@code life} say who speaks, {@code to} which life of
+ * the hearer is spoken to, 0 for any. {@code settled}: the speaker knows all that its earlier lives lent to the hearer.
+ * {@code whole}: each region where the speaker holds units of the hearer's earlier lives is among the rows. {@code asks}: the rows are to be
+ * answered, since the speaker does not know that they were heard.
+ */
+record Telling(int number, int count, int weight, long life, long to, int order, boolean settled, boolean whole, boolean asks,
+        List<Row> rows) {
+    /**
+     * A region: the speaker's counters of its account with the hearer, what it has and needs in all. {@code back} and {@code taken}
+     * are the hearer's own counters as the speaker has heard them.
+     */
+    record Row(long region, int granted, int back, int taken, int returned, int old, int has, int need) { }
+
+    static final int MOST_BYTES = 1200;
+    private static final int HEAD = 40;              // at the most
+    private static final int ROW = 5 + 5 * 5 + 2 * 3;
+    private static final int VERSION = 1;
+    /** Figures of one region at the most; what is above is made up. */
+    static final int MOST = 1 << 20;
+
+    /** How many rows are sure to fit one datagram. */
+    static final int ROWS = (MOST_BYTES - HEAD) / ROW;
+
+    byte[] bytes() {
+        ByteBuffer out = ByteBuffer.allocate(MOST_BYTES);
+        out.put((byte) VERSION).put((byte) ((settled ? 1 : 0) | (whole ? 2 : 0) | (asks ? 4 : 0)));
+        put(out, number);
+        put(out, count);
+        put(out, weight);
+        put(out, order);
+        out.putLong(life).putLong(to);
+        put(out, rows.size());
+        for (Row row : rows) {
+            out.putInt((int) row.region);
+            for (int each : new int[] {row.granted, row.back, row.taken, row.returned, row.old, row.has << 1 ^ row.has >> 31, row.need}) { put(out, each); }
+        }
+        byte[] bytes = new byte[out.flip().remaining()];
+        out.get(bytes);
+        return bytes;
+    }
+
+    private static void put(ByteBuffer out, int value) {
+        int left = value;
+        for (; (left & ~0x7F) != 0; left >>>= 7) { out.put((byte) (left | 0x80)); }
+        out.put((byte) left);
+    }
+
+    private static int get(ByteBuffer in) {
+        int value = 0;
+        for (int shift = 0; shift < 35; shift += 7) {
+            byte next = in.get();
+            value |= (next & 0x7F) << shift;
+            if (next >= 0) { return value; }
+        }
+        throw new IllegalArgumentException("a figure too long");
+    }
+
+    private static int figure(ByteBuffer in, int most) {
+        int value = get(in);
+        if (value < 0 || value > most) { throw new IllegalArgumentException("a figure of " + value); }
+        return value;
+    }
+
+    /** Reads a body; an {@link IllegalArgumentException} for one that is none. */
+    static Telling of(byte[] body) {
+        try {
+            ByteBuffer in = ByteBuffer.wrap(body);
+            if (in.get() != VERSION) { throw new IllegalArgumentException("another version"); }
+            int flags = in.get();
+            int number = figure(in, MOST);
+            int count = figure(in, MOST);
+            int weight = figure(in, 1000);
+            int order = get(in);
+            long life = in.getLong();
+            long to = in.getLong();
+            int rows = figure(in, MOST_BYTES);
+            List<Row> all = new ArrayList<>(rows);
+            for (int i = 0; i < rows; i++) {
+                long region = in.getInt() & 0xFFFFFFFFL;
+                int granted = figure(in, Integer.MAX_VALUE);
+                int back = figure(in, Integer.MAX_VALUE);
+                int taken = figure(in, Integer.MAX_VALUE);
+                int returned = figure(in, Integer.MAX_VALUE);
+                int old = figure(in, MOST);
+                int has = get(in);
+                has = has >>> 1 ^ -(has & 1);
+                if (has < -MOST || has > MOST) { throw new IllegalArgumentException("has " + has); }
+                all.add(new Row(region, granted, back, taken, returned, old, has, figure(in, MOST)));
+            }
+            if (in.hasRemaining() || flags > 7 || flags < 0 || number >= count || weight < 1 || life <= 0 || to < 0) {
+                throw new IllegalArgumentException("not a telling");
+            }
+            return new Telling(number, count, weight, life, to, order, (flags & 1) != 0, (flags & 2) != 0, (flags & 4) != 0, all);
+        } catch (BufferUnderflowException e) {
+            throw new IllegalArgumentException("cut", e);
+        }
+    }
+}
--- a/src/main/java/yardusher/servers/RegionLink.java
+++ b/src/main/java/yardusher/servers/RegionLink.java
@@ -29,6 +29,7 @@
     private boolean carried;                         // a part is on its way to the terminal
     private double movedAt;                          // when the last part came or was taken
     private boolean used;
+    private boolean over;                            // closed from this side; the region may not have closed yet
     private boolean kept;                            // the attempt found it used by one before
 
     RegionLink(RegionPool pool, RegionPool.Place place, long region) {
@@ -57,10 +58,20 @@
         attempt = null;
         flow = null;
         pool.sockets.turns().deadlines().cancel(wholeBy);
-        if (!link.isClosed()) {
-            pool.connections--;
-            link.close();
-        }
+        if (over || link.isClosed()) { return; }
+        over = true;
+        pool.leaves(place, region, link);
+    }
+
+    /** A connection that nobody waits for any more by the time it is there. */
+    static void drop(RegionPool pool, AsynchronousSocketChannel channel, Runnable then) {
+        new Link(channel, pool.sockets.turns(), new Link.Owner() {
+            @Override
+            public boolean readable(Link from) { return true; }
+
+            @Override
+            public void ended(Link from) { then.run(); }
+        }).leave(then);
     }
 
     @Override
@@ -181,7 +192,7 @@
 
     @Override
     public void ended(Link from) {
-        pool.connections--;
+        pool.over(place, region, false);
         place.idle.remove(this);
         pool.sockets.turns().deadlines().cancel(wholeBy);
         Attempt ended = attempt;
--- a/src/main/java/yardusher/servers/RegionPool.java
+++ b/src/main/java/yardusher/servers/RegionPool.java
@@ -12,9 +12,11 @@
 import yardusher.Api;
 import yardusher.core.Attempt;
 import yardusher.core.Counters;
+import yardusher.core.Deadlines;
 import yardusher.core.Flow;
 import yardusher.core.Ingress;
 import yardusher.core.Regions;
+import yardusher.net.Link;
 import yardusher.net.Sockets;
 
 /**
@@ -42,13 +44,17 @@
     private double newLost;                          // and on new ones
     private int begun;
     private Ingress ingress;
+    private Allowance allowance = Allowance.FREE;
     int connections;
+    private int leaving;                             // of those, closed from this side and not yet by the region
 
     /** A region of the service table and the connections that stand idle there. */
     static final class Place {
         InetSocketAddress address;
         final ArrayDeque<RegionLink> idle = new ArrayDeque<>();
         final Set<Attempt> dialling = new HashSet<>();
+        int open;                                    // connections, from before the dial to the end
+        int leaving;
 
         Place(InetSocketAddress address) { this.address = address; }
     }
@@ -69,7 +75,24 @@
     /** How many connections are held at the most; idle ones beyond that close. */
     public void limit(int most) {
         mostConnections = most;
-        while (connections > mostConnections && closeOneIdle()) { /* one by one */ }
+        while (connections - leaving > mostConnections && closeOneIdle()) { /* one by one */ }
+    }
+
+    /** From now on no connection is opened without a word of this; before any is. */
+    public void allow(Allowance by) { allowance = by; }
+
+    /** Connections to a region that carry an attempt, or are dialled for one. */
+    public int busy(long region) {
+        Place place = places.get(region);
+        return place == null ? 0 : place.open - place.leaving - place.idle.size();
+    }
+
+    /** Closes so many connections of a region that stand idle, the longest idle first; the result says how many there were. */
+    public int shed(long region, int count) {
+        Place place = places.get(region);
+        int closed = 0;
+        for (RegionLink link; place != null && closed < count && (link = place.idle.pollFirst()) != null; closed++) { link.close(); }
+        return closed;
     }
 
     public void serve(Ingress core) { ingress = core; }
@@ -134,12 +157,17 @@
             link.carry(attempt, cargo);
             return;
         }
-        if (connections >= mostConnections && !closeOneIdle()) {
+        if (connections - leaving >= mostConnections && !closeOneIdle()) {
             // Guards the descriptor limit: past the budget nothing was sent, so the module may go elsewhere.
             sockets.turns().afterwards(() -> end(attempt, Attempt.Result.of(Api.Outcome.CONNECT_FAILED)));
             return;
         }
+        if (allowance.counts()) {
+            counted(place, attempt, cargo);
+            return;
+        }
         connections++;
+        place.open++;
         counters.connectionsOpened++;
         place.dialling.add(attempt);
         RegionLink fresh = new RegionLink(this, place, attempt.region);
@@ -148,18 +176,101 @@
             fresh.open(channel);
             fresh.carry(attempt, cargo);
         }, () -> {
-            connections--;
+            over(place, attempt.region, false);
             place.dialling.remove(attempt);
             counters.connectionsFailed++;
             end(attempt, Attempt.Result.of(Api.Outcome.CONNECT_FAILED));
         });
         attempt.giveUp = () -> {
-            connections--;
+            over(place, attempt.region, false);
             place.dialling.remove(attempt);
             giveUp.run();
         };
     }
 
+    /**
+     * Dials where each connection counts until its very end. One that has just answered is used rather than none; a dial that is
+     * given up goes on, since a region may have accepted it already, and closes once it is there.
+     */
+    private void counted(Place place, Attempt attempt, ByteBuffer... cargo) {
+        if (!allowance.take(attempt.region)) {
+            RegionLink resting = place.idle.pollFirst();
+            if (resting == null) {                   // known before the choice, but for what this very turn changed
+                sockets.turns().afterwards(() -> end(attempt, Attempt.Result.of(Api.Outcome.NOT_SENT)));
+            } else {
+                counters.connectionsReused++;
+                resting.carry(attempt, cargo);
+            }
+            return;
+        }
+        connections++;
+        place.open++;
+        counters.connectionsOpened++;
+        place.dialling.add(attempt);
+        boolean[] dropped = new boolean[1];
+        Runnable drop = () -> {
+            dropped[0] = true;
+            place.dialling.remove(attempt);
+            leaving(place, attempt.region);
+        };
+        Deadlines.Entry limit = sockets.turns().deadlines().at(sockets.turns().now() + dialMs, () -> {
+            if (dropped[0]) { return; }
+            drop.run();
+            counters.connectionsFailed++;
+            end(attempt, Attempt.Result.of(Api.Outcome.CONNECT_FAILED));
+        });
+        sockets.dial(place.address, channel -> {
+            sockets.turns().deadlines().cancel(limit);
+            if (dropped[0]) {
+                RegionLink.drop(this, channel, () -> over(place, attempt.region, true));
+                return;
+            }
+            place.dialling.remove(attempt);
+            RegionLink fresh = new RegionLink(this, place, attempt.region);
+            fresh.open(channel);
+            fresh.carry(attempt, cargo);
+        }, () -> {
+            sockets.turns().deadlines().cancel(limit);
+            over(place, attempt.region, dropped[0]);
+            if (dropped[0]) { return; }
+            place.dialling.remove(attempt);
+            counters.connectionsFailed++;
+            end(attempt, Attempt.Result.of(Api.Outcome.CONNECT_FAILED));
+        });
+        attempt.giveUp = () -> {
+            sockets.turns().deadlines().cancel(limit);
+            drop.run();
+        };
+    }
+
+    /** A connection is closed from this side. */
+    void leaves(Place place, long region, Link link) {
+        if (!allowance.counts()) {
+            over(place, region, false);
+            link.close();
+            return;
+        }
+        leaving(place, region);
+        link.leave(() -> over(place, region, true));
+    }
+
+    private void leaving(Place place, long region) {
+        place.leaving++;
+        leaving++;
+        allowance.leaving(region);
+    }
+
+    /** A connection is over, or a dial came to nothing. */
+    void over(Place place, long region, boolean wasLeaving) {
+        connections--;
+        place.open--;
+        if (wasLeaving) {
+            place.leaving--;
+            leaving--;
+        }
+        allowance.ended(region, wasLeaving);
+    }
+
     /** How an attempt's connection ended, or that it did not. */
     void noteLost(boolean kept, boolean lost) {
         double now = lost ? 1 : 0;
@@ -208,7 +319,7 @@
     /** An attempt ended in order: its connection waits for the next. */
     void rest(RegionLink link) {
         link.idleSince = sockets.turns().now();
-        boolean enough = keepingLoses() && !link.place.idle.isEmpty();
+        boolean enough = keepingLoses() && !link.place.idle.isEmpty() || allowance.isSurplus(link.region);
         if (places.get(link.region) == link.place && !enough && !banned.contains(link.region)) {
             link.place.idle.addLast(link);
         } else {
