--- a/src/main/java/yardusher/parts/Account.java
+++ b/src/main/java/yardusher/parts/Account.java
@@ -18,9 +18,10 @@
     int seenTaken;                                   // of my grants, which it has heard of
     int seenReturned;                                // of what I gave back, which it has heard of
     int has;                                         // what it says it may have open in all
-    int need;                                        // and would like to
+    int uses;                                        // what it would use now
+    int wants;                                       // and would like to keep
     int toldHas;                                     // what it was last told of this one
-    int toldNeed;
+    int toldWants;
     boolean isDirty;                                 // something of it is to be told soon
 
     /** How many of mine the other may hold, at the most. */
@@ -40,7 +41,7 @@
         old += taken - returned;
         taken = returned = seenReturned = 0;
         granted = back = seenTaken = 0;
-        has = need = 0;
+        has = uses = wants = 0;
     }
 
     boolean isEmpty() { return lent() == 0 && held() == 0 && !isUnheard(); }
--- a/src/main/java/yardusher/parts/Division.java
+++ b/src/main/java/yardusher/parts/Division.java
@@ -9,6 +9,8 @@
     private int size;
     private int[] who = new int[8];
     private int[] has = new int[8];
+    private int[] uses = new int[8];
+    private int[] wants = new int[8];
     private int[] need = new int[8];
     private int[] weight = new int[8];
     private int[] fair = new int[8];
@@ -19,11 +21,13 @@
 
     void clear() { size = 0; }
 
-    void add(int ingress, int itHas, int itNeeds, int itsWeight) {
+    void add(int ingress, int itHas, int itUses, int itWants, int itsWeight) {
         if (size == who.length) {
             who = java.util.Arrays.copyOf(who, 2 * size);
             has = java.util.Arrays.copyOf(has, 2 * size);
-            need = java.util.Arrays.copyOf(need, 2 * size);
+            uses = java.util.Arrays.copyOf(uses, 2 * size);
+            wants = java.util.Arrays.copyOf(wants, 2 * size);
+            need = new int[2 * size];
             weight = java.util.Arrays.copyOf(weight, 2 * size);
             fair = new int[2 * size];
             givers = new int[2 * size];
@@ -31,14 +35,15 @@
         }
         who[size] = ingress;
         has[size] = itHas;
-        need[size] = Math.max(0, itNeeds);
+        uses[size] = Math.max(0, Math.min(itUses, itWants));
+        wants[size] = Math.max(0, itWants);
         weight[size++] = Math.max(1, itsWeight);
     }
 
-    /** Whether anyone needs more than it has. */
+    /** Whether anyone wants more than it has. */
     boolean isWanted() {
         for (int i = 0; i < size; i++) {
-            if (need[i] > has[i]) { return true; }
+            if (wants[i] > has[i]) { return true; }
         }
         return false;
     }
@@ -46,22 +51,68 @@
     /** Whether all together need more than there is, by the last {@link #divide}. */
     boolean isScarce() { return scarce; }
 
-    /** Works the fair parts out; {@code region} and {@code turn} decide who gets what cannot be split. */
+    /**
+     * Works the fair parts out: where there is enough each gets what it wants, else what it uses comes first, and the rest
+     * stays where it is. {@code region} and {@code turn} decide who gets what cannot be split.
+     */
     void divide(long region, long turn) {
         int all = 0;
         long wanted = 0;
+        long used = 0;
         for (int i = 0; i < size; i++) {
             all += has[i];
-            wanted += need[i];
-            fair[i] = -1;
+            wanted += wants[i];
+            used += uses[i];
         }
+        all = Math.max(0, all);
         scarce = wanted > all;
         starves = false;
         if (!scarce) {
-            System.arraycopy(need, 0, fair, 0, size);
-            return;
+            System.arraycopy(wants, 0, fair, 0, size);
+        } else if (used >= all) {
+            System.arraycopy(uses, 0, need, 0, size);
+            fillAll(region, turn, all);
+        } else {
+            spare();
+        }
+    }
+
+    /**
+     * There is enough for what is used, and too little for what all would like to keep: who uses more than it has gets that
+     * from those who have most to spare, and nothing else is moved.
+     */
+    private void spare() {
+        int wanted = 0;
+        for (int i = 0; i < size; i++) {
+            fair[i] = Math.max(has[i], uses[i]);
+            wanted += fair[i] - has[i];
+        }
+        int high = 0;                                // so much is left to each of those who give
+        int low = 0;
+        for (int i = 0; i < size; i++) { high = Math.max(high, has[i] - uses[i]); }
+        while (low < high) {
+            int level = (low + high) / 2;
+            int given = 0;
+            for (int i = 0; i < size; i++) { given += Math.max(0, has[i] - uses[i] - level); }
+            if (given <= wanted) { high = level; } else { low = level + 1; }
         }
-        int left = Math.max(0, all);
+        for (int i = 0; i < size; i++) {             // first down to just above the level, then one each, in order
+            int given = Math.max(0, has[i] - uses[i] - low);
+            fair[i] -= given;
+            wanted -= given;
+        }
+        for (int i = 0; i < size && wanted > 0; i++) {
+            if (low > 0 && fair[i] == has[i] - Math.max(0, has[i] - uses[i] - low) && has[i] - uses[i] >= low) {
+                fair[i]--;
+                wanted--;
+            }
+        }
+    }
+
+    /** Divides so many units by {@link #need}, which is more. */
+    private void fillAll(long region, long turn, int units) {
+        java.util.Arrays.fill(fair, 0, size, -1);
+        int left = units;
         double level = fill(left);
         for (int i = 0; i < size; i++) {
             if (fair[i] < 0) { fair[i] = (int) (level * weight[i] + 1e-9); }
--- a/src/main/java/yardusher/parts/Ledger.java
+++ b/src/main/java/yardusher/parts/Ledger.java
@@ -136,7 +136,11 @@
     int home(Region region) {
         // Guards against units that an earlier life lent and this one does not know of: without a memory, all may be there.
         if (unsettled > 0 && !remembers && without != Without.OLD_LIVES) { return Math.min(0, region.share - region.lent()); }
-        return region.share - region.lent();
+        int home = region.share - region.lent();
+        if (without == Without.LESS_BEFORE_MORE) { // less here only once it is more there
+            for (Account one : region.accounts) { home += one == null ? 0 : one.granted - Math.min(one.granted, Math.max(one.seenTaken, one.back)); }
+        }
+        return home;
     }
 
     /** How many connections may be open; negative where the number was lowered and it is owed to others. */
@@ -157,7 +161,6 @@
     /** Lends up to so many that are not in use; the result says how many. */
     int lend(Region region, int to, int wanted) {
         int many = Math.min(wanted, Math.min(home(region), spare(region)));
-        if (without == Without.LESS_BEFORE_MORE) { many = Math.min(wanted, home(region)); }
         if (many <= 0 || lives[to] == 0 || to == self) { return 0; }
         Account account = region.account(to);
         if (!memory.put(region.id, to, account.lent() + many)) { return 0; }
@@ -169,7 +172,6 @@
     int giveBack(Region region, int to, int wanted) {
         Account account = region.account(to);
         int many = Math.min(wanted, Math.min(account.held(), spare(region)));
-        if (without == Without.LESS_BEFORE_MORE) { many = Math.min(wanted, account.held()); }
         if (many <= 0) { return 0; }
         int ofOld = Math.min(many, account.old);
         account.old -= ofOld;
@@ -212,7 +214,7 @@
             return false;
         }
         if (without == Without.REPEAT_CHECK) {
-            if (row.granted() > account.returned) { account.taken += Math.max(0, row.granted() - account.returned); }
+            account.taken = row.granted() > account.taken ? row.granted() : account.taken + (row.granted() > 0 ? 1 : 0);
         } else {
             account.taken = Math.max(account.taken, row.granted());
         }
--- a/src/main/java/yardusher/parts/Need.java
+++ b/src/main/java/yardusher/parts/Need.java
@@ -1,27 +1,32 @@
 package yardusher.parts;
 
 /**
- * How many connections an ingress would like at a region: the most that were in use lately, with room to choose, and its part
- * of what was turned away since no region had room. Rises at once and falls slowly, so that no unit is sent to and fro.
- * Free of I/O and clock.
+ * How many connections an ingress needs over all regions: what is in use, what it would like to keep, since it was in use
+ * lately, and its part of what was turned away since no region had room. The sum is looked at and not each region, since a
+ * request goes where there is room. Free of I/O and clock.
  */
 final class Need {
-    private static final double FALLS_MS = 2000;     // by 63%
+    private static final double USES_FALL_MS = 100;  // by 63%: what others may have at once where there is too little
+    private static final double WANTS_FALL_MS = 6000; // and what is kept where there is enough: no unit is sent to and fro
     private static final double ROOM = 1.15;         // a region is chosen among those with room
-    private double peak;
-    private double unmet;                            // attempts that would have been out here
+    private double usesPeak;
+    private double wantsPeak;
+    private double unmetFast;                        // attempts that would have been out
+    private double unmet;
 
     /** {@code busy} connections carry an attempt; {@code wanted} more would, of those that were refused for want of room. */
     void seen(double sinceMs, int busy, double wanted) {
-        double falls = Math.exp(-sinceMs / FALLS_MS);
-        peak = Math.max(busy, peak * falls);
-        unmet = Math.max(wanted, unmet * falls);
+        double fast = Math.exp(-sinceMs / USES_FALL_MS);
+        double slow = Math.exp(-sinceMs / WANTS_FALL_MS);
+        usesPeak = Math.max(busy, usesPeak * fast);
+        wantsPeak = Math.max(busy, wantsPeak * slow);
+        unmetFast = Math.max(wanted, unmetFast * fast);
+        unmet = Math.max(wanted, unmet * slow);
     }
 
-    /** In whole connections, at least {@code least} while there is any traffic here. */
-    int units(int least, boolean active) {
-        double wanted = peak * ROOM + unmet;
-        int units = wanted < 0.05 ? 0 : (int) Math.ceil(wanted);
-        return active ? Math.max(least, units) : units;
-    }
+    /** Connections that would be used now. */
+    double uses() { return usesPeak * ROOM + unmetFast; }
+
+    /** Connections that were of use lately. */
+    double wants() { return Math.max(uses(), wantsPeak * ROOM + (unmetFast > 0.5 ? unmet : 0)); }
 }
--- a/src/main/java/yardusher/parts/Negotiator.java
+++ b/src/main/java/yardusher/parts/Negotiator.java
@@ -35,7 +35,7 @@
         void send(InetSocketAddress to, byte[] body);
     }
 
-    /** {@code least}: units wanted at each region while there is traffic; {@code movesPerS} by region, at the most. */
+    /** {@code least}: units wanted in all while there is traffic; {@code movesPerS} by region, at the most. */
     record Rules(int least, int weight, double movesPerS) { }
 
     static final double FRESH_MS = 3000;             // who was silent for longer is asked for nothing
@@ -47,6 +47,7 @@
     private static final double BUSY_TICK_MS = 20;
     private static final double IDLE_TICK_MS = 100;
     private static final double RATE_MS = 300;       // over which refusals and attempts are counted
+    private static final double USED_MS = 3000;      // over which it is seen where attempts go
     private static final double TURN_MS = 10_000;    // where some get none, others do after this
     private static final double HOME_MS = 10_000;    // what is borrowed and not used so long goes back, one by one
     private static final double AHEAD_MS = 86_400_000; // a life that begins a day from now is made up
@@ -54,8 +55,12 @@
     /** A region as this ingress stands there. */
     static final class Stand {
         final Region region;
-        private final Need need = new Need();
-        int wants;
+        private double used;                         // connections in use lately
+        int uses;                                    // of what this ingress uses in all, what it would like here
+        int wants;                                   // and of what it would like to keep
+        private double part;
+        private double full;                         // part of the time in which there was no room, lately
+        private double rest;
         int leaving;                                 // connections on their way to be closed at both ends
         int owed;                                    // units to be given as soon as connections close
         private int room = -1;
@@ -64,7 +69,7 @@
         private double homeAt;
         private double newsAt = Double.NEGATIVE_INFINITY;
         private int newsHas;
-        private int newsNeed;
+        private int newsWants;
 
         Stand(Region region, double now) {
             this.region = region;
@@ -92,6 +97,7 @@
     private final Rules rules;
     private final World world;
     private final Division division = new Division();
+    private final Need need = new Need();
     private final Map<Long, Stand> stands = new HashMap<>();
     private final Other[] others;
     private List<InetSocketAddress> members = List.of();
@@ -254,7 +260,8 @@
             Account account = region.account(number);
             if (newer) {
                 account.has = row.has();
-                account.need = row.need();
+                account.uses = row.uses();
+                account.wants = row.wants();
             }
             if (telling.asks()) {
                 account.isDirty = true;
@@ -278,6 +285,12 @@
     }
 
     private void forget() {
+        for (Other other : others) {                 // planted, to see that the rules notice
+            if (ledger.without == Ledger.Without.STOPPED_KEEPS && other != null && other.at != null && lastTick - other.heardAt > FRESH_MS) {
+                ledger.ended(other.number);
+                other.at = null;
+            }
+        }
         ledger.sweep();
         stands.values().removeIf(stand -> stand.region.gone && ledger.region(stand.region.id) == null);
     }
@@ -297,24 +310,72 @@
             begunBefore = begun;
         }
         int busy = 0;
-        int listed = 0;
-        for (Stand stand : stands.values()) {
-            busy += world.busy(stand.region.id);
-            listed += stand.region.gone ? 0 : 1;
-        }
+        for (Stand stand : stands.values()) { busy += world.busy(stand.region.id); }
         if (busy > 0) { activeAt = now; }
         // By Little's law: what was turned away would have been out as long as what was let in.
         double holdMs = attempts > 1e-6 ? busy / attempts : 100;
-        double unmet = refusals * Math.min(5000, Math.max(1, holdMs)) / Math.max(1, listed);
+        double unmet = refusals * Math.min(5000, Math.max(1, holdMs));
         boolean active = now - activeAt < ACTIVE_MS && !leaves;
+        need.seen(since, busy, unmet < 0.05 ? 0 : unmet);
+        double level = 1 - Math.exp(-since / USED_MS);
+        double used = 0;
+        double numbers = 0;
         for (Stand stand : stands.values()) {
-            if (stand.region.gone || leaves) {
-                stand.wants = 0;
-                continue;
+            stand.full += level * ((world.busy(stand.region.id) >= stand.room ? 1 : 0) - stand.full);
+            stand.used += level * (world.busy(stand.region.id) - stand.used);
+            used += stand.used;
+            numbers += stand.region.gone ? 0 : stand.region.number;
+        }
+        for (Stand stand : stands.values()) {
+            stand.part = stand.region.gone || numbers == 0 ? 0 : stand.region.number / numbers;
+            if (used > 0.01 && !stand.region.gone) { stand.part = 0.5 * stand.part + 0.5 * stand.used / used; }
+        }
+        double least = active ? rules.least : 0;
+        spread(active ? Math.max(least, need.uses()) : 0, false);
+        spread(active ? Math.max(least, need.wants()) : 0, true);
+    }
+
+    /**
+     * Spreads what is needed in all over the regions, in whole units: first over what is there already, so that nothing is
+     * moved without need, and what is more by where attempts go. Who needs little does not need some of every region.
+     */
+    private void spread(double units, boolean wants) {
+        int all = (int) Math.ceil(units - 0.02);
+        int there = 0;
+        for (Stand stand : stands.values()) { there += stand.region.gone ? 0 : Math.max(0, ledger.allowance(stand.region)); }
+        int more = Math.max(0, all - there);
+        int left = all;
+        for (Stand stand : stands.values()) {
+            int here = stand.region.gone ? 0 : Math.max(0, ledger.allowance(stand.region));
+            double whole = more > 0 ? here + more * stand.part : there == 0 ? 0 : (double) all * here / there;
+            stand.rest = stand.region.gone ? -1 : whole - Math.floor(whole);
+            set(stand, (int) Math.floor(whole), wants);
+            left -= wants ? stand.wants : stand.uses;
+        }
+        for (; left > 0; left--) {
+            Stand best = null;
+            for (Stand stand : stands.values()) {
+                if (!stand.region.gone && stand.rest >= 0 && (best == null || ahead(stand, best))) { best = stand; }
             }
-            stand.need.seen(since, world.busy(stand.region.id), unmet < 0.01 ? 0 : unmet);
-            stand.wants = Math.min(stand.region.number, stand.need.units(rules.least, active));
+            if (best == null) { break; }
+            best.rest = -1;
+            set(best, (wants ? best.wants : best.uses) + 1, wants);
         }
+        for (Stand stand : stands.values()) {        // those that are full all the time although there is room elsewhere
+            if (wants && more == 0 && stand.full > 0.6 && !stand.region.gone) { set(stand, ledger.allowance(stand.region) + 1, true); }
+        }
+    }
+
+    /** Coarse, so that the same regions are ahead for as long as the use is about the same. */
+    private boolean ahead(Stand one, Stand other) {
+        long a = Math.round(one.rest * 4);
+        long b = Math.round(other.rest * 4);
+        return a != b ? a > b : Ledger.mix(one.region.id * 31 + ledger.self) < Ledger.mix(other.region.id * 31 + ledger.self);
+    }
+
+    private static void set(Stand stand, int units, boolean wants) {
+        int some = Math.min(stand.region.number, units);
+        if (wants) { stand.wants = Math.max(some, stand.uses); } else { stand.uses = some; }
     }
 
     private boolean isFresh(Other other, double now) { return other != null && now - other.heardAt < FRESH_MS; }
@@ -331,16 +392,20 @@
             world.shed(region.id, region.open);
             return;
         }
+        if (leaves && world.busy(region.id) == 0) { world.shed(region.id, region.open); }
         double most = Math.max(8, rules.movesPerS / 4);
         stand.tokens = Math.min(most, stand.tokens + rules.movesPerS * BUSY_TICK_MS / 1000);
         division.clear();
         int allowance = ledger.allowance(region);
-        division.add(ledger.self, allowance, stand.wants, rules.weight);
+        division.add(ledger.self, allowance, stand.uses, stand.wants, rules.weight);
         for (Other other : others) {
             if (!isFresh(other, now) || region.accounts[other.number] == null) { continue; }
             Account account = region.accounts[other.number];
             int underWay = Math.max(0, account.granted - account.seenTaken) + Math.max(0, account.returned - account.seenReturned);
-            division.add(other.number, account.has + underWay, account.need, other.weight);
+            division.add(other.number, account.has + underWay, account.uses, account.wants, other.weight);
+        }
+        for (int i = 0; i < others.length && leaves; i++) {
+            if (others[i] != null && isFresh(others[i], now)) { giveBack(stand, others[i], held(stand, others[i])); }
         }
         if (division.isWanted()) {
             stand.idleSince = now;
@@ -414,12 +479,12 @@
         List<Stand> news = new ArrayList<>();
         for (Stand stand : stands.values()) {
             int has = ledger.allowance(stand.region);
-            boolean differs = has != stand.newsHas || stand.wants != stand.newsNeed;
-            boolean short0 = stand.wants > has || stand.newsNeed > stand.newsHas || now - stand.idleSince < ACTIVE_MS;
+            boolean differs = has != stand.newsHas || stand.wants != stand.newsWants;
+            boolean short0 = stand.wants > has || stand.newsWants > stand.newsHas || now - stand.idleSince < ACTIVE_MS;
             if (differs && short0 && now - stand.newsAt >= apart) {
                 stand.newsAt = now;
                 stand.newsHas = has;
-                stand.newsNeed = stand.wants;
+                stand.newsWants = stand.wants;
                 news.add(stand);
             }
         }
@@ -464,7 +529,7 @@
             Account account = region.account(other.number);
             Stand stand = stands.get(region.id);
             if (account.old > 0 && !other.settledMe) { continue; }
-            boolean changed = account.toldHas != ledger.allowance(region) || stand != null && account.toldNeed != stand.wants;
+            boolean changed = account.toldHas != ledger.allowance(region) || stand != null && account.toldWants != stand.wants;
             boolean unheard = account.isUnheard();
             asks |= unheard;
             if (all || account.isDirty || unheard && (again || beat) || beat && changed || stand != null && news.contains(stand)) {
@@ -494,8 +559,9 @@
         Stand stand = stands.get(region.id);
         account.isDirty = false;
         account.toldHas = ledger.allowance(region);
-        account.toldNeed = stand == null ? 0 : stand.wants;
-        return new Telling.Row(region.id, account.granted, account.back, account.taken, account.returned, account.old, account.toldHas, account.toldNeed);
+        account.toldWants = stand == null ? 0 : stand.wants;
+        return new Telling.Row(region.id, account.granted, account.back, account.taken, account.returned, account.old, account.toldHas,
+                stand == null ? 0 : stand.uses, account.toldWants);
     }
 
     private void send(InetSocketAddress to, Telling telling, double now, Other other) {
--- /dev/null
+++ b/src/main/java/yardusher/parts/PartsSubsystem.java
@@ -0,0 +1,322 @@
+package yardusher.parts;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import yardusher.Api;
+import yardusher.core.Counters;
+import yardusher.core.Deadlines;
+import yardusher.core.Turns;
+import yardusher.mesh.Mesh;
+import yardusher.servers.Allowance;
+import yardusher.settings.Settings;
+import yardusher.subsystem.Site;
+import yardusher.subsystem.Subsystem;
+import yardusher.view.View;
+
+/**
+ * Connection quotas that the ingresses of an installation negotiate at the regions that they share: docs/parts.md. Until this
+ * process has its ingress's claim it opens no connection at all.
+ */
+public final class PartsSubsystem implements Subsystem, Allowance, Negotiator.World {
+    private static final double CLAIM_MS = 200;      // between two looks whether the process before has ended
+    private static final double SOON_MS = 1;         // news of one moment are looked at together
+
+    private PartSettings settings;
+    private final Path folder;
+    private Site site;
+    private Turns turns;
+    private Counters counters;
+    private Claim claim;
+    private Negotiator negotiator;                   // null until the claim is there
+    private Deadlines.Entry nextTick;
+    private double tickAt = Double.POSITIVE_INFINITY;
+    private boolean trusted;
+    private boolean closed;
+    private boolean inOrder;
+    private String claimState = "waits for the process before to end";
+
+    /** An IllegalArgumentException where there is no folder. */
+    public PartsSubsystem(PartSettings settings) { this(settings, System.getenv("TMPDIR")); }
+
+    PartsSubsystem(PartSettings settings, String tmpdir) {
+        this.settings = settings;
+        String named = settings.folder() != null ? settings.folder() : tmpdir;
+        if (named == null || named.isEmpty()) {
+            throw new IllegalArgumentException("parts.folder is left out and the environment names no TMPDIR; a folder that outlives the process is allowed");
+        }
+        folder = Path.of(named);
+    }
+
+    @Override
+    public String name() { return "parts"; }
+
+    @Override
+    public void join(Site joined) throws IOException {
+        site = joined;
+        turns = joined.turns();
+        counters = joined.ingress().counters();
+        Api.Settings platform = joined.settings();
+        int count = settings.ingresses() > 0 ? settings.ingresses() : platform.gateways();
+        if (platform.self() >= count) {
+            throw new IllegalArgumentException("parts.ingresses must be above this ingress's own number " + platform.self());
+        }
+        try {
+            claim = Claim.at(folder, joined.name(), count);
+        } catch (IOException | RuntimeException e) {
+            throw new IllegalArgumentException("parts.folder " + folder + " cannot be written", e);
+        }
+        joined.pool().allow(this);
+        joined.table().follow(() -> turns.afterwards(this::listed)); // once the module has the list
+        joined.mesh().hear(Mesh.Kind.PARTS, this::heard);
+        if (joined.view() != null) { joined.view().follow(change -> members(change.now())); }
+        listed();
+    }
+
+    @Override
+    public void start() throws IOException { claim(); }
+
+    /** Takes the claim, now or as soon as the process before has ended. */
+    private void claim() {
+        if (closed) { return; }
+        try {
+            if (!claim.take(turns.now(), settings.begins())) {
+                turns.deadlines().at(turns.now() + CLAIM_MS, this::claim);
+                return;
+            }
+        } catch (IOException e) {
+            site.events().warn("parts cannot be claimed", "why", String.valueOf(e.getMessage()));
+            turns.deadlines().at(turns.now() + CLAIM_MS, this::claim);
+            return;
+        }
+        // The life before may have died a moment ago: regions take a while to see its connections close.
+        double wait = claim.wasClean() ? 0 : settings.endedMs();
+        claimState = "waits until regions have seen the life before end";
+        if (wait == 0) { begin(); } else { turns.deadlines().at(turns.now() + wait, this::begin); }
+    }
+
+    private void begin() {
+        if (closed) { return; }
+        int count = settings.ingresses() > 0 ? settings.ingresses() : site.settings().gateways();
+        Ledger ledger = new Ledger(site.settings().self(), count, claim.life(), claim, claim.remembers());
+        negotiator = new Negotiator(ledger, new Negotiator.Rules(settings.least(), settings.weight(), settings.movesPerS()), this, turns.now());
+        claimState = "claimed";
+        trusted = claim.remembers();
+        if (site.view() != null) { members(site.view().picture()); }
+        listed();
+        soon();
+    }
+
+    private void members(View.Picture picture) {
+        if (negotiator == null) { return; }
+        InetSocketAddress own = site.mesh().address();
+        negotiator.members(picture.members().stream().map(View.Member::at).filter(at -> !at.equals(own)).toList());
+    }
+
+    /** The service table changed, or its numbers did. */
+    private void listed() {
+        Set<Long> listed = new HashSet<>();
+        double now = turns.now();
+        for (Api.Server region : site.table().listed().values()) {
+            listed.add(region.id());
+            if (negotiator == null) {
+                room(region.id(), 0);
+                continue;
+            }
+            negotiator.number(now, region.id(), settings.number(region, site.zones(), now, site.settings().rules().warmAfterMs()));
+            negotiator.relisted(region.id());
+        }
+        if (negotiator == null) { return; }
+        for (Negotiator.Stand stand : List.copyOf(negotiator.stands())) {
+            if (!listed.contains(stand.region.id)) { negotiator.gone(stand.region.id); }
+        }
+    }
+
+    private void heard(InetSocketAddress from, byte[] body) {
+        if (negotiator == null) { return; }
+        negotiator.heard(turns.now(), from, body);
+        soon();
+    }
+
+    private void soon() { tickBy(turns.now() + SOON_MS); }
+
+    private void tickBy(double at) {
+        if (closed || at >= tickAt) { return; }
+        turns.deadlines().cancel(nextTick);
+        tickAt = at;
+        nextTick = turns.deadlines().at(at, this::tick);
+    }
+
+    private void tick() {
+        tickAt = Double.POSITIVE_INFINITY;
+        if (closed || negotiator == null) { return; }
+        if (settings.coldPercent() < 100) { warmed(); }
+        double next = negotiator.tick(turns.now());
+        if (!trusted && negotiator.ledger().unsettled() == 0) {
+            trusted = true;
+            claim.trust();
+        }
+        tickBy(next);
+    }
+
+    /** Numbers of regions that have become warm. */
+    private void warmed() {
+        double now = turns.now();
+        for (Api.Server region : site.table().listed().values()) {
+            Negotiator.Stand stand = negotiator.stand(region.id());
+            int number = settings.number(region, site.zones(), now, site.settings().rules().warmAfterMs());
+            if (stand != null && stand.region.number != number) { negotiator.number(now, region.id(), number); }
+        }
+    }
+
+    @Override
+    public String reload(Settings next) {
+        PartSettings to = next == null ? null : next.parts();
+        if (to == null || to.equals(settings)) { return null; }
+        boolean numbers = to.connections() != settings.connections() || !to.regions().equals(settings.regions()) || to.coldPercent() != settings.coldPercent();
+        PartSettings kept = new PartSettings(to.connections(), to.regions(), settings.least(), settings.weight(), settings.movesPerS(), settings.endedMs(),
+                to.coldPercent(), settings.ingresses(), settings.folder(), settings.begins());
+        boolean waits = !kept.equals(to);
+        settings = kept;
+        if (numbers) {
+            listed();
+            soon();
+        }
+        return (numbers ? "parts: connections a region now " + to.connections() : "parts")
+                + (waits ? (numbers ? ", the rest" : "") + " waits for a restart" : "");
+    }
+
+    // What the pool asks and tells.
+
+    @Override
+    public boolean take(long region) { return !closed && negotiator != null && negotiator.take(region); }
+
+    @Override
+    public void leaving(long region) {
+        if (negotiator != null) { negotiator.leaving(region); }
+    }
+
+    @Override
+    public void ended(long region, boolean wasLeaving) {
+        if (negotiator == null) { return; }
+        negotiator.ended(region, wasLeaving);
+        Negotiator.Stand stand = negotiator.stand(region);
+        if (stand != null && stand.owed > 0) { soon(); }
+    }
+
+    @Override
+    public boolean isSurplus(long region) { return negotiator == null || negotiator.isSurplus(region); }
+
+    // What the negotiator sees and does.
+
+    @Override
+    public int busy(long region) { return site.pool().busy(region); }
+
+    @Override
+    public long refused() { return counters.reasons[Api.Reason.NO_SERVER.ordinal()]; }
+
+    @Override
+    public long begun() { return counters.attempts; }
+
+    @Override
+    public void room(long region, int most) {
+        if (!closed) { site.ingress().tell(new Api.Room(region, most)); }
+    }
+
+    @Override
+    public int shed(long region, int count) { return site.pool().shed(region, count); }
+
+    @Override
+    public void send(InetSocketAddress to, byte[] body) { site.mesh().send(to, Mesh.Kind.PARTS, body); }
+
+    // What operators see.
+
+    @Override
+    public String line() {
+        if (negotiator == null) { return "parts_claimed=0"; }
+        Negotiator n = negotiator;
+        int may = 0;
+        int held = 0;
+        int lent = 0;
+        int open = 0;
+        int leaving = 0;
+        int wants = 0;
+        for (Negotiator.Stand stand : n.stands()) {
+            may += Math.max(0, n.ledger().allowance(stand.region));
+            held += stand.region.held();
+            lent += stand.region.lent();
+            open += stand.region.open;
+            leaving += stand.leaving;
+            wants += stand.wants;
+        }
+        return "parts_claimed=1 parts_may=" + may + " parts_borrowed=" + held + " parts_lent=" + lent + " parts_open=" + open + " parts_closing=" + leaving
+                + " parts_wanted=" + wants + " parts_moved=" + n.moved + " parts_leak=" + n.leak(turns.now()) + " parts_unsettled=" + n.ledger().unsettled()
+                + " parts_told=" + n.told + " parts_told_bytes=" + n.toldBytes + " parts_heard=" + n.heard + " parts_bad=" + n.bad + " parts_foreign=" + n.foreign
+                + " parts_stale=" + n.stale + " parts_far=" + n.ledger().far;
+    }
+
+    @Override
+    public String report(String call) {
+        String[] words = call.split(" ", -1);
+        if (words[0].equals("parts-ended") && words.length == 2) { return endedByWord(words[1]); }
+        if (!call.equals("parts")) { return null; }
+        StringBuilder out = new StringBuilder();
+        out.append("claim\t").append(claimState).append('\n');
+        if (negotiator == null) { return out.toString(); }
+        Ledger ledger = negotiator.ledger();
+        out.append("self\t").append(ledger.self).append(" of ").append(ledger.count).append("\tlife=").append(ledger.life)
+                .append("\tunsettled=").append(ledger.unsettled()).append("\tfresh=").append(negotiator.freshOthers(turns.now())).append('\n');
+        for (Negotiator.Stand stand : negotiator.stands()) {
+            yardusher.parts.Ledger.Region r = stand.region;
+            out.append("region\t").append(String.format(java.util.Locale.ROOT, "s-%08x", r.id)).append("\tnumber=").append(r.number).append("\tshare=").append(r.share)
+                    .append("\tlent=").append(r.lent()).append("\tborrowed=").append(r.held()).append("\tmay=").append(ledger.allowance(r)).append("\topen=").append(r.open)
+                    .append("\tclosing=").append(stand.leaving).append("\twants=").append(stand.wants).append("\towed=").append(stand.owed)
+                    .append(r.gone ? "\tgone" : "").append('\n');
+        }
+        return out.toString();
+    }
+
+    /** An operator's word that an ingress has ended for good and its machine's connections with it. */
+    private String endedByWord(String number) {
+        if (negotiator == null || !number.matches("[0-9]{1,4}") || Integer.parseInt(number) >= negotiator.ledger().count
+                || Integer.parseInt(number) == negotiator.ledger().self) {
+            return "parts-ended needs the number of another ingress\n";
+        }
+        negotiator.ledger().ended(Integer.parseInt(number));
+        soon();
+        return "what ingress " + number + " held of this one's share is back\n";
+    }
+
+    // The end.
+
+    @Override
+    public void drain() {
+        if (negotiator == null) { return; }
+        negotiator.leave();
+        soon();
+    }
+
+    @Override
+    public boolean isBusy() { return negotiator != null && negotiator.holds(); }
+
+    @Override
+    public void close() {
+        inOrder = negotiator != null && !anyOpen();
+        closed = true;
+    }
+
+    private boolean anyOpen() {
+        for (Negotiator.Stand stand : negotiator.stands()) {
+            if (stand.region.open > 0) { return true; }
+        }
+        return false;
+    }
+
+    @Override
+    public void end() {
+        if (claim != null) { claim.end(inOrder); }
+    }
+}
