--- a/src/main/java/yardusher/parts/Ledger.java
+++ b/src/main/java/yardusher/parts/Ledger.java
@@ -52,10 +52,10 @@
     final int count;
     final long life;
     private final Memory memory;
-    private final long[] lives;                      // of the others, 0 for one not heard yet
-    private final boolean[] settled;                 // what earlier lives lent to it is known
+    final long[] lives;                      // of the others, 0 for one not heard yet
+    final boolean[] settled;                 // what earlier lives lent to it is known
     private final boolean remembers;
-    private int unsettled;
+    int unsettled;
     private final Map<Long, Region> regions = new HashMap<>();
     long far;                                        // figures that cannot be true
     Without without = Without.NOTHING;
@@ -121,6 +121,8 @@
         }
     }
 
+    boolean remembers() { return remembers; }
+
     Region region(long id) { return regions.get(id); }
 
     Iterable<Region> regions() { return regions.values(); }
@@ -250,6 +252,23 @@
         });
     }
 
+    /** What became of something heard. */
+    enum Heard { STALE, OF_ANOTHER_LIFE, TAKEN }
+
+    /** Takes in what another ingress tells: who it is, what it holds of earlier lives where that is asked, and its counters. */
+    Heard hears(Telling telling) {
+        int from = telling.number();
+        if (!alive(from, telling.life())) { return Heard.STALE; }
+        if (telling.to() != life) { return Heard.OF_ANOTHER_LIFE; }
+        if (telling.whole() && !settled[from]) {
+            Map<Long, Integer> held = new HashMap<>();
+            telling.rows().forEach(row -> held.put(row.region(), row.old()));
+            settle(from, held);
+        }
+        telling.rows().forEach(row -> row(from, row));
+        return Heard.TAKEN;
+    }
+
     /** An operator's word that an ingress has ended and its connections with it: what it held comes back. */
     void ended(int ingress) {
         for (Region region : regions.values()) {
--- a/src/main/java/yardusher/parts/Negotiator.java
+++ b/src/main/java/yardusher/parts/Negotiator.java
@@ -223,14 +223,15 @@
             return;
         }
         long before = ledger.life(number);
-        if (!ledger.alive(number, telling.life())) {
+        boolean settledBefore = ledger.isSettled(number);
+        Ledger.Heard how = ledger.hears(telling);
+        if (how == Ledger.Heard.STALE) {
             stale++;
             return;
         }
         heard++;
         Other other = others[number];
-        boolean reborn = before != telling.life();
-        if (reborn) {
+        if (before != telling.life()) {
             other.settledMe = false;
             other.order = telling.order() - 1;
             other.urgent = true;
@@ -239,22 +240,18 @@
         other.at = from;
         other.heardAt = now;
         other.weight = telling.weight();
-        if (telling.to() != ledger.life) {           // it does not know this life yet
+        if (how == Ledger.Heard.OF_ANOTHER_LIFE) {   // it does not know this life yet
             other.urgent = true;
             return;
         }
         other.settledMe = telling.settled();
-        if (telling.whole() && !ledger.isSettled(number)) {
-            Map<Long, Integer> held = new HashMap<>();
-            telling.rows().forEach(row -> held.put(row.region(), row.old()));
-            ledger.settle(number, held);
+        if (settledBefore != ledger.isSettled(number)) {
             other.urgent = true;
             stands.values().forEach(this::room);
         }
         boolean newer = telling.order() - other.order > 0;
         if (newer) { other.order = telling.order(); }
         for (Telling.Row row : telling.rows()) {
-            if (!ledger.row(number, row)) { continue; }
             Region region = ledger.region(row.region());
             if (region == null) { continue; }
             Account account = region.account(number);
