--- a/src/main/java/yardusher/parts/Account.java
+++ b/src/main/java/yardusher/parts/Account.java
@@ -20,6 +20,19 @@
     int has;                                         // what it says it may have open in all
     int uses;                                        // what it would use now
     int wants;                                       // and would like to keep
+    int asks;                                        // units that it asks for
+    int asksTaken;                                   // of my grants, what it had when it asked
+    double asksAt = Double.NEGATIVE_INFINITY;
+    int sentHome;                                    // units that went to a third for its sake since it asked
+    int asking;                                      // units asked of it
+    double askingAt = Double.NEGATIVE_INFINITY;
+    int sake;                                        // for whose sake units were given back to it last; one above the number
+    boolean isAskNew;
+    int ask;                                         // number of the ask to it
+    int asksNo;                                      // and of its ask
+    int owing;
+    int takenBefore;
+    int backBefore;
     int toldHas;                                     // what it was last told of this one
     int toldWants;
     boolean isDirty;                                 // something of it is to be told soon
@@ -41,7 +54,7 @@
         old += taken - returned;
         taken = returned = seenReturned = 0;
         granted = back = seenTaken = 0;
-        has = uses = wants = 0;
+        has = uses = wants = asks = asking = sentHome = sake = takenBefore = backBefore = 0;
     }
 
     boolean isEmpty() { return lent() == 0 && held() == 0 && !isUnheard(); }
--- a/src/main/java/yardusher/parts/Division.java
+++ b/src/main/java/yardusher/parts/Division.java
@@ -15,7 +15,6 @@
     private int[] weight = new int[8];
     private int[] fair = new int[8];
     private int[] givers = new int[8];
-    private int[] takers = new int[8];
     private boolean scarce;
     private boolean starves;                         // somebody who needs one gets none
 
@@ -31,7 +30,6 @@
             weight = java.util.Arrays.copyOf(weight, 2 * size);
             fair = new int[2 * size];
             givers = new int[2 * size];
-            takers = new int[2 * size];
         }
         who[size] = ingress;
         has[size] = itHas;
@@ -52,8 +50,8 @@
     boolean isScarce() { return scarce; }
 
     /**
-     * Works the fair parts out: where there is enough each gets what it wants, else what it uses comes first, and the rest
-     * stays where it is. {@code region} and {@code turn} decide who gets what cannot be split.
+     * Works the fair parts out: where there is enough each gets what it wants, else what it uses, and where there is too
+     * little even for that the level rises evenly. {@code region} and {@code turn} decide who gets what cannot be split.
      */
     void divide(long region, long turn) {
         int all = 0;
@@ -73,39 +71,7 @@
             System.arraycopy(uses, 0, need, 0, size);
             fillAll(region, turn, all);
         } else {
-            spare();
-        }
-    }
-
-    /**
-     * There is enough for what is used, and too little for what all would like to keep: who uses more than it has gets that
-     * from those who have most to spare, and nothing else is moved.
-     */
-    private void spare() {
-        int wanted = 0;
-        for (int i = 0; i < size; i++) {
-            fair[i] = Math.max(has[i], uses[i]);
-            wanted += fair[i] - has[i];
-        }
-        int high = 0;                                // so much is left to each of those who give
-        int low = 0;
-        for (int i = 0; i < size; i++) { high = Math.max(high, has[i] - uses[i]); }
-        while (low < high) {
-            int level = (low + high) / 2;
-            int given = 0;
-            for (int i = 0; i < size; i++) { given += Math.max(0, has[i] - uses[i] - level); }
-            if (given <= wanted) { high = level; } else { low = level + 1; }
-        }
-        for (int i = 0; i < size; i++) {             // first down to just above the level, then one each, in order
-            int given = Math.max(0, has[i] - uses[i] - low);
-            fair[i] -= given;
-            wanted -= given;
-        }
-        for (int i = 0; i < size && wanted > 0; i++) {
-            if (low > 0 && fair[i] == has[i] - Math.max(0, has[i] - uses[i] - low) && has[i] - uses[i] >= low) {
-                fair[i]--;
-                wanted--;
-            }
+            for (int i = 0; i < size; i++) { fair[i] = uses[i]; }
         }
     }
 
@@ -167,51 +133,50 @@
         return 0;
     }
 
-    /** What is done for each taker to whom an ingress is to give. */
-    interface Gift {
-        void give(int taker, int units);
+    /** Units that one has beyond its fair part, and could give. */
+    int excess(int ingress) {
+        for (int i = 0; i < size; i++) {
+            if (who[i] == ingress) { return Math.max(0, has[i] - fair[i]); }
+        }
+        return 0;
+    }
+
+    /** What all but one have beyond their fair parts. */
+    int excessBut(int ingress) {
+        int excess = 0;
+        for (int i = 0; i < size; i++) { excess += who[i] == ingress ? 0 : Math.max(0, has[i] - fair[i]); }
+        return excess;
     }
 
-    /**
-     * Lays what some have too much beside what others have too little, the largest first, and tells what of it falls to this
-     * giver. After {@link #divide}.
-     */
-    void gifts(int giver, Gift gift) {
-        int mine = -1;
+    /** What is done for each that is asked. */
+    interface Asked {
+        void ask(int giver, int units);
+    }
+
+    /** Chooses whom to ask for so many units: who has most beyond its fair part comes first. */
+    void choose(int asker, int units, Asked asked) {
         int many = 0;
-        int few = 0;
         for (int i = 0; i < size; i++) {
-            if (has[i] > fair[i]) { givers[many++] = i; }
-            if (has[i] < fair[i]) { takers[few++] = i; }
-            if (who[i] == giver) { mine = i; }
-        }
-        if (mine < 0 || has[mine] <= fair[mine] || few == 0) { return; }
-        sort(givers, many);
-        sort(takers, few);
-        int from = 0;                                // where this giver's units begin in the row of all
-        for (int g = 0; givers[g] != mine; g++) { from += has[givers[g]] - fair[givers[g]]; }
-        int to = from + has[mine] - fair[mine];
-        int at = 0;
-        for (int t = 0; t < few && at < to; t++) {
-            int end = at + fair[takers[t]] - has[takers[t]];
-            int units = Math.min(end, to) - Math.max(at, from);
-            if (units > 0) { gift.give(who[takers[t]], units); }
-            at = end;
+            if (has[i] > fair[i] && who[i] != asker) { givers[many++] = i; }
         }
-    }
-
-    private void sort(int[] rows, int count) {
-        for (int i = 1; i < count; i++) {
-            int row = rows[i];
+        for (int i = 1; i < many; i++) {
+            int row = givers[i];
             int at = i;
-            for (; at > 0 && ahead(row, rows[at - 1]); at--) { rows[at] = rows[at - 1]; }
-            rows[at] = row;
+            for (; at > 0 && ahead(row, givers[at - 1], asker); at--) { givers[at] = givers[at - 1]; }
+            givers[at] = row;
+        }
+        int left = units;
+        for (int i = 0; i < many && left > 0; i++) {
+            int some = Math.min(left, has[givers[i]] - fair[givers[i]]);
+            asked.ask(who[givers[i]], some);
+            left -= some;
         }
     }
 
-    private boolean ahead(int a, int b) {
-        int apartA = Math.abs(has[a] - fair[a]);
-        int apartB = Math.abs(has[b] - fair[b]);
-        return apartA != apartB ? apartA > apartB : Ledger.mix(who[a]) < Ledger.mix(who[b]);
+    /** Askers go to different ones where several have as much. */
+    private boolean ahead(int a, int b, int asker) {
+        int overA = has[a] - fair[a];
+        int overB = has[b] - fair[b];
+        return overA != overB ? overA > overB : Ledger.mix(who[a] * 1009L + asker) < Ledger.mix(who[b] * 1009L + asker);
     }
 }
--- a/src/main/java/yardusher/parts/Negotiator.java
+++ b/src/main/java/yardusher/parts/Negotiator.java
@@ -46,7 +46,8 @@
     private static final double ACTIVE_MS = 2000;
     private static final double BUSY_TICK_MS = 20;
     private static final double IDLE_TICK_MS = 100;
-    private static final double RATE_MS = 300;       // over which refusals and attempts are counted
+    private static final double ASK_MS = 60;         // an ask counts so long
+    private static final double RATE_MS = 100;       // over which refusals and attempts are counted
     private static final double USED_MS = 3000;      // over which it is seen where attempts go
     private static final double TURN_MS = 10_000;    // where some get none, others do after this
     private static final double HOME_MS = 10_000;    // what is borrowed and not used so long goes back, one by one
@@ -67,9 +68,9 @@
         private double tokens;
         private double idleSince;
         private double homeAt;
-        private double newsAt = Double.NEGATIVE_INFINITY;
         private int newsHas;
         private int newsWants;
+        private int avail;                           // what others have beyond their fair parts
 
         Stand(Region region, double now) {
             this.region = region;
@@ -108,11 +109,13 @@
     private long refusedBefore;
     private long begunBefore;
     private double hellosAt;
+    private double newsAt = Double.NEGATIVE_INFINITY;
     private int order;
     private boolean leaves;                          // the process ends: it needs nothing any more
     long bad;                                        // bodies that are no telling
     long foreign;                                    // of another count of ingresses, or of this ingress's own number
     long stale;                                      // of a life that has ended
+    long asked;                                      // units asked for
     long moved;                                      // units lent or given back
     long heard;
     long told;
@@ -255,7 +258,20 @@
             Region region = ledger.region(row.region());
             if (region == null) { continue; }
             Account account = region.account(number);
+            account.asking = Math.max(0, account.asking - Math.max(0, account.taken - account.takenBefore));
+            account.takenBefore = account.taken;
+            int home = account.back - account.backBefore;
+            account.backBefore = account.back;
+            if (home > 0 && row.sake() > 0 && row.sake() <= others.length && row.sake() - 1 != ledger.self && others[row.sake() - 1] != null) {
+                pass(region, others[row.sake() - 1], home, now);
+            }
             if (newer) {
+                account.isAskNew = row.asks() > 0;
+                account.asks = row.asks();
+                account.asksTaken = row.taken();
+                account.asksAt = now;
+                if (row.ask() != account.asksNo) { account.sentHome = 0; }
+                account.asksNo = row.ask();
                 account.has = row.has();
                 account.uses = row.uses();
                 account.wants = row.wants();
@@ -269,6 +285,14 @@
         }
     }
 
+    /** Units came home for somebody's sake: they go on at once, where they are not needed more here. */
+    private void pass(Region region, Other taker, int units, double now) {
+        Stand stand = stands.get(region.id);
+        if (stand == null || region.gone || !isFresh(taker, now)) { return; }
+        int lent = ledger.lend(region, taker.number, Math.min(units, ledger.allowance(region) - stand.uses));
+        if (lent > 0) { done(stand, taker, lent); }
+    }
+
     /** Looks, decides and tells; the result is when it is to be called again at the latest. */
     double tick(double now) {
         look(now);
@@ -341,10 +365,12 @@
         int there = 0;
         for (Stand stand : stands.values()) { there += stand.region.gone ? 0 : Math.max(0, ledger.allowance(stand.region)); }
         int more = Math.max(0, all - there);
+        double parts = 0;                            // of regions where there is something to be had
+        for (Stand stand : stands.values()) { parts += stand.avail > 0 ? stand.part : 0; }
         int left = all;
         for (Stand stand : stands.values()) {
             int here = stand.region.gone ? 0 : Math.max(0, ledger.allowance(stand.region));
-            double whole = more > 0 ? here + more * stand.part : there == 0 ? 0 : (double) all * here / there;
+            double whole = more > 0 ? here + (parts > 0 ? more * (stand.avail > 0 ? stand.part : 0) / parts : more * stand.part) : there == 0 ? 0 : (double) all * here / there;
             stand.rest = stand.region.gone ? -1 : whole - Math.floor(whole);
             set(stand, (int) Math.floor(whole), wants);
             left -= wants ? stand.wants : stand.uses;
@@ -404,10 +430,15 @@
         for (int i = 0; i < others.length && leaves; i++) {
             if (others[i] != null && isFresh(others[i], now)) { giveBack(stand, others[i], held(stand, others[i])); }
         }
-        if (division.isWanted()) {
+        boolean asked = false;
+        for (Other other : others) { asked |= isAsked(stand, other, now); }
+        stand.avail = 0;
+        if (asked || division.isWanted()) {
             stand.idleSince = now;
             division.divide(region.id, (long) (now / TURN_MS));
-            division.gifts(ledger.self, (taker, units) -> gift(stand, taker, units, now));
+            stand.avail = division.excessBut(ledger.self);
+            if (asked) { answer(stand, now); }
+            if (!leaves) { ask(stand, now); }
         } else if (stand.wants >= allowance) {
             stand.idleSince = now;
         } else if (now - stand.idleSince > HOME_MS && now >= stand.homeAt) {
@@ -418,16 +449,72 @@
         if (over > 0) { world.shed(region.id, over); }
     }
 
+    private boolean isAsked(Stand stand, Other other, double now) {
+        Account account = other == null ? null : stand.region.accounts[other.number];
+        return account != null && account.asks > 0 && now - account.asksAt < ASK_MS;
+    }
+
+    /** Gives to those who ask what is beyond the fair part here, a unit each in turn. */
+    private void answer(Stand stand, double now) {
+        int excess = Math.min(division.excess(ledger.self), (int) stand.tokens);
+        for (boolean given = true; given && excess > 0;) {
+            given = false;
+            for (int i = 0; i < others.length && excess > 0; i++) {
+                int taker = (i + ledger.self) % others.length;
+                if (!isAsked(stand, others[taker], now)) { continue; }
+                Account account = stand.region.account(taker);
+                int due = account.asks - Math.max(0, account.granted - account.asksTaken) - account.sentHome - account.owing;
+                if (due <= 0) { continue; }
+                account.owing++;
+                excess--;
+                given = true;
+            }
+        }
+        for (Other other : others) {
+            if (!isAsked(stand, other, now)) { continue; }
+            Account account = stand.region.account(other.number);
+            if (account.owing > 0) {
+                gift(stand, other.number, account.owing, now);
+                account.owing = 0;
+            } else if (account.isAskNew) {           // so that it asks another
+                account.isDirty = true;
+                other.urgent = true;
+            }
+            account.isAskNew = false;
+        }
+    }
+
+    /** Asks those who have most beyond their fair parts for what is missing here. */
+    private void ask(Stand stand, double now) {
+        int missing = division.fair(ledger.self) - ledger.allowance(stand.region);
+        for (Other other : others) {
+            Account account = other == null ? null : stand.region.accounts[other.number];
+            if (account == null || account.asking == 0) { continue; }
+            if (now - account.askingAt >= ASK_MS) { account.asking = 0; } else { missing -= account.asking; }
+        }
+        if (missing <= 0) { return; }
+        division.choose(ledger.self, missing, (giver, units) -> {
+            Account account = stand.region.account(giver);
+            if (account.asking > 0) { return; }
+            account.asking = units;
+            account.ask = (account.ask + 1) % Telling.MOST;
+            account.askingAt = now;
+            account.isDirty = true;
+            others[giver].urgent = true;
+            asked += units;
+        });
+    }
+
     private void gift(Stand stand, int taker, int units, double now) {
-        int wanted = Math.min(units, (int) stand.tokens);
         Other other = others[taker];
-        int left = wanted - giveBack(stand, other, wanted);
+        Account account = stand.region.account(taker);
+        int left = units - giveBack(stand, other, units);
         if (left > 0) {
             int lent = ledger.lend(stand.region, taker, left);
             if (lent > 0) { done(stand, other, lent); }
             left -= lent;
         }
-        // What is held of a third goes home to it, and from there to whoever needs it.
+        // What is held of a third goes home to it, with a word for whose sake.
         while (left > 0 && spare(stand) > 0) {
             Other owner = null;
             for (Other one : others) {
@@ -435,6 +522,8 @@
             }
             int gone = owner == null ? 0 : giveBack(stand, owner, left);
             if (gone == 0) { break; }
+            stand.region.account(owner.number).sake = taker + 1;
+            account.sentHome += gone;
             left -= gone;
         }
         stand.owed += left;
@@ -478,13 +567,13 @@
             int has = ledger.allowance(stand.region);
             boolean differs = has != stand.newsHas || stand.wants != stand.newsWants;
             boolean short0 = stand.wants > has || stand.newsWants > stand.newsHas || now - stand.idleSince < ACTIVE_MS;
-            if (differs && short0 && now - stand.newsAt >= apart) {
-                stand.newsAt = now;
+            if (differs && short0 && now - newsAt >= apart) {
                 stand.newsHas = has;
                 stand.newsWants = stand.wants;
                 news.add(stand);
             }
         }
+        if (!news.isEmpty()) { newsAt = now; }
         for (Other other : others) {
             if (other != null && other.at != null) { tell(other, news, now); }
         }
@@ -558,7 +647,7 @@
         account.toldHas = ledger.allowance(region);
         account.toldWants = stand == null ? 0 : stand.wants;
         return new Telling.Row(region.id, account.granted, account.back, account.taken, account.returned, account.old, account.toldHas,
-                stand == null ? 0 : stand.uses, account.toldWants);
+                stand == null ? 0 : stand.uses, account.toldWants, account.asking, account.ask, account.sake);
     }
 
     private void send(InetSocketAddress to, Telling telling, double now, Other other) {
--- a/src/main/java/yardusher/parts/Telling.java
+++ b/src/main/java/yardusher/parts/Telling.java
@@ -15,13 +15,15 @@
         List<Row> rows) {
     /**
      * A region: the speaker's counters of its account with the hearer, what it has, uses and wants in all. {@code back} and {@code taken}
-     * are the hearer's own counters as the speaker has heard them.
+     * are the hearer's own counters as the speaker has heard them. {@code asks}: units that it would like of the hearer now, in its {@code ask}th ask;
+     * {@code sake}: for whose sake it gave back lately, one above that number, 0 for nobody's.
      */
-    record Row(long region, int granted, int back, int taken, int returned, int old, int has, int uses, int wants) { }
+    record Row(long region, int granted, int back, int taken, int returned, int old, int has, int uses, int wants,
+            int asks, int ask, int sake) { }
 
     static final int MOST_BYTES = 1200;
     private static final int HEAD = 40;              // at the most
-    private static final int ROW = 4 + 5 * 5 + 3 * 3;
+    private static final int ROW = 4 + 5 * 5 + 6 * 3;
     private static final int VERSION = 1;
     /** Figures of one region at the most; what is above is made up. */
     static final int MOST = 1 << 20;
@@ -40,7 +42,7 @@
         put(out, rows.size());
         for (Row row : rows) {
             out.putInt((int) row.region);
-            for (int each : new int[] {row.granted, row.back, row.taken, row.returned, row.old, row.has << 1 ^ row.has >> 31, row.uses, row.wants}) { put(out, each); }
+            for (int each : new int[] {row.granted, row.back, row.taken, row.returned, row.old, row.has << 1 ^ row.has >> 31, row.uses, row.wants, row.asks, row.ask, row.sake}) { put(out, each); }
         }
         byte[] bytes = new byte[out.flip().remaining()];
         out.get(bytes);
@@ -94,7 +96,9 @@
                 has = has >>> 1 ^ -(has & 1);
                 if (has < -MOST || has > MOST) { throw new IllegalArgumentException("has " + has); }
                 int uses = figure(in, MOST);
-                all.add(new Row(region, granted, back, taken, returned, old, has, uses, figure(in, MOST)));
+                int wants = figure(in, MOST);
+                int asked = figure(in, MOST);
+                all.add(new Row(region, granted, back, taken, returned, old, has, uses, wants, asked, figure(in, MOST), figure(in, MOST)));
             }
             if (in.hasRemaining() || flags > 7 || flags < 0 || number >= count || weight < 1 || life <= 0 || to < 0) {
                 throw new IllegalArgumentException("not a telling");
