--- a/src/main/java/yardusher/cli/Subsystems.java
+++ b/src/main/java/yardusher/cli/Subsystems.java
@@ -12,6 +12,7 @@
 import yardusher.keys.KeysSubsystem;
 import yardusher.log.Logs;
 import yardusher.mesh.Mesh;
+import yardusher.parts.PartsSubsystem;
 import yardusher.settings.Settings;
 import yardusher.subsystem.Site;
 import yardusher.subsystem.Subsystem;
@@ -37,6 +38,7 @@
                     config.plans(), turns, Logs.of(own.log(), config.name())));
         }
         if (own.keys() != null) { all.add(new KeysSubsystem(own.keys(), own.journal())); }
+        if (own.parts() != null) { all.add(new PartsSubsystem(own.parts())); }
         return new Subsystems(all, view == null ? null : view.mesh(), view);
     }
 
--- a/src/main/java/yardusher/parts/PartsSubsystem.java
+++ b/src/main/java/yardusher/parts/PartsSubsystem.java
@@ -10,6 +10,7 @@
 import yardusher.core.Counters;
 import yardusher.core.Deadlines;
 import yardusher.core.Turns;
+import yardusher.error.ConfigError;
 import yardusher.mesh.Mesh;
 import yardusher.servers.Allowance;
 import yardusher.settings.Settings;
@@ -39,14 +40,14 @@
     private boolean inOrder;
     private String claimState = "waits for the process before to end";
 
-    /** An IllegalArgumentException where there is no folder. */
+    /** A {@link ConfigError} where there is no folder. */
     public PartsSubsystem(PartSettings settings) { this(settings, System.getenv("TMPDIR")); }
 
     PartsSubsystem(PartSettings settings, String tmpdir) {
         this.settings = settings;
         String named = settings.folder() != null ? settings.folder() : tmpdir;
         if (named == null || named.isEmpty()) {
-            throw new IllegalArgumentException("parts.folder is left out and the environment names no TMPDIR; a folder that outlives the process is allowed");
+            throw new ConfigError.Missing(null, "parts.folder", "a folder that outlives the process in parts.folder, since the environment names no TMPDIR");
         }
         folder = Path.of(named);
     }
@@ -62,12 +63,12 @@
         Api.Settings platform = joined.settings();
         int count = settings.ingresses() > 0 ? settings.ingresses() : platform.gateways();
         if (platform.self() >= count) {
-            throw new IllegalArgumentException("parts.ingresses must be above this ingress's own number " + platform.self());
+            throw new ConfigError.Value(null, "parts.ingresses", "above this ingress's own number, " + platform.self());
         }
         try {
             claim = Claim.at(folder, joined.name(), count);
         } catch (IOException | RuntimeException e) {
-            throw new IllegalArgumentException("parts.folder " + folder + " cannot be written", e);
+            throw new ConfigError.Value(null, "parts.folder", "a folder that can be written, which " + folder + " is not");
         }
         joined.pool().allow(this);
         joined.table().follow(() -> turns.afterwards(this::listed)); // once the module has the list
