--- /dev/null
+++ b/lab/src/yardusher/lab/PartsRun.java
@@ -0,0 +1,97 @@
+package yardusher.lab;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+
+/**
+ * Real processes that negotiate their connections at stand-in regions, under faults by seed. Each region counts from accept
+ * to close; the rule is that it never counts more than its number.
+ */
+public final class PartsRun {
+    static final int REGIONS = 3;
+
+    private PartsRun() { }
+
+    /** {@code FOLDER FIRST COUNT [PROCESSES [MS [NUMBER]]]}: traffic with faults for so long, then calm. */
+    public static void main(String[] args) throws Exception {
+        int processes = args.length > 3 ? Integer.parseInt(args[3]) : 3;
+        long ms = args.length > 4 ? Long.parseLong(args[4]) : 4000;
+        int number = args.length > 5 ? Integer.parseInt(args[5]) : 2 * processes;
+        System.exit(Seeds.run(PartsRun.class, args, (folder, seed, note) -> play(folder, seed, processes, ms, number, note)) == 0 ? 0 : 1);
+    }
+
+    /** The settings of one process: the view by the relay, claims in one folder of the group. */
+    static String settings(Group group, int i, int number, String more) {
+        StringBuilder seeds = new StringBuilder();
+        for (int j = 0; j < Math.min(3, group.size()); j++) { seeds.append(j == 0 ? "" : ", ").append('"').append(Programs.text(group.relayed(j, "mesh"))).append('"'); }
+        return "[view]\nlisten = \"" + Programs.text(group.port(i, "mesh")) + "\"\nadvertise = \"" + Programs.text(group.relayed(i, "mesh")) + "\"\ninstallation = \"lab\"\nseeds = ["
+                + seeds + "]\n[parts]\nconnections = " + number + "\nfolder = '" + group.folder().resolve("claims") + "'\n" + more;
+    }
+
+    static Path claim(Group group, int i) { return group.folder().resolve("claims").resolve("yardusher-n" + i + ".parts"); }
+
+    /** Plays a seed; the breaches. */
+    public static List<String> play(Path folder, long seed, int processes, long ms, int number, StringBuilder note) throws Exception {
+        Random random = new Random(seed);
+        try (Group group = new Group(folder, processes, seed)) {
+            for (int i = 0; i < REGIONS; i++) { group.region("0000000" + i, "hall-" + "abc".charAt(i)).takes(2, 25); }
+            group.settings(i -> {
+                try {
+                    if (random.nextInt(3) == 0) { Files.deleteIfExists(claim(group, i)); } // a life with an empty memory: the one before has ended
+                } catch (IOException e) {
+                    throw new java.io.UncheckedIOException(e);
+                }
+                return settings(group, i, number, "");
+            });
+            group.start();
+            Faults faults = new Faults(group, seed, EnumSet.of(Faults.Kind.KILL, Faults.Kind.TERM, Faults.Kind.PAUSE, Faults.Kind.STARVE, Faults.Kind.REGION,
+                    Faults.Kind.CUT_ONE_WAY, Faults.Kind.CUT_ONE, Faults.Kind.SPLIT, Faults.Kind.LOSS, Faults.Kind.MESS), 4 + processes / 2, ms, ms / 20, ms / 3);
+            int hot = (int) (seed % processes);
+            try (Terminals.Load load = group.terminals().load(24, 600, 1, (terminal, at) -> group.terminals().get(1000 + terminal * 50L + at % 50, 800,
+                    at % 3 != 0 ? hot : (int) (at % processes), 1))) {
+                faults.play();
+            }
+            return check(group, number, note.append(faults.schedule().size()).append(" faults, "));
+        }
+    }
+
+    /** The rule at each region, and that something was served. */
+    static List<String> check(Group group, int number, StringBuilder note) {
+        List<String> found = new ArrayList<>(Checks.connections(group.regionHistory()));
+        Map<String, Integer> most = new TreeMap<>();
+        for (Region.Event event : group.regionHistory()) { most.merge(event.region(), event.open(), Math::max); }
+        for (Region region : group.regions()) { found.addAll(Checks.atMost(group.regionHistory(), region.name(), number).stream().limit(3).toList()); }
+        Map<Terminals.End, Long> ends = group.terminalHistory().stream().collect(Collectors.groupingBy(Terminals.Try::end, TreeMap::new, Collectors.counting()));
+        note.append(ends).append(", most open ").append(most.values()).append(" of ").append(number);
+        if (ends.getOrDefault(Terminals.End.SERVED, 0L) == 0) { found.add("nothing was served"); }
+        return found;
+    }
+
+    /** A figure of a process's counters line; 0 where there is none. */
+    static double figure(Group group, int i, String name) {
+        String line = group.ask(i, 2000, "counters");
+        if (line == null) { return 0; }
+        for (String pair : line.split("[ \n]")) {
+            if (pair.startsWith(name + "=")) { return Double.parseDouble(pair.substring(name.length() + 1)); }
+        }
+        return 0;
+    }
+
+    /** Figures of all processes, added up. */
+    static Map<String, Double> figures(Group group, List<String> names) {
+        Map<String, Double> all = new HashMap<>();
+        for (int i = 0; i < group.size(); i++) {
+            for (String name : names) { all.merge(name, figure(group, i, name), Double::sum); }
+        }
+        return all;
+    }
+}
--- a/src/main/java/yardusher/parts/Negotiator.java
+++ b/src/main/java/yardusher/parts/Negotiator.java
@@ -51,6 +51,7 @@
     private static final double USED_MS = 3000;      // over which it is seen where attempts go
     private static final double TURN_MS = 10_000;    // where some get none, others do after this
     private static final double HOME_MS = 10_000;    // what is borrowed and not used so long goes back, one by one
+    private static final double LEAVE_MS = 2000;     // at the end of a process, to give back
     private static final double AHEAD_MS = 86_400_000; // a life that begins a day from now is made up
 
     /** A region as this ingress stands there. */
@@ -111,7 +112,8 @@
     private double hellosAt;
     private double newsAt = Double.NEGATIVE_INFINITY;
     private int order;
-    private boolean leaves;                          // the process ends: it needs nothing any more
+    private boolean leaves;                          // the process ends: it keeps what it uses and no more
+    private double leavesAt;
     long bad;                                        // bodies that are no telling
     long foreign;                                    // of another count of ingresses, or of this ingress's own number
     long stale;                                      // of a life that has ended
@@ -157,8 +159,11 @@
     /** Who is there, by the view: only whom to ask first. */
     void members(List<InetSocketAddress> there) { members = there; }
 
-    /** The process ends: nothing is needed any more, and all that is borrowed goes back. */
-    void leave() { leaves = true; }
+    /** The process ends: what is borrowed goes back, and its share goes to who asks, as soon as it is not used any more. */
+    void leave(double now) {
+        leaves = true;
+        leavesAt = now;
+    }
 
     /** A connection is to be dialled; false where there is no unit for it. */
     boolean take(long region) {
@@ -336,7 +341,7 @@
         // By Little's law: what was turned away would have been out as long as what was let in.
         double holdMs = attempts > 1e-6 ? busy / attempts : 100;
         double unmet = refusals * Math.min(5000, Math.max(1, holdMs));
-        boolean active = now - activeAt < ACTIVE_MS && !leaves;
+        boolean active = now - activeAt < ACTIVE_MS;
         need.seen(since, busy, unmet < 0.05 ? 0 : unmet);
         double level = 1 - Math.exp(-since / USED_MS);
         double used = 0;
@@ -353,7 +358,7 @@
         }
         double least = active ? rules.least : 0;
         spread(active ? Math.max(least, need.uses()) : 0, false);
-        spread(active ? Math.max(least, need.wants()) : 0, true);
+        spread(!active ? 0 : Math.max(least, leaves ? need.uses() : need.wants()), true);
     }
 
     /**
@@ -428,7 +433,7 @@
             division.add(other.number, account.has + underWay, account.uses, account.wants, other.weight);
         }
         for (int i = 0; i < others.length && leaves; i++) {
-            if (others[i] != null && isFresh(others[i], now)) { giveBack(stand, others[i], held(stand, others[i])); }
+            if (others[i] != null && isFresh(others[i], now)) { giveBack(stand, others[i], ledger.allowance(region) - stand.uses); }
         }
         boolean asked = false;
         for (Other other : others) { asked |= isAsked(stand, other, now); }
@@ -658,10 +663,14 @@
         world.send(to, body);
     }
 
-    /** Whether something is still held or open, of what is to go back at the end. */
-    boolean holds() {
+    /** Whether something is still open, or held of somebody who is there; at the end, for a bounded time. */
+    boolean holds(double now) {
+        if (leaves && now - leavesAt > LEAVE_MS) { return false; }
         for (Region region : ledger.regions()) {
-            if (region.held() > 0 || region.open > 0) { return true; }
+            if (region.open > 0) { return true; }
+            for (Other other : others) {
+                if (isFresh(other, now) && region.accounts[other.number] != null && region.accounts[other.number].held() > 0) { return true; }
+            }
         }
         return false;
     }
--- a/src/main/java/yardusher/parts/PartSettings.java
+++ b/src/main/java/yardusher/parts/PartSettings.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Set;
 import yardusher.Api;
+import yardusher.error.ConfigError;
 import yardusher.file.Toml;
 import yardusher.list.ServiceTable;
 
@@ -23,7 +24,7 @@
     private static final int MOST = 30_000;          // of one region: it is written down in two bytes
     private static final Set<String> KEYS = Set.of("connections", "region", "least", "weight", "moves_per_s", "ended_ms", "cold_percent", "ingresses", "folder", "absent");
 
-    /** Reads the table; an IllegalArgumentException names the key and what is allowed. Null where it is left out. */
+    /** Reads the table; a {@link ConfigError} names the key and what is allowed. Null where it is left out. */
     public static PartSettings of(Toml file) {
         Toml table = file.table("parts");
         if (table == null) { return null; }
@@ -33,9 +34,9 @@
             one.only(Set.of("id", "zone", "connections"));
             String id = one.text("id", null);
             String zone = one.text("zone", null);
-            if ((id == null) == (zone == null)) { throw new IllegalArgumentException("parts.region needs either id or zone"); }
+            if ((id == null) == (zone == null)) { throw new ConfigError.Missing(null, "parts.region", "either an id or a zone in parts.region"); }
             int connections = one.whole("connections", -1, 1, MOST);
-            if (connections < 0) { throw new IllegalArgumentException("needs a whole number in parts.region.connections"); }
+            if (connections < 0) { throw new ConfigError.Missing(null, "parts.region.connections", "a whole number in parts.region.connections"); }
             regions.add(new Special(id, zone, connections));
         }
         return new PartSettings(table.whole("connections", 64, 1, MOST), List.copyOf(regions), table.whole("least", 1, 0, 100),
--- a/src/main/java/yardusher/parts/PartsSubsystem.java
+++ b/src/main/java/yardusher/parts/PartsSubsystem.java
@@ -296,12 +296,12 @@
     @Override
     public void drain() {
         if (negotiator == null) { return; }
-        negotiator.leave();
+        negotiator.leave(turns.now());
         soon();
     }
 
     @Override
-    public boolean isBusy() { return negotiator != null && negotiator.holds(); }
+    public boolean isBusy() { return negotiator != null && negotiator.holds(turns.now()); }
 
     @Override
     public void close() {
