--- /dev/null
+++ b/src/test/java/yardusher/parts/ClaimTest.java
@@ -0,0 +1,81 @@
+package yardusher.parts;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** One process at a time has the claim, and what it lent outlives it. */
+class ClaimTest {
+    @TempDir
+    Path folder;
+
+    private Claim claim() throws Exception { return Claim.at(folder, "n 0", 3); }
+
+    @Test
+    void oneProcessAtATimeAndLivesOnlyGrow() throws Exception {
+        Claim first = claim();
+        assertThat(first.take(1000, false)).isTrue();
+        assertThat(first.remembers()).isFalse();
+        Claim second = claim();
+        assertThat(second.take(1000, false)).isFalse();
+        first.close();
+        assertThat(second.take(10, false)).isTrue(); // the clock was set back
+        assertThat(second.life()).isEqualTo(1001);
+        second.close();
+    }
+
+    @Test
+    void loansAreRememberedOverADeathOnceTheFileHoldsAll() throws Exception {
+        Claim first = claim();
+        first.take(1000, false);
+        first.put(7, 2, 5);
+        first.close();                               // died before all others had answered: not believed
+        Claim second = claim();
+        second.take(2000, false);
+        assertThat(second.remembers()).isFalse();
+        assertThat(second.lent(7, 2)).isZero();
+        second.put(7, 2, 4);
+        second.put(9, 0, 1);
+        second.trust();
+        second.put(9, 1, 2);
+        second.close();
+        Claim third = claim();
+        third.take(3000, false);
+        assertThat(third.remembers()).isTrue();
+        assertThat(third.wasClean()).isFalse();
+        assertThat(new int[] {third.lent(7, 2), third.lent(9, 0), third.lent(9, 1), third.lent(8, 1)}).containsExactly(4, 1, 2, 0);
+        third.end(true);
+        third.close();
+        Claim fourth = claim();
+        fourth.take(4000, false);
+        assertThat(fourth.wasClean()).isTrue();
+        assertThat(fourth.lent(7, 2)).isEqualTo(4);
+        fourth.close();
+    }
+
+    @Test
+    void rowsWithoutALoanMakeRoomAndAFullFileLendsNothing() throws Exception {
+        Claim claim = claim();
+        claim.take(1, true);
+        assertThat(claim.remembers()).isTrue();      // told that it never ran
+        for (int i = 0; i < 1024; i++) { assertThat(claim.put(100 + i, 1, 1)).isTrue(); }
+        assertThat(claim.put(5000, 1, 1)).isFalse();
+        claim.put(300, 1, 0);
+        assertThat(claim.put(5000, 1, 3)).isTrue();
+        assertThat(claim.lent(5000, 1)).isEqualTo(3);
+        assertThat(claim.lent(300, 1)).isZero();
+        claim.close();
+    }
+
+    @Test
+    void anotherFileThereIsNotBelieved() throws Exception {
+        Files.write(folder.resolve("yardusher-n_0.parts"), new byte[5000]);
+        Claim claim = claim();
+        assertThat(claim.take(1, true)).isTrue();
+        assertThat(claim.remembers()).isFalse();
+        claim.close();
+    }
+}
