--- a/src/main/java/yardusher/clients/PlatformFront.java
+++ b/src/main/java/yardusher/clients/PlatformFront.java
@@ -17,6 +17,7 @@
 import yardusher.core.Ingress;
 import yardusher.core.Intake;
 import yardusher.core.Order;
+import yardusher.core.Session;
 import yardusher.core.Terminal;
 import yardusher.net.Answers;
 import yardusher.net.Budget;
@@ -34,6 +35,8 @@
     private final Map<String, Integer> classes = new HashMap<>();
     private final Map<String, Integer> plans = new HashMap<>();
     private final Answers answers;
+    private boolean unitsOn;                         // names of units are read in the list
+    private boolean unitsPassOn;
     private LongFunction<String> keyShown;           // null where keys are off
     private Supplier<String> keyLine;
     /** The ids of transactions without their final answer: a second one under such an id is somebody else's. */
@@ -76,6 +79,12 @@
         keyLine = line;
     }
 
+    /** From now on the names u, p and b are read in lists, and regions are told of them or not. */
+    public void readUnits(boolean passOn) {
+        unitsOn = true;
+        unitsPassOn = passOn;
+    }
+
     private boolean keys(byte[][] words, Answers.Slot slot) {
         String name = new String(words[0], StandardCharsets.ISO_8859_1).toUpperCase(Locale.ROOT);
         if (!name.startsWith("KEYS.") || !slot.isFromHere()) { return false; }
@@ -95,7 +104,7 @@
         int classIndex;
         int plan;
         try {
-            call = Call.of(words);
+            call = unitsOn ? Call.withUnit(words, unitsPassOn) : Call.of(words);
             classIndex = index(classes, call.className);
             plan = index(plans, call.plan);
             check(call, classIndex);
@@ -133,6 +142,9 @@
     }
 
     private record Reply(PlatformFront front, Answers.Slot slot, long id) implements Terminal {
+        @Override
+        public Session session() { return slot.session(); }
+
         @Override
         public void served(byte[] value) { end(new Encoder(value.length + 16).bulk(value).toBytes()); }
 
--- a/src/main/java/yardusher/core/Cargo.java
+++ b/src/main/java/yardusher/core/Cargo.java
@@ -15,4 +15,7 @@
 
     /** A fingerprint of what is asked for: the same for the same request, whatever its id and its time. */
     long print();
+
+    /** What it says of a unit of work; null for nothing. */
+    default UnitWord unit() { return null; }
 }
--- a/src/main/java/yardusher/core/Terminal.java
+++ b/src/main/java/yardusher/core/Terminal.java
@@ -18,4 +18,7 @@
 
     /** It may have run where an attempt of it went out and no word came that it did not. */
     void failed(String why, boolean mayHaveRun);
+
+    /** The connection on which it asked, null where there is none that lasts. */
+    default Session session() { return null; }
 }
--- a/src/main/java/yardusher/keys/KeyedIntake.java
+++ b/src/main/java/yardusher/keys/KeyedIntake.java
@@ -10,6 +10,7 @@
 import yardusher.core.Flow;
 import yardusher.core.Intake;
 import yardusher.core.Order;
+import yardusher.core.Session;
 import yardusher.core.Stay;
 import yardusher.core.Terminal;
 import yardusher.core.Turns;
@@ -97,6 +98,9 @@
 
         boolean mayHaveRun() { return stay != null && stay.mayHaveRun(); }
 
+        @Override
+        public Session session() { return leader.order.terminal().session(); }
+
         @Override
         public void served(byte[] value) {
             if (end()) {
--- a/src/main/java/yardusher/list/ServiceTable.java
+++ b/src/main/java/yardusher/list/ServiceTable.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -24,6 +25,7 @@
     private final List<String> zones;
     private final RegionPool pool;
     private final Map<Long, InetSocketAddress> known = new LinkedHashMap<>();
+    private final Map<Long, Api.Server> listed = new HashMap<>(); // the same regions, as they were last told
     /** Ids as they were told, for as long as there are no more than MOST_TOLD newer ones. */
     private final Set<String> told = new LinkedHashSet<>();
     private long revision;
@@ -38,6 +40,14 @@
     /** How many regions are listed now. */
     public int size() { return known.size(); }
 
+    /** A region as it was last told, null where it is not listed. */
+    public Api.Server listed(long id) { return listed.get(id); }
+
+    /** Whether a zone has a region listed that is not on its way out. */
+    public boolean hasZone(int zone) {
+        return listed.values().stream().anyMatch(one -> one.zone() == zone && one.readiness() == Api.Readiness.READY);
+    }
+
     /** Whether a region of this id is listed or was once, among the last 4,096 told. */
     public boolean everListed(String id) { return told.contains(id); }
 
@@ -83,6 +93,7 @@
                 continue;
             }
             known.put(server.id(), addresses.get(i));
+            listed.put(server.id(), server);
             pool.place(server.id(), addresses.get(i));
             if (server.readiness() == Api.Readiness.DRAINING) { pool.leave(server.id(), false); }
         }
@@ -112,6 +123,7 @@
 
     private void forget(long id) {
         known.remove(id);
+        listed.remove(id);
         pool.leave(id, true);
     }
 
--- a/src/main/java/yardusher/net/Answers.java
+++ b/src/main/java/yardusher/net/Answers.java
@@ -8,10 +8,12 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Set;
 import java.util.function.Supplier;
 import yardusher.core.Flow;
+import yardusher.core.Session;
 import yardusher.core.Stay;
 import yardusher.core.Turns;
 import yardusher.resp.Encoder;
@@ -259,6 +261,9 @@
         /** Whether the terminal is on this machine. */
         public boolean isFromHere() { return terminal.fromHere; }
 
+        /** The connection it came on. */
+        public Session session() { return terminal; }
+
         /** Reads no more of this terminal's commands for a while. */
         public void pauseReading(double ms) { terminal.pause(ms); }
 
@@ -316,7 +321,7 @@
         }
     }
 
-    private final class TerminalLink implements Link.Owner {
+    private final class TerminalLink implements Link.Owner, Session {
         private final Link link;
         private final boolean fromHere;
         private final ArrayDeque<Slot> slots = new ArrayDeque<>(2);
@@ -327,6 +332,7 @@
         private double bodyFrom;
         private int rejected;
         private boolean lost;
+        private List<Runnable> atEnd;              // null for none
         private boolean paused;
         private boolean stalled;                   // it does not take its answers, so no more commands are read
 
@@ -515,6 +521,19 @@
             silent.remove(this);
             idle.remove(this);
             if (terminals.remove(this) && !closing && terminals.size() == mostTerminals - 1) { door.open(); }
+            List<Runnable> told = atEnd;
+            atEnd = null;
+            if (told != null) { told.forEach(turns::afterwards); }
+        }
+
+        @Override
+        public void atEnd(Runnable then) {
+            if (!terminals.contains(this)) {
+                turns.afterwards(then);
+                return;
+            }
+            if (atEnd == null) { atEnd = new ArrayList<>(1); }
+            atEnd.add(then);
         }
     }
 }
--- a/src/main/java/yardusher/resp/Call.java
+++ b/src/main/java/yardusher/resp/Call.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import net.openhft.hashing.LongHashFunction;
 import yardusher.core.Cargo;
+import yardusher.core.UnitWord;
 
 /**
  * A platform command, CALL.GET or CALL.POST, decoded once: customer, id, the list of names and values, body.
@@ -19,6 +20,7 @@
 
     private final byte[][] words;
     private final String list;
+    private final UnitWord unit;                     // null where it says nothing of one
     public final long id;
     public final String key;
     public final long customer;
@@ -30,7 +32,8 @@
     public final int first;
 
     private Call(byte[][] words, String list, long id, String key, long customer, String className, String plan, long waitMs,
-            double units, int spread, int first) {
+            double units, int spread, int first, UnitWord unit) {
+        this.unit = unit;
         this.words = words;
         this.list = list;
         this.id = id;
@@ -98,7 +101,57 @@
         if (c == null || t == null || d < 1) { throw new IllegalArgumentException("c, t and d are needed"); }
         if (units <= 0 || spread < 0 || first < 0) { throw new IllegalArgumentException("units, spread and first are needed"); }
         if (k != null) { hex(k.getBytes(StandardCharsets.ISO_8859_1), "k"); }
-        return new Call(words, list, id, k, customer, c, t, d, units, spread, first);
+        return new Call(words, list, id, k, customer, c, t, d, units, spread, first, null);
+    }
+
+    /**
+     * Reads a command whose list may also say what it is to a unit of work: {@code u} the unit's name, {@code p} the part's
+     * number, {@code b} a boundary. These are taken out of what a region is told unless {@code passOn}. An
+     * {@link IllegalArgumentException} says what is wrong.
+     */
+    public static Call withUnit(byte[][] words, boolean passOn) {
+        if (words.length < 4 || words[3].length > MOST_LIST) { return of(words); } // says what is wrong
+        String list = new String(words[3], StandardCharsets.ISO_8859_1);
+        String[] found = new String[3];
+        StringBuilder rest = null;
+        for (int from = 0; from <= list.length();) {
+            int comma = list.indexOf(',', from);
+            int to = comma < 0 ? list.length() : comma;
+            int which = from + 1 < to && list.charAt(from + 1) == '=' ? "upb".indexOf(list.charAt(from)) : -1;
+            if (which >= 0) {
+                if (found[which] != null) { throw new IllegalArgumentException("a name stands twice in the list"); }
+                found[which] = visible(list.substring(from + 2, to));
+                if (rest == null) { rest = new StringBuilder(list.length()).append(list, 0, Math.max(0, from - 1)); }
+            } else if (rest != null) {
+                rest.append(rest.length() == 0 ? "" : ",").append(list, from, to);
+            }
+            from = to + 1;
+        }
+        if (rest == null) { return of(words); }
+        byte[][] without = words.clone();
+        without[3] = rest.toString().getBytes(StandardCharsets.ISO_8859_1);
+        Call call = of(without);
+        UnitWord unit = unit(found[0], found[1], found[2]);
+        return new Call(without, passOn ? list : call.list, call.id, call.key, call.customer, call.className, call.plan, call.waitMs,
+                call.units, call.spread, call.first, unit);
+    }
+
+    private static UnitWord unit(String u, String p, String b) {
+        int part = p == null ? 0 : (int) whole(p, 1_000_000);
+        UnitWord.Said said = b == null ? UnitWord.Said.NONE : switch (b) {
+            case "open" -> UnitWord.Said.OPEN;
+            case "end" -> UnitWord.Said.END;
+            case "abandon" -> UnitWord.Said.ABANDON;
+            default -> throw new IllegalArgumentException("b is open, end or abandon");
+        };
+        boolean fits = switch (said) {
+            case OPEN -> p == null;                  // with u it is an opening inside a unit, which has its own answer
+            case NONE -> u != null && part > 0;
+            case END -> u != null && (p == null || part > 0);
+            case ABANDON -> u != null && p == null;
+        };
+        if (!fits || u != null && (u.isEmpty() || u.length() > 120)) { throw new IllegalArgumentException("u, p and b do not go together"); }
+        return new UnitWord(u, part, said);
     }
 
     private static final List<String> NAMES = List.of("c", "t", "d", "k", "units", "spread", "first", "r");
@@ -146,6 +199,9 @@
         return true;
     }
 
+    @Override
+    public UnitWord unit() { return unit; }
+
     @Override
     public long id() { return id; }
 
--- /dev/null
+++ b/src/main/java/yardusher/units/Asked.java
@@ -0,0 +1,130 @@
+package yardusher.units;
+
+import java.nio.ByteBuffer;
+import java.util.function.Consumer;
+import yardusher.core.Deadlines;
+import yardusher.core.Flow;
+import yardusher.core.Order;
+import yardusher.core.Session;
+import yardusher.core.Stay;
+import yardusher.core.Terminal;
+import yardusher.core.Turns;
+
+/**
+ * One request that belongs to a unit, at the ingress that took it: it waits for its home's word, and as a part it then runs
+ * under a grant. To the front it is what is under way, to the core it is the terminal. A part is over when its terminal has
+ * its answer or has left, and no attempt of it is out.
+ */
+final class Asked implements Stay, Terminal {
+    enum Stage { WAITS, RUNS, OVER }
+
+    final Order order;
+    final UnitName unit;
+    final long ask;
+    final int part;
+    final Ticket.Kind kind;
+    final double deadline;
+    private final Turns turns;
+    private final Consumer<Asked> settles;           // told whenever it may be over
+    private final Consumer<Asked> leaves;            // told when its terminal has left
+    Stage stage = Stage.WAITS;
+    String home;                                     // whom it was asked of; null for this ingress
+    long homeLife;
+    int hops;                                        // homes asked so far
+    Deadlines.Entry timer;
+    // Of its run:
+    Stay stay;
+    int grant;
+    boolean toRegion;
+    long server = -1;                                // where its attempts may go: told by the home, or where one may have run
+    int zone = -1;
+    boolean taken;
+    boolean recorded;                                // by the order log behind this one
+    int out;                                         // attempts that are not over
+    long outAt = -1;                                 // the region of the one that is out
+    boolean letOut;                                  // and it was let go
+    boolean answered;
+    boolean served;
+    boolean mayHaveRun;
+    double looseUntil = Double.NEGATIVE_INFINITY;
+
+    Asked(Order order, UnitName unit, long ask, int part, Ticket.Kind kind, Turns turns, Consumer<Asked> settles, Consumer<Asked> leaves) {
+        this.order = order;
+        this.unit = unit;
+        this.ask = ask;
+        this.part = part;
+        this.kind = kind;
+        this.turns = turns;
+        this.settles = settles;
+        this.leaves = leaves;
+        this.deadline = turns.now() + order.waitMs();
+    }
+
+    @Override
+    public Order order() { return order; }
+
+    @Override
+    public boolean mayHaveRun() { return mayHaveRun || stay != null && stay.mayHaveRun(); }
+
+    @Override
+    public void gone() {
+        if (answered) { return; }
+        answered = true;
+        leaves.accept(this);
+    }
+
+    @Override
+    public Session session() { return order.terminal().session(); }
+
+    /** Whether this is its one final answer. */
+    private boolean last() {
+        boolean first = !answered;
+        answered = true;
+        turns.deadlines().cancel(timer);
+        return first;
+    }
+
+    @Override
+    public void served(byte[] value) {
+        served = stage == Stage.RUNS;
+        if (last()) { order.terminal().served(value); }
+        settles.accept(this);
+    }
+
+    @Override
+    public void shortOnCapacity(long retryAfterMs, boolean may) {
+        mayHaveRun |= may;
+        if (last()) { order.terminal().shortOnCapacity(retryAfterMs, may); }
+        settles.accept(this);
+    }
+
+    @Override
+    public void failed(String why, boolean may) {
+        mayHaveRun |= may;
+        if (last()) { order.terminal().failed(why, may); }
+        settles.accept(this);
+    }
+
+    @Override
+    public Flow begin(long length) {
+        Flow flow = order.terminal().begin(length);
+        return flow == null ? null : new Flow() {
+            @Override
+            public void part(ByteBuffer bytes, Runnable then) { flow.part(bytes, then); }
+
+            @Override
+            public void end() {
+                served = true;
+                if (last()) { flow.end(); }
+                settles.accept(Asked.this);
+            }
+
+            @Override
+            public void broken() {
+                mayHaveRun = true;
+                if (last()) { flow.broken(); }
+                settles.accept(Asked.this);
+            }
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/yardusher/units/Ticket.java
@@ -0,0 +1,22 @@
+package yardusher.units;
+
+/**
+ * Somebody's wish for a part or an end, as a unit's home holds it: who asks, under which number of its own; the part, 0 for
+ * the next one that a session brings; until when, on the home's clock in milliseconds; and for how long after a first try
+ * that may have run the class bears another (0 for never, infinity for always).
+ */
+record Ticket(long ask, String holder, long life, long customer, int part, Kind kind, double dueMs, double repeatMs) {
+    enum Kind {
+        PART,
+        /** A part with which the unit ends once it is served. */
+        LAST,
+        /** No part: the end itself. */
+        END,
+        /** No part: given up. */
+        ABANDON;
+
+        boolean isPart() { return this == PART || this == LAST; }
+    }
+
+    boolean is(String who, long lifeOf, long number) { return ask == number && life == lifeOf && holder.equals(who); }
+}
--- /dev/null
+++ b/src/main/java/yardusher/units/Unit.java
@@ -0,0 +1,382 @@
+package yardusher.units;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * One unit of work, as its home holds it: parts are let out one at a time and in their order, each to one holder under a
+ * grant with a number; the unit ends once. Free of I/O and clock: times come in as milliseconds that never go back. What
+ * follows from a call is told to the {@link Sink} within it. Its size does not grow with its parts.
+ */
+final class Unit {
+    enum State {
+        OPEN,
+        /** Nothing more is let in; it waits until nothing of it may run. */
+        ENDING,
+        /** All that was begun was served. */
+        DONE,
+        /** Given up by rule, by a terminal that left, or by word. */
+        ABANDONED,
+        /** Ended, and of some part nobody knows whether it ran. */
+        UNKNOWN;
+
+        boolean isOver() { return ordinal() >= DONE.ordinal(); }
+
+        String told() { return name().toLowerCase(java.util.Locale.ROOT); }
+    }
+
+    /** By which boundary it ends; the first that comes counts. */
+    enum Boundary {
+        SAID, ABANDON_SAID,
+        /** The terminal's connection closed. */
+        CLOSED,
+        /** Nothing was heard of it for too long, or it was the longest silent where room was needed. */
+        SILENT,
+        /** Its home ends and could not hand it over. */
+        DRAINED,
+        /** Its first part went out with a holder that died: nobody knows where it may have run. */
+        LOST;
+
+        private State end(boolean doubtful, boolean whole) {
+            return switch (this) {
+                case SAID -> doubtful ? State.UNKNOWN : State.DONE;
+                case CLOSED -> doubtful || !whole ? State.ABANDONED : State.DONE;
+                case LOST -> State.UNKNOWN;
+                default -> State.ABANDONED;
+            };
+        }
+    }
+
+    /** How a holder says that a part in its hands is over. */
+    enum Result { SERVED, NEVER_RAN, MAY_HAVE_RUN }
+
+    /** What a unit has to tell. */
+    interface Sink {
+        /** The holder may run the part, under this grant and the unit's binding as it stands. */
+        void grant(Unit unit, Ticket ticket, int grant);
+
+        void refuse(Unit unit, Ticket ticket, Refusal why, long figure);
+
+        /** It has to wait for its turn. */
+        void waits(Unit unit, Ticket ticket);
+
+        /** The answer to an end that was said. */
+        void told(Unit unit, Ticket ticket);
+
+        /** It is over and nothing of it may run: once for each unit. */
+        void ended(Unit unit);
+    }
+
+    /** What a unit goes by: waiting tickets at the most, and how long what was given up may run on, in milliseconds. */
+    record Rules(int mostWaiting, double settleMs) { }
+
+    final UnitName name;
+    final long customer;
+    final Mode mode;
+    private State state = State.OPEN;
+    private Boundary boundary;
+    private boolean whole = true;                    // nothing was cut off by the boundary
+    private int epoch;                               // counts homes
+    private int next = 1;                            // the part that is due
+    private Ticket out;                              // the part in a holder's hands
+    private int grants;
+    private boolean repeats;                         // the part that is out was served before
+    private boolean doubt;                           // the part that is due may have run
+    private boolean doubtSaid;                       // and its terminal gave it its number, so that it can say it again
+    private boolean lastSaid;                        // the part before was served under a number its terminal gave
+    private int doubts;                              // parts passed over that may have run
+    private double triedAt;                          // when the latest part was first let out
+    private double looseUntil = Double.NEGATIVE_INFINITY; // something that was given up may run until then
+    private double wordAt;
+    private int served;
+    private long server = -1;
+    private int zone = -1;
+    boolean wakes;                                   // for the table: a wake of it is pending
+    private List<Ticket> waiting = new ArrayList<>(0);
+
+    Unit(UnitName name, long customer, Mode mode, double now) {
+        this.name = name;
+        this.customer = customer;
+        this.mode = mode;
+        this.wordAt = now;
+    }
+
+    State state() { return state; }
+
+    Boundary boundary() { return boundary; }
+
+    int epoch() { return epoch; }
+
+    int served() { return served; }
+
+    int next() { return next; }
+
+    Ticket out() { return out; }
+
+    int grants() { return grants; }
+
+    boolean isDoubtful() { return doubt || doubts > 0; }
+
+    long server() { return server; }
+
+    int zone() { return zone; }
+
+    double wordAt() { return wordAt; }
+
+    void looked(double now) { wordAt = now; }
+
+    double looseUntil() { return looseUntil; }
+
+    int waitingCount() { return waiting.size(); }
+
+    /** Whether any part was ever let out. */
+    boolean isBegun() { return grants > 0; }
+
+    boolean isBound() { return server >= 0 || zone >= 0; }
+
+    /** Somebody asks for a part or an end. */
+    void ask(double now, Ticket t, Rules rules, Sink sink) {
+        if (t.customer() != customer) {
+            sink.refuse(this, t, Refusal.UNKNOWN, 0);
+            return;
+        }
+        if (!t.kind().isPart()) {
+            end(now, t.kind() == Ticket.Kind.END ? Boundary.SAID : Boundary.ABANDON_SAID, t, sink);
+            return;
+        }
+        wordAt = now;
+        if (state != State.OPEN) {
+            sink.refuse(this, t, Refusal.ENDED, state.ordinal());
+        } else if (isPast(t) && !maySendAgain(now, t)) {
+            sink.refuse(this, t, Refusal.RAN, next - 1);
+        } else if (waiting.size() >= rules.mostWaiting() || t.part() > next + rules.mostWaiting()) {
+            sink.refuse(this, t, Refusal.ORDER, next);
+        } else {
+            waiting.add(t);
+            advance(now, sink);
+            if (waiting.contains(t)) { sink.waits(this, t); }
+        }
+    }
+
+    private boolean isPast(Ticket t) { return t.part() > 0 && t.part() < next; }
+
+    /** Whether a past part may go once more: it was the last one served, nothing after it has begun, and its class bears it. */
+    private boolean maySendAgain(double now, Ticket t) {
+        return t.part() == next - 1 && lastSaid && !doubt && (out == null || out.part() == t.part()) && now - triedAt < t.repeatMs();
+    }
+
+    /** Lets the next part out where one may go, and ends what is to end. */
+    void advance(double now, Sink sink) {
+        waiting.removeIf(t -> t.kind().isPart() && t.dueMs() <= now); // their holders have told their terminals
+        while (out == null && state == State.OPEN) {
+            Ticket t = due();
+            if (t == null) { return; }
+            if (doubt && !doubtSaid && now >= looseUntil) { // nobody can say again which one it was: it is passed over
+                doubts++;
+                doubt = false;
+                lastSaid = false;
+                next++;
+            }
+            boolean again = isPast(t) || t.part() == next && doubt && doubtSaid;
+            if (isPast(t) ? !maySendAgain(now, t) : again && now - triedAt >= t.repeatMs()) {
+                waiting.remove(t);
+                sink.refuse(this, t, Refusal.RAN, isPast(t) ? next - 1 : next);
+            } else if (t.part() == 0 && doubt && doubtSaid) {
+                waiting.remove(t);
+                sink.refuse(this, t, Refusal.ORDER, next); // the part with that number comes first
+            } else if (!again && now < looseUntil) {
+                if (t.dueMs() > looseUntil) { return; } // its turn comes
+                waiting.remove(t);
+                sink.refuse(this, t, Refusal.LATER, (long) Math.ceil(looseUntil - now));
+            } else {
+                letOut(now, t, again, sink);
+            }
+        }
+        if (state == State.ENDING && out == null && now >= looseUntil) { finish(sink); }
+    }
+
+    private void letOut(double now, Ticket t, boolean again, Sink sink) {
+        waiting.remove(t);
+        repeats = isPast(t);
+        if (!again) { triedAt = now; }
+        out = t;
+        grants++;
+        sink.grant(this, t, grants);
+    }
+
+    /** The ticket whose turn it is: a repeat of the part before, the part that is due, or a session's next. */
+    private Ticket due() {
+        for (Ticket t : waiting) {
+            if (t.part() <= next) { return t; }
+        }
+        return null;
+    }
+
+    /**
+     * A holder's word on the part in its hands. What it gave up may run for {@code looseMs} more; server and zone are where
+     * it may have run, -1 for nowhere. False where the word is of an older grant or another's, and changes nothing.
+     */
+    boolean done(double now, String holder, long life, int grant, Result result, double looseMs, long atServer, int atZone, Sink sink) {
+        if (out == null || grant != grants || out.life() != life || !out.holder().equals(holder)) { return false; }
+        wordAt = now;
+        Ticket was = out;
+        out = null;
+        if (looseMs > 0) { looseUntil = Math.max(looseUntil, now + looseMs); }
+        if (result != Result.NEVER_RAN && !isBound()) {
+            server = mode == Mode.SESSION ? atServer : -1;
+            zone = mode == Mode.SESSION ? -1 : atZone;
+        }
+        if (!repeats) {
+            if (result == Result.SERVED) {
+                next++;
+                served++;
+                doubt = false;
+                lastSaid = was.part() > 0;
+            } else if (result == Result.MAY_HAVE_RUN) {
+                doubt = true;
+                doubtSaid = was.part() > 0;
+            }
+        }
+        if (result == Result.SERVED && was.kind() == Ticket.Kind.LAST && state == State.OPEN) { begin(Boundary.SAID, sink); }
+        advance(now, sink);
+        return true;
+    }
+
+    /** Who asked asks no more: its ticket goes, and a part that was let out for it never ran. */
+    void withdraw(double now, String holder, long life, long ask, Sink sink) {
+        waiting.removeIf(t -> t.is(holder, life, ask));
+        if (out != null && out.is(holder, life, ask)) { done(now, holder, life, grants, Result.NEVER_RAN, 0, -1, -1, sink); }
+    }
+
+    /** A boundary. {@code asker} is told once it is over, null for nobody; of two that cross the first counts. */
+    void end(double now, Boundary by, Ticket asker, Sink sink) {
+        if (asker != null && state.isOver()) {
+            sink.told(this, asker);
+            return;
+        }
+        if (asker != null) {
+            waiting.removeIf(t -> !t.kind().isPart() && t.is(asker.holder(), asker.life(), asker.ask()));
+            if (waiting.size() < 1000) { waiting.add(asker); }
+        }
+        if (state == State.OPEN) { begin(by, sink); }
+        advance(now, sink);
+        if (asker != null && waiting.contains(asker)) { sink.waits(this, asker); }
+    }
+
+    private void begin(Boundary by, Sink sink) {
+        state = State.ENDING;
+        boundary = by;
+        whole = out == null && waiting.stream().noneMatch(t -> t.kind().isPart());
+        for (Ticket t : List.copyOf(waiting)) {
+            if (t.kind().isPart()) {
+                waiting.remove(t);
+                sink.refuse(this, t, Refusal.ENDED, state.ordinal());
+            }
+        }
+    }
+
+    private void finish(Sink sink) {
+        state = boundary.end(isDoubtful(), whole);
+        List<Ticket> told = waiting;
+        waiting = new ArrayList<>(0);
+        sink.ended(this);
+        for (Ticket t : told) { sink.told(this, t); }
+    }
+
+    /** A holder is not in the life any more in which it got the part: what it held may have run, and may run till it settles. */
+    void died(double now, String holder, long lifeNow, Rules rules, Sink sink) {
+        waiting.removeIf(t -> t.holder().equals(holder) && t.life() != lifeNow);
+        if (out == null || !out.holder().equals(holder) || out.life() == lifeNow) { return; }
+        if (isBound()) {
+            double loose = Math.max(0, out.dueMs() - now) + rules.settleMs();
+            done(now, holder, out.life(), grants, Result.MAY_HAVE_RUN, loose, -1, -1, sink);
+        } else {
+            doubt = true;
+            doubtSaid = out.part() > 0;
+            looseUntil = Math.max(looseUntil, Math.max(now, out.dueMs()) + rules.settleMs());
+            out = null;
+            end(now, Boundary.LOST, null, sink);
+        }
+    }
+
+    /** When something is to be looked at again by {@link #advance}; infinity for never. */
+    double wakeAt(double now) {
+        if (out != null || now >= looseUntil) { return Double.POSITIVE_INFINITY; }
+        return state == State.ENDING || !waiting.isEmpty() ? looseUntil : Double.POSITIVE_INFINITY;
+    }
+
+    /** Seals it for another home: who waits is to ask there, and here nothing is let out any more. */
+    UnitRecord handOver(double now, Sink sink) {
+        UnitRecord record = new UnitRecord(name, customer, mode, epoch + 1, next, grants, repeats, doubt, doubtSaid, lastSaid, doubts, now - triedAt,
+                Math.max(0, looseUntil - now), served, server, zone, out == null ? null : out.holder(), out == null ? 0 : out.life(),
+                out == null ? 0 : out.ask(), out == null ? 0 : out.part(), out != null && out.kind() == Ticket.Kind.LAST,
+                out == null ? 0 : Math.max(0, out.dueMs() - now));
+        state = State.ENDING;
+        List<Ticket> told = waiting;
+        waiting = new ArrayList<>(0);
+        for (Ticket t : told) { sink.refuse(this, t, Refusal.MOVED, 0); }
+        return record;
+    }
+
+    /** A unit as another home handed it over. */
+    static Unit of(UnitRecord r, double now) {
+        Unit unit = new Unit(r.name(), r.customer(), r.mode(), now);
+        unit.epoch = r.epoch();
+        unit.next = r.next();
+        unit.grants = r.grants();
+        unit.repeats = r.repeats();
+        unit.doubt = r.doubt();
+        unit.doubtSaid = r.doubtSaid();
+        unit.lastSaid = r.lastSaid();
+        unit.doubts = r.doubts();
+        unit.triedAt = now - r.triedMs();
+        unit.looseUntil = r.looseMs() > 0 ? now + r.looseMs() : Double.NEGATIVE_INFINITY;
+        unit.served = r.served();
+        unit.server = r.server();
+        unit.zone = r.zone();
+        if (r.holder() != null) {
+            unit.out = new Ticket(r.ask(), r.holder(), r.life(), r.customer(), r.part(), r.last() ? Ticket.Kind.LAST : Ticket.Kind.PART,
+                    now + r.dueMs(), 0);
+        }
+        return unit;
+    }
+
+    /** The same unit once more, for those who look at what might follow. */
+    Unit copy() {
+        Unit copy = new Unit(name, customer, mode, wordAt);
+        copy.state = state;
+        copy.boundary = boundary;
+        copy.whole = whole;
+        copy.epoch = epoch;
+        copy.next = next;
+        copy.out = out;
+        copy.grants = grants;
+        copy.repeats = repeats;
+        copy.doubt = doubt;
+        copy.doubtSaid = doubtSaid;
+        copy.lastSaid = lastSaid;
+        copy.doubts = doubts;
+        copy.triedAt = triedAt;
+        copy.looseUntil = looseUntil;
+        copy.served = served;
+        copy.server = server;
+        copy.zone = zone;
+        copy.waiting = new ArrayList<>(waiting);
+        return copy;
+    }
+
+    /** One line for operators, and for telling states apart. */
+    @Override
+    public String toString() {
+        StringBuilder text = new StringBuilder(128).append(name).append(" mode=").append(mode.name().toLowerCase(java.util.Locale.ROOT))
+                .append(" state=").append(state.told()).append(" next=").append(next).append(" served=").append(served)
+                .append(" grants=").append(grants).append(" epoch=").append(epoch);
+        if (boundary != null) { text.append(" by=").append(boundary.name().toLowerCase(java.util.Locale.ROOT)).append(whole ? "" : " cut=1"); }
+        if (out != null) { text.append(" out=").append(out.part()).append('@').append(out.holder()).append(out.kind() == Ticket.Kind.LAST ? " last=1" : ""); }
+        if (repeats) { text.append(" repeat=1"); }
+        if (isDoubtful()) { text.append(" may_have_run=").append(doubts + (doubt ? 1 : 0)); }
+        if (server >= 0) { text.append(" region=s-").append(String.format("%08x", server)); }
+        if (zone >= 0) { text.append(" hall=").append(zone); }
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/yardusher/units/UnitLog.java
@@ -0,0 +1,109 @@
+package yardusher.units;
+
+import java.util.IdentityHashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.ToIntFunction;
+import yardusher.Api;
+import yardusher.core.Attempt;
+import yardusher.core.Cargo;
+import yardusher.core.OrderLog;
+import yardusher.core.Transaction;
+
+/**
+ * Sees the attempts of parts go out and end, and is the last look before one goes: it has to be granted, its unit not over,
+ * and the region must fit the unit's binding and the attempts before. What is not a part goes on to the log behind this one
+ * as it came.
+ */
+final class UnitLog implements OrderLog {
+    private final OrderLog inner;
+    private final Map<Cargo, Asked> running = new IdentityHashMap<>();
+    private ToIntFunction<Long> zones = region -> -1; // a region's zone, -1 where it is not listed
+    private Consumer<Asked> settles = asked -> { };
+    private double settleMs;
+    long held;                                       // attempts that were not let out
+
+    UnitLog(OrderLog inner) { this.inner = inner; }
+
+    void join(ToIntFunction<Long> zonesOf, Consumer<Asked> then) {
+        zones = zonesOf;
+        settles = then;
+    }
+
+    void settleMs(double ms) { settleMs = ms; }
+
+    void runs(Asked asked) { running.put(asked.order.cargo(), asked); }
+
+    void over(Asked asked) { running.remove(asked.order.cargo(), asked); }
+
+    int runningCount() { return running.size(); }
+
+    private Asked of(Transaction transaction) { return running.isEmpty() ? null : running.get(transaction.order.cargo()); }
+
+    @Override
+    public Admission take(Transaction transaction) {
+        Admission admission = inner.take(transaction);
+        Asked asked = of(transaction);
+        if (asked == null || admission == Admission.REFUSED) { return admission; }
+        asked.recorded = admission == Admission.RECORDED;
+        return Admission.RECORDED;
+    }
+
+    @Override
+    public void intend(Attempt attempt, Consumer<Boolean> then) {
+        Asked asked = of(attempt.transaction);
+        if (asked == null) {
+            inner.intend(attempt, then);
+            return;
+        }
+        asked.out++;
+        asked.outAt = attempt.region;
+        asked.letOut = false;
+        Consumer<Boolean> look = may -> {
+            boolean goes = may && fits(asked, attempt.region);
+            if (may && !goes) { held++; }
+            asked.letOut = goes && !attempt.isOver();
+            then.accept(goes);
+        };
+        if (asked.recorded) { inner.intend(attempt, look); } else { look.accept(true); }
+    }
+
+    private boolean fits(Asked asked, long region) {
+        return asked.stage == Asked.Stage.RUNS && !asked.answered && (asked.server < 0 || asked.server == region)
+                && (asked.zone < 0 || asked.zone == zones.applyAsInt(region));
+    }
+
+    @Override
+    public void written(Attempt attempt) {
+        Asked asked = of(attempt.transaction);
+        if (asked == null || asked.recorded) { inner.written(attempt); }
+    }
+
+    @Override
+    public void ended(Attempt attempt, Api.Outcome outcome) {
+        Asked asked = of(attempt.transaction);
+        if (asked == null) {
+            inner.ended(attempt, outcome);
+            return;
+        }
+        if (asked.recorded) { inner.ended(attempt, outcome); }
+        asked.out--;
+        boolean ran = asked.letOut && !outcome.neverRan();
+        if (ran) {
+            asked.mayHaveRun |= outcome != Api.Outcome.SERVED;
+            if (asked.toRegion) { asked.server = attempt.region; } else if (asked.zone < 0) { asked.zone = zones.applyAsInt(attempt.region); }
+            boolean heard = outcome == Api.Outcome.SERVED || outcome == Api.Outcome.SERVER_ERROR;
+            if (!heard) { asked.looseUntil = Math.max(asked.looseUntil, attempt.sentAt + attempt.waitMs + settleMs); }
+        }
+        settles.accept(asked);
+    }
+
+    @Override
+    public void answered(Transaction transaction, Answer answer) {
+        Asked asked = of(transaction);
+        if (asked == null || asked.recorded) { inner.answered(transaction, answer); }
+    }
+
+    @Override
+    public double retryAfterMs() { return inner.retryAfterMs(); }
+}
--- /dev/null
+++ b/src/main/java/yardusher/units/UnitsSubsystem.java
@@ -0,0 +1,70 @@
+package yardusher.units;
+
+import java.io.IOException;
+import java.util.function.Supplier;
+import yardusher.core.Ids;
+import yardusher.core.Intake;
+import yardusher.core.OrderLog;
+import yardusher.list.ServiceTable;
+import yardusher.settings.Settings;
+import yardusher.subsystem.Site;
+import yardusher.subsystem.Subsystem;
+
+/** Units of work in an ingress: turned on by the table {@code units}, and needs the mesh and the view. */
+public final class UnitsSubsystem implements Subsystem {
+    private static final int LIFE_BITS = 47;         // of a name's twelve digits
+
+    private final UnitSettings settings;
+    private final Ids ids = new Ids();
+    private UnitLog log;
+    private UnitsIntake intake;
+
+    public UnitsSubsystem(UnitSettings settings) { this.settings = settings; }
+
+    @Override
+    public String name() { return "units"; }
+
+    @Override
+    public OrderLog orders(OrderLog inner) {
+        log = new UnitLog(inner);
+        return log;
+    }
+
+    @Override
+    public Intake intake(Site site, Intake inner) throws IOException {
+        if (site.mesh() == null || site.view() == null) { throw new IllegalArgumentException("units needs a table view, by which ingresses reach one another"); }
+        Supplier<ServiceTable> table = site::table;
+        long life = (ids.next() >>> 64 - LIFE_BITS) | 1;
+        intake = new UnitsIntake(new UnitsIntake.Place(site.name(), life, site.turns(), inner, log, new UnitsIntake.Regions() {
+            @Override
+            public int zoneOf(long region) { return table.get().listed(region) == null ? -1 : table.get().listed(region).zone(); }
+
+            @Override
+            public boolean hasZone(int zone) { return table.get().hasZone(zone); }
+        }, site.mesh(), site.view(), site.events(), site.settings().classes(), site.plans(), ids::next), settings);
+        return intake;
+    }
+
+    @Override
+    public void join(Site site) {
+        if (site.front() != null) { site.front().readUnits(settings.passOn()); }
+    }
+
+    @Override
+    public String reload(Settings next) {
+        if (next == null) { return null; }
+        return next.units() == null ? "units stay on until a restart" : intake.reload(next.units());
+    }
+
+    @Override
+    public String line() { return intake.line(); }
+
+    @Override
+    public String report(String call) { return call.equals("units") ? intake.report() : null; }
+
+    @Override
+    public void drain() { intake.drain(); }
+
+    @Override
+    public boolean isBusy() { return intake.isBusy(); }
+}
