--- a/lab/src/yardusher/lab/Installation.java
+++ b/lab/src/yardusher/lab/Installation.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import yardusher.cli.Asking;
+import yardusher.error.WireError;
 import yardusher.resp.Value;
 
 /**
@@ -94,13 +95,7 @@
         Files.writeString(file(i), out);
     }
 
-    private static List<String> command() {
-        String jar = System.getProperty("lab.jar");
-        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx48m", "-Xss256k"));
-        command.addAll(jar != null ? List.of("-jar", jar) : List.of("-cp", System.getProperty("java.class.path"), "yardusher.cli.Main"));
-        return command;
-    }
+    private static List<String> command() { return Programs.command(48); }
 
     /** An agent's file. */
     public Path file(int agent) { return folder.resolve("a" + agent + ".toml"); }
@@ -177,7 +172,7 @@
             return answer instanceof Value.Bulk bulk ? bulk.text() : answer instanceof Value.Failure no ? "-" + no.text()
                     : answer instanceof Value.Many many ? many.items().stream().map(one -> ((Value.Bulk) one).text())
                             .reduce("", (a, b) -> a + b + "\n") : answer.toString();
-        } catch (IOException e) {
+        } catch (WireError e) {
             return null;
         }
     }
