--- a/lab/src/yardusher/lab/Group.java
+++ b/lab/src/yardusher/lab/Group.java
@@ -239,7 +239,7 @@
         try {
             Value answer = Asking.ask(Programs.text(admins[i]), withinMs, words);
             return answer instanceof Value.Bulk bulk ? bulk.text() : answer instanceof Value.Failure no ? "-" + no.text() : String.valueOf(answer);
-        } catch (IOException e) {
+        } catch (yardusher.error.WireError e) {
             return null;
         }
     }
--- a/src/main/java/yardusher/cli/Subsystems.java
+++ b/src/main/java/yardusher/cli/Subsystems.java
@@ -15,6 +15,7 @@
 import yardusher.settings.Settings;
 import yardusher.subsystem.Site;
 import yardusher.subsystem.Subsystem;
+import yardusher.units.UnitsSubsystem;
 import yardusher.view.View;
 import yardusher.view.ViewSubsystem;
 
@@ -37,6 +38,7 @@
                     config.plans(), turns, Logs.of(own.log(), config.name())));
         }
         if (own.keys() != null) { all.add(new KeysSubsystem(own.keys(), own.journal())); }
+        if (own.units() != null) { all.add(new UnitsSubsystem(own.units())); } // outermost: what belongs together, then each key
         return new Subsystems(all, view == null ? null : view.mesh(), view);
     }
 
--- a/src/main/java/yardusher/units/UnitsSubsystem.java
+++ b/src/main/java/yardusher/units/UnitsSubsystem.java
@@ -32,7 +32,6 @@
 
     @Override
     public Intake intake(Site site, Intake inner) throws IOException {
-        if (site.mesh() == null || site.view() == null) { throw new IllegalArgumentException("units needs a table view, by which ingresses reach one another"); }
         Supplier<ServiceTable> table = site::table;
         long life = (ids.next() >>> 64 - LIFE_BITS) | 1;
         intake = new UnitsIntake(new UnitsIntake.Place(site.name(), life, site.turns(), inner, log, new UnitsIntake.Regions() {
