--- a/src/main/java/yardusher/cli/Main.java
+++ b/src/main/java/yardusher/cli/Main.java
@@ -140,6 +140,7 @@
             LimitsFront.check(LimitsConfig.read(limits), config.classes(), config.plans(), config.settings().gateways());
         }
         Settings own = Settings.read(settingsFile);
+        if (own.units() != null) { own.units().check(config.plans()); }
         System.out.println(file + ": good: " + config.name() + " at " + config.listen() + ", " + config.members()
                 + " regions known" + (there ? "; " + limits + ": good" : "")
                 + (settingsFile == null ? "" : "; " + settingsFile + ": good, journal " + (own.journal() == null ? "off" : "in "
--- a/src/main/java/yardusher/units/UnitSettings.java
+++ b/src/main/java/yardusher/units/UnitSettings.java
@@ -27,7 +27,7 @@
             one.only(Set.of("plan", "mode"));
             Mode mode = Mode.valueOf(one.choice("mode", "single", "session", "unit", "single").toUpperCase(java.util.Locale.ROOT));
             if (modes.put(one.text("plan"), mode) != null) {
-                throw new ConfigError.Conflict(null, "units.mode", "names the plan " + one.text("plan") + " twice");
+                throw new ConfigError.Conflict(null, "units.mode", "units.mode names the plan " + one.text("plan") + " twice");
             }
         }
         return new UnitSettings(modes, table.whole("most_open", 100_000, 1, 1_000_000), table.whole("most_open_of_customer", 1000, 1, 1_000_000),
@@ -40,7 +40,7 @@
     /** Complains of a mode for a plan that the site does not have. */
     public void check(List<String> plans) {
         for (String name : modes.keySet()) {
-            if (!plans.contains(name)) { throw new ConfigError.UnknownName(null, "units.mode", "plan " + name + ", there are " + String.join(", ", plans)); }
+            if (!plans.contains(name)) { throw new ConfigError.UnknownName(null, "units.mode", "units.mode names the unknown plan " + name + ", there are " + String.join(", ", plans)); }
         }
     }
 
--- a/src/main/java/yardusher/units/UnitTable.java
+++ b/src/main/java/yardusher/units/UnitTable.java
@@ -13,7 +13,7 @@
  * All units whose home is this ingress, the longest silent first. Numbers of a life are given once and only grow, so a
  * number that was given and is not held is one that is over, and nothing has to be remembered of it. Free of I/O and clock.
  */
-final class UnitTable {
+class UnitTable {
     /** Bounds: open at once, of one customer; silent for so long is given up, and before that where room is needed. */
     record Bounds(int mostOpen, int mostOfCustomer, double idleMs, double leastIdleMs) { }
 
--- a/src/main/java/yardusher/units/UnitsIntake.java
+++ b/src/main/java/yardusher/units/UnitsIntake.java
@@ -86,11 +86,18 @@
     private long spoilt;
     private long notHandedOver;
 
-    UnitsIntake(Place place, UnitSettings settings) {
+    /** Makes the table of a home. */
+    interface Tables {
+        UnitTable make(String self, long life, UnitTable.Bounds bounds, Unit.Rules rules, Unit.Sink sink);
+    }
+
+    UnitsIntake(Place place, UnitSettings settings) { this(place, settings, UnitTable::new); }
+
+    UnitsIntake(Place place, UnitSettings settings, Tables tables) {
         this.at = place;
         this.turns = place.turns;
         settings.check(place.plans);
-        this.table = new UnitTable(place.self, place.life, settings.bounds(), settings.rules(), this);
+        this.table = tables.make(place.self, place.life, settings.bounds(), settings.rules(), this);
         this.post = new Post(place.self, place.life, place.nonces, this);
         set(settings);
         place.log.join(zones(), this::settle);
@@ -420,7 +427,7 @@
         parts++;
         partsElsewhere += from == null ? 0 : 1;
         at.log.runs(asked);
-        trace("part begins", null, "unit", asked.unit, "part", asked.part, "grant", asked.grant);
+        trace("part begins", null, "unit", asked.unit, "part", asked.part, "grant", asked.grant, "id", String.format("%016x", asked.order.cargo().id()));
         Order o = asked.order;
         asked.stay = at.inner.take(new Order(o.classIndex(), o.plan(), o.customer(), o.units(), o.first(), o.spread(), left, o.cargo(), asked,
                 bound ? new Api.Binding(asked.server, asked.zone, -1) : o.only()));
@@ -560,19 +567,21 @@
         trace("unit ended", unit, "state", unit.state().told(), "by", unit.boundary(), "served", unit.served());
     }
 
+    /** For whoever follows units through many ingresses: each line says when, in Unix time. */
     private void trace(String text, Unit unit, Object... pairs) {
         if (!settings.trace()) { return; }
-        if (unit == null) {
-            at.events.info(text, pairs);
-        } else {
-            Object[] all = new Object[pairs.length + 4];
-            all[0] = "unit";
-            all[1] = unit.name;
-            all[2] = "epoch";
-            all[3] = unit.epoch();
-            System.arraycopy(pairs, 0, all, 4, pairs.length);
-            at.events.info(text, all);
-        }
+        int own = unit == null ? 2 : 6;
+        Object[] all = new Object[pairs.length + own];
+        all[0] = "at";
+        all[1] = String.format(java.util.Locale.ROOT, "%.3f", turns.now());
+        if (unit != null) {
+            all[2] = "unit";
+            all[3] = unit.name;
+            all[4] = "epoch";
+            all[5] = unit.epoch();
+        }
+        System.arraycopy(pairs, 0, all, own, pairs.length);
+        at.events.info(text, all);
     }
 
     // Other ingresses.
