--- a/lab/src/yardusher/units/UnitsWorld.java
+++ b/lab/src/yardusher/units/UnitsWorld.java
@@ -338,7 +338,8 @@
                 run[0] = new RunAt(region, id, now);
                 allRuns.add(run[0]);
                 runs.put(attempt, run[0]);
-                double takes = region.leastMs + random.nextDouble() * (region.mostMs - region.leastMs);
+                // The one thing that is assumed of a region: it ends what is given up within the settling time.
+                double takes = Math.min(region.leastMs + random.nextDouble() * (region.mostMs - region.leastMs), attempt.sentAt + attempt.waitMs + SETTLE_MS - 5 - now);
                 later(takes, () -> {
                     if (run[0].over) { return; }
                     run[0].over = true;
