--- a/src/main/java/yardusher/units/Post.java
+++ b/src/main/java/yardusher/units/Post.java
@@ -222,7 +222,8 @@
         }
         peer.theirs = read.nonce;
         if (read.life != peer.life) {
-            if (read.to != life || read.echo != peer.nonce) { // it has to show that it lives
+            // It has to show that it lives. Whoever has not accepted this life yet says 0: one of the two is the first.
+            if (read.to != 0 && read.to != life || read.echo != peer.nonce) {
                 voided++;
                 hello(now, peer);
                 return;
