The register elects again after its members doubted a leader for a moment

Cause, read from the live processes: the consensus library (0.7) keeps its mark of an asked pre-vote when the leader is heard after all, and a member with that mark never doubts this leader again. Where all followers carry it and the leader dies, no election begins until a member restarts. Change: each heartbeat a follower that is in this state asks anew by the library's own way.

--- a/lab/src/yardusher/lab/FleetRun.java
+++ b/lab/src/yardusher/lab/FleetRun.java
@@ -21,6 +21,7 @@
     private static final long CALM_MS = 60_000;
     private static final double LOAD_PER_S = 40;
     private static final int TRIES = 6;
+    private static final long MOST_TAKEOVER_MS = 3500;
 
     /** How a seed went. */
     public record Verdict(long seed, int faults, int rolls, int rollsDone, int owners, long effects, int transactions, List<String> breaches) { }
@@ -88,7 +89,7 @@
         order(0, seed + "-roll-" + rolls, "-");
         for (int i = 0; i < troubles && breaches.isEmpty(); i++) {
             trouble();
-            if (random.nextInt(3) == 0) { order(random.nextInt(site.agents()), seed + "-roll-" + ++rolls, random.nextBoolean() ? "take-over" : "-"); }
+            if (random.nextInt(3) > 0) { order(random.nextInt(site.agents()), seed + "-roll-" + ++rolls, random.nextBoolean() ? "take-over" : "-"); }
             if (random.nextInt(3) == 0) { ban(random.nextInt(site.agents()), seed + "-ban-" + i); }
         }
         calm();
@@ -142,7 +143,7 @@
         int a = holder >= 0 ? holder : random.nextInt(site.agents());
         int b = (a + 1 + random.nextInt(site.agents() - 1)) % site.agents();
         long ms = 200 + random.nextInt(2500);
-        int kind = random.nextInt(8);
+        int kind = random.nextInt(10);
         say("kind " + kind + " at a" + a + ", a" + b + " for " + ms);
         switch (kind) {
             case 0, 1 -> {
@@ -179,6 +180,25 @@
                 heal();
                 if (dies) { site.start(a); }
             }
+            case 7 -> {                              // its order to one target comes when another owner, maybe of another roll, has begun
+                site.way(a, b).there.hold();
+                Thread.sleep(ms);
+                boolean dies = random.nextBoolean();
+                if (dies) { site.kill(a); } else { site.pause(a); }
+                boolean another = random.nextBoolean();
+                awaitNext(a, b);
+                if (another) {
+                    order(b, "late-" + faults + "-" + ms, "take-over");
+                    awaitNext(a, b);
+                }
+                heal();
+                if (dies) { site.start(a); } else { site.resume(a); }
+            }
+            case 8 -> {                              // it wakes when another owner has begun
+                site.pause(a);
+                awaitNext(a, b);
+                site.resume(a);
+            }
             default -> {
                 for (int j = 0; j < site.agents(); j++) {
                     if (j == a) { continue; }
@@ -191,6 +211,19 @@
         heal();
     }
 
+    /** Waits until another owner of a roll has sealed at some target, where {@code a} held one; not for longer than it takes. */
+    private void awaitNext(int a, int asked) throws IOException, InterruptedException {
+        long until = System.currentTimeMillis() + MOST_TAKEOVER_MS;
+        long sealed = sealed();
+        while (System.currentTimeMillis() < until && sealed() <= sealed) { Thread.sleep(50); }
+        say("a" + a + " comes back; a" + site.holder(asked, "roll") + " holds the roll");
+    }
+
+    /** The highest token that any target has sealed for a roll. */
+    private long sealed() throws IOException {
+        return site.history().stream().filter(event -> event.work().equals("roll") && event.what().equals("seals")).mapToLong(History.Event::token).max().orElse(0);
+    }
+
     private void heal() {
         for (int i = 0; i < site.agents(); i++) {
             for (int j = 0; j < site.agents(); j++) {
--- a/src/main/java/yardusher/register/Node.java
+++ b/src/main/java/yardusher/register/Node.java
@@ -7,8 +7,11 @@
 import io.microraft.RaftEndpoint;
 import io.microraft.RaftNode;
 import io.microraft.RaftNodeStatus;
+import io.microraft.RaftRole;
 import io.microraft.exception.NotLeaderException;
 import io.microraft.executor.RaftNodeExecutor;
+import io.microraft.impl.RaftNodeImpl;
+import io.microraft.impl.state.RaftState;
 import io.microraft.model.log.LogEntry;
 import io.microraft.model.log.RaftGroupMembersView;
 import io.microraft.model.log.SnapshotChunk;
@@ -31,6 +34,7 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import yardusher.resp.Decoder;
@@ -80,7 +84,8 @@
     }
 
     private final String installation;
-    private final RaftNode raft;
+    private final RaftNodeImpl raft;
+    private final RaftNodeExecutor executor;
     private final World world;
     private final Store store;
     private Register register = new Register();
@@ -96,6 +101,7 @@
             DoubleSupplier clockMs, Random random, World world) {
         this.installation = installation;
         this.world = world;
+        this.executor = executor;
         this.store = store;
         RaftConfig config = RaftConfig.newBuilder().setLeaderHeartbeatPeriodSecs(1).setLeaderHeartbeatTimeoutSecs(SILENT_HEARTBEATS)
                 .setLeaderElectionTimeoutMillis(ELECTION_MS).setCommitCountToTakeSnapshot(SNAPSHOT_EVERY)
@@ -111,7 +117,7 @@
             first.forEach(name -> members.add(new Member(name)));
             builder.setLocalEndpoint(new Member(self)).setInitialGroupMembers(members);
         }
-        raft = builder.build();
+        raft = (RaftNodeImpl) builder.build();         // its public face does not show that it stands still
     }
 
     private static Clock clock(DoubleSupplier clockMs, double secondMs) {
@@ -130,7 +136,25 @@
         };
     }
 
-    public void start() { raft.start(); }
+    public void start() {
+        raft.start();
+        executor.schedule(this::doubtAgain, 1, TimeUnit.SECONDS);
+    }
+
+    /**
+     * Guards against a stand-still of the library: a member that doubted its leader, asked whether it may be voted for, and
+     * then heard the leader after all keeps that it has asked. When that leader dies it waits for itself for ever, and where
+     * all are so nobody leads any more. Here it asks anew, as it would have: an election has all its rules from there.
+     */
+    private void doubtAgain() {
+        if (isOver()) { return; }
+        RaftState state = raft.state();
+        if (state.role() == RaftRole.FOLLOWER && state.leader() != null && state.preCandidateState() != null && raft.isLeaderHeartbeatTimeoutElapsed()) {
+            raft.leader(null);
+            raft.runPreVote();
+        }
+        executor.schedule(this::doubtAgain, 1, TimeUnit.SECONDS);
+    }
 
     /** Takes part no more; {@code then} runs once that is so. */
     public void stop(Runnable then) {
