--- a/lab/src/yardusher/lab/FleetRun.java
+++ b/lab/src/yardusher/lab/FleetRun.java
@@ -181,8 +181,9 @@
                 if (dies) { site.start(a); }
             }
             case 7 -> {                              // its order to one target comes when another owner, maybe of another roll, has begun
-                site.way(a, b).there.hold();
-                Thread.sleep(ms);
+                site.way(a, b).there.holdAt("FLEET.DO");
+                for (long until = System.currentTimeMillis() + ms; System.currentTimeMillis() < until && !site.way(a, b).there.isHolding();) { Thread.sleep(10); }
+                say(site.way(a, b).there.isHolding() ? "an order to a" + b + " is held" : "no order to a" + b);
                 boolean dies = random.nextBoolean();
                 if (dies) { site.kill(a); } else { site.pause(a); }
                 boolean another = random.nextBoolean();
--- a/lab/src/yardusher/lab/Relay.java
+++ b/lab/src/yardusher/lab/Relay.java
@@ -23,14 +23,22 @@
         private boolean holds;
         private boolean loses;
         private int resetAfter = -1;                 // bytes; -1 for never
+        private String holdsAt;                      // null for never
 
         public synchronized void delay(long ms) { delayMs = ms; }
 
         /** Keeps what comes until {@link #release}. */
         public synchronized void hold() { holds = true; }
 
+        /** Keeps what comes from the first that contains this text on, if any does. */
+        public synchronized void holdAt(String text) { holdsAt = text; }
+
+        /** Whether something is kept. */
+        public synchronized boolean isHolding() { return holds; }
+
         public synchronized void release() {
             holds = false;
+            holdsAt = null;
             notifyAll();
         }
 
@@ -40,6 +48,13 @@
         /** The next message is cut after so many bytes, by a reset. */
         public synchronized void reset(int afterBytes) { resetAfter = afterBytes; }
 
+        private synchronized void look(byte[] bytes, int count) {
+            if (holdsAt != null && new String(bytes, 0, count, java.nio.charset.StandardCharsets.ISO_8859_1).contains(holdsAt)) {
+                holds = true;
+                holdsAt = null;
+            }
+        }
+
         private synchronized void awaitFree() throws InterruptedException {
             while (holds) { wait(); }
         }
@@ -123,6 +138,7 @@
             for (int count; (count = in.read(bytes)) > 0;) {
                 if (way.delay() > 0) { Thread.sleep(way.delay()); }
                 lost |= way.loses();
+                way.look(bytes, count);
                 way.awaitFree();
                 lost |= way.loses();
                 if (lost) { continue; }
