--- a/lab/src/yardusher/lab/ViewGroup.java
+++ b/lab/src/yardusher/lab/ViewGroup.java
@@ -18,6 +18,8 @@
 import java.util.concurrent.Future;
 import java.util.function.IntFunction;
 import java.util.stream.IntStream;
+import yardusher.cli.Asking;
+import yardusher.resp.Value;
 
 /**
  * A {@link Group} whose processes keep a view, through the relay {@code view}. What each holds is asked at its second address;
@@ -155,9 +157,13 @@
 
     /** The counters of a process; empty where it does not answer. */
     Map<String, Long> counters(int i) {
-        String line = group.ask(i, ASK_MS, "INFO");
         Map<String, Long> counters = new HashMap<>();
-        if (line == null) { return counters; }
+        String line;
+        try {
+            line = Asking.ask(text(group.listen(i)), ASK_MS, "INFO") instanceof Value.Bulk info ? info.text() : "";
+        } catch (yardusher.error.YardusherError e) {
+            return counters;
+        }
         cells(line.strip()).forEach((name, value) -> {
             if (value.matches("-?[0-9]{1,18}")) { counters.put(name, Long.parseLong(value)); }
         });
--- a/src/main/java/yardusher/view/Health.java
+++ b/src/main/java/yardusher/view/Health.java
@@ -1,19 +1,31 @@
 package yardusher.view;
 
 /**
- * How far this process trusts its own clock and its own ears: 0 for fully, up to 8. It grows when timers come late, when the
- * helpers of a probe are silent too, and when others found this one silent; each probe that is answered brings it down
- * again. All that this process waits for before it accuses another takes (1 + score) times as long (Lifeguard).
+ * How far this process trusts its own ears and its own clock: 0 for fully. The ears' score grows when the helpers of a failed
+ * probe are silent too, and when others found this one silent: then it probes more slowly and waits longer for answers
+ * (Lifeguard). The clock's grows when timers come late: then also its suspicions last longer. Each answered probe
+ * brings both down. Danger: silent helpers must not lengthen suspicion, else the small side of a cut takes long to see it.
  */
 final class Health {
-    static final int WORST = 8;
-    private int score;
+    private static final int WORST_EARS = 3;
+    private static final int WORST_CLOCK = 8;
+    private int ears;
+    private int clock;
 
-    void worse(int by) { score = Math.min(WORST, score + by); }
+    void silence(int by) { ears = Math.min(WORST_EARS, ears + by); }
 
-    void better() { score = Math.max(0, score - 1); }
+    void lateness() { clock = Math.min(WORST_CLOCK, clock + 1); }
 
-    int score() { return score; }
+    void better() {
+        ears = Math.max(0, ears - 1);
+        clock = Math.max(0, clock - 1);
+    }
 
-    double factor() { return 1 + score; }
+    int score() { return Math.max(ears, clock); }
+
+    /** By which rounds and waits of probes are longer. */
+    double slower() { return 1 + score(); }
+
+    /** By which suspicions last longer. */
+    double patience() { return 1 + clock; }
 }
--- a/src/main/java/yardusher/view/Membership.java
+++ b/src/main/java/yardusher/view/Membership.java
@@ -230,7 +230,7 @@
     /** Danger: this process did not run for so long, so it has heard nobody. What waits for others waits as much longer. */
     private void slept(double ms) {
         late++;
-        if (ms > roundMs / 2) { health.worse(1); }
+        if (ms > roundMs / 2) { health.lateness(); }
         for (Probe probe : probes) {
             probe.againAt += ms;
             probe.askAt += ms;
@@ -242,13 +242,13 @@
     }
 
     private double deadline(Entry suspect) {
-        return suspect.sinceMs + Suspicion.lasts(roundMs, settings.suspicion(), roster.there().size(), suspect.accusers.length, health.factor());
+        return suspect.sinceMs + Suspicion.lasts(roundMs, settings.suspicion(), roster.there().size(), suspect.accusers.length, health.patience());
     }
 
     // ---- probes
 
     private void round(double now) {
-        roundAt = now + roundMs * health.factor() * (0.95 + 0.1 * random.nextDouble());
+        roundAt = now + roundMs * health.slower() * (0.95 + 0.1 * random.nextDouble());
         int there = roster.there().size();
         if (there < 2) { return; }
         for (int i = 0; i < there; i++) {            // the next of the shuffled row who is there
@@ -274,9 +274,9 @@
     private void probe(Entry target, double now) {
         if (target == own || probes.stream().anyMatch(one -> one.target == target)) { return; }
         Probe probe = new Probe(target, ++number);
-        probe.againAt = now + roundMs * 0.3 * health.factor();
-        probe.askAt = now + roundMs * 0.5 * health.factor();
-        probe.failAt = now + roundMs * health.factor();
+        probe.againAt = now + roundMs * 0.3 * health.slower();
+        probe.askAt = now + roundMs * 0.5 * health.slower();
+        probe.failAt = now + roundMs * health.slower();
         probes.add(probe);
         ping(target, probe.number, now);
     }
@@ -309,7 +309,7 @@
         }
         if (probe.failAt > now) { return; }
         probes.remove(probe);
-        if (flaw != Flaw.NO_HEALTH) { health.worse(probe.helpers == 0 ? 0 : Math.max(0, probe.helpers - probe.unheard)); }
+        if (flaw != Flaw.NO_HEALTH) { health.silence(Math.max(0, probe.helpers - probe.unheard)); }
         if (roster.accuse(probe.target, (int) own.place, now)) {
             accused++;
             rumours.add(probe.target, 0);
@@ -431,7 +431,7 @@
                 announce(now);
             } else if (news.state() != State.ALIVE && news.incarnation() >= incarnation || news.incarnation() > incarnation) {
                 if (flaw == Flaw.NO_REFUTATION) { return; }
-                health.worse(1);
+                health.silence(1);
                 refuted++;
                 incarnation = news.incarnation() + 1;
                 announce(now);
