--- a/src/main/java/yardusher/view/Roster.java
+++ b/src/main/java/yardusher/view/Roster.java
@@ -117,10 +117,15 @@
             put(held, news, now);
             return Taken.NEW;
         }
-        if (held.state == State.LEFT) { return news.state() == State.LEFT ? Taken.KNOWN : Taken.OUTDATED; }
-        if (news.incarnation() != held.incarnation) {
-            if (news.incarnation() < held.incarnation && news.state() != State.LEFT) { return Taken.OUTDATED; }
-            put(held, news, now);                    // who left has left, whatever was said of it before
+        if (held.state == State.LEFT || news.state() == State.LEFT) { // who left has left, whatever is said of it beside
+            long incarnation = Math.max(held.incarnation, news.incarnation());
+            if (held.state == State.LEFT && incarnation == held.incarnation) { return news.state() == State.LEFT ? Taken.KNOWN : Taken.OUTDATED; }
+            put(held, new News(news.who(), news.life(), news.born(), incarnation, State.LEFT, News.NOBODY, news.ageS()), now);
+            return Taken.NEW;
+        }
+        if (news.incarnation() < held.incarnation) { return Taken.OUTDATED; }
+        if (news.incarnation() > held.incarnation) {
+            put(held, news, now);
             return Taken.NEW;
         }
         if (news.state() == State.SUSPECT && held.state == State.SUSPECT) { return confirm(held, news.accusers()) ? Taken.NEW : Taken.KNOWN; }
--- a/src/main/java/yardusher/view/ViewSettings.java
+++ b/src/main/java/yardusher/view/ViewSettings.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Set;
+import yardusher.error.ConfigError;
 import yardusher.file.Toml;
 import yardusher.net.Sockets;
 
@@ -27,23 +28,23 @@
         this(listen, null, installation, seeds, PROBE_MS, SUSPICION, REMEMBER_S, SETTLE_MS, null);
     }
 
-    /** Reads the table; an IllegalArgumentException names the key and what is allowed. Null where it is left out. */
+    /** Reads the table; a {@link ConfigError} names the key and what is allowed. Null where it is left out. */
     public static ViewSettings of(Toml file) {
         Toml table = file.table("view");
         if (table == null) { return null; }
         table.only(KEYS);
         String installation = table.text("installation");
-        if (!installation.matches("[!-~]{1,64}")) { throw new IllegalArgumentException("view.installation must be 1 to 64 visible characters"); }
+        if (!installation.matches("[!-~]{1,64}")) { throw bad("installation", "1 to 64 visible characters"); }
         String hall = table.text("hall", null);
-        if (hall != null && !Wire.isHall(hall)) { throw new IllegalArgumentException("view.hall must be 1 to " + Wire.MOST_HALL + " visible characters"); }
+        if (hall != null && !Wire.isHall(hall)) { throw bad("hall", "1 to " + Wire.MOST_HALL + " visible characters"); }
         List<InetSocketAddress> seeds = table.texts("seeds").stream().map(text -> address("seeds", text)).toList();
-        if (seeds.size() > MOST_SEEDS) { throw new IllegalArgumentException("view.seeds must be " + MOST_SEEDS + " addresses at the most"); }
+        if (seeds.size() > MOST_SEEDS) { throw bad("seeds", MOST_SEEDS + " addresses at the most"); }
         String advertise = table.text("advertise", null);
         InetSocketAddress listen = address("listen", table.text("listen"));
         if (advertise == null && listen.getAddress().isAnyLocalAddress()) {
-            throw new IllegalArgumentException("view.advertise must name an address that the others reach, since view.listen names none");
+            throw bad("advertise", "an address that the others reach, since view.listen names none");
         }
-        return new ViewSettings(listen, advertise == null ? null : reached("advertise", advertise), installation, seeds,
+        return new ViewSettings(listen, advertise == null ? null : address("advertise", advertise), installation, seeds,
                 table.whole("probe_ms", PROBE_MS, 50, 60_000), table.whole("suspicion", SUSPICION, 2, 100), table.whole("remember_s", REMEMBER_S, 1, 86_400),
                 table.whole("settle_ms", SETTLE_MS, 0, 60_000), hall);
     }
@@ -52,9 +53,9 @@
         try {
             InetSocketAddress at = Sockets.address(text);
             if (key.equals("listen") || at.getPort() != 0 && !at.getAddress().isAnyLocalAddress()) { return at; }
-        } catch (IllegalArgumentException e) { /* told below, with the key */ }
-        throw new IllegalArgumentException("view." + key + " must be an address in digits and a port, as 127.0.0.4:7946, not " + text);
+        } catch (ConfigError e) { /* told below, with the key */ }
+        throw bad(key, "an address in digits and a port, as 127.0.0.4:7946, not " + text);
     }
 
-    private static InetSocketAddress reached(String key, String text) { return address(key, text); }
+    private static ConfigError bad(String key, String allowed) { return new ConfigError.Value(null, "view." + key, allowed); }
 }
--- a/src/main/java/yardusher/view/ViewSubsystem.java
+++ b/src/main/java/yardusher/view/ViewSubsystem.java
@@ -6,6 +6,7 @@
 import java.util.function.Consumer;
 import yardusher.core.Deadlines;
 import yardusher.core.Turns;
+import yardusher.error.ConfigError;
 import yardusher.error.ViewError;
 import yardusher.log.Events;
 import yardusher.mesh.DatagramMesh;
@@ -26,7 +27,7 @@
 
     /** {@code hall}: the name of this ingress's zone, which the settings may override. Loads and opens nothing yet. */
     public ViewSubsystem(ViewSettings settings, String name, String hall, long seed, Turns turns, Events events) {
-        if (!Wire.isName(name)) { throw new IllegalArgumentException("name must be 1 to 64 letters, digits, dots, underscores or dashes for the view, not " + name); }
+        if (!Wire.isName(name)) { throw new ConfigError.Value(null, "name", "1 to 64 letters, digits, dots, underscores or dashes where the view is on, not " + name); }
         this.settings = settings;
         this.turns = turns;
         this.events = events;
@@ -63,11 +64,11 @@
     public String name() { return "view"; }
 
     @Override
-    public void start() throws IOException {
+    public void start() {
         try {
             mesh.open();
         } catch (IOException e) {
-            throw new IOException(new ViewError.Listen(settings.listen(), e.getMessage(), e).getMessage(), e);
+            throw new ViewError.Listen(settings.listen().getAddress().getHostAddress() + ":" + settings.listen().getPort(), e.getMessage(), e);
         }
         mesh.hear(Mesh.Kind.VIEW, (from, body) -> {
             membership.heard(turns.now(), body);
