--- a/src/main/java/yardusher/net/Answers.java
+++ b/src/main/java/yardusher/net/Answers.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.function.Supplier;
 import yardusher.core.Flow;
+import yardusher.core.Session;
 import yardusher.core.Stay;
 import yardusher.core.Turns;
 import yardusher.resp.Encoder;
@@ -192,6 +193,9 @@
         /** Whether the terminal is on this machine. */
         public boolean isFromHere() { return terminal.isFromHere(); }
 
+        /** The connection it came on. */
+        public Session session() { return terminal; }
+
         /** Reads no more of this terminal's commands for a while. */
         public void pauseReading(double ms) { terminal.pause(ms); }
 
