--- a/lab/src/yardusher/lab/PartsRun.java
+++ b/lab/src/yardusher/lab/PartsRun.java
@@ -1,6 +1,9 @@
 package yardusher.lab;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -11,6 +14,8 @@
 import java.util.Random;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
+import yardusher.resp.Malformed;
+import yardusher.resp.Value;
 
 /**
  * Real processes that negotiate their connections at stand-in regions, under faults by seed. Each region counts from accept
@@ -18,6 +23,7 @@
  */
 public final class PartsRun {
     static final int REGIONS = 3;
+    private static final int HEAL_MS = 20_000;       // on a machine with much else to do
 
     private PartsRun() { }
 
@@ -72,17 +78,51 @@
         for (Region region : group.regions()) { found.addAll(Checks.atMost(group.regionHistory(), region.name(), number).stream().limit(3).toList()); }
         Map<Terminals.End, Long> ends = group.terminalHistory().stream().collect(Collectors.groupingBy(Terminals.Try::end, TreeMap::new, Collectors.counting()));
         note.append(ends).append(", most open ").append(most.values()).append(" of ").append(number);
-        if (ends.getOrDefault(Terminals.End.SERVED, 0L) == 0) { found.add("nothing was served"); }
+        note.append(", all served again after ").append(Math.round(heals(group, found))).append(" ms");
         return found;
     }
 
+    /** After the calm each serves again, in a stated time. */
+    private static double heals(Group group, List<String> found) {
+        double from = Chronicle.now();
+        for (int i = 0; i < group.size(); i++) {
+            for (boolean served = false; !served;) {
+                served = group.terminals().send(i, group.terminals().get(77_000 + (long) Chronicle.now() % 1000, 500, i, 1)).end() == Terminals.End.SERVED;
+                if (Chronicle.now() - from > HEAL_MS) {
+                    found.add("n" + i + " serves nothing " + HEAL_MS + " ms after the calm");
+                    return Chronicle.now() - from;
+                }
+            }
+        }
+        return Chronicle.now() - from;
+    }
+
+    /** One call at a process's second address; null where it does not answer in time. */
+    static String call(Group group, int i, String call, int withinMs) {
+        try (Socket socket = new Socket()) {
+            socket.connect(group.admin(i), withinMs);
+            socket.setSoTimeout(withinMs);
+            socket.getOutputStream().write((call + "\n").getBytes(StandardCharsets.US_ASCII));
+            ByteArrayOutputStream all = new ByteArrayOutputStream();
+            byte[] some = new byte[4096];
+            for (int count; (count = socket.getInputStream().read(some)) > 0;) {
+                all.write(some, 0, count);
+                String text = all.toString(StandardCharsets.US_ASCII);
+                if (text.endsWith("EOF\n") || text.startsWith("ERR") && text.endsWith("\n")) { return text; }
+            }
+        } catch (IOException e) { /* as good as no answer */ }
+        return null;
+    }
+
     /** A figure of a process's counters line; 0 where there is none. */
     static double figure(Group group, int i, String name) {
-        String line = group.ask(i, 2000, "counters");
-        if (line == null) { return 0; }
-        for (String pair : line.split("[ \n]")) {
-            if (pair.startsWith(name + "=")) { return Double.parseDouble(pair.substring(name.length() + 1)); }
-        }
+        try (Terminals.Connection connection = group.terminals().connect(i)) {
+            Value said = connection.ask(2000, "INFO");
+            String line = said instanceof Value.Bulk bulk ? bulk.text() : String.valueOf(said);
+            for (String pair : line.split("\\s")) {
+                if (pair.startsWith(name + "=")) { return Double.parseDouble(pair.substring(name.length() + 1)); }
+            }
+        } catch (IOException | Malformed e) { /* as good as no figure */ }
         return 0;
     }
 
--- a/lab/src/yardusher/parts/PartsScripted.java
+++ b/lab/src/yardusher/parts/PartsScripted.java
@@ -25,7 +25,7 @@
     public enum Faults { NONE, ALL }
 
     /** How demand lies. */
-    public enum Load { AMPLE, SCARCE, HALF_HOT, MOVES, RANDOM }
+    public enum Load { AMPLE, FULL, SCARCE, HALF_HOT, MOVES, RANDOM }
 
     /** {@code regions} hold {@code number} connections each. */
     public record Setup(int ingresses, int regions, int number, Way way, Faults faults, Load load, double seconds, Ledger.Without without) { }
@@ -327,6 +327,9 @@
             case AMPLE -> {
                 for (int i = 0; i < n; i++) { demand(i, 0.4 * capacity() / n); }
             }
+            case FULL -> {
+                for (int i = 0; i < n; i++) { demand(i, 0.85 * capacity() / n); }
+            }
             case SCARCE -> {
                 for (int i = 0; i < n; i++) { demand(i, 1.6 * capacity() / n); }
             }
--- a/src/main/java/yardusher/parts/Negotiator.java
+++ b/src/main/java/yardusher/parts/Negotiator.java
@@ -47,6 +47,8 @@
     private static final double BUSY_TICK_MS = 20;
     private static final double IDLE_TICK_MS = 100;
     private static final double ASK_MS = 60;         // an ask counts so long
+    private static final double LACK_MS = 100;       // a small lack is asked for once it has lasted so long
+    private static final double LARGE_LACK = 0.1;
     private static final double RATE_MS = 100;       // over which refusals and attempts are counted
     private static final double USED_MS = 3000;      // over which it is seen where attempts go
     private static final double TURN_MS = 10_000;    // where some get none, others do after this
@@ -67,6 +69,7 @@
         int owed;                                    // units to be given as soon as connections close
         private int room = -1;
         private double tokens;
+        private double lacksSince;
         private double idleSince;
         private double homeAt;
         private int newsHas;
@@ -497,7 +500,12 @@
             if (account == null || account.asking == 0) { continue; }
             if (now - account.askingAt >= ASK_MS) { account.asking = 0; } else { missing -= account.asking; }
         }
-        if (missing <= 0) { return; }
+        if (missing <= 0) {
+            stand.lacksSince = now;
+            return;
+        }
+        // Guards against units that go to and fro with the noise of a full fleet: a small lack has to last.
+        if (missing < Math.max(2, LARGE_LACK * ledger.allowance(stand.region)) && now - stand.lacksSince < LACK_MS && ledger.allowance(stand.region) > 0) { return; }
         division.choose(ledger.self, missing, (giver, units) -> {
             Account account = stand.region.account(giver);
             if (account.asking > 0) { return; }
