--- /dev/null
+++ b/lab/src/yardusher/lab/PartsCases.java
@@ -0,0 +1,211 @@
+package yardusher.lab;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+/** The hard cases of divided connections, each by real processes and by itself; what is found is a line for each breach. */
+public final class PartsCases {
+    /** Which. */
+    public enum Case { STOPPED, LOWERED, COLD, ROLL, CUT, MANY, KILLED }
+
+    private static final String REGION = "00000000";
+    private static final int LOWERED_MS = 10_000;    // by then a lowered number holds
+
+    private PartsCases() { }
+
+    /** {@code FOLDER CASE PROCESSES NUMBER MS}. */
+    public static void main(String[] args) throws Exception {
+        StringBuilder note = new StringBuilder();
+        Path folder = Path.of(args[0]).resolve(args[1].toLowerCase(java.util.Locale.ROOT));
+        if (Files.exists(folder)) { Installation.delete(folder); }
+        List<String> found = play(Files.createDirectories(folder), Case.valueOf(args[1]), Integer.parseInt(args[2]), Integer.parseInt(args[3]), Long.parseLong(args[4]), note);
+        System.out.println(args[1] + " n=" + args[2] + " number=" + args[3] + ": " + note + (found.isEmpty() ? ", no breach" : ", BREACH " + found));
+        System.exit(found.isEmpty() ? 0 : 1);
+    }
+
+    /** Plays a case whose trouble lasts so long. */
+    public static List<String> play(Path folder, Case what, int processes, int number, long ms, StringBuilder note) throws Exception {
+        List<String> found = new ArrayList<>();
+        try (Group group = new Group(folder, processes, 11)) {
+            Region region = group.region(REGION, "hall-a").takes(15, 25);
+            String more = what == Case.COLD ? "cold_percent = 50\n" : "";
+            group.settings(i -> PartsRun.settings(group, i, number, more));
+            group.start();
+            settled(group);
+            switch (what) {
+                case STOPPED -> {
+                    try (Crowd hot = new Crowd(group, 2 * number, 30, 0)) { await(() -> may(group, 0) >= number - processes, 8000); }
+                    int kept = may(group, 0);
+                    group.pause(0);
+                    try (Crowd others = new Crowd(group, 2 * number, 30, 1)) {
+                        Thread.sleep(ms);
+                        note.append("stopped with ").append(kept).append(" of ").append(number).append(", the other had ").append(may(group, 1)).append(" after ").append(ms).append(" ms, ");
+                        group.resume(0);
+                        double from = Chronicle.now();
+                        await(() -> may(group, 1) >= number - processes, 8000);
+                        note.append(may(group, 1)).append(" ").append(Math.round(Chronicle.now() - from)).append(" ms after it woke");
+                    }
+                }
+                case LOWERED -> {
+                    try (Crowd all = new Crowd(group, 2 * number, 30, -1)) {
+                        await(() -> region.open() > number / 2, 8000);
+                        double from = Chronicle.now();
+                        for (int i = 0; i < processes; i++) {
+                            Files.writeString(folder.resolve("n" + i + ".toml"), PartsRun.settings(group, i, number / 2, more));
+                            group.signal(i, "-HUP");
+                        }
+                        await(() -> region.open() <= number / 2, LOWERED_MS);
+                        note.append("from ").append(number).append(" to ").append(number / 2).append(" in ").append(Math.round(Chronicle.now() - from)).append(" ms under load");
+                        double by = Chronicle.now();
+                        Thread.sleep(ms);
+                        group.regionHistory().stream().filter(one -> one.what().equals("open") && one.atMs() > by && one.open() > number / 2).limit(3)
+                                .forEach(one -> found.add("above the lowered number: " + one));
+                    }
+                }
+                case COLD -> {
+                    try (Crowd all = new Crowd(group, 2 * number, 30, -1)) {
+                        await(() -> region.open() > number / 2, 8000);
+                        group.crash(region);
+                        Thread.sleep(300);
+                        group.restart(region);
+                        double from = Chronicle.now() + 3000; // by then the list has been told
+                        Thread.sleep(3000 + ms);
+                        note.append("most open while cold ").append(group.regionHistory().stream().filter(one -> one.atMs() > from).mapToInt(Region.Event::open).max().orElse(0));
+                        group.regionHistory().stream().filter(one -> one.what().equals("open") && one.atMs() > from && one.open() > number / 2).limit(3)
+                                .forEach(one -> found.add("above the cold number: " + one));
+                    }
+                }
+                case ROLL -> {
+                    double longest = 0;
+                    try (Crowd all = new Crowd(group, number, 30, -1)) {
+                        for (int i = 0; i < processes; i++) {
+                            int one = i;
+                            group.terminate(i, 10_000);
+                            double from = Chronicle.now();
+                            group.launch(i);
+                            group.awaitReady(i, 30_000);
+                            await(() -> may(group, one) > 0, 10_000);
+                            longest = Math.max(longest, Chronicle.now() - from);
+                        }
+                    }
+                    note.append("longest from start to a part ").append(Math.round(longest)).append(" ms");
+                }
+                case CUT -> {
+                    cut(group, true);
+                    try (Crowd left = new Crowd(group, number, 30, 0); Crowd right = new Crowd(group, number, 30, processes - 1)) {
+                        Thread.sleep(ms);
+                        note.append("cut: ").append(may(group, 0)).append(" and ").append(may(group, processes - 1));
+                        cut(group, false);
+                        double from = Chronicle.now();
+                        await(() -> may(group, 0) + may(group, processes - 1) >= number - processes, 8000);
+                        note.append(", healed: ").append(may(group, 0)).append(" and ").append(may(group, processes - 1)).append(" after ").append(Math.round(Chronicle.now() - from)).append(" ms");
+                    }
+                }
+                case MANY -> {
+                    try (Crowd all = new Crowd(group, 2 * processes, 30, -1)) { Thread.sleep(ms); }
+                    long served = java.util.stream.IntStream.range(0, processes).filter(i -> group.terminalHistory().stream()
+                            .anyMatch(one -> one.ingress() == i && one.end() == Terminals.End.SERVED)).count();
+                    note.append(served).append(" of ").append(processes).append(" ingresses served something");
+                    if (served < processes) { found.add(processes - served + " ingresses starved"); }
+                }
+                case KILLED -> {
+                    int kills = 0;
+                    double until = Chronicle.now() + ms;
+                    try (Crowd all = new Crowd(group, 2 * number, 40, -1)) {
+                        for (Random random = new Random(3); Chronicle.now() < until; kills++) {
+                            int hot = kills % processes;
+                            try (Crowd stroke = new Crowd(group, 2 * number, 20, (hot + 1) % processes)) {
+                                Thread.sleep(100 + random.nextInt(300));
+                                group.kill(hot);     // while it gives
+                                Thread.sleep(50);
+                            }
+                            if (random.nextBoolean()) { Files.deleteIfExists(PartsRun.claim(group, hot)); }
+                            group.launch(hot);
+                            group.awaitReady(hot, 30_000);
+                        }
+                    }
+                    note.append(kills).append(" givers killed");
+                }
+                default -> { }
+            }
+            note.append(", ");
+            found.addAll(PartsRun.check(group, number, note));
+        }
+        return found;
+    }
+
+    private static void cut(Group group, boolean cut) {
+        DatagramRelay relay = group.datagrams("mesh");
+        for (int i = 0; i < group.size(); i++) {
+            for (int j = 0; j < group.size(); j++) {
+                if (i < group.size() / 2 != j < group.size() / 2) { relay.way(i, j).cut(cut); }
+            }
+        }
+    }
+
+    /** Waits until each knows what its earlier lives lent. */
+    static void settled(Group group) throws InterruptedException {
+        for (int i = 0; i < group.size(); i++) {
+            int one = i;
+            await(() -> String.valueOf(PartsRun.call(group, one, "parts", 1000)).contains("unsettled=0"), 30_000);
+        }
+    }
+
+    /** How many connections a process may have open now. */
+    static int may(Group group, int i) {
+        String report = PartsRun.call(group, i, "parts", 1000);
+        int may = 0;
+        for (String cell : report == null ? new String[0] : report.split("[\t\n]")) { may += cell.startsWith("may=") ? Integer.parseInt(cell.substring(4)) : 0; }
+        return may;
+    }
+
+    private interface Held {
+        boolean holds() throws IOException;
+    }
+
+    private static void await(Held held, long ms) throws InterruptedException {
+        for (double until = Chronicle.now() + ms; Chronicle.now() < until;) {
+            try {
+                if (held.holds()) { return; }
+            } catch (IOException e) { /* not yet */ }
+            Thread.sleep(20);
+        }
+    }
+
+    /** Terminals that each have one transaction out after another, at one ingress or, with -1, at any. */
+    static final class Crowd implements AutoCloseable {
+        private final List<Thread> threads = new ArrayList<>();
+        private volatile boolean over;
+
+        Crowd(Group group, int terminals, int pauseMs, int at) {
+            for (int i = 0; i < terminals; i++) {
+                int me = i;
+                Thread thread = new Thread(() -> {
+                    Random random = new Random(me);
+                    for (long number = 0; !over; number++) {
+                        int to = at >= 0 ? at : random.nextInt(group.size());
+                        Terminals.Try got = group.terminals().send(to, group.terminals().get(1000 + me * 200L + number % 200, 1000, to, 1));
+                        try {
+                            Thread.sleep(got.end() == Terminals.End.SERVED ? random.nextInt(pauseMs) : pauseMs + random.nextInt(pauseMs));
+                        } catch (InterruptedException e) {
+                            return;
+                        }
+                    }
+                }, "terminal " + i);
+                thread.setDaemon(true);
+                threads.add(thread);
+                thread.start();
+            }
+        }
+
+        @Override
+        public void close() throws InterruptedException {
+            over = true;
+            for (Thread thread : threads) { thread.join(); }
+        }
+    }
+}
--- a/src/main/java/yardusher/parts/Ledger.java
+++ b/src/main/java/yardusher/parts/Ledger.java
@@ -269,7 +269,7 @@
         return Heard.TAKEN;
     }
 
-    /** An operator's word that an ingress has ended and its connections with it: what it held comes back. */
+    /** Holds an ingress to have ended, and its connections with it: what it held comes back. Only for who can prove that. */
     void ended(int ingress) {
         for (Region region : regions.values()) {
             Account account = region.accounts[ingress];
--- a/src/main/java/yardusher/parts/PartsSubsystem.java
+++ b/src/main/java/yardusher/parts/PartsSubsystem.java
@@ -261,8 +261,6 @@
 
     @Override
     public String report(String call) {
-        String[] words = call.split(" ", -1);
-        if (words[0].equals("parts-ended") && words.length == 2) { return endedByWord(words[1]); }
         if (!call.equals("parts")) { return null; }
         StringBuilder out = new StringBuilder();
         out.append("claim\t").append(claimState).append('\n');
@@ -280,17 +278,6 @@
         return out.toString();
     }
 
-    /** An operator's word that an ingress has ended for good and its machine's connections with it. */
-    private String endedByWord(String number) {
-        if (negotiator == null || !number.matches("[0-9]{1,4}") || Integer.parseInt(number) >= negotiator.ledger().count
-                || Integer.parseInt(number) == negotiator.ledger().self) {
-            return "parts-ended needs the number of another ingress\n";
-        }
-        negotiator.ledger().ended(Integer.parseInt(number));
-        soon();
-        return "what ingress " + number + " held of this one's share is back\n";
-    }
-
     // The end.
 
     @Override
--- a/src/test/java/yardusher/parts/LedgerTest.java
+++ b/src/test/java/yardusher/parts/LedgerTest.java
@@ -136,7 +136,7 @@
     }
 
     @Test
-    void aDeadBorrowersUnitsComeBackWithItsNewLifeAndWithAnOperatorsWord() {
+    void aDeadBorrowersUnitsComeBackWithItsNewLifeOrAProof() {
         Ledger a = ledger(0, 2, 1, 8);
         a.alive(1, 1);
         a.lend(a.region(R), 1, 4);
