--- a/src/main/java/yardusher/units/Unit.java
+++ b/src/main/java/yardusher/units/Unit.java
@@ -144,6 +144,7 @@
             end(now, t.kind() == Ticket.Kind.END ? Boundary.SAID : Boundary.ABANDON_SAID, t, sink);
             return;
         }
+        if (out != null && out.is(t.holder(), t.life(), t.ask()) || waiting.stream().anyMatch(one -> one.is(t.holder(), t.life(), t.ask()))) { return; }
         wordAt = now;
         if (state != State.OPEN) {
             sink.refuse(this, t, Refusal.ENDED, state.ordinal());
@@ -365,6 +366,16 @@
         return copy;
     }
 
+    /** All that decides what it does next but for the number of grants, in a text that is the same for equal units. */
+    String shape(double now) {
+        StringBuilder text = new StringBuilder(64).append(state.ordinal()).append(boundary == null ? "" : boundary.ordinal()).append(whole ? 'w' : 'c').append(next)
+                .append(repeats ? 'r' : '-').append(doubt ? 'd' : '-').append(doubtSaid ? 's' : '-').append(lastSaid ? 'l' : '-').append(doubts > 0 ? 'p' : '-')
+                .append(now < looseUntil ? 'L' : '-').append(server).append('/').append(zone).append('@').append(epoch);
+        if (out != null) { text.append(" o").append(out.ask()).append(out.life()); }
+        for (Ticket t : waiting) { text.append(" t").append(t.ask()).append(t.life()); }
+        return text.toString();
+    }
+
     /** One line for operators, and for telling states apart. */
     @Override
     public String toString() {
