--- a/lab/src/yardusher/lab/Programs.java
+++ b/lab/src/yardusher/lab/Programs.java
@@ -17,7 +17,8 @@
 
 /**
  * How the lab starts this program and what it does to its processes. The built jar is run where the system property
- * {@code lab.jar} names one (with the class archive beside it), else the class path of this process.
+ * {@code lab.jar} names one (with the class archive beside it), else the class path of this process. {@code lab.options}: more
+ * options for each JVM, {@code -verbose:class}, say.
  */
 final class Programs {
     private static final AtomicInteger GROUPS = new AtomicInteger((int) (ProcessHandle.current().pid() % 200) * 250);
@@ -25,10 +26,19 @@
     private Programs() { }
 
     /** The words before the sub-command. {@code heapMb}: the most that its heap takes. */
-    static List<String> command(int heapMb) {
+    static List<String> command(int heapMb) { return command(heapMb, null); }
+
+    /** With classes of a folder in place of the program's own of the same names, or null. */
+    static List<String> command(int heapMb, Path instead) {
         String jar = System.getProperty("lab.jar");
         List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData", "-Xmx" + heapMb + "m", "-Xss256k"));
+        String more = System.getProperty("lab.options", "");
+        if (!more.isBlank()) { command.addAll(List.of(more.trim().split(" +"))); }
+        if (instead != null) {
+            command.addAll(List.of("-cp", instead + java.io.File.pathSeparator + (jar != null ? jar : System.getProperty("java.class.path")), "yardusher.cli.Main"));
+            return command;
+        }
         if (jar != null) {
             Path archive = Path.of(jar.replaceAll("\\.jar$", ".jsa"));
             if (Files.exists(archive)) { command.addAll(List.of("-Xlog:disable", "-Xlog:all=error:stderr", "-XX:SharedArchiveFile=" + archive)); }
--- a/src/main/java/yardusher/list/ServiceTable.java
+++ b/src/main/java/yardusher/list/ServiceTable.java
@@ -5,7 +5,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -25,9 +24,10 @@
     private final List<String> zones;
     private final RegionPool pool;
     private final Map<Long, InetSocketAddress> known = new LinkedHashMap<>();
-    private final Map<Long, Api.Server> listed = new HashMap<>(); // the same regions, as they were last told
     /** Ids as they were told, for as long as there are no more than MOST_TOLD newer ones. */
     private final Set<String> told = new LinkedHashSet<>();
+    private final Map<Long, Api.Server> listed = new LinkedHashMap<>();
+    private Runnable follower = () -> { };
     private long revision;
 
     public ServiceTable(List<String> zones, RegionPool pool) {
@@ -40,6 +40,12 @@
     /** How many regions are listed now. */
     public int size() { return known.size(); }
 
+    /** The regions listed now, as they were told last. */
+    public Map<Long, Api.Server> listed() { return listed; }
+
+    /** Runs after each change, before the module is told of it. */
+    public void follow(Runnable next) { follower = next; }
+
     /** A region as it was last told, null where it is not listed. */
     public Api.Server listed(long id) { return listed.get(id); }
 
@@ -99,6 +105,7 @@
         }
         absent.forEach(this::forget);
         revision = (long) news.number("revision", revision);
+        follower.run();
         return new Api.ServerList(as != null ? as : complete ? Api.ListKind.FULL : Api.ListKind.DELTA, servers);
     }
 
--- a/src/main/java/yardusher/view/Membership.java
+++ b/src/main/java/yardusher/view/Membership.java
@@ -49,6 +49,7 @@
         final Entry target;
         final long life;
         final int number;
+        double againAt;                              // the next step: a second ping, then others are asked
         double askAt;
         double failAt;
         boolean asked;
@@ -121,6 +122,7 @@
     private int number;
     private int joinNumber;
     private int joins;
+    private int alone;                               // how often seeds were asked while nobody else was known
     private double enteredMs;
     private double dueAt = Double.POSITIVE_INFINITY;
     private double roundAt = Double.POSITIVE_INFINITY;
@@ -211,7 +213,7 @@
             roster.forget(now);
             forgetAt = now + FORGET_EVERY_MS;
         }
-        settled.look(now, picture(now));
+        settled.look(now, this::picture);
         dueAt = nextDue(now);
     }
 
@@ -219,7 +221,7 @@
         if (phase == Phase.LEFT) { return Double.POSITIVE_INFINITY; }
         if (gossipAt == Double.POSITIVE_INFINITY && !rumours.isEmpty() && phase == Phase.IN) { gossipAt = now + gossipMs * random.nextDouble(); }
         double next = Math.min(Math.min(Math.min(roundAt, gossipAt), Math.min(goneAt, seedAt)), Math.min(joinAt, forgetAt));
-        for (Probe probe : probes) { next = Math.min(next, probe.asked ? probe.failAt : probe.askAt); }
+        for (Probe probe : probes) { next = Math.min(next, probe.asked ? probe.failAt : Math.min(probe.askAt, probe.againAt)); }
         for (Favour favour : favours.values()) { next = Math.min(next, favour.until); }
         for (Entry entry : roster.suspects()) { next = Math.min(next, deadline(entry)); }
         return Math.min(next, settled.next(now));
@@ -228,23 +230,25 @@
     /** Danger: this process did not run for so long, so it has heard nobody. What waits for others waits as much longer. */
     private void slept(double ms) {
         late++;
-        if (ms > roundMs / 2) { health.worse(1); }
+        if (ms > roundMs / 2) { health.lateness(); }
         for (Probe probe : probes) {
+            probe.againAt += ms;
             probe.askAt += ms;
             probe.failAt += ms;
         }
         for (Favour favour : favours.values()) { favour.until += ms; }
-        for (Entry entry : roster.suspects()) { entry.sinceMs += ms; }
+        // After a long sleep what was said meanwhile waits in the socket, and is heard before anybody is given up.
+        for (Entry entry : roster.suspects()) { entry.sinceMs += ms > roundMs / 2 ? ms + roundMs : ms; }
     }
 
     private double deadline(Entry suspect) {
-        return suspect.sinceMs + Suspicion.lasts(roundMs, settings.suspicion(), roster.there().size(), suspect.accusers.length, health.factor());
+        return suspect.sinceMs + Suspicion.lasts(roundMs, settings.suspicion(), roster.there().size(), suspect.accusers.length, health.patience());
     }
 
     // ---- probes
 
     private void round(double now) {
-        roundAt = now + roundMs * health.factor() * (0.95 + 0.1 * random.nextDouble());
+        roundAt = now + roundMs * health.slower() * (0.95 + 0.1 * random.nextDouble());
         int there = roster.there().size();
         if (there < 2) { return; }
         for (int i = 0; i < there; i++) {            // the next of the shuffled row who is there
@@ -270,8 +274,9 @@
     private void probe(Entry target, double now) {
         if (target == own || probes.stream().anyMatch(one -> one.target == target)) { return; }
         Probe probe = new Probe(target, ++number);
-        probe.askAt = now + roundMs / 2 * health.factor();
-        probe.failAt = now + roundMs * health.factor();
+        probe.againAt = now + roundMs * 0.3 * health.slower();
+        probe.askAt = now + roundMs * 0.5 * health.slower();
+        probe.failAt = now + roundMs * health.slower();
         probes.add(probe);
         ping(target, probe.number, now);
     }
@@ -288,8 +293,13 @@
             probes.remove(probe);
             return;
         }
+        if (probe.againAt <= now) {
+            probe.againAt = Double.POSITIVE_INFINITY;
+            ping(probe.target, probe.number, now);   // one lost datagram is no reason to bother others
+        }
         if (!probe.asked && probe.askAt <= now) {
             probe.asked = true;
+            ping(probe.target, probe.number, now);
             if (flaw != Flaw.NO_HELPERS) {
                 for (Entry helper : some(HELPERS, probe.target)) {
                     probe.helpers++;
@@ -299,7 +309,7 @@
         }
         if (probe.failAt > now) { return; }
         probes.remove(probe);
-        if (flaw != Flaw.NO_HEALTH) { health.worse(probe.helpers == 0 ? 0 : Math.max(0, probe.helpers - probe.unheard)); }
+        if (flaw != Flaw.NO_HEALTH) { health.silence(Math.max(0, probe.helpers - probe.unheard)); }
         if (roster.accuse(probe.target, (int) own.place, now)) {
             accused++;
             rumours.add(probe.target, 0);
@@ -334,7 +344,8 @@
 
     /** A seed that is not held to be there is asked for as long as this process runs. */
     private void askSeed(double now) {
-        seedAt = now + SEED_EVERY_MS * (0.5 + random.nextDouble());
+        alone = roster.there().size() > 1 ? 0 : alone + 1;    // admitted by a seed that knew nobody, or cut off
+        seedAt = now + (alone == 0 ? SEED_EVERY_MS : backoff(alone)) * (0.5 + random.nextDouble());
         List<InetSocketAddress> silent = seeds().stream().filter(at -> roster.there().stream().noneMatch(one -> one.who.at().equals(at))).toList();
         if (!silent.isEmpty() && flaw != Flaw.NO_ASKING_THE_GONE) {
             write(silent.get(random.nextInt(silent.size())), fill(writer(Wire.Type.PING).probe(0, 0), now));
@@ -420,7 +431,7 @@
                 announce(now);
             } else if (news.state() != State.ALIVE && news.incarnation() >= incarnation || news.incarnation() > incarnation) {
                 if (flaw == Flaw.NO_REFUTATION) { return; }
-                health.worse(1);
+                health.silence(1);
                 refuted++;
                 incarnation = news.incarnation() + 1;
                 announce(now);
@@ -472,8 +483,7 @@
             return;
         }
         joins++;
-        double wait = phase == Phase.TAKEN ? JOIN_MOST_MS : Math.min(JOIN_MOST_MS, JOIN_LEAST_MS * Math.pow(1.4, Math.min(joins, 20)));
-        joinAt = now + wait * (0.6 + 0.8 * random.nextDouble());
+        joinAt = now + (phase == Phase.TAKEN ? JOIN_MOST_MS : backoff(joins)) * (0.6 + 0.8 * random.nextDouble());
         List<InetSocketAddress> seeds = new ArrayList<>(seeds());
         // Whoever is known by now may be asked as well, where no seed answers.
         for (Entry one : some(2, own)) { seeds.add(one.who.at()); }
@@ -482,9 +492,12 @@
             world.wrong(new ViewError.NoSeed(String.join(" ", settings.seeds().stream().map(Membership::text).toList())));
         }
         joinNumber = ++number;
-        write(seeds.get(random.nextInt(seeds.size())), writer(Wire.Type.JOIN).probe(joinNumber, 0));
+        Collections.shuffle(seeds, random);
+        for (InetSocketAddress seed : seeds.subList(0, Math.min(joins == 1 ? 1 : 2, seeds.size()))) { write(seed, writer(Wire.Type.JOIN).probe(joinNumber, 0)); }
     }
 
+    private static double backoff(int tries) { return Math.min(JOIN_MOST_MS, JOIN_LEAST_MS * Math.pow(1.25, Math.min(tries, 30))); }
+
     /** Takes part, above whatever was known of the name. */
     private void enter(double now, long above) {
         if (above >= incarnation) { incarnation = above + 1; }
@@ -498,7 +511,7 @@
         joinAt = Double.POSITIVE_INFINITY;
         joins = 0;
         roundAt = now + roundMs * random.nextDouble();
-        seedAt = now + SEED_EVERY_MS * random.nextDouble();
+        seedAt = now + JOIN_LEAST_MS * (0.5 + random.nextDouble());
         if (!roster.gone().isEmpty()) { goneAt = now + GONE_EVERY_MS * random.nextDouble(); }
     }
 
@@ -735,7 +748,7 @@
         return entry == null ? 0 : entry.life;
     }
 
-    /** Of name, address and incarnation of all who are there. */
+    /** Of name, address and process of all who are there. */
     public long digest() { return roster.digest(); }
 
     /** When that last changed here. */
