A watch that falls silent is followed by one that tells within 5.4 s, not 9.6 s

A new watch was given the 3 s of an old one before the next was dialled, and an empty line was enough to be believed, also after a move, so that a list was never asked for again.

WatchClock decides when to ask and whom to believe, free of I/O and clock; Watch keeps the sockets. A new watch is due to speak 0.75 s after its dial; then a second is dialled, after a backoff, and the first kept for 3 s in all. Believed is who told an object, never who said an empty line; after an empty line the next one asks for all there is. A watch that tells and ends at once no longer ends the backing off.

On a healthy discovery a process asks once in its first minute, as before.

--- a/src/main/java/yardusher/list/ObjectLines.java
+++ b/src/main/java/yardusher/list/ObjectLines.java
@@ -41,7 +41,4 @@
         part.setLength(0);
         return whole;
     }
-
-    /** Whether an object has begun and not ended. */
-    boolean isWithin() { return depth > 0; }
 }
--- a/src/test/java/yardusher/list/ObjectLinesTest.java
+++ b/src/test/java/yardusher/list/ObjectLinesTest.java
@@ -31,7 +31,6 @@
                 read.add(((Codec.Fields) Codec.read(parser)).text("id"));
             }
         }
-        assertThat(lines.isWithin()).isFalse();
         return read;
     }
 
@@ -69,7 +68,6 @@
         assertThat(lines.add("[1]")).isEqualTo("[1]");
         assertThat(lines.add("")).isEmpty();
         assertThat(lines.add("{\"a\":")).isNull();
-        assertThat(lines.isWithin()).isTrue();
         assertThat(lines.add("1}")).isEqualToIgnoringWhitespace("{\"a\":1}");
         assertThatThrownBy(() -> lines.add("{\"a")).isInstanceOf(IOException.class).hasMessageContaining("cut off");
         ObjectLines large = new ObjectLines();
--- /dev/null
+++ b/src/test/java/yardusher/list/WatchClockTest.java
@@ -0,0 +1,249 @@
+package yardusher.list;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.function.Consumer;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+/** When discovery is asked, on scripted time: orders of accept, silence, refusal, close, hanging, move, and a process held up. */
+class WatchClockTest {
+    /** How a dial goes. Only PROMPT tells the list. */
+    enum Dial { PROMPT, REFUSED, HANGS, SILENT, EMPTY_LINES, CLOSED_SOON, CLOSED_LATE }
+
+    private static final double ANSWER_MS = 5;
+
+    /** Discovery and time around one clock. */
+    private static final class World {
+        private record At(double time, long order, Runnable what) { }
+
+        private final PriorityQueue<At> events = new PriorityQueue<>((a, b) -> a.time != b.time
+                ? Double.compare(a.time, b.time) : Long.compare(a.order, b.order));
+        private final Map<Integer, Boolean> open = new HashMap<>();
+        final List<Double> dials = new ArrayList<>();
+        final List<Double> objects = new ArrayList<>();
+        final List<Boolean> whole = new ArrayList<>();
+        final WatchClock clock;
+        double now;
+        private long order;
+        int mostOpen;
+        int believed;
+        boolean keepsAlive = true;                   // whether the watch that is believed says its empty lines
+        Consumer<Integer> script = watch -> answer(watch, Dial.PROMPT);
+
+        World(long seed) {
+            clock = new WatchClock(new WatchClock.Hands() {
+                @Override
+                public void dial(int watch) {
+                    dials.add(now);
+                    whole.add(clock.asksWhole());
+                    open.put(watch, true);
+                    mostOpen = Math.max(mostOpen, open.size());
+                    script.accept(watch);
+                }
+
+                @Override
+                public void close(int watch) { assertThat(open.remove(watch)).as("closed once").isNotNull(); }
+            }, new Backoff(100, 1000, seed));
+        }
+
+        void at(double time, Runnable what) { events.add(new At(time, order++, what)); }
+
+        void after(double ms, int watch, Runnable what) {
+            at(now + ms, () -> {
+                if (open.containsKey(watch)) { what.run(); }
+            });
+        }
+
+        void end(int watch) {
+            open.remove(watch);
+            clock.ended(watch, now);
+        }
+
+        void object(int watch) {
+            objects.add(now);
+            believed = watch;
+            clock.object(watch, now);
+        }
+
+        void emptyLines(int watch, boolean always) {
+            after(2000, watch, () -> {
+                if (!always && !keepsAlive) { return; }
+                clock.empty(watch, now);
+                emptyLines(watch, always);
+            });
+        }
+
+        void answer(int watch, Dial how) {
+            switch (how) {
+                case PROMPT -> after(ANSWER_MS, watch, () -> {
+                    object(watch);
+                    emptyLines(watch, false);
+                });
+                case REFUSED -> after(1, watch, () -> end(watch));
+                case CLOSED_SOON -> after(20, watch, () -> end(watch));
+                case CLOSED_LATE -> after(700, watch, () -> end(watch));
+                case EMPTY_LINES -> {
+                    after(ANSWER_MS, watch, () -> clock.empty(watch, now));
+                    emptyLines(watch, true);
+                }
+                default -> { }
+            }
+        }
+
+        /** Until that time; a look comes late by what the process is held up then. */
+        void run(double until, double heldUpMs) {
+            for (;;) {
+                double look = clock.next() + heldUpMs;
+                double event = events.isEmpty() ? Double.POSITIVE_INFINITY : events.peek().time;
+                if (Math.min(look, event) > until) { break; }
+                now = Math.max(now, Math.min(look, event));
+                if (event <= look) { events.poll().what.run(); } else { clock.look(now); }
+            }
+            now = until;
+        }
+
+        void run(double until) { run(until, 0); }
+    }
+
+    private static World healthy(long seed) {
+        World world = new World(seed);
+        world.clock.start(0);
+        world.run(10_000);
+        assertThat(world.objects).hasSize(1);
+        return world;
+    }
+
+    /** The dials from now on go by the script, and those after it by its last word. */
+    private static void script(World world, List<Dial> script) {
+        int before = world.dials.size();
+        world.script = watch -> world.answer(watch, script.get(Math.min(script.size(), world.dials.size() - before) - 1));
+    }
+
+    @Test
+    void aHealthyDiscoveryIsAskedOnce() {
+        World world = healthy(1);
+        world.run(60_000);
+        assertThat(world.dials).containsExactly(0.0);
+        assertThat(world.whole).containsExactly(false);
+    }
+
+    /** Whatever the first two dials after a silence meet, and whenever in them it moves, the third that is answered tells in time. */
+    @Property(tries = 3000)
+    void oneOfThreeDialsAfterASilenceTellsWithinItsTime(@ForAll @Size(max = 2) List<Dial> bad, @ForAll long seed,
+            @ForAll @DoubleRange(max = 2000) double since) {
+        World world = healthy(seed);
+        world.run(10_005 + since);                   // it falls silent somewhere between two empty lines
+        double silent = world.now;
+        world.keepsAlive = false;
+        List<Dial> all = new ArrayList<>(bad);
+        all.add(Dial.PROMPT);
+        script(world, all);
+        world.run(silent + 20_000);
+        assertThat(world.objects.get(1) - silent).isLessThan(5400 + ANSWER_MS);
+        assertThat(world.mostOpen).isLessThanOrEqualTo(3);
+        assertThat(world.dials.stream().filter(at -> at >= silent && at < world.objects.get(1)).count()).isLessThanOrEqualTo(3);
+    }
+
+    /** Through any order, also of moves, and as soon as dials are answered, the list is told within one gap between dials. */
+    @Property(tries = 3000)
+    void fromWhenDialsAreAnsweredTheListIsToldWithinOneGap(@ForAll @Size(min = 1, max = 30) List<Dial> bad, @ForAll long seed,
+            @ForAll @DoubleRange(min = 0, max = 30_000) double outage, @ForAll @Size(max = 3) List<@DoubleRange(max = 30_000) Double> moves) {
+        World world = healthy(seed);
+        world.run(10_006);                           // right after an empty line
+        double silent = world.now;
+        world.keepsAlive = false;
+        double healed = silent + outage;
+        int before = world.dials.size();
+        world.script = watch -> {
+            Dial how = bad.get((world.dials.size() - before) % bad.size());
+            world.answer(watch, world.now >= healed ? Dial.PROMPT : how == Dial.PROMPT ? Dial.SILENT : how);
+        };
+        for (double move : moves) { world.at(silent + move, () -> world.clock.move(world.now)); }
+        world.run(silent + 70_000);
+        double due = Math.max(healed, silent + 3450) + 2250 + ANSWER_MS;
+        assertThat(world.objects.get(1)).isLessThanOrEqualTo(due + ANSWER_MS);
+        assertThat(world.mostOpen).isLessThanOrEqualTo(3);
+        for (int i = 0; i + 8 < world.dials.size(); i++) { // five ways of failing, backing off: no more than eight in three seconds
+            double span = world.dials.get(i + 8) - world.dials.get(i);
+            assertThat(span).as("eight dials").isGreaterThan(moves.isEmpty() ? 2500 : 0);
+        }
+    }
+
+    /** A move asks at once, whatever the old one says meanwhile; one of its first four dials within 3.3 s. */
+    @Property(tries = 2000)
+    void afterAMoveOneOfFourDialsTellsWithinItsTime(@ForAll @Size(max = 3) List<Dial> bad, @ForAll long seed) {
+        World world = healthy(seed);
+        List<Dial> all = new ArrayList<>(bad);
+        all.add(Dial.PROMPT);
+        script(world, all);
+        world.clock.move(world.now);
+        world.run(20_000);
+        assertThat(world.objects.get(1) - 10_000).isLessThan(3300 + ANSWER_MS);
+        assertThat(world.whole.subList(1, world.whole.size())).as("its versions are its own").containsOnly(true);
+    }
+
+    @Test
+    void emptyLinesAloneAreNotBelievedAndTheNextAsksForAllThereIs() {
+        World world = healthy(3);
+        world.keepsAlive = false;
+        script(world, List.of(Dial.EMPTY_LINES, Dial.PROMPT));
+        world.run(20_000);
+        assertThat(world.whole.subList(0, 3)).containsExactly(false, false, true);
+        assertThat(world.objects).hasSizeGreaterThan(1);
+    }
+
+    @Test
+    void whoIsSlowIsHeardBesideTheNext() {
+        World world = healthy(4);
+        world.keepsAlive = false;
+        world.script = watch -> world.after(2500, watch, () -> world.object(watch));
+        world.run(10_000 + 3450 + 2500 + 1);
+        assertThat(world.objects).as("the first is not given up when a second is asked").hasSize(2);
+        assertThat(world.believed).isEqualTo(2);
+    }
+
+    @Test
+    void whatWasAskedWhileThisProcessWasHeldUpIsGivenAMoment() {
+        World world = new World(5);
+        world.script = watch -> { };
+        world.clock.start(0);
+        world.run(1000, 200);                        // looked at 200 ms late: 950 ms, then due at 1,200
+        world.run(1190, 0);
+        assertThat(world.dials).hasSize(1);
+        world.run(1600, 0);
+        assertThat(world.dials).hasSize(2);
+    }
+
+    @Test
+    void aWatchThatTellsAndEndsAtOnceIsAskedMoreAndMoreSeldom() {
+        World world = new World(6);
+        world.script = watch -> world.after(ANSWER_MS, watch, () -> {
+            world.object(watch);
+            world.end(watch);
+        });
+        world.clock.start(0);
+        world.run(60_000);
+        assertThat(world.dials.size()).isLessThan(75);
+    }
+
+    /** A check of the check: with the silence of an old watch allowed to a new one, the bound is broken. */
+    @Test
+    void theBoundIsOneThatCanBeBroken() {
+        World world = healthy(7);
+        world.run(10_006);
+        double silent = world.now;
+        world.keepsAlive = false;
+        script(world, List.of(Dial.SILENT, Dial.SILENT, Dial.SILENT, Dial.PROMPT));
+        world.run(30_000);
+        assertThat(world.objects.get(1) - silent).isGreaterThan(5400);
+    }
+}
--- a/src/test/java/yardusher/story/ConnectionStoryTest.java
+++ b/src/test/java/yardusher/story/ConnectionStoryTest.java
@@ -143,10 +143,11 @@
             assertThat(serve.reload(file.toString())).startsWith("reloaded: discovery at ");
             assertThat(next(newer.asked)).contains("since=0 "); // another service's versions mean nothing here
             newer.tell("");
-            next(discovery.ends);                    // heard until the new one has spoken, then left
             newer.dropGuests();
             assertThat(next(newer.asked)).contains("since=0 "); // an empty line was no list
+            assertThat(discovery.ends).isEmpty();
             newer.tell(list(3, true, member("s-2", other.address(), "Ready")));
+            next(discovery.ends);                    // heard until the new one has told its list, then left
             assertThat(client.lookup(2, 2000)).isEqualTo("elsewhere");
             newer.dropGuests();
             assertThat(next(newer.asked)).contains("since=3 ");
--- a/src/test/java/yardusher/story/StandIn.java
+++ b/src/test/java/yardusher/story/StandIn.java
@@ -127,7 +127,10 @@
         decoder.filled(count);
     }
 
-    /** Discovery's agent: holds each watch open and sends the lines it is given to the newest. */
+    /**
+     * Discovery's agent: holds each watch open and sends the lines it is given to the newest. Who asks from a version on is
+     * told at once that nothing has changed since; who asks for all there is waits for what the test tells.
+     */
     static final class Discovery extends Listener {
         final BlockingQueue<String> asked = new LinkedBlockingQueue<>();
         final BlockingQueue<String> ends = new LinkedBlockingQueue<>();
@@ -156,7 +159,10 @@
                 if (head.indexOf("\r\n\r\n") < 0) { continue; }
                 guest.getOutputStream().write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes());
                 newest = guest;
-                asked.add(head.toString().lines().findFirst().orElse(""));
+                String line = head.toString().lines().findFirst().orElse("");
+                int since = Integer.parseInt(line.replaceAll(".*since=(\\d+) .*", "$1"));
+                if (since != 0) { tell(list(since, false)); }
+                asked.add(line);
                 head.setLength(0);
             }
         }
--- a/src/test/java/yardusher/story/WatchStoryTest.java
+++ b/src/test/java/yardusher/story/WatchStoryTest.java
@@ -9,6 +9,8 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Semaphore;
@@ -183,4 +185,87 @@
             assertThat(agent.asks).hasSize(1);
         }
     }
+
+    /** The last byte comes right before the silence; what was missed is told within the time in which it counts, whatever comes first. */
+    @Test
+    void whatASilentWatchMissedIsToldInTimeThroughAnyTwoBadAnswers() throws Exception {
+        for (List<Word> bad : List.<List<Word>>of(List.of(), List.of(Word.NOTHING), List.of(Word.HEAD), List.of(Word.EMPTY_LINES), List.of(Word.END),
+                List.of(Word.HALF), List.of(Word.NOTHING, Word.HEAD), List.of(Word.END, Word.NOTHING))) {
+            start();
+            int before = agent.asks.size();
+            agent.script = ask -> ask - before <= bad.size() ? bad.get(ask - before - 1) : Word.LIST;
+            double took = untilTold(9000);
+            assertThat(took).as(bad.toString()).isLessThan(5400 + 2 * STEP_MS);
+            assertThat(agent.asks.size() - before).as(bad.toString()).isEqualTo(bad.size() + 1);
+            again();
+        }
+    }
+
+    @Test
+    void afterAMoveTheNewOneIsAskedUntilItHasToldWhateverTheOldOneSays() throws Exception {
+        for (List<Word> bad : List.of(List.of(Word.NOTHING), List.of(Word.EMPTY_LINES), List.of(Word.END, Word.HEAD, Word.NOTHING))) {
+            start();
+            newer.script = ask -> ask <= bad.size() ? bad.get(ask - 1) : Word.LIST;
+            Path file = Files.createTempFile("ingress", ".json");
+            try {
+                Files.writeString(file, Files.readString(Path.of("src/test/resources/ingress.json")).replace("127.0.0.1:9\"", newer.address() + "\""));
+                assertThat(serve.reload(file.toString())).startsWith("reloaded: discovery at ");
+            } finally {
+                Files.delete(file);
+            }
+            for (Socket guest : agent.open) { Agent.chunk(guest, "\n"); } // the old one goes on with its empty lines
+            double took = until(9000, () -> newer.told.get() > 0);
+            assertThat(took).as(bad.toString()).isLessThan(3300 + 2 * STEP_MS);
+            assertThat(newer.asks).allMatch(ask -> ask.contains("since=0 "));
+            again();
+        }
+    }
+
+    /** A new process is told from its first moment on: it asks in its first turn, and again soon where nothing is said. */
+    @Test
+    void aNewProcessAsksAtOnceAndAgainWhereNothingIsSaid() throws Exception {
+        agent.script = ask -> ask == 1 ? Word.NOTHING : Word.LIST;
+        start();
+        assertThat(agent.asks).as("with the clock standing still").hasSize(1);
+        assertThat(untilTold(9000)).isLessThan(900 + 2 * STEP_MS);
+    }
+
+    /** Nothing can be told: the list stays, it is asked for no faster than about once in 1.75 s, and told as soon as there is an answer. */
+    @Test
+    void throughALongOutageTheListStaysAndIsAskedForSeldom() throws Exception {
+        try (Region region = new Region()) {
+            start(member("s-1", region.address(), "Ready"));
+            int before = agent.asks.size();
+            agent.script = ask -> Word.HEAD;
+            until(30_000, () -> false);
+            assertThat(agent.asks.size() - before).isBetween(12, 22);
+            assertThat(client.lookup(1, 2000)).isEqualTo("made here");
+            agent.script = ask -> Word.LIST;
+            assertThat(untilTold(9000)).isLessThan(2250 + 2 * STEP_MS);
+            int after = agent.asks.size();
+            agent.tell(agent.open.get(agent.open.size() - 1), list(400, false));
+            until(2500, () -> false);
+            assertThat(agent.asks).hasSize(after);
+        }
+    }
+
+    private void again() {
+        client = close(client);
+        serve.close();
+        serve = null;
+        for (Agent one : List.of(agent, newer)) {
+            one.script = ask -> Word.LIST;
+            one.seen.set(0);
+            one.told.set(0);
+            one.asks.clear();
+            one.open.clear();
+        }
+    }
+
+    private static Client close(Client client) {
+        try {
+            client.close();
+        } catch (IOException e) { /* it is gone either way */ }
+        return null;
+    }
 }
