--- a/lab/src/yardusher/lab/ViewRun.java
+++ b/lab/src/yardusher/lab/ViewRun.java
@@ -58,9 +58,11 @@
         double[] healed = new double[count];
         long accused = 0;
         long changes = 0;
+        int slowest = 0;
         for (int i = 0; i < count; i++) {
             Outcome outcome = play(first + i, hard, members, flaw);
             healed[i] = outcome.healedMs();
+            slowest = healed[i] > healed[slowest] ? i : slowest;
             accused += outcome.accused();
             changes += outcome.changes();
             if (!outcome.breaches().isEmpty()) {
@@ -68,9 +70,9 @@
                 System.out.printf("seed %d, %d members: BREACH %s%n", first + i, outcome.members(), outcome.breaches().subList(0, Math.min(5, outcome.breaches().size())));
             }
         }
-        System.out.printf("%s: %d seeds, %d with a breach%s; settled in calm p50 %.0f p99 %.0f most %.0f ms; %d changes seen, %d suspected for nothing%n", args[0], count,
+        System.out.printf("%s: %d seeds, %d with a breach%s; settled in calm p50 %.0f p99 %.0f most %.0f ms (seed %d); %d changes seen, %d suspected for nothing%n", args[0], count,
                 broken.size(), broken.isEmpty() ? "" : " " + broken, ViewFleet.percentile(healed, 0.5), ViewFleet.percentile(healed, 0.99),
-                ViewFleet.percentile(healed, 1), changes, accused);
+                ViewFleet.percentile(healed, 1), first + slowest, changes, accused);
         System.exit(broken.isEmpty() ? 0 : 1);
     }
 
--- a/src/main/java/yardusher/view/Membership.java
+++ b/src/main/java/yardusher/view/Membership.java
@@ -604,6 +604,7 @@
         if (m.from().life() == life && m.from().who().name().equals(self.name())) { return; } // its own, come back
         Entry contradicted = m.taking() ? speaker(m, now) : null;
         for (News one : m.news()) { take(one, now); }
+        if (phase == Phase.JOINING && m.taking() && joinAt > now + JOIN_LEAST_MS) { joinAt = now + JOIN_LEAST_MS * random.nextDouble(); } // somebody is there
         if (phase != Phase.LEFT) { answer(m, contradicted, now); }
         dueAt = Math.min(dueAt, nextDue(now));
     }
