--- a/lab/src/yardusher/units/UnitsWorld.java
+++ b/lab/src/yardusher/units/UnitsWorld.java
@@ -656,7 +656,7 @@
         for (RunAt one : allRuns) {
             ran.add(new UnitsChecker.Ran(one.region.name(), "hall-" + one.region.zone, one.id, one.fromMs, Math.min(one.toMs, now + 1e6), one.outMs));
         }
-        return new UnitsChecker.Run(said, begun, ran, told, lost, calm);
+        return new UnitsChecker.Run(said, begun, ran, told, lost, calm, 0);
     }
 
     List<String> breaches(boolean calm) {
