--- a/src/main/java/yardusher/parts/Claim.java
+++ b/src/main/java/yardusher/parts/Claim.java
@@ -30,6 +30,7 @@
     private final int count;
     private FileChannel channel;
     private FileLock lock;
+    private FileLock guestLock;                      // of the one process that may stand beside the claim's holder
     private MappedByteBuffer map;
     private final Map<Long, Integer> rows = new HashMap<>();
     private long life;
@@ -75,6 +76,7 @@
             for (int i = 0; i < ROWS; i++) {
                 long id = map.getLong(at(i));
                 if (id != 0) { rows.put(id - 1, i); }
+                map.putInt(at(i) + 8 + 2 * count, 0); // nobody stands beside this one yet
             }
         } else {
             for (int i = HEAD; i < map.capacity(); i++) { map.put(i, (byte) 0); }
@@ -98,7 +100,89 @@
         }
     }
 
-    private int row() { return 8 + 2 * count; }
+    /**
+     * Stands beside the process that has the claim, as its next version; false where another does. What that one gives is
+     * read with {@link #given}.
+     */
+    boolean takeBeside() throws IOException {
+        if (guestLock != null) { return true; }
+        try {
+            guestLock = channel.tryLock(1, 1, false);
+        } catch (OverlappingFileLockException e) {
+            return false;                            // another of this very process, in a test
+        }
+        if (guestLock == null) { return false; }
+        map = channel.map(FileChannel.MapMode.READ_WRITE, 0, HEAD + (long) ROWS * row());
+        boolean known = map.getLong(0) == MAGIC && map.getInt(AT_VERSION) == VERSION && map.getInt(AT_COUNT) == count;
+        if (!known) {
+            guestLock.release();
+            guestLock = null;
+        }
+        return known;
+    }
+
+    /** Whether a process stands beside this one, which has the claim. */
+    boolean hasBeside() {
+        if (guestLock != null) { return false; }     // this one stood beside another until a moment ago
+        try {
+            FileLock free = channel.tryLock(1, 1, false);
+            if (free == null) { return true; }
+            free.release();
+            return false;
+        } catch (OverlappingFileLockException e) {
+            return true;
+        } catch (IOException e) {
+            return true;                             // not known: what was given stays given
+        }
+    }
+
+    /** The next version may stand beside this one from now on. */
+    void leaveBeside() throws IOException {
+        if (guestLock != null) { guestLock.release(); }
+        guestLock = null;
+    }
+
+    /** What is given to the process beside, by the one that has the claim. */
+    void give(long region, int units) {
+        Integer row = rows.get(region);
+        if (row == null && units > 0) { row = begin(region); }
+        if (row != null) { map.putShort(at(row) + 8 + 2 * count, (short) units); }
+    }
+
+    /** Whether so many can be written down at all. */
+    boolean canGive(long region) { return rows.containsKey(region) || begin(region) != null; }
+
+    /** What the process beside wants, as that one writes it. */
+    int wanted(long region) {
+        Integer row = rows.get(region);
+        return row == null ? 0 : map.getShort(at(row) + 10 + 2 * count) & 0xFFFF;
+    }
+
+    /** Of the process beside: what it has been given, by region; and what it wants is written. Walks the file. */
+    void beside(Beside each) {
+        for (int i = 0; i < ROWS; i++) {
+            long id = map.getLong(at(i));
+            if (id == 0) { continue; }
+            int wants = each.given(id - 1, map.getShort(at(i) + 8 + 2 * count) & 0xFFFF);
+            map.putShort(at(i) + 10 + 2 * count, (short) wants);
+        }
+    }
+
+    /** What the process beside makes of a region's units; the result is what it wants there. */
+    interface Beside {
+        int given(long region, int units);
+    }
+
+    private Integer begin(long region) {
+        int row = free();
+        if (row < 0) { return null; }
+        for (int i = 0; i < count + 2; i++) { map.putShort(at(row) + 8 + 2 * i, (short) 0); }
+        map.putLong(at(row), region + 1);
+        rows.put(region, row);
+        return row;
+    }
+
+    private int row() { return 8 + 2 * count + 4; }
 
     private int at(int row) { return HEAD + row * row(); }
 
@@ -122,15 +206,12 @@
     @Override
     public boolean put(long region, int ingress, int lent) {
         Integer row = rows.get(region);
+        if (lent < 0 || lent > Short.MAX_VALUE) { return false; }
         if (row == null) {
             if (lent == 0) { return true; }
-            row = free();
-            if (row < 0) { return false; }
-            for (int i = 0; i < count; i++) { map.putShort(at(row) + 8 + 2 * i, (short) 0); }
-            map.putLong(at(row), region + 1);
-            rows.put(region, row);
+            row = begin(region);
+            if (row == null) { return false; }
         }
-        if (lent < 0 || lent > Short.MAX_VALUE) { return false; }
         map.putShort(at(row) + 8 + 2 * ingress, (short) lent);
         return true;
     }
@@ -143,7 +224,7 @@
         }
         for (Map.Entry<Long, Integer> one : rows.entrySet()) {
             boolean empty = true;
-            for (int i = 0; i < count && empty; i++) { empty = map.getShort(at(one.getValue()) + 8 + 2 * i) == 0; }
+            for (int i = 0; i < count + 1 && empty; i++) { empty = map.getShort(at(one.getValue()) + 8 + 2 * i) == 0; }
             if (empty) {
                 rows.remove(one.getKey());
                 return one.getValue();
--- a/src/main/java/yardusher/parts/Ledger.java
+++ b/src/main/java/yardusher/parts/Ledger.java
@@ -25,6 +25,7 @@
         int number;                                  // of connections, now
         int most;                                    // the highest number that it had here
         int share;                                   // of it, this ingress's
+        int guest;                                   // of the share, given to the next version's process beside this one
         int open;                                    // connections from before they are dialled to after their close
         boolean gone;                                // no longer listed
 
@@ -36,7 +37,7 @@
         Account account(int ingress) { return accounts[ingress] == null ? accounts[ingress] = new Account() : accounts[ingress]; }
 
         int lent() {
-            int lent = 0;
+            int lent = guest;
             for (Account one : accounts) { lent += one == null ? 0 : one.lent(); }
             return lent;
         }
@@ -170,6 +171,13 @@
         return many;
     }
 
+    /** Gives the next version's process beside this one up to so many that are not in use; the result says how many. */
+    int giveGuest(Region region, int wanted) {
+        int many = Math.max(0, Math.min(wanted, Math.min(home(region), spare(region))));
+        region.guest += many;
+        return many;
+    }
+
     /** Gives back up to so many of another's that are not in use; the result says how many. */
     int giveBack(Region region, int to, int wanted) {
         Account account = region.account(to);
--- a/src/main/java/yardusher/parts/Negotiator.java
+++ b/src/main/java/yardusher/parts/Negotiator.java
@@ -207,6 +207,37 @@
         }
     }
 
+    /** Connections that this process had there before it had the claim: of its own share. */
+    void had(long region, int open, int leaving) {
+        Stand stand = stands.get(region);
+        if (stand == null) { return; }
+        stand.region.open = open;
+        stand.leaving = leaving;
+        room(stand);
+    }
+
+    /** The next version stands beside this process and wants so many connections in all there; the result is how many it has now. */
+    int beside(long region, int wanted) {
+        Stand stand = stands.get(region);
+        if (stand == null || stand.region.gone) { return 0; }
+        int missing = wanted - stand.region.guest;
+        if (missing > 0) {
+            int keeps = Math.max(stand.uses, leaves ? 0 : ledger.allowance(stand.region) / 2);
+            int given = ledger.giveGuest(stand.region, Math.min(missing, ledger.allowance(stand.region) - keeps));
+            if (given < missing && ledger.home(stand.region) > keeps) { world.shed(region, Math.min(missing - given, ledger.home(stand.region) - keeps)); }
+            room(stand);
+        }
+        return stand.region.guest;
+    }
+
+    /** The process beside has ended, and regions have seen it. */
+    void alone() {
+        for (Stand stand : stands.values()) {
+            stand.region.guest = 0;
+            room(stand);
+        }
+    }
+
     /** A region came into the module's list anew: its room is to be told again. */
     void relisted(long region) {
         Stand stand = stands.get(region);
--- a/src/main/java/yardusher/parts/PartsSubsystem.java
+++ b/src/main/java/yardusher/parts/PartsSubsystem.java
@@ -24,6 +24,7 @@
  */
 public final class PartsSubsystem implements Subsystem, Allowance, Negotiator.World {
     private static final double CLAIM_MS = 200;      // between two looks whether the process before has ended
+    private static final double BESIDE_MS = 50;      // between two looks at what a process beside is given
     private static final double SOON_MS = 1;         // news of one moment are looked at together
 
     private PartSettings settings;
@@ -33,6 +34,10 @@
     private Counters counters;
     private Claim claim;
     private Negotiator negotiator;                   // null until the claim is there
+    private Guest guest;                             // while this is the next version of a process that has it
+    private boolean hadBeside;
+    private double besideAt;
+    private double besideGoneAt = Double.POSITIVE_INFINITY;
     private Deadlines.Entry nextTick;
     private double tickAt = Double.POSITIVE_INFINITY;
     private boolean trusted;
@@ -85,7 +90,8 @@
         if (closed) { return; }
         try {
             if (!claim.take(turns.now(), settings.begins())) {
-                turns.deadlines().at(turns.now() + CLAIM_MS, this::claim);
+                standBeside();
+                turns.deadlines().at(turns.now() + (guest == null ? CLAIM_MS : BESIDE_MS), this::claim);
                 return;
             }
         } catch (IOException e) {
@@ -99,6 +105,15 @@
         if (wait == 0) { begin(); } else { turns.deadlines().at(turns.now() + wait, this::begin); }
     }
 
+    /** The process before still has the claim: this one has open what that one gives it. */
+    private void standBeside() throws IOException {
+        if (guest == null && claim.takeBeside()) {
+            guest = new Guest(this);
+            claimState = "stands beside the process before";
+        }
+        if (guest != null) { claim.beside(guest::given); }
+    }
+
     private void begin() {
         if (closed) { return; }
         int count = settings.ingresses() > 0 ? settings.ingresses() : site.settings().gateways();
@@ -107,7 +122,18 @@
         claimState = "claimed";
         trusted = claim.remembers();
         if (site.view() != null) { members(site.view().picture()); }
+        Guest was = guest;
+        guest = null;
         listed();
+        if (was != null) {
+            for (Negotiator.Stand stand : negotiator.stands()) {
+                Guest.Stand had = was.stand(stand.region.id);
+                negotiator.had(stand.region.id, had.open, had.leaving);
+            }
+            try {
+                claim.leaveBeside();
+            } catch (IOException e) { /* no next version finds room beside this one, until it ends */ }
+        }
         soon();
     }
 
@@ -124,7 +150,7 @@
         for (Api.Server region : site.table().listed().values()) {
             listed.add(region.id());
             if (negotiator == null) {
-                room(region.id(), 0);
+                if (guest == null) { room(region.id(), 0); } else { guest.relisted(region.id()); }
                 continue;
             }
             negotiator.number(now, region.id(), settings.number(region, site.zones(), now, site.settings().rules().warmAfterMs()));
@@ -155,6 +181,7 @@
         tickAt = Double.POSITIVE_INFINITY;
         if (closed || negotiator == null) { return; }
         if (settings.coldPercent() < 100) { warmed(); }
+        beside();
         double next = negotiator.tick(turns.now());
         if (!trusted && negotiator.ledger().unsettled() == 0) {
             trusted = true;
@@ -163,6 +190,27 @@
         tickBy(next);
     }
 
+    /** Gives a next version of this process what it wants of the share, and takes it back once that one has ended. */
+    private void beside() {
+        double now = turns.now();
+        if (now < besideAt) { return; }
+        besideAt = now + BESIDE_MS;
+        boolean there = claim.hasBeside();
+        if (there) {
+            hadBeside = true;
+            besideGoneAt = Double.POSITIVE_INFINITY;
+            for (Negotiator.Stand stand : negotiator.stands()) {
+                if (claim.canGive(stand.region.id)) { claim.give(stand.region.id, negotiator.beside(stand.region.id, claim.wanted(stand.region.id))); }
+            }
+        } else if (hadBeside) {
+            besideGoneAt = Math.min(besideGoneAt, now + settings.endedMs());
+            if (now < besideGoneAt) { return; }
+            hadBeside = false;
+            negotiator.alone();
+            for (Negotiator.Stand stand : negotiator.stands()) { claim.give(stand.region.id, 0); }
+        }
+    }
+
     /** Numbers of regions that have become warm. */
     private void warmed() {
         double now = turns.now();
@@ -193,23 +241,29 @@
     // What the pool asks and tells.
 
     @Override
-    public boolean take(long region) { return !closed && negotiator != null && negotiator.take(region); }
+    public boolean take(long region) {
+        if (closed) { return false; }
+        return negotiator != null ? negotiator.take(region) : guest != null && guest.take(region);
+    }
 
     @Override
     public void leaving(long region) {
-        if (negotiator != null) { negotiator.leaving(region); }
+        if (negotiator != null) { negotiator.leaving(region); } else if (guest != null) { guest.leaving(region); }
     }
 
     @Override
     public void ended(long region, boolean wasLeaving) {
-        if (negotiator == null) { return; }
+        if (negotiator == null) {
+            if (guest != null) { guest.ended(region, wasLeaving); }
+            return;
+        }
         negotiator.ended(region, wasLeaving);
         Negotiator.Stand stand = negotiator.stand(region);
         if (stand != null && stand.owed > 0) { soon(); }
     }
 
     @Override
-    public boolean isSurplus(long region) { return negotiator == null || negotiator.isSurplus(region); }
+    public boolean isSurplus(long region) { return negotiator != null && negotiator.isSurplus(region); }
 
     // What the negotiator sees and does.
 
--- a/src/test/java/yardusher/parts/ClaimTest.java
+++ b/src/test/java/yardusher/parts/ClaimTest.java
@@ -78,4 +78,37 @@
         assertThat(claim.remembers()).isFalse();
         claim.close();
     }
+
+    @Test
+    void theNextVersionStandsBesideAndIsGivenOfTheShare() throws Exception {
+        Claim elder = claim();
+        elder.take(1000, true);
+        Claim younger = claim();
+        assertThat(younger.take(2000, false)).isFalse();
+        assertThat(elder.hasBeside()).isFalse();
+        assertThat(younger.takeBeside()).isTrue();
+        assertThat(elder.hasBeside()).isTrue();
+        assertThat(claim().takeBeside()).isFalse();  // one at most
+        assertThat(elder.canGive(7)).isTrue();
+        elder.give(7, 3);
+        elder.put(7, 1, 2);
+        int[] given = new int[1];
+        younger.beside((region, units) -> {
+            given[0] += region == 7 ? units : 0;
+            return 9;
+        });
+        assertThat(given[0]).isEqualTo(3);
+        assertThat(elder.wanted(7)).isEqualTo(9);
+        Ledger ledger = new Ledger(0, 3, 1, elder, true);
+        Ledger.Region region = ledger.number(7, 12);
+        assertThat(ledger.giveGuest(region, 9)).isEqualTo(2); // two of four are lent
+        assertThat(ledger.allowance(region)).isZero();
+        elder.close();
+        assertThat(younger.take(3000, false)).isTrue();
+        assertThat(younger.lent(7, 1)).isEqualTo(2);
+        assertThat(younger.hasBeside()).isFalse();
+        younger.leaveBeside();
+        assertThat(younger.wanted(7)).isZero();
+        younger.close();
+    }
 }
