--- a/src/main/java/yardusher/admin/AdminFront.java
+++ b/src/main/java/yardusher/admin/AdminFront.java
@@ -8,6 +8,8 @@
 import java.util.Set;
 import yardusher.core.Deadlines;
 import yardusher.core.Turns;
+import yardusher.error.CommandError;
+import yardusher.error.YardusherError;
 import yardusher.net.Lines;
 import yardusher.net.Link;
 import yardusher.net.Sockets;
@@ -62,6 +64,11 @@
         }
         switch (call.verb()) {
             case HEALTH -> caller.told(operator.takesClients() ? "200 yes\n" : "400 no clients are taken\n");
+            case MEMBERS, UNITS, PARTS -> {
+                String report = operator.report(call.verb().word());
+                if (report == null) { throw new IllegalArgumentException(call.verb().word() + " is off here"); }
+                caller.told(report + "EOF\n");
+            }
             case COUNTERS -> caller.told(operator.figures() + "EOF\n");
             case CORDON, UNCORDON -> {
                 operator.ban(call.id(), call.verb() == AdminCall.Verb.CORDON, () -> caller.told("200 done\n"));
@@ -103,9 +110,9 @@
                     asking.remove(this);
                     return heir.readable(from);
                 }
-                if (!lines.isEmpty()) { throw new IllegalArgumentException("one line to a connection"); }
+                if (!lines.isEmpty()) { throw new CommandError.Argument("one line to a connection"); }
                 follow(operator.isFenced() ? AdminCall.ofFleet(line) : AdminCall.of(line), this);
-            } catch (IllegalArgumentException e) {
+            } catch (YardusherError e) {
                 told("400 " + e.getMessage() + "\n");
             }
             return false;
--- a/src/main/java/yardusher/cli/Serve.java
+++ b/src/main/java/yardusher/cli/Serve.java
@@ -17,15 +17,17 @@
 import yardusher.admin.AdminFront;
 import yardusher.admin.Figures;
 import yardusher.admin.Operator;
+import yardusher.agent.Hangup;
 import yardusher.clients.PlatformFront;
 import yardusher.core.Counters;
 import yardusher.core.Ingress;
-import yardusher.core.OrderLog;
+import yardusher.core.Intake;
 import yardusher.core.Turns;
+import yardusher.error.CommandError;
+import yardusher.error.ConfigError;
+import yardusher.error.YardusherError;
 import yardusher.fence.InstanceFence;
 import yardusher.handover.Handover;
-import yardusher.journal.Journal;
-import yardusher.keys.KeyedIntake;
 import yardusher.limits.LimitsConfig;
 import yardusher.limits.LimitsFront;
 import yardusher.list.ServiceTable;
@@ -40,12 +42,12 @@
 import yardusher.resp.Decoder;
 import yardusher.servers.RegionPool;
 import yardusher.settings.Settings;
+import yardusher.subsystem.Site;
 
 /** One real ingress: all parts put together, from the start to an orderly end. */
 public final class Serve {
     private static final double ACCEPT_ON_MS = 500;  // after SIGTERM connections keep coming 0.2 to 0.4 s
     private static final long START_MS = 6000;       // a new version is due to take clients by then
-    private static final long JOURNAL_END_MS = 2000; // at the end, for a slow disk to take the last outcomes
     private static final int OWN_DESCRIPTORS = 64;   // of the JVM, the listeners and the watch
 
     private static final int BODIES_PART = 8;        // of the heap, for large bodies, but one always fits
@@ -61,16 +63,16 @@
     private final Watch watch;
     private final ServiceTable table;
     private final AdminFront admin;                  // null where no second address is named
-    private final KeyedIntake keys;                  // null where it is off
-    private final Journal journal;                   // null where it is off
+    private final Subsystems parts;
     private final InstanceFence fence;               // null where the fleet's work has no say here
     private final PeerSocket peers;                  // null where this site has none
     private final Handover handover;
+    private final Events events;
     private final InetSocketAddress adminAt;
     private final int budget;                        // descriptors for clients and regions
     private final Set<String> banned = new LinkedHashSet<>(); // ids of regions out by hand
     private final CountDownLatch ready = new CountDownLatch(1);
-    private volatile IOException unready;            // why no clients can be taken
+    private volatile Exception unready;            // why no clients can be taken
     private final CountDownLatch drained = new CountDownLatch(1);
     private final double longestMs;
     private Config config;                           // as it was last read
@@ -102,29 +104,27 @@
                 : new PeerSocket(config.peerListen(), config.peers(), turns);
         this.adminAt = adminAt;
         handover = new Handover(sockets, new Part(), settings.self(), config.name(), notes, Events.plain(config.name()));
+        events = Logs.of(own.log(), config.name());
         fence = own.fenced() ? new InstanceFence() : null;
-        journal = own.journal() == null ? null : journal(own);
-        if (journal != null) {
-            counters.more = () -> " " + journal.line();
-            if (own.keys() != null) { journal.recordPrints(); }
-        }
-        Object[] made = new Object[7];
+        parts = Subsystems.of(own, config, turns);
+        Object[] made = new Object[6];
         Exception[] problem = new Exception[1];
         turns.turn(() -> {
             try {
-                Ingress core = new Ingress(settings, config.seed(), turns, pool, handover, counters, journal == null ? OrderLog.NONE : journal);
+                Ingress core = new Ingress(settings, config.seed(), turns, pool, handover, counters, parts.orders());
                 pool.serve(core);
                 ServiceTable table = new ServiceTable(config.zones(), pool);
                 core.tell(table.take(config.known(), Api.ListKind.CACHED));
                 made[0] = core;
                 made[5] = table;
                 made[1] = new Watch(sockets, config.discovery(), table, core, config.seed());
-                if (own.keys() != null) { made[4] = keyed(own, core); }
-                made[2] = new PlatformFront(sockets, config.listen(), core, made[4] == null ? core : (KeyedIntake) made[4],
-                        config.classes(), config.plans(), 1, bodies);
+                Intake intake = parts.intake(site(core, table, null), core);
+                PlatformFront clients = new PlatformFront(sockets, config.listen(), core, intake, config.classes(), config.plans(), 1, bodies);
+                made[2] = clients;
                 made[3] = limits == null ? null
                         : new LimitsFront(sockets, core, limits, config.classes(), config.plans());
-                made[6] = adminAt == null ? null : new AdminFront(sockets, adminAt, new Calls());
+                made[4] = adminAt == null ? null : new AdminFront(sockets, adminAt, new Calls());
+                parts.join(site(core, table, clients));
             } catch (IOException | RuntimeException e) {
                 problem[0] = e;
             }
@@ -136,16 +136,14 @@
         front = (PlatformFront) made[2];
         limitsFront = (LimitsFront) made[3];
         share(false);
-        java.util.function.Supplier<String> rest = counters.more;
-        counters.more = () -> " " + bodies.line() + rest.get();
-        keys = (KeyedIntake) made[4];
+        counters.more = () -> " " + bodies.line() + parts.line();
         table = (ServiceTable) made[5];
-        admin = (AdminFront) made[6];
-        if (keys != null) {
-            front.answerKeys(keys::told, keys::line);
-            java.util.function.Supplier<String> before = counters.more;
-            counters.more = () -> before.get() + " " + keys.line();
-        }
+        admin = (AdminFront) made[4];
+    }
+
+    private Site site(Ingress core, ServiceTable table, PlatformFront clients) {
+        return new Site(config.name(), config.seed(), turns, sockets, config.settings(), config.classes(), config.plans(), config.zones(), core,
+                pool, table, clients, events, parts.mesh(), parts.view());
     }
 
     /** What the calls at the second address do. */
@@ -160,11 +158,14 @@
 
         @Override
         public void ban(String region, boolean out, Runnable then) {
-            if (!table.everListed(region)) { throw new IllegalArgumentException("no backend " + region + " was ever listed"); }
+            if (!table.everListed(region)) { throw new CommandError.NotFound("no backend " + region + " was ever listed"); }
             banHere(region, out);
             handover.tellBan(region, out, then);
         }
 
+        @Override
+        public String report(String call) { return parts.report(call); }
+
         @Override
         public boolean isFenced() { return fence != null; }
 
@@ -275,8 +276,9 @@
     }
 
     private void fault(Throwable e) {
-        if (e instanceof UncheckedIOException cause && ready.getCount() > 0) {
-            unready = cause.getCause();              // an address that cannot be had ends the start
+        if ((e instanceof UncheckedIOException || e instanceof YardusherError) && ready.getCount() > 0) {
+            // An address that cannot be had, or a part that cannot start, ends the start.
+            unready = e instanceof UncheckedIOException cause ? cause.getCause() : (YardusherError) e;
             ready.countDown();
             return;
         }
@@ -291,14 +293,18 @@
             watch.start();
             if (admin != null) { admin.open(); }
             try {
+                parts.start();
                 handover.start(adminAt);
-            } catch (UncheckedIOException e) {
+            } catch (IOException e) {
+                fault(new UncheckedIOException(e));
+            } catch (UncheckedIOException | YardusherError e) {
                 fault(e);
             }
         });
         try {
             if (!ready.await(START_MS, TimeUnit.MILLISECONDS) || unready != null) {
-                throw unready == null ? new IOException("no clients could be taken") : unready;
+                if (unready instanceof YardusherError why) { throw why; }
+                throw unready instanceof IOException why ? why : new IOException("no clients could be taken");
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -309,11 +315,16 @@
      * Takes over what a configuration file read anew can change while all goes on: where discovery is found. The
      * counter is not asked by these decisions. A file that cannot be used changes nothing. The result says which.
      */
-    public String reload(String file) {
+    public String reload(String file) { return reload(file, null); }
+
+    /** The same, with the file of our own settings, null for none. What each subsystem cannot take over it says itself. */
+    public String reload(String file, Path settingsFile) {
         Config next;
+        Settings own;
         try {
             next = Config.read(file);
-        } catch (Config.Bad e) {
+            own = parts.all().isEmpty() ? Settings.OFF : Settings.read(settingsFile);
+        } catch (ConfigError e) {
             return "keeps its configuration: " + e.getMessage();
         }
         String[] done = new String[1];
@@ -322,7 +333,8 @@
             boolean more = !config.sameBut(next);
             config = next;
             counters.reloads++;
-            done[0] = "reloaded: discovery at " + next.discovery() + (more ? "; the rest of the file waits for a restart" : "");
+            done[0] = "reloaded: discovery at " + next.discovery() + (more ? "; the rest of the file waits for a restart" : "")
+                    + parts.reload(own);
         });
         return done[0];
     }
@@ -330,6 +342,7 @@
     /** Accepts for a while, answers all that was taken, and returns well before the platform would kill it. */
     public void drain() throws InterruptedException {
         turns.turn(() -> {
+            parts.drain();
             if (handover.hasHeir()) {
                 front.answers().leave();
                 if (limitsFront != null) { limitsFront.answers().leave(); }
@@ -349,7 +362,7 @@
     }
 
     private void waitForOpen() {
-        if (ingress.openCount() == 0 && front.answers().terminalCount() == 0
+        if (ingress.openCount() == 0 && !parts.isBusy() && front.answers().terminalCount() == 0
                 && (limitsFront == null || limitsFront.answers().terminalCount() == 0)) {
             drained.countDown();
         } else {
@@ -370,41 +383,18 @@
             if (peers != null) { peers.close(); }
             if (admin != null) { admin.close(); }
             closeFronts();
+            parts.close();
         });
-        endJournal();
+        parts.end();
         turns.stop();
         sockets.shutdown();
     }
 
-    /** A folder that cannot be used is as wrong as a setting that cannot. */
-    private Journal journal(Settings own) {
-        try {
-            return Journal.open(own.journal(), config.name(), config.settings(), config.classes(), config.plans(), turns,
-                    Logs.of(own.log(), config.name()));
-        } catch (IOException e) {
-            throw new IllegalArgumentException("journal.folder " + e.getMessage(), e);
-        }
-    }
-
-    /** The keys' intake, with what the journal still knows of keys of earlier lives. */
-    private KeyedIntake keyed(Settings own, Ingress core) throws IOException {
-        KeyedIntake intake = new KeyedIntake(core, turns, own.keys(), config.settings().classes(), config.classes());
-        if (own.journal() != null) {
-            Journal.earlier(own.journal(), config.name(), turns.now() - intake.longestLifetimeMs(), (key, print, className, sentAt, endedAt, ran) ->
-                    intake.restore(key, print, config.classes().indexOf(className), sentAt, endedAt, ran));
-        }
-        return intake;
-    }
-
-    private void endJournal() {
-        if (journal != null) { journal.close(JOURNAL_END_MS); }
-    }
-
-    private static InetSocketAddress address(String fromEnvironment) throws Config.Bad {
+    private static InetSocketAddress address(String fromEnvironment) {
         try {
             return yardusher.net.Sockets.address(fromEnvironment);
-        } catch (IllegalArgumentException e) {
-            throw new Config.Bad("RELAY_ADMIN_ADDR: " + e.getMessage() + "; digits and a port are allowed, as 127.0.0.4:19000");
+        } catch (ConfigError e) {
+            throw e.in("RELAY_ADMIN_ADDR");
         }
     }
 
@@ -421,24 +411,36 @@
     }
 
     /** The sub-command: serves until SIGTERM, then drains and exits 0. */
-    static int run(String file, Path limitsFile, Path settingsFile) throws IOException, Config.Bad {
+    static int run(String file, Path limitsFile, Path settingsFile) throws IOException {
         Config config = Config.read(file);
         String adminAt = System.getenv("RELAY_ADMIN_ADDR"); // goes before the file's: it is this very process's
         Serve serve = new Serve(config, adminAt == null || adminAt.isEmpty() ? config.admin() : address(adminAt), notes(), listens(limitsFile) ? LimitsConfig.read(limitsFile) : null, Settings.read(settingsFile),
                 clock());
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+        Thread end = new Thread(() -> {
             try {
                 serve.drain();
             } catch (InterruptedException e) { /* the process ends all the same */ }
-            serve.turns.turn(serve.handover::end);
-            serve.endJournal();
+            serve.turns.turn(() -> {
+                serve.handover.end();
+                serve.parts.close();
+            });
+            serve.parts.end();
             System.err.println(config.name() + " ends: " + serve.countersLine());
             System.err.flush();
             Runtime.getRuntime().halt(0);
-        }, "drain"));
+        }, "drain");
+        Runtime.getRuntime().addShutdownHook(end);
         // Before the first PING is answered: the default of this signal would end the process.
-        Signal.handle(new Signal("HUP"), hup -> System.err.println(config.name() + " " + serve.reload(file)));
-        serve.start();
+        Signal.handle(new Signal("HUP"), hup -> System.err.println(config.name() + " " + serve.reload(file, settingsFile)));
+        if (Hangup.isIgnored()) { System.err.println(config.name() + " " + Hangup.TOLD); }
+        try {
+            serve.start();
+        } catch (IOException | RuntimeException e) {
+            // Danger: the hook's end is 0, as of a process that served and was asked to end.
+            if (!end.isAlive()) { Runtime.getRuntime().removeShutdownHook(end); }
+            serve.close();
+            throw e;
+        }
         System.err.println(config.name() + " serves at " + serve.front.answers().address()
                 + (serve.limitsFront == null ? "" : ", limits at " + serve.limitsFront.answers().address()));
         try {
--- a/src/main/java/yardusher/keys/KeyedIntake.java
+++ b/src/main/java/yardusher/keys/KeyedIntake.java
@@ -10,6 +10,7 @@
 import yardusher.core.Flow;
 import yardusher.core.Intake;
 import yardusher.core.Order;
+import yardusher.core.Session;
 import yardusher.core.Stay;
 import yardusher.core.Terminal;
 import yardusher.core.Turns;
@@ -97,6 +98,9 @@
 
         boolean mayHaveRun() { return stay != null && stay.mayHaveRun(); }
 
+        @Override
+        public Session session() { return leader.order.terminal().session(); }
+
         @Override
         public void served(byte[] value) {
             if (end()) {
@@ -189,7 +193,7 @@
         flights.put(asker.key, flight);
         Order o = asker.order;
         flight.stay = core.take(new Order(o.classIndex(), o.plan(), o.customer(), o.units(), o.first(), o.spread(),
-                Math.max(1, asker.deadline - turns.now()), o.cargo(), flight));
+                Math.max(1, asker.deadline - turns.now()), o.cargo(), flight, o.only()));
     }
 
     /** Who waited when a run ended without a value: one leads, or all get to know that it may have run. */
