After SIGTERM nothing more is read behind an open request, so its connection ends

Cause: a connection with an open request was read on for as long as it had one, so a terminal whose requests overlap kept it open until the process ended, with the last of them unanswered. Shown by EndStoryTest: what was sent 0.7 s after SIGTERM was taken and had no answer when drain gave up after 8.5 s.

From 0.1 s after the door has closed (0.6 s after SIGTERM) no more is read behind what is open; what was taken before is answered, the connection ends behind it, and a terminal sends what was never read once more elsewhere.

--- a/src/main/java/yardusher/net/Answers.java
+++ b/src/main/java/yardusher/net/Answers.java
@@ -53,6 +53,7 @@
     private static final double AWAY_BY_MS = 3500;   // nothing is idle 4 s after the call
     private static final double AWAY_READ_MS = 1800; // nothing that is open then came in the last 2 s
     private static final double LEFT_READ_MS = 600;  // what comes 0.7 s after SIGTERM is owed its answer whatever it takes
+    private static final double CLOSED_READ_MS = 100; // the same, since the door closes half a second after SIGTERM
     private static final double LEAVE_IDLE_MS = 200; // who has been idle so long has likely nothing on its way
     private static final double QUIET_MS = 30;
 
@@ -214,9 +215,14 @@
         }
     }
 
-    /** Accepts no more; connections are closed as soon as all they asked is answered. */
+    /**
+     * Accepts no more; connections are closed as soon as all they asked is answered. Guards against a terminal whose requests
+     * overlap on one connection, which would stay open up to the kill with the last of them unanswered: a little later no more is
+     * read behind what is open there.
+     */
     public void close() {
         closing = true;
+        leaveBy = Math.min(leaveBy, turns.now() + CLOSED_READ_MS);
         door.close();
         for (TerminalLink terminal : new ArrayList<>(terminals)) { terminal.closeIfIdle(); }
     }
