--- a/src/main/java/yardusher/net/Answers.java
+++ b/src/main/java/yardusher/net/Answers.java
@@ -148,9 +148,14 @@
         if (last) { crowd.closeLeaving(); }
     }
 
-    /** Accepts no more; connections are closed as soon as all they asked is answered. */
+    /**
+     * Accepts no more; connections are closed as soon as all they asked is answered. Guards against a terminal whose requests
+     * overlap on one connection, which would stay open up to the kill with the last of them unanswered: a little later no more is
+     * read behind what is open there.
+     */
     public void close() {
         closing = true;
+        departure.close(turns.now());
         door.close();
         for (TerminalLink terminal : crowd.all()) { terminal.closeIfIdle(); }
     }
