--- a/src/main/java/yardusher/view/Roster.java
+++ b/src/main/java/yardusher/view/Roster.java
@@ -232,16 +232,13 @@
         return -from - 1;
     }
 
-    /** Who follows on the ring after so many; the ring is closed. Only where somebody is there. */
+    /** Who stands so many steps after one who is there; before it where they are negative. The ring is closed. */
     Entry after(Entry entry, int steps) {
         int at = index(entry);
         int size = ring.size();
         return ring.get(Math.floorMod(at >= 0 ? at + steps : -at - 1 + steps - 1, size));
     }
 
-    /** How many steps before the other it stands on the ring. */
-    int before(Entry entry, Entry other) { return Math.floorMod(index(other) - index(entry), Math.max(1, ring.size())); }
-
     /** Not the incarnation: who was suspected and said that it is there is still the same process, and the picture the same. */
     private static long seen(Entry entry) {
         return mix(mix(mix(entry.place, address(entry.who.at())), entry.born), entry.life);
