--- a/src/main/java/yardusher/view/Membership.java
+++ b/src/main/java/yardusher/view/Membership.java
@@ -78,7 +78,7 @@
     }
 
     private static final int HELPERS = 3;
-    private static final int WATCHERS = 4;           // on the ring before a member; the first probes it each round, all once it is suspected
+    private static final int WATCHERS = 4;           // alive, on the ring before a member; the first probes it each round, all once it is suspected
     private static final int FANOUT = 3;
     private static final int MOST_FAVOURS = 256;
     private static final int MOST_PAGES = 8;         // datagrams in answer to one SYNC or JOIN
@@ -264,7 +264,13 @@
                 break;
             }
         }
-        for (int steps = 1; steps < Math.min(WATCHERS + 1, there); steps++) { // the next on the ring, past those that may be dead
+        watch(now);
+    }
+
+    /** Probes who is next on the ring, and on past those that may be dead. */
+    private void watch(double now) {
+        int there = roster.there().size();
+        for (int steps = 1; steps < Math.min(WATCHERS + 1, there); steps++) {
             Entry entry = roster.after(own, steps);
             probe(entry, now);
             if (entry.state == State.ALIVE) { break; }
@@ -313,6 +319,7 @@
         if (roster.accuse(probe.target, (int) own.place, now)) {
             accused++;
             rumours.add(probe.target, 0);
+            watch(now);                              // a hall that dies leaves gaps on the ring
         }
     }
 
@@ -395,14 +402,22 @@
         if (taken != Roster.Taken.NEW) { return taken; }
         Entry entry = roster.get(news.who().name());
         rumours.add(entry, now - enteredMs < ENTERING_MS && news.isThere() ? limit() / 2 : 0);
-        if (entry.state == State.SUSPECT && was != State.SUSPECT && phase == Phase.IN) {
-            int steps = roster.before(own, entry);   // on the ring those before it look for themselves at once
-            if (steps >= 1 && steps <= WATCHERS) { probe(entry, now); }
-        }
+        if (entry.state == State.SUSPECT && phase == Phase.IN && watches(entry)) { probe(entry, now); }
         if (entry.state == State.GONE && goneAt == Double.POSITIVE_INFINITY) { goneAt = now + GONE_EVERY_MS * random.nextDouble(); }
         return taken;
     }
 
+    /** Whether this is one of the few who look for themselves once that one is suspected: those before it on the ring who may be there. */
+    private boolean watches(Entry suspect) {
+        int alive = 0;
+        for (int steps = 1; steps <= 4 * WATCHERS && alive < WATCHERS; steps++) {
+            Entry before = roster.after(suspect, -steps);
+            if (before == own) { return true; }
+            if (before.state == State.ALIVE) { alive++; }
+        }
+        return false;
+    }
+
     private Roster.Taken revive(News news, double now) {
         roster.drop(roster.get(news.who().name()), now);
         return roster.take(news, now);
