--- a/lab/src/yardusher/lab/UnitsRun.java
+++ b/lab/src/yardusher/lab/UnitsRun.java
@@ -86,7 +86,17 @@
                 for (Faults.Fault fault : faults.schedule()) {
                     if (Set.of(Faults.Kind.KILL, Faults.Kind.TERM, Faults.Kind.PAUSE).contains(fault.kind())) { troubled.addAll(fault.at()); }
                 }
-                faults.play();
+                try {
+                    faults.play();
+                } catch (IllegalStateException e) {  // one that does not answer says where it stands
+                    for (int i = 0; i < processes; i++) {
+                        if (group.isAlive(i)) {
+                            new ProcessBuilder("jstack", Long.toString(group.process(i).pid())).redirectErrorStream(true)
+                                    .redirectOutput(folder.resolve("n" + i + ".stacks").toFile()).start().waitFor();
+                        }
+                    }
+                    throw e;
+                }
             }
             run.over = true;
             for (Thread thread : threads) { thread.join(); }
--- a/src/main/java/yardusher/units/UnitTable.java
+++ b/src/main/java/yardusher/units/UnitTable.java
@@ -11,7 +11,7 @@
 
 /**
  * All units whose home is this ingress, the longest silent first. Numbers of a life are given once and only grow, so a
- * number that was given and is not held is one that is over, and nothing has to be remembered of it. Free of I/O and clock.
+ * number that was given and is not held is one that is over, and no rule needs it remembered; the last ones are, for who asks twice. Free of I/O and clock.
  */
 class UnitTable {
     /** Bounds: open at once, of one customer; silent for so long is given up, and before that where room is needed. */
@@ -30,6 +30,8 @@
 
     private record Wake(double at, UnitName name) { }
 
+    private static final int MOST_OVER = 4096;       // a quarter of a megabyte
+
     private final String self;
     private final long life;
     private final Unit.Sink sink;
@@ -39,6 +41,7 @@
     private final Map<Long, Integer> ofCustomer = new HashMap<>();
     private final PriorityQueue<Wake> wakes = new PriorityQueue<>((a, b) -> Double.compare(a.at(), b.at())); // at most one a unit
     private final LinkedHashMap<UnitName, Unit> outs = new LinkedHashMap<>(); // with a part in a holder's hands, the longest first
+    private final LinkedHashMap<UnitName, Unit> over = new LinkedHashMap<>(); // the last that ended: who asks again hears the same
     private long last;
     final Counts counts = new Counts();
 
@@ -71,6 +74,8 @@
             public void ended(Unit unit) {
                 counts.ended[unit.state().ordinal()]++;
                 forget(unit);
+                over.put(unit.name, unit);
+                if (over.size() > MOST_OVER) { over.remove(over.keySet().iterator().next()); }
                 sink.ended(unit);
             }
         };
@@ -127,6 +132,11 @@
     void ask(double now, UnitName name, Ticket ticket, Predicate<String> silent) {
         Unit unit = units.get(name);
         if (unit == null) {
+            Unit ended = over.get(name);
+            if (ended != null) {
+                ended.ask(now, ticket, rules, sink);
+                return;
+            }
             counts.refused++;
             boolean given = isOurs(name) && name.number() <= last; // then it is over
             sink.refuse(null, ticket, given ? Refusal.ENDED : Refusal.UNKNOWN, given ? Unit.State.DONE.ordinal() : 0);
