--- a/src/main/java/yardusher/list/ServiceTable.java
+++ b/src/main/java/yardusher/list/ServiceTable.java
@@ -27,7 +27,7 @@
     /** Ids as they were told, for as long as there are no more than MOST_TOLD newer ones. */
     private final Set<String> told = new LinkedHashSet<>();
     private final Map<Long, Api.Server> listed = new LinkedHashMap<>();
-    private Runnable follower = () -> { };
+    private Runnable follower;                       // null for none
     private long revision;
 
     public ServiceTable(List<String> zones, RegionPool pool) {
@@ -97,7 +97,7 @@
         }
         absent.forEach(this::forget);
         revision = (long) news.number("revision", revision);
-        follower.run();
+        if (follower != null) { follower.run(); }
         return new Api.ServerList(as != null ? as : complete ? Api.ListKind.FULL : Api.ListKind.DELTA, servers);
     }
 
--- a/src/main/java/yardusher/servers/Allowance.java
+++ b/src/main/java/yardusher/servers/Allowance.java
@@ -2,31 +2,10 @@
 
 /**
  * How many connections there may be to each region, and who is told of each. A connection counts from before it is dialled
- * until the region has closed its side too: a close of ours alone does not prove that the region has taken note of it. In
- * turns only.
+ * until the region has closed its side too: a close of ours alone does not prove that the region has taken note of it. Where
+ * nobody is asked, there are as many as the descriptors allow, and a close of ours is the end. In turns only.
  */
 public interface Allowance {
-    /** As many as the descriptors allow, and a close of ours is the end. */
-    Allowance FREE = new Allowance() {
-        @Override
-        public boolean counts() { return false; }
-
-        @Override
-        public boolean take(long region) { return true; }
-
-        @Override
-        public void leaving(long region) { }
-
-        @Override
-        public void ended(long region, boolean wasLeaving) { }
-
-        @Override
-        public boolean isSurplus(long region) { return false; }
-    };
-
-    /** Whether connections are counted until both ends are closed. */
-    default boolean counts() { return true; }
-
     /** A connection is to be dialled; false where none may be. */
     boolean take(long region);
 
--- a/src/main/java/yardusher/servers/RegionPool.java
+++ b/src/main/java/yardusher/servers/RegionPool.java
@@ -44,7 +44,7 @@
     private double newLost;                          // and on new ones
     private int begun;
     private Ingress ingress;
-    private Allowance allowance = Allowance.FREE;
+    private Allowance allowance;                     // null where connections are not divided
     int connections;
     private int leaving;                             // of those, closed from this side and not yet by the region
 
@@ -162,7 +162,7 @@
             sockets.turns().afterwards(() -> end(attempt, Attempt.Result.of(Api.Outcome.CONNECT_FAILED)));
             return;
         }
-        if (allowance.counts()) {
+        if (allowance != null) {
             counted(place, attempt, cargo);
             return;
         }
@@ -245,7 +245,7 @@
 
     /** A connection is closed from this side. */
     void leaves(Place place, long region, Link link) {
-        if (!allowance.counts()) {
+        if (allowance == null) {
             over(place, region, false);
             link.close();
             return;
@@ -268,7 +268,7 @@
             place.leaving--;
             leaving--;
         }
-        allowance.ended(region, wasLeaving);
+        if (allowance != null) { allowance.ended(region, wasLeaving); }
     }
 
     /** How an attempt's connection ended, or that it did not. */
@@ -319,7 +319,7 @@
     /** An attempt ended in order: its connection waits for the next. */
     void rest(RegionLink link) {
         link.idleSince = sockets.turns().now();
-        boolean enough = keepingLoses() && !link.place.idle.isEmpty() || allowance.isSurplus(link.region);
+        boolean enough = keepingLoses() && !link.place.idle.isEmpty() || allowance != null && allowance.isSurplus(link.region);
         if (places.get(link.region) == link.place && !enough && !banned.contains(link.region)) {
             link.place.idle.addLast(link);
         } else {
