--- a/src/main/java/yardusher/cli/Subsystems.java
+++ b/src/main/java/yardusher/cli/Subsystems.java
@@ -16,6 +16,7 @@
 import yardusher.settings.Settings;
 import yardusher.subsystem.Site;
 import yardusher.subsystem.Subsystem;
+import yardusher.units.UnitsSubsystem;
 import yardusher.view.View;
 import yardusher.view.ViewSubsystem;
 
@@ -39,6 +40,7 @@
         }
         if (own.keys() != null) { all.add(new KeysSubsystem(own.keys(), own.journal())); }
         if (own.parts() != null) { all.add(new PartsSubsystem(own.parts())); }
+        if (own.units() != null) { all.add(new UnitsSubsystem(own.units())); } // outermost: what belongs together, then each key
         return new Subsystems(all, view == null ? null : view.mesh(), view);
     }
 
--- a/src/main/java/yardusher/list/ServiceTable.java
+++ b/src/main/java/yardusher/list/ServiceTable.java
@@ -46,6 +46,14 @@
     /** Runs after each change, before the module is told of it. */
     public void follow(Runnable next) { follower = next; }
 
+    /** A region as it was last told, null where it is not listed. */
+    public Api.Server listed(long id) { return listed.get(id); }
+
+    /** Whether a zone has a region listed that is not on its way out. */
+    public boolean hasZone(int zone) {
+        return listed.values().stream().anyMatch(one -> one.zone() == zone && one.readiness() == Api.Readiness.READY);
+    }
+
     /** Whether a region of this id is listed or was once, among the last 4,096 told. */
     public boolean everListed(String id) { return told.contains(id); }
 
--- a/src/main/java/yardusher/net/TerminalLink.java
+++ b/src/main/java/yardusher/net/TerminalLink.java
@@ -4,6 +4,9 @@
 import java.net.InetSocketAddress;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import yardusher.core.Session;
 import yardusher.core.Turns;
 import yardusher.resp.Encoder;
 import yardusher.resp.Malformed;
@@ -12,7 +15,7 @@
  * One terminal's connection: reads its commands, gives each a place in the order of answers, waits for room for a large body,
  * and writes the answers in that order however they come. In turns.
  */
-final class TerminalLink implements Link.Owner {
+final class TerminalLink implements Link.Owner, Session {
     private static final int MOST_UNANSWERED = 64; // on one connection; more are read when some are answered
     private static final int MOST_UNREAD = 256 * 1024; // bytes of answers that the terminal has not taken yet
     private static final int TURN_COMMANDS = 32;   // of one connection in one turn; then it is the others' turn
@@ -34,6 +37,8 @@
     private double bodyFrom;
     private int rejected;
     private boolean lost;
+    private List<Runnable> atEnd;                    // null for none
+    private boolean over;                            // the connection has ended
     private boolean paused;
     private boolean stalled;                         // it does not take its answers, so no more commands are read
 
@@ -247,5 +252,19 @@
     private void leave() {
         dropBody();
         if (crowd.leaves(this)) { front.hasRoomAgain(); }
+        over = true;
+        List<Runnable> told = atEnd;
+        atEnd = null;
+        if (told != null) { told.forEach(turns::afterwards); }
+    }
+
+    @Override
+    public void atEnd(Runnable then) {
+        if (over) {
+            turns.afterwards(then);
+            return;
+        }
+        if (atEnd == null) { atEnd = new ArrayList<>(1); }
+        atEnd.add(then);
     }
 }
