--- a/src/main/java/yardusher/parts/Claim.java
+++ b/src/main/java/yardusher/parts/Claim.java
@@ -87,10 +87,15 @@
         map.putLong(AT_LIFE, life);
         map.putLong(AT_BOOT, boot);
         if (remembers) { map.putInt(AT_VALID, 1); }
-        map.force();
         return true;
     }
 
+    /**
+     * Brings what {@link #take} wrote to the disk; nothing is lent before. Guards against a loss of power after which the file still
+     * says that an earlier life ended in order. May wait for a disk.
+     */
+    void sync() { map.force(); }
+
     /** Which start of the machine this is, 0 where that cannot be told. */
     private static long boot() {
         try {
--- a/src/main/java/yardusher/parts/Ledger.java
+++ b/src/main/java/yardusher/parts/Ledger.java
@@ -49,6 +49,8 @@
         }
     }
 
+    private static final int MOST_REGIONS = 4096;    // listed ones beside those that only others tell of
+
     final int self;
     final int count;
     final long life;
@@ -212,7 +214,7 @@
     boolean row(int from, Telling.Row row) {
         Region region = regions.get(row.region());
         if (region == null) {
-            if (row.granted() == 0 && row.returned() == 0 && row.old() == 0) { return true; }
+            if (row.granted() == 0 && row.returned() == 0 && row.old() == 0 || regions.size() >= MOST_REGIONS) { return true; }
             region = regions.computeIfAbsent(row.region(), this::begun);
             region.gone = true;                      // until it is listed here too
         }
@@ -250,7 +252,7 @@
             remember(region, from, account);
         }
         held.forEach((id, old) -> {
-            if (!regions.containsKey(id) && old > 0) {
+            if (!regions.containsKey(id) && old > 0 && regions.size() < MOST_REGIONS) {
                 Region region = regions.computeIfAbsent(id, this::begun);
                 region.gone = true;
                 Account account = region.account(from);
--- a/src/main/java/yardusher/parts/Negotiator.java
+++ b/src/main/java/yardusher/parts/Negotiator.java
@@ -33,6 +33,9 @@
         int shed(long region, int count);
 
         void send(InetSocketAddress to, byte[] body);
+
+        /** An ingress that has so many units of this one has fallen silent: they are kept back. */
+        default void silent(int ingress, int units) { }
     }
 
     /** {@code least}: units wanted in all while there is traffic; {@code movesPerS} by region, at the most. */
@@ -45,7 +48,7 @@
     private static final double REPEAT_MS = 100;     // what was not heard is told again
     private static final double ACTIVE_MS = 2000;
     private static final double BUSY_TICK_MS = 20;
-    private static final double IDLE_TICK_MS = 100;
+    private static final double IDLE_TICK_MS = 200;
     private static final double ASK_MS = 60;         // an ask counts so long
     private static final double LACK_MS = 100;       // a small lack is asked for once it has lasted so long
     private static final double LARGE_LACK = 0.1;
@@ -69,6 +72,7 @@
         int owed;                                    // units to be given as soon as connections close
         private int room = -1;
         private double tokens;
+        private double filledAt;
         private double lacksSince;
         private double idleSince;
         private double homeAt;
@@ -79,6 +83,7 @@
         Stand(Region region, double now) {
             this.region = region;
             idleSince = now;
+            filledAt = now;
         }
     }
 
@@ -94,6 +99,7 @@
         int order;
         boolean settledMe;                           // it knows what its earlier lives lent to this one
         boolean urgent;
+        boolean isSilent;                            // and was said to be
 
         Other(int number) { this.number = number; }
     }
@@ -345,6 +351,13 @@
     }
 
     private void forget() {
+        for (Other other : others) {
+            if (other == null || other.at == null || isFresh(other, lastTick) != other.isSilent) { continue; }
+            other.isSilent = !other.isSilent;
+            int units = 0;
+            for (Region region : ledger.regions()) { units += other.isSilent && region.accounts[other.number] != null ? region.accounts[other.number].lent() : 0; }
+            if (units > 0) { world.silent(other.number, units); }
+        }
         for (Other other : others) {                 // planted, to see that the rules notice
             if (ledger.without == Ledger.Without.STOPPED_KEEPS && other != null && other.at != null && lastTick - other.heardAt > FRESH_MS) {
                 ledger.ended(other.number);
@@ -456,7 +469,8 @@
         }
         if (leaves && world.busy(region.id) == 0) { world.shed(region.id, region.open); }
         double most = Math.max(8, rules.movesPerS / 4);
-        stand.tokens = Math.min(most, stand.tokens + rules.movesPerS * BUSY_TICK_MS / 1000);
+        stand.tokens = Math.min(most, stand.tokens + rules.movesPerS * Math.max(0, now - stand.filledAt) / 1000);
+        stand.filledAt = now;
         division.clear();
         int allowance = ledger.allowance(region);
         division.add(ledger.self, allowance, stand.uses, stand.wants, rules.weight);
--- a/src/main/java/yardusher/parts/PartsSubsystem.java
+++ b/src/main/java/yardusher/parts/PartsSubsystem.java
@@ -11,6 +11,7 @@
 import yardusher.core.Deadlines;
 import yardusher.core.Turns;
 import yardusher.error.ConfigError;
+import yardusher.error.PartError;
 import yardusher.mesh.Mesh;
 import yardusher.servers.Allowance;
 import yardusher.settings.Settings;
@@ -99,7 +100,17 @@
             turns.deadlines().at(turns.now() + CLAIM_MS, this::claim);
             return;
         }
-        // The life before may have died a moment ago: regions take a while to see its connections close.
+        claimState = "waits for its file";
+        Thread thread = new Thread(() -> {           // no turn waits for a disk
+            claim.sync();
+            turns.turn(this::claimed);
+        }, "parts-claim");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** The life before may have died a moment ago: regions take a while to see its connections close. */
+    private void claimed() {
         double wait = claim.wasClean() ? 0 : settings.endedMs();
         claimState = "waits until regions have seen the life before end";
         if (wait == 0) { begin(); } else { turns.deadlines().at(turns.now() + wait, this::begin); }
@@ -120,6 +131,7 @@
         Ledger ledger = new Ledger(site.settings().self(), count, claim.life(), claim, claim.remembers());
         negotiator = new Negotiator(ledger, new Negotiator.Rules(settings.least(), settings.weight(), settings.movesPerS()), this, turns.now());
         claimState = "claimed";
+        site.events().info("parts: claimed", "life", claim.life(), "remembers", claim.remembers(), "in_order", claim.wasClean());
         trusted = claim.remembers();
         if (site.view() != null) { members(site.view().picture()); }
         Guest was = guest;
@@ -287,6 +299,11 @@
     @Override
     public void send(InetSocketAddress to, byte[] body) { site.mesh().send(to, Mesh.Kind.PARTS, body); }
 
+    @Override
+    public void silent(int ingress, int units) {
+        site.events().warn("parts: an ingress has fallen silent", new PartError.Unproven(units + " connections", "ingress " + ingress));
+    }
+
     // What operators see.
 
     @Override
