--- a/src/test/java/yardusher/FleetRun.java
+++ b/src/test/java/yardusher/FleetRun.java
@@ -30,14 +30,14 @@
         final int plan, first, spread;
         final double perS;
         final double[] weights;
-        double level, ceiling, ideal, at = now;
+        double level, ceiling, ideal, at = now, insideAll, idealAll;
 
         Customer(long id) {
             this.id = id;
-            plan = (int) (id % PLANS.size());
+            plan = (int) (id % plans.size());
             first = random.nextInt(gateways.length);
             spread = Math.max(2, gateways.length / 2 + random.nextInt(gateways.length - gateways.length / 2 + 1));
-            Plan p = PLANS.get(plan);
+            Plan p = plans.get(plan);
             int kind = random.nextInt(10);           // most stay well under their quotas, some ask far more
             perS = p.ratePerS() * (kind < 6 ? 0.15 + 0.35 * random.nextDouble() : kind < 8 ? 0.95 : 2 + 2 * random.nextDouble());
             weights = new double[spread];
@@ -56,7 +56,7 @@
         }
 
         void refill() {
-            Plan p = PLANS.get(plan);
+            Plan p = plans.get(plan);
             level = Math.min(p.burst(), level + p.ratePerS() * (now - at) / 1000);
             ideal = Math.min(p.burst(), ideal + p.ratePerS() * (now - at) / 1000);
             ceiling = Math.min(p.ceilingBurst(), ceiling + p.ceilingRate() * (now - at) / 1000);
@@ -65,6 +65,7 @@
     }
 
     final Tally[] tallies = {new Tally(), new Tally(), new Tally()};
+    final List<Plan> plans;
     final SplittableRandom random;
     final double loss;
     double now = 1000;
@@ -73,6 +74,8 @@
     double leastOfCeilings = Double.POSITIVE_INFINITY;
     /** Attempts by server. */
     final Map<Long, Integer> attemptsAt = new HashMap<>();
+    /** When each attempt went to a server, for those named here. */
+    final Map<Long, List<Double>> sentAt = new HashMap<>();
     private final Map<Integer, Double> intakeLeft = new HashMap<>();
     private final Map<Integer, Double> intakeAt = new HashMap<>();
     private final Policy[] gateways;
@@ -86,7 +89,10 @@
     private long current;
     private boolean sent;
 
-    FleetRun(int size, int serverCount, int customerCount, double loss, long seed) {
+    FleetRun(int size, int serverCount, int customerCount, double loss, long seed) { this(size, serverCount, customerCount, loss, seed, PLANS); }
+
+    FleetRun(int size, int serverCount, int customerCount, double loss, long seed, List<Plan> plans) {
+        this.plans = plans;
         random = new SplittableRandom(seed);
         this.loss = loss;
         gateways = new Policy[size];
@@ -108,7 +114,7 @@
     /** A gateway begins with nothing but the list; what it had is forgotten. */
     void restart(int i) {
         int life = ++lives[i];
-        Settings settings = new Settings(i, gateways.length, i % 3, 1, List.of(PolicyTest.SAFE, PolicyTest.KEYED), PLANS,
+        Settings settings = new Settings(i, gateways.length, i % 3, 1, List.of(PolicyTest.SAFE, PolicyTest.KEYED), plans,
                 new Limits(4, true, true, 1000), new Rules(0.25, 10000, 3, 1000, 1000), List.of(), false, INTAKE_PER_S, 1, 0, 0.01);
         gateways[i] = new Policy(settings, random.nextLong(), now, action -> act(i, life, action));
         gateways[i].on(now, new ServerList(ListKind.CACHED, servers));
@@ -142,6 +148,7 @@
         } else if (action instanceof Send send) {
             sent |= send.id() == current;
             attemptsAt.merge(send.server(), 1, Integer::sum);
+            if (sentAt.containsKey(send.server())) { sentAt.get(send.server()).add(now); }
             int number = attempts.computeIfAbsent(send.id(), id -> new int[1])[0]++;
             at(now + 40 + 40 * random.nextDouble(), () -> tell(from, life,
                     new AttemptDone(send.id(), number, send.server(), Outcome.SERVED, 60, true, 0, null)));
@@ -160,6 +167,16 @@
         if (left < 1) { overrun++; } else { gateways[to].on(now, message); }
     }
 
+    /** The part of all that one gateway would have let in which belongs to customers who got under a tenth of theirs. */
+    double starved() {
+        double all = 0, starved = 0;
+        for (Customer c : customers) {
+            all += c.idealAll;
+            if (c.insideAll < 0.1 * c.idealAll) { starved += c.idealAll; }
+        }
+        return starved / all;
+    }
+
     private void arrive(Customer c) {
         at(now - Math.log(1 - random.nextDouble()) / c.perS * 1000, () -> {
             ask(c);
@@ -173,16 +190,18 @@
         if (c.ideal >= 1) {
             c.ideal--;
             tally.ideal++;
+            c.idealAll++;
         }
         current = ++ids;
         sent = false;
         gateways[c.gateway()].on(now, new Request(current, 0, c.plan, c.id, now + 2000, 1, c.first, c.spread));
         if (!sent) { return; }
         c.ceiling--;
-        if (PLANS.get(c.plan).ceilingRate() > 0) { leastOfCeilings = Math.min(leastOfCeilings, c.ceiling); }
+        if (plans.get(c.plan).ceilingRate() > 0) { leastOfCeilings = Math.min(leastOfCeilings, c.ceiling); }
         if (c.level >= 1) {
             c.level--;
             tally.inside++;
+            c.insideAll++;
         } else {
             tally.beyond++;
         }
--- /dev/null
+++ b/src/test/java/yardusher/SharesTest.java
@@ -0,0 +1,33 @@
+package yardusher;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import yardusher.Api.Plan;
+
+/** Who gets what among 100 ingresses: each plan in each third of a run, and the customers who get next to nothing. */
+class SharesTest {
+    /** Of the size that operators name, for sets of half of the ingresses and more. */
+    private static final List<Plan> PLANS = List.of(new Plan(1.6, 7, 0, 0.8, 0, 0, 0, 0.6), new Plan(8, 13, 0, 1.1, 0, 0, 0, 0.8),
+            new Plan(30, 60, 0, 1.8, 63, 126, 5, 0));
+
+    @Test
+    void eachPlanGetsItsPartInEachThirdAndHardlyACustomerIsStarved() {
+        for (long seed = 1; seed <= 2; seed++) {
+            FleetRun fleet = new FleetRun(100, 60, 150, 0.05, seed, PLANS);
+            for (int third = 0; third < 3; third++) {
+                for (FleetRun.Tally tally : fleet.tallies) { tally.inside = tally.ideal = 0; }
+                fleet.run(fleet.now + 8000);
+                for (int plan = 0; plan < 3; plan++) {
+                    FleetRun.Tally tally = fleet.tallies[plan];
+                    System.out.printf("shares: seed %d, third %d, plan %d: %.2f%n", seed, third, plan, tally.inside / tally.ideal);
+                    assertThat(tally.inside / tally.ideal).as("seed %d, third %d, plan %d", seed, third, plan)
+                            .isGreaterThan(third == 0 && PLANS.get(plan).ceilingRate() > 0 ? 0.4 : 0.5); // a ceiling's shares begin empty
+                }
+            }
+            System.out.printf("shares: seed %d, of customers under a tenth: %.3f%n", seed, fleet.starved());
+            assertThat(fleet.starved()).as("seed %d", seed).isLessThan(0.15);
+        }
+    }
+}
--- a/src/test/java/yardusher/list/ServiceTableTest.java
+++ b/src/test/java/yardusher/list/ServiceTableTest.java
@@ -42,4 +42,27 @@
             sockets.shutdown();
         }
     }
+
+    /** Danger: memory that grows with every region there ever was, over days of releases. */
+    @Test
+    void regionsThatCameAndWentAreForgotten() throws Exception {
+        Turns turns = new Turns(() -> 0, e -> { throw new AssertionError(e); });
+        Sockets sockets = new Sockets(turns);
+        try {
+            RegionPool pool = new RegionPool(sockets, new Counters(), List.of(), 250, 30_000, 8000, 10);
+            ServiceTable table = new ServiceTable(List.of("hall-a"), pool);
+            for (int i = 1; i <= 10_000; i++) {
+                String id = "s-" + Integer.toHexString(i);
+                table.line(news(2 * i, false, member(id, 1000 + i % 200, "Ready")));
+                if (i % 2 == 0) { table.line(news(2 * i + 1, false, member(id, 1000 + i % 200, "Gone"))); } // the others are replaced
+            }
+            assertThat(table.size()).isLessThanOrEqualTo(200);
+            assertThat(table.everListed("s-1")).isFalse();
+            assertThat(table.everListed("s-" + Integer.toHexString(10_000))).isTrue();
+            assertThat(pool.knows(1)).isFalse();
+            assertThat(pool.knows(9_000)).isFalse();
+        } finally {
+            sockets.shutdown();
+        }
+    }
 }
