Gossip of large fleets: shortest windows first, wide sets told by meeting peers, intake kept

On a hundred gateways nine tenths of the bytes were rows of plans with long windows, told twice to all of sets of 50 to 90, and the counts of plans with short windows, three quarters of all excess, waited behind them for longer than their window. Now all are told directly only where that costs a small part of a request's worth, what has the shortest window goes first, and no gateway sends more than all take in (a fifth of the messages was lost at full receivers).

--- a/src/main/java/yardusher/Customer.java
+++ b/src/main/java/yardusher/Customer.java
@@ -16,9 +16,8 @@
     private final Settings settings; private final Clock clock; private final Peers peers;
     final long id;
     final int planIndex;
-    final Plan plan;
     final double slotMs, windowMs, bornAt;
-    final Row mine;
+    final Row mine; final Plan plan;
     final List<Row> rows = new ArrayList<>();    // told by their sources
     final List<Row> sums = new ArrayList<>();    // of all others, told by who passes them on
     long head;
@@ -48,8 +47,11 @@
         }
     }
 
-    /** Whether all are told of each change: a round of messages takes a small part of a window. */
-    boolean direct() { return spread - 1 <= Math.max(DIRECT, peers.intake * windowMs / 3); }
+    /** Whether all are told of each change, twice: at a small part of a window, and of the worth. */
+    boolean direct() {
+        double paid = NEWS_PART / (2 * SUM_BYTES / RowText.MOST_BYTES * settings.peerPrice());
+        return spread - 1 <= Math.max(DIRECT, Math.min(paid, peers.intake * windowMs / 3));
+    }
 
     int member(int k) { return Math.floorMod(first + k, settings.gateways()); }
 
@@ -140,12 +142,11 @@
         return open;
     }
 
-    /** Sums are passed on no oftener than part of the quota's worth pays for or all can take in. */
+    /** Sums are passed on no oftener than part of the quota's worth pays for. */
     double passEvery() {
         if (direct()) { return slotMs; }
         double each = spread * SUM_BYTES / RowText.MOST_BYTES * settings.peerPrice();
         double requests = plan.ratePerS() / Math.max(1, settings.mostUnits() / 2);
-        double crowd = Math.max(1, peers.heardRate / Math.max(1e-9, peers.intake / 2));
-        return Math.max(slotMs, Math.min(windowMs / 2, 1000 * each / (NEWS_PART * requests))) * crowd;
+        return Math.max(slotMs, Math.min(windowMs / 2, 1000 * each / (NEWS_PART * requests)));
     }
 }
--- a/src/main/java/yardusher/Gossip.java
+++ b/src/main/java/yardusher/Gossip.java
@@ -18,11 +18,10 @@
     private static final Object HELLO = new Object();
     private final Settings settings; private final Clock clock; private final SplittableRandom random;
     private final Consumer<Action> out; private final Peers peers; private final Quotas quotas;
-    private final Map<Integer, LinkedHashSet<Object>> outboxes = new LinkedHashMap<>();
+    private final Map<Integer, Outbox> outboxes = new LinkedHashMap<>();
     private final LinkedHashSet<Customer> waiting = new LinkedHashSet<>(); // to be told or passed on later
     private final ArrayDeque<Fault> verdicts = new ArrayDeque<>(); // go along with the next messages
-    private double earned = 1, earnedAt, flushAt = Double.POSITIVE_INFINITY;
-    private int sequence;
+    private double earned = 1, earnedAt, flushAt = Double.POSITIVE_INFINITY; private int sequence;
 
     private record Sums(Customer of) { }
 
@@ -69,10 +68,16 @@
 
     private void enqueue(int peer, Object item) {
         if (peer == settings.self() ? !peers.twin : peers.intake <= 0) { return; }
-        outboxes.computeIfAbsent(peer, p -> new LinkedHashSet<>()).add(item);
+        outboxes.computeIfAbsent(peer, p -> new Outbox()).add(item, due(item));
         arm(peer == settings.self() ? clock.now : earnedAt + (1 - earned) / peers.intake); // when one may go
     }
 
+    /** Counts are worth nothing after their window: what has the shortest goes first. */
+    private double due(Object item) {
+        Customer c = item instanceof Sums sums ? sums.of() : item instanceof Customer own ? own : null;
+        return clock.now + (c == null ? Clock.SWEEP_MS : c.windowMs);
+    }
+
     void flush() {
         if (clock.now < flushAt) { return; }               // an older timer; a sooner one was set since
         flushAt = Double.POSITIVE_INFINITY;
@@ -86,15 +91,12 @@
         }
         earned = Math.min(1 + peers.intake * 500, earned + peers.intake * (clock.now - earnedAt)); // of 0.5 s
         earnedAt = clock.now;
-        LinkedHashSet<Object> own = outboxes.remove(settings.self()); // no message to take in
-        for (int n = own == null ? 0 : own.size(); n-- > 0 && !own.isEmpty();) { tell(settings.self(), own); }
-        for (var all = outboxes.entrySet().iterator(); all.hasNext() && earned >= 1;) {
-            var outbox = all.next();
-            // A meeting peer speaks more than it is spoken to; what all take in is watched (passEvery).
-            boolean meets = outbox.getValue().stream().anyMatch(i -> i instanceof Sums s && !s.of().direct());
-            tell(outbox.getKey(), outbox.getValue());
-            if (outbox.getValue().isEmpty()) { all.remove(); }
-            earned -= meets ? 1.0 / Customer.NEIGHBOURS : 1;
+        Outbox own = outboxes.remove(settings.self()); // no message to take in
+        for (int n = own == null ? 0 : own.size(); n-- > 0 && own.size() > 0;) { tell(settings.self(), own); }
+        for (; !outboxes.isEmpty() && earned >= 1; earned--) {
+            int peer = Outbox.first(outboxes);
+            tell(peer, outboxes.get(peer));
+            if (outboxes.get(peer).size() == 0) { outboxes.remove(peer); }
         }
         if (!outboxes.isEmpty()) { next = Math.min(next, clock.now + (1 - earned) / peers.intake); }
         if (next < Double.POSITIVE_INFINITY) { arm(next); }
@@ -134,7 +136,7 @@
         }
     }
 
-    private void tell(int peer, LinkedHashSet<Object> items) {
+    private void tell(int peer, Outbox box) {
         StringBuilder body = new StringBuilder("m");
         sequence = (sequence + 1) % SEQUENCES;
         boolean greets = clock.now - clock.startedAt < Clock.SWEEP_MS; // and asks for what is known
@@ -142,7 +144,7 @@
         Digits.put(body, sequence, 2);
         int carried = Math.min(SWEPT, (verdicts.size() + 2) / Customer.NEIGHBOURS);
         for (; carried > 0; carried--) { verdicts.poll().put(body); }
-        for (Iterator<Object> all = items.iterator(); all.hasNext();) {
+        for (Iterator<Object> all = box.items.iterator(); all.hasNext();) {
             Object item = all.next();
             int before = body.length();
             if (item instanceof Customer c) { RowText.of(RowText.OWN, c, peer).put(body, settings); }
@@ -151,6 +153,7 @@
             if (body.length() > RowText.MOST_BYTES) { body.setLength(before); break; }
             all.remove();
         }
+        box.due = clock.now + Clock.SWEEP_MS;        // what found no room
         out.accept(new Tell(peer, body.toString()));
     }
 
@@ -162,7 +165,6 @@
         Digits text = new Digits(message.body(), 1);
         int mark = (int) text.get(1), seq = (int) text.get(2);
         if (mark < 0 || seq < 0) { return; }
-        peers.heardRate = peers.heardRate * Math.exp((peers.heardAt - clock.now) / 1000) + 0.001;
         peers.heardAt = clock.now;
         int itsLife = mark % Peers.LIVES;
         Integer before = peers.lives.put(from, itsLife);
--- a/src/main/java/yardusher/Peers.java
+++ b/src/main/java/yardusher/Peers.java
@@ -9,7 +9,7 @@
     final int life;                                  // tells this life's counts from a former one's
     final double intake;                             // messages to take in, and to send, a millisecond
     final Map<Integer, Integer> lives = new HashMap<>(); // of the peers heard; looked up only
-    double heardRate, heardAt;                       // messages a millisecond that came in, over a second
+    double heardAt;                                  // when a message came in last
     boolean twin, owns = true;                       // another process of this gateway; which one earns
 
     Peers(int life, double intake) { this.life = life; this.intake = intake; }
--- a/src/main/java/yardusher/Servers.java
+++ b/src/main/java/yardusher/Servers.java
@@ -21,7 +21,6 @@
     private final Consumer<Action> out; private final Teller teller;
     final double[] classMs;                          // usual latency of each class
     double typicalMs = 100, fleetPart;               // usual latency; part of the aim that answers take
-    private double fleetAt;
     private final double ghostMs;                    // how long work given up counts as still there
 
     final Map<Long, Host> hosts = new LinkedHashMap<>();
@@ -29,7 +28,7 @@
     private final int[] outCount;                    // servers out, by class
     private final Map<Long, Double> bans = new HashMap<>(); // by hand, and since when; outlive the list
     int outstanding;
-    private double askAt = Double.POSITIVE_INFINITY; // when to ask for the list again
+    private double fleetAt, askAt = Double.POSITIVE_INFINITY; // when to ask for the list again
 
     Servers(Settings settings, Clock clock, SplittableRandom random, Consumer<Action> out, Teller teller) {
         this.settings = settings; this.clock = clock; this.random = random; this.out = out;
