--- a/src/test/java/yardusher/ExcessRun.java
+++ b/src/test/java/yardusher/ExcessRun.java
@@ -9,6 +9,7 @@
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.stream.LongStream;
 import yardusher.Api.*;
 
 /**
@@ -20,19 +21,38 @@
     /** Two plans whose excess costs, and one with a ceiling whose excess costs nothing. */
     static final List<Plan> PLANS = List.of(new Plan(1.6, 8, 0, 0.8, 0, 0, 0, 0.6), new Plan(8, 13, 0, 1.1, 0, 0, 0, 0.8),
             new Plan(31, 66, 0, 1.8, 65, 139, 14, 0));
-    static final int[] CUSTOMERS = {1400, 160, 32};
-    static final double[] UNITS = {2, 4}, WORTH = {4, 24};
+    private static final int[] CUSTOMERS = {1400, 160, 32}; // of 100 gateways
+    private static final double[] UNITS = {2, 4}, WORTH = {4, 24};
     private static final double INTAKE_PER_S = 60, PEER_PRICE = 0.02;
     private static final int SERVERS = 64;
-    static final boolean DBG = Boolean.getBoolean("dbg");
     private static final double[] AGES = {250, 500, 1000, 2000, Double.POSITIVE_INFINITY};
+    private static final String[] NAMES = {"a to 0.25 s", "b to 0.5 s", "c to 1 s", "d to 2 s", "e older, or none"};
 
-    /** Worth of tries of one kind: inside the true store and let in, beyond it and let in, inside and refused, in the ideal. */
+    /** Worth of tries of one kind, and what was known at the decisions: of what went beyond, and of what fitted and was refused. */
     static final class Tally {
-        double inside, beyond, ideal, tries, refusedFitting, beyondUnits, refusedUnits;
-        double missing, believed, truth, decisions, heardMs;
-        final double[] missingByAge = new double[AGES.length];
-        double refusedMissing, refusedBelieved, refusedTruth, refusals, refusedOver;
+        double inside, beyond, ideal, refused, refusedOverHalf;
+        final Known letIn = new Known(), turnedAway = new Known();
+    }
+
+    /** Sums over decisions: the room that was believed, the room there was, units let in elsewhere in a window and not heard of. */
+    static final class Known {
+        double n, believed, truth;
+        final double[] unheard = new double[AGES.length];
+
+        void add(double itsBelieved, double itsTruth, double[] itsUnheard) {
+            n++;
+            believed += itsBelieved;
+            truth += itsTruth;
+            for (int i = 0; i < AGES.length; i++) { unheard[i] += itsUnheard[i]; }
+        }
+
+        @Override
+        public String toString() {
+            double of = Math.max(1, n);
+            StringBuilder ages = new StringBuilder();
+            for (double units : unheard) { ages.append(String.format(" %.1f", units / of)); }
+            return String.format("%.0f | %.1f | %.1f |%s", n, believed / of, truth / of, ages);
+        }
     }
 
     private record Due(double at, long order, Runnable work) { }
@@ -105,9 +125,10 @@
     }
 
     final Map<String, Tally> tallies = new TreeMap<>();
-    final Tally all = new Tally();
     final int size;
-    double now = 1000, from, ceilingLeast = Double.POSITIVE_INFINITY;
+    private final double loss;                       // of the messages on their way
+    double now = 1000, ceilingLeast = Double.POSITIVE_INFINITY;
+    private double from = Double.POSITIVE_INFINITY;  // what comes before is not counted
     long tells, bytes, tries, lost;
     final SplittableRandom random;
     private final Policy[] gateways;
@@ -120,8 +141,9 @@
     private long order, ids, current;
     private boolean sent;
 
-    ExcessRun(int size, long seed) {
+    ExcessRun(int size, double loss, long seed) {
         this.size = size;
+        this.loss = loss;
         random = new SplittableRandom(seed);
         gateways = new Policy[size];
         lives = new int[size];
@@ -169,10 +191,9 @@
         } else if (action instanceof Tell tell) {
             if (now >= from) {
                 tells++;
-                if (SPLIT) { split(g, tell.body()); }
                 bytes += tell.body().length();
             }
-            if (random.nextDouble() >= 0.055) {
+            if (random.nextDouble() >= loss) {
                 at(now + 1.3 + 20 * random.nextDouble(), () -> deliver(tell.to(), new PeerMessage(g, tell.body())));
             }
         } else if (action instanceof Send send) {
@@ -183,29 +204,6 @@
         }
     }
 
-    static final boolean SPLIT = Boolean.getBoolean("split");
-    final Map<String, int[]> parts = new TreeMap<>();
-
-    private void split(int g, String body) {
-        Settings st = settings(g);
-        Digits text = new Digits(body, 1);
-        text.get(1);
-        text.get(2);
-        while (text.more()) {
-            int left = body.length();
-            int kind = (int) text.get(1);
-            if (kind % RowText.KINDS >= RowText.FAULT) { Fault.read(kind, text); continue; }
-            RowText row = RowText.read(kind, kind / RowText.KINDS, text, st);
-            Customer c = customers.get((int) row.customer());
-            String asked = c.spike > 1 ? "spiky" : c.asks < 0.6 ? "calm" : c.asks < 1.2 ? "full" : "heavy";
-            StringBuilder b = new StringBuilder();
-            row.put(b, st);
-            int[] n = parts.computeIfAbsent((kind % RowText.KINDS == 0 ? "own " : "sum ") + c.plan + " " + asked, k -> new int[2]);
-            n[0]++;
-            n[1] += b.length();
-        }
-    }
-
     private void tell(int to, int life, Event event) {
         if (lives[to] == life) { gateways[to].on(now, event); }
     }
@@ -214,7 +212,7 @@
         intakeLeft[to] = Math.min(INTAKE_PER_S / 2, intakeLeft[to] + (now - intakeAt[to]) * INTAKE_PER_S / 1000);
         intakeAt[to] = now;
         if (intakeLeft[to] < 1) {
-            lost++;
+            lost += now >= from ? 1 : 0;
             return;
         }
         intakeLeft[to]--;
@@ -235,43 +233,24 @@
         Plan p = PLANS.get(c.plan);
         double units = UNITS[k], worth = WORTH[k] * p.value();
         int g = c.gateway();
-        // What the gateway believes and what it has not heard of, before it decides.
-        gateways[g].standing(now, c.id, c.plan, units, c.first, c.spread);
-        yardusher.Customer known = gateways[g].quotas.customers.get(c.id);
-        double window = p.burst() / p.ratePerS() * 1000;
+        double window = p.burst() / p.ratePerS() * 1000, believed = p.burst(), age = Double.POSITIVE_INFINITY;
         while (!c.let.isEmpty() && c.let.peek().at() < now - window) { c.let.poll(); }
-        double believed = p.burst(), missing = 0;
-        double[] byAge = new double[AGES.length];
+        gateways[g].standing(now, c.id, c.plan, units, c.first, c.spread); // only looks; tells it the time
+        yardusher.Customer known = gateways[g].quotas.customers.get(c.id);
+        double[] unheard = new double[AGES.length];
         if (known != null) {
-            double[] others = known.others(-1);
-            believed = known.room(others);
-            double out = 0;
-            for (Let let : c.let) { out += let.gateway() != g ? let.units() : 0; }
-            missing = out - others[Row.SLOTS];
-            Map<Integer, Double> heard = new HashMap<>();
-            for (Row row : known.rows) { heard.merge(row.gateway, row.askedAt, Math::max); }
-            for (Let let : c.let) {
-                if (let.gateway() == g || heard.getOrDefault(let.gateway(), -1.0) > let.at()) { continue; }
-                int age = 0;
-                while (now - let.at() > AGES[age]) { age++; }
-                byAge[age] += let.units();
-            }
+            believed = known.room(known.others(-1));
+            age = now - known.newsAt;
         }
-        boolean fits = c.level >= units;
-        double sumAge = 9999, askedBy = 0, out1 = 0; int nsums = 0;
-        if (known != null) { for (Row r : known.sums) { sumAge = Math.min(sumAge, now - r.askedAt); nsums++; } askedBy = known.others(-1)[Row.SLOTS+1]; }
-        for (Let let : c.let) { out1 += let.units(); }
-        Object[] dbg = {now, c.plan, c.spread, String.format("%.2f", c.asks), g, fits, String.format("%.1f", c.level), String.format("%.1f", believed), String.format("%.1f", missing), String.format("%.1f", out1), String.format("%.0f", sumAge), nsums, String.format("%.1f", askedBy), known == null ? -1 : known.rank, known == null ? 0 : String.format("%.0f", now - known.newsAt), known == null ? 0 : String.format("%.0f", known.newsEvery), known == null ? 0 : String.format("%.0f", known.passEvery())};
-        if (c.ideal >= units) {
-            c.ideal -= units;
-            if (now >= from) {
-                all.ideal += worth;
-                tally(c).ideal += worth;
-            }
+        for (Let let : c.let) {
+            if (let.gateway() != g && let.at() > now - age) { unheard[bucket(now - let.at())] += let.units(); }
         }
+        boolean fits = c.level >= units, ideal = c.ideal >= units;
+        if (ideal) { c.ideal -= units; }
         current = ++ids;
         sent = false;
         gateways[g].on(now, new Request(current, k, c.plan, c.id, now + 2000, units, c.first, c.spread));
+        double truth = c.level;
         if (sent) {
             c.ceiling -= units;
             if (p.ceilingRate() > 0) { ceilingLeast = Math.min(ceilingLeast, c.ceiling); }
@@ -281,74 +260,68 @@
             at(now + 50 + 350 * random.nextDouble(), () -> ask(c, k, tried + 1));
         }
         if (now < from) { return; }
-        if (DBG && c.plan == 1 && c.asks > 2) { System.out.println("D " + sent + " " + java.util.Arrays.toString(dbg)); }
         tries++;
-        for (Tally t : List.of(all, tally(c))) {
-            t.tries++;
-            if (sent && fits) { t.inside += worth; }
-            if (sent && !fits) {
+        String asked = c.spike > 1 ? "in spikes" : c.asks < 0.6 ? "little" : c.asks < 1.2 ? "nearly all" : "several times";
+        String plan = p.ceilingRate() > 0 ? "groot" : c.plan == 0 ? "basis" : "plus";
+        String set = c.spread < 50 ? "2 to 49" : c.spread < 65 ? "50 to 64" : c.spread < 80 ? "65 to 79" : "80 and more";
+        for (String key : List.of("all", "1 " + plan + ", asks " + asked, "2 " + plan + ", set of " + set, "3 " + plan + ", heard "
+                + NAMES[bucket(age)])) {
+            Tally t = tallies.computeIfAbsent(key, name -> new Tally());
+            t.ideal += ideal ? worth : 0;
+            if (sent && fits) {
+                t.inside += worth;
+            } else if (sent) {
                 t.beyond += worth * p.overCost();
-                t.beyondUnits += units;
-                t.decisions++;
-                t.believed += believed;
-                t.truth += c.level;
-                t.missing += missing;
-                for (int i = 0; i < byAge.length; i++) { t.missingByAge[i] += byAge[i]; }
-            }
-            if (!sent && fits) {
-                t.refusedFitting += worth;
-                t.refusedUnits += units;
-                t.refusals++;
-                t.refusedBelieved += believed;
-                t.refusedTruth += c.level;
-                t.refusedMissing += missing;
-                t.refusedOver += c.level >= p.burst() / 2 ? worth : 0;
+                t.letIn.add(believed, truth, unheard);
+            } else if (fits) {
+                t.refused += worth;
+                t.refusedOverHalf += truth >= p.burst() / 2 ? worth : 0;
+                t.turnedAway.add(believed, truth, unheard);
             }
         }
     }
 
-    private Tally tally(Customer c) {
-        yardusher.Customer known = gateways[c.first].quotas.customers.get(c.id);
-        boolean direct = c.spread - 1 <= Math.max(12, 0.054 * PLANS.get(c.plan).burst() / PLANS.get(c.plan).ratePerS() * 1000 / 3);
-        String asked = c.spike > 1 ? "spiky" : c.asks < 0.6 ? "calm" : c.asks < 1.2 ? "full" : "heavy";
-        return tallies.computeIfAbsent("plan " + c.plan + (direct ? " direct  " : " met     ") + asked, key -> new Tally());
+    private static int bucket(double age) {
+        int i = 0;
+        while (age > AGES[i]) { i++; }
+        return i;
     }
 
-    /** Arguments: gateways, first seed, how many, seconds. */
+    /** The price of excess, and what all messages cost, as parts of the worth that one gateway which saw all would let in. */
+    double excess() { return tallies.get("all").beyond / tallies.get("all").ideal; }
+
+    double messages() { return PEER_PRICE * bytes / RowText.MOST_BYTES / tries; }
+
+    /** Part of the messages that were lost at receivers that take in no more. */
+    double overrun() { return lost / (double) tells; }
+
+    double inside() { return tallies.get("all").inside / tallies.get("all").ideal; }
+
+    /** Arguments: gateways, first seed, how many, seconds, and "q" for the sums alone. Prints what stands in docs/measurements/excess.md. */
     public static void main(String[] args) {
         int size = Integer.parseInt(args[0]);
         long first = Long.parseLong(args[1]), count = Long.parseLong(args[2]);
-        double until = 1000 * Double.parseDouble(args[3]);
-        boolean quiet = args.length > 4;
-        List<ExcessRun> runs = java.util.stream.LongStream.range(first, first + count).parallel().mapToObj(seed -> {
-            ExcessRun run = new ExcessRun(size, seed);
+        double until = 1000 * Double.parseDouble(args[3]), seconds = (until - 6000) / 1000;
+        List<ExcessRun> runs = LongStream.range(first, first + count).parallel().mapToObj(seed -> {
+            ExcessRun run = new ExcessRun(size, 0.055, seed);
             run.run(6000, until);
             return run;
         }).toList();
+        double[] mean = new double[3];
         for (ExcessRun run : runs) {
-            run.parts.forEach((k, v) -> System.out.printf("%-12s rows %d bytes %.3f of all%n", k, v[0], v[1] / (double) run.bytes));
-            if (!quiet) {
-                run.tallies.forEach((key, t) -> System.out.printf("%-22s %s%n", key, line(run, t)));
-            }
-            double message = run.tells == 0 ? 0 : run.bytes / 256.0 / run.tries;
-            System.out.printf("all: inside %.3f excess %.3f messages %.4f net %.4f | refused fitting %.3f; tells/s %.1f full %.2f lost %.3f tries/s %.1f "
-                    + "least ceiling %.0f%n", run.all.inside / run.all.ideal, run.all.beyond / run.all.ideal, 0.02 * message,
-                    (run.all.inside - run.all.beyond) / run.all.ideal - 0.02 * message, run.all.refusedFitting / run.all.ideal,
-                    run.tells * 1000.0 / size / (until - 6000), run.bytes / 256.0 / run.tells, run.lost / (double) run.tells,
-                    run.tries * 1000.0 / size / (until - 6000), run.ceilingLeast);
+            double whole = run.tallies.get("all").ideal;
+            run.tallies.forEach((key, t) -> {
+                if (args.length > 4) { return; }
+                System.out.printf("| %s | %.3f | %.2f | %.4f | %s | %.3f | %.3f | %s |%n", key, t.ideal / whole, t.inside / Math.max(1e-9, t.ideal),
+                        t.beyond / whole, t.letIn, t.refused / whole, t.refusedOverHalf / whole, t.turnedAway);
+            });
+            System.out.printf("inside %.3f, excess %.3f, messages %.4f; a gateway and second: %.1f tries, %.1f messages, %.2f full; lost at full receivers"
+                    + " %.3f; least of the ceilings %.0f%n", run.inside(), run.excess(), run.messages(), run.tries / seconds / size,
+                    run.tells / seconds / size, run.bytes / 256.0 / run.tells, run.overrun(), run.ceilingLeast);
+            mean[0] += run.inside() / count;
+            mean[1] += run.excess() / count;
+            mean[2] += run.messages() / count;
         }
-        System.out.printf("MEAN net %.4f inside %.4f excess %.4f%n", runs.stream().mapToDouble(run -> (run.all.inside - run.all.beyond) / run.all.ideal
-                - 0.02 * run.bytes / 256.0 / run.tries).average().orElse(0), runs.stream().mapToDouble(run -> run.all.inside / run.all.ideal).average().orElse(0),
-                runs.stream().mapToDouble(run -> run.all.beyond / run.all.ideal).average().orElse(0));
-    }
-
-    private static String line(ExcessRun run, Tally t) {
-        double n = Math.max(1, t.decisions), r = Math.max(1, t.refusals);
-        StringBuilder ages = new StringBuilder();
-        for (double age : t.missingByAge) { ages.append(String.format(" %.1f", age / n)); }
-        return String.format("ideal %.3f inside %.2f excess %.4f (%.0f: believed %.1f true %.1f missing %.1f by age%s) refused fitting %.4f (%.0f: "
-                + "believed %.1f true %.1f missing %.1f, over half %.4f)", t.ideal / run.all.ideal, t.inside / t.ideal, t.beyond / run.all.ideal, t.decisions,
-                t.believed / n, t.truth / n, t.missing / n, ages, t.refusedFitting / run.all.ideal, t.refusals, t.refusedBelieved / r, t.refusedTruth / r,
-                t.refusedMissing / r, t.refusedOver / run.all.ideal);
+        System.out.printf("mean: inside %.4f, excess %.4f, messages %.4f; inside less both %.4f%n", mean[0], mean[1], mean[2], mean[0] - mean[1] - mean[2]);
     }
 }
