The watch's answers are read by HttpCore's parsers, fed by our own reads

Need: heads and chunks of HTTP were read by hand: a legal head with other blanks or a folded line was refused, and a chunk whose size did not fit its bytes passed unseen. Change: list.ChunkedLines keeps feed, next and ended and hands the bytes to httpcore5's transport-free response parser and chunk decoder.

--- a/src/main/java/yardusher/list/ChunkedLines.java
+++ b/src/main/java/yardusher/list/ChunkedLines.java
@@ -2,72 +2,68 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.ReadableByteChannel;
+import java.nio.channels.WritableByteChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
-import java.util.Locale;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.BasicHttpTransportMetrics;
+import org.apache.hc.core5.http.impl.nio.ChunkDecoder;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseFactory;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseParser;
+import org.apache.hc.core5.http.nio.SessionInputBuffer;
+import org.apache.hc.core5.util.CharArrayBuffer;
 
-/** Reads the lines of a chunked HTTP/1.1 answer as its bytes come. Bounded in head, chunk line and line. */
+/**
+ * Reads the lines of a chunked HTTP/1.1 answer as its bytes come. Heads and chunks are read by HttpCore's parsers, which need
+ * no transport of theirs: the bytes are those of our own reads. Bounded: 64 lines of 8 KiB of a head, 4 MiB of a line of the list.
+ * What is not such an answer is an {@link IOException}; after one, nothing more is fed.
+ */
 final class ChunkedLines {
-    private static final int MOST_HEAD = 16 * 1024;
+    private static final int MOST_HEAD_LINE = 8 * 1024;
+    private static final int MOST_FED = 8 * 1024;    // bytes at a time; more is fed in parts
     private static final int MOST_LINE = 4 << 20;
+    private static final Http1Config LIMITS = Http1Config.custom().setMaxLineLength(MOST_HEAD_LINE).setMaxHeaderCount(64).build();
 
-    private enum State { HEAD, SIZE, DATA, DATA_END, ENDED }
-
-    private State state = State.HEAD;
-    private final ByteArrayOutputStream part = new ByteArrayOutputStream(256);
+    private final Bytes bytes = new Bytes();
+    private final DefaultHttpResponseParser<HttpResponse> head = new DefaultHttpResponseParser<>(DefaultHttpResponseFactory.INSTANCE, LIMITS);
+    private ChunkDecoder chunks;                     // null until the head is whole
+    private final ByteBuffer part = ByteBuffer.allocate(4096);
     private final ByteArrayOutputStream line = new ByteArrayOutputStream(4096);
     private final ArrayDeque<String> lines = new ArrayDeque<>();
-    private long left;
-
-    void feed(byte[] bytes, int count) throws IOException {
-        for (int i = 0; i < count; i++) {
-            byte b = bytes[i];
-            switch (state) {
-                case HEAD -> {
-                    part.write(b);
-                    if (part.size() > MOST_HEAD) { throw new IOException("answer's head too long"); }
-                    if (b == '\n' && part.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) { head(); }
-                }
-                case SIZE -> size(b);
-                case DATA -> {
-                    data(b);
-                    if (--left == 0) { state = State.DATA_END; }
-                }
-                case DATA_END -> {
-                    if (b == '\n') { state = State.SIZE; }
-                }
-                default -> { return; }
+
+    void feed(byte[] fed, int count) throws IOException {
+        for (int from = 0; from < count; from += MOST_FED) {
+            bytes.add(fed, from, Math.min(MOST_FED, count - from));
+            try {
+                if (chunks == null) { head(); }
+                if (chunks != null) { chunks(); }
+            } catch (HttpException | IndexOutOfBoundsException e) { // the latter of a chunk's size below nothing
+                throw new IOException("no answer of HTTP/1.1: " + e.getMessage(), e);
             }
         }
     }
 
-    private void head() throws IOException {
-        String head = part.toString(StandardCharsets.ISO_8859_1);
-        part.reset();
-        if (!head.matches("(?s)HTTP/1\\.1 200[ \r].*")) {
-            throw new IOException("answered " + head.lines().findFirst().orElse(""));
-        }
-        if (!head.toLowerCase(Locale.ROOT).contains("transfer-encoding: chunked")) {
+    private void head() throws IOException, HttpException {
+        HttpResponse answer = head.parse(bytes, false);
+        if (answer == null) { return; }
+        if (answer.getCode() != 200) { throw new IOException("answered " + answer.getCode() + " " + answer.getReasonPhrase()); }
+        if (answer.getHeader("Transfer-Encoding") == null || !answer.getHeader("Transfer-Encoding").getValue().equalsIgnoreCase("chunked")) {
             throw new IOException("answer is not chunked");
         }
-        state = State.SIZE;
+        chunks = new ChunkDecoder(bytes, bytes, LIMITS, new BasicHttpTransportMetrics());
     }
 
-    private void size(byte b) throws IOException {
-        if (b != '\n') {
-            part.write(b);
-            if (part.size() > 64) { throw new IOException("bad chunk"); }
-            return;
-        }
-        String digits = part.toString(StandardCharsets.ISO_8859_1).split(";")[0].trim();
-        part.reset();
-        try {
-            left = Long.parseLong(digits, 16);
-        } catch (NumberFormatException e) {
-            throw new IOException("bad chunk", e);
+    private void chunks() throws IOException {
+        while (!chunks.isCompleted()) {
+            part.clear();
+            if (chunks.read(part) <= 0) { return; }
+            part.flip();
+            while (part.hasRemaining()) { data(part.get()); }
         }
-        if (left < 0 || left > MOST_LINE) { throw new IOException("bad chunk"); }
-        state = left == 0 ? State.ENDED : State.DATA;
     }
 
     private void data(byte b) throws IOException {
@@ -82,5 +78,60 @@
 
     String next() { return lines.poll(); }
 
-    boolean ended() { return state == State.ENDED; }
+    boolean ended() { return chunks != null && chunks.isCompleted(); }
+
+    /** What was fed and not yet read: never more than a line of a head or of a chunk's size, and one feed. It is filled by us alone. */
+    private static final class Bytes implements SessionInputBuffer, ReadableByteChannel {
+        private final ByteBuffer buffer = ByteBuffer.allocate(MOST_HEAD_LINE + MOST_FED).flip();
+
+        void add(byte[] fed, int from, int count) { buffer.compact().put(fed, from, count).flip(); }
+
+        @Override
+        public boolean readLine(CharArrayBuffer into, boolean end) throws IOException {
+            for (int i = buffer.position(); i < buffer.limit(); i++) {
+                if (buffer.get(i) != '\n') { continue; }
+                int to = i > buffer.position() && buffer.get(i - 1) == '\r' ? i - 1 : i;
+                into.append(buffer.array(), buffer.position(), to - buffer.position());
+                buffer.position(i + 1);
+                return true;
+            }
+            if (buffer.remaining() >= MOST_HEAD_LINE) { throw new IOException("answer's head too long"); }
+            return false;
+        }
+
+        @Override
+        public int read(ByteBuffer into, int most) {
+            int count = Math.min(Math.min(into.remaining(), most), buffer.remaining());
+            into.put(buffer.slice(buffer.position(), count));
+            buffer.position(buffer.position() + count);
+            return count;
+        }
+
+        @Override
+        public int read(ByteBuffer into) { return read(into, Integer.MAX_VALUE); }
+
+        @Override
+        public int read() { return buffer.get() & 255; }
+
+        @Override
+        public boolean hasData() { return buffer.hasRemaining(); }
+
+        @Override
+        public int length() { return buffer.remaining(); }
+
+        @Override
+        public int fill(ReadableByteChannel from) { return 0; }
+
+        @Override
+        public int read(WritableByteChannel into, int most) { throw new UnsupportedOperationException(); }
+
+        @Override
+        public int read(WritableByteChannel into) { throw new UnsupportedOperationException(); }
+
+        @Override
+        public boolean isOpen() { return true; }
+
+        @Override
+        public void close() { /* nothing is held */ }
+    }
 }
