--- a/src/test/java/yardusher/fleet/Labs.java
+++ b/src/test/java/yardusher/fleet/Labs.java
@@ -1,10 +1,12 @@
 package yardusher.fleet;
 
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import org.awaitility.Awaitility;
 import yardusher.lab.Checker;
 import yardusher.lab.Installation;
 
@@ -16,11 +18,7 @@
 
     /** Waits for what the processes say, bounded. */
     static void await(String what, BooleanSupplier so) throws InterruptedException {
-        long until = System.nanoTime() + 20_000_000_000L;
-        while (!so.getAsBoolean()) {
-            if (System.nanoTime() > until) { throw new AssertionError("never: " + what); }
-            Thread.sleep(20);
-        }
+        Awaitility.await(what).pollInSameThread().pollDelay(Duration.ZERO).pollInterval(Duration.ofMillis(20)).atMost(Duration.ofSeconds(20)).until(so::getAsBoolean);
     }
 
     static Installation begun(Path folder, int agents, int instances) throws Exception {
--- a/src/test/java/yardusher/journal/KillRun.java
+++ b/src/test/java/yardusher/journal/KillRun.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -20,6 +21,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import org.awaitility.Awaitility;
 import yardusher.disk.Folder;
 import yardusher.resp.Decoder;
 import yardusher.resp.Encoder;
@@ -221,15 +223,11 @@
     }
 
     private static void awaitListening(int port, Process child) throws Exception {
-        long until = System.nanoTime() + 60_000_000_000L;
-        for (;;) {
-            try (Socket socket = new Socket("127.0.0.1", port)) {
-                return;
-            } catch (IOException e) {
-                if (!child.isAlive() || System.nanoTime() > until) { throw new AssertionError("the ingress does not listen", e); }
-                Thread.sleep(10);
-            }
-        }
+        Awaitility.await("the ingress listens").pollInSameThread().pollDelay(Duration.ZERO).pollInterval(Duration.ofMillis(10))
+                .atMost(Duration.ofSeconds(60)).ignoreExceptionsInstanceOf(IOException.class).failFast("it has ended", () -> !child.isAlive()).until(() -> {
+                    new Socket("127.0.0.1", port).close();
+                    return true;
+                });
     }
 
     public static void main(String[] args) throws Exception {
--- a/src/test/java/yardusher/lab/GroupTest.java
+++ b/src/test/java/yardusher/lab/GroupTest.java
@@ -5,11 +5,13 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.awaitility.Awaitility;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -133,8 +135,6 @@
 
     /** Waits until it is so; bounded. */
     static void await(Wanted wanted) throws Exception {
-        for (double until = Group.now() + 30_000; !wanted.is(); Thread.sleep(10)) {
-            if (Group.now() > until) { throw new AssertionError("never came"); }
-        }
+        Awaitility.await().pollInSameThread().pollDelay(Duration.ZERO).pollInterval(Duration.ofMillis(10)).atMost(Duration.ofSeconds(30)).until(wanted::is);
     }
 }
--- a/src/test/java/yardusher/story/AgentStoryTest.java
+++ b/src/test/java/yardusher/story/AgentStoryTest.java
@@ -7,6 +7,7 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.function.Predicate;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -33,12 +34,7 @@
 
     /** Asks until the status is as wanted: bounded, and on what the agent says, not on time passed. */
     private static String await(Client client, Predicate<String> wanted) throws Exception {
-        long until = System.nanoTime() + 60_000_000_000L;
-        for (String told;;) {
-            if (wanted.test(told = client.ask("AGENT.STATUS"))) { return told; }
-            if (System.nanoTime() > until) { throw new AssertionError(told); }
-            Thread.sleep(20);
-        }
+        return StandIn.patiently().atMost(Duration.ofSeconds(60)).until(() -> client.ask("AGENT.STATUS"), wanted);
     }
 
     private static long pid(String status, String name) {
--- a/src/test/java/yardusher/story/BulkStoryTest.java
+++ b/src/test/java/yardusher/story/BulkStoryTest.java
@@ -190,15 +190,7 @@
 
     /** Waits till the process listens; bounded. */
     private static Client patient(InetSocketAddress front) throws Exception {
-        long until = System.nanoTime() + StandIn.PATIENCE_S * 1_000_000_000L;
-        for (;;) {
-            try {
-                return new Client(front);
-            } catch (IOException e) {
-                if (System.nanoTime() > until) { throw e; }
-                Thread.sleep(20);
-            }
-        }
+        return StandIn.patiently().ignoreExceptions().until(() -> new Client(front), client -> true);
     }
 
     @Test
@@ -370,8 +362,6 @@
             other.raw("*5\r\n$4\r\nPING\r\n$1\r\na\r\n$1\r\na\r\n$1\r\na\r\n$70000\r\n".getBytes(StandardCharsets.US_ASCII));
             assertThat(other.told()).startsWith("-ERR Protocol error");
         }
-        long until = System.nanoTime() + StandIn.PATIENCE_S * 1_000_000_000L;
-        while (!serve.countersLine().contains("body_kb=0 ") && System.nanoTime() < until) { Thread.onSpinWait(); }
-        assertThat(serve.countersLine()).contains("body_kb=0 ").contains("body_waiting=0").contains("faults=0");
+        StandIn.patiently().untilAsserted(() -> assertThat(serve.countersLine()).contains("body_kb=0 ").contains("body_waiting=0").contains("faults=0"));
     }
 }
--- a/src/test/java/yardusher/story/PeersStoryTest.java
+++ b/src/test/java/yardusher/story/PeersStoryTest.java
@@ -79,12 +79,7 @@
 
     /** Asks until the standing is as wanted; bounded, and on what the ingress says. */
     private static void await(StandIn.Client client, String wanted) throws Exception {
-        long until = System.nanoTime() + StandIn.PATIENCE_S * 1_000_000_000L;
-        for (String told;;) {
-            if ((told = client.ask("CL.THROTTLE", "wide", "7", "19", "10", "0")).matches(wanted)) { return; }
-            if (System.nanoTime() > until) { throw new AssertionError(told); }
-            Thread.sleep(5);
-        }
+        StandIn.patiently().until(() -> client.ask("CL.THROTTLE", "wide", "7", "19", "10", "0"), told -> told.matches(wanted));
     }
 
     @Test
--- a/src/test/java/yardusher/story/StandIn.java
+++ b/src/test/java/yardusher/story/StandIn.java
@@ -1,5 +1,7 @@
 package yardusher.story;
 
+import static org.awaitility.Awaitility.await;
+
 import java.io.Closeable;
 import java.io.IOException;
 import java.io.InputStream;
@@ -11,6 +13,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
@@ -19,6 +22,7 @@
 import java.util.function.Function;
 import java.util.function.UnaryOperator;
 import java.util.stream.Collectors;
+import org.awaitility.core.ConditionFactory;
 import yardusher.cli.Config;
 import yardusher.cli.Serve;
 import yardusher.limits.LimitsConfig;
@@ -28,6 +32,11 @@
 
 /** Scripted peers over loopback. Every wait is on an event and bounded. */
 final class StandIn {
+    /** Waits on what the program says or shows: asked at once, then each few ms, for {@link #PATIENCE_S}; the last failure is told. */
+    static ConditionFactory patiently() {
+        return await().pollInSameThread().pollDelay(Duration.ZERO).pollInterval(Duration.ofMillis(5)).atMost(Duration.ofSeconds(PATIENCE_S));
+    }
+
     static final int PATIENCE_S = 20;
 
     private StandIn() { }
--- a/src/test/java/yardusher/story/UpgradeStoryTest.java
+++ b/src/test/java/yardusher/story/UpgradeStoryTest.java
@@ -93,14 +93,8 @@
     }
 
     private void awaitYes(int process) throws Exception {
-        long until = System.nanoTime() + StandIn.PATIENCE_S * 1_000_000_000L;
-        for (;;) {
-            try {
-                if (call(process, "health").startsWith("200")) { return; }
-            } catch (IOException e) { /* not there yet */ }
-            if (System.nanoTime() > until || !started.get(process).isAlive()) { throw new AssertionError(log(process)); }
-            Thread.sleep(5);
-        }
+        StandIn.patiently().ignoreExceptionsInstanceOf(IOException.class).failFast("the process has ended", () -> !started.get(process).isAlive())
+                .until(() -> call(process, "health").startsWith("200"));
     }
 
     /** A client that asks again and again on connections it keeps, and once more on a new one where it was not heard. */
@@ -158,11 +152,8 @@
     }
 
     private void awaitAnswers(int more) throws Exception {
-        long until = System.nanoTime() + StandIn.PATIENCE_S * 1_000_000_000L;
-        for (int from = answered.get(); answered.get() < from + more;) {
-            if (System.nanoTime() > until) { throw new AssertionError("only " + (answered.get() - from) + " more answers"); }
-            Thread.sleep(5);
-        }
+        int from = answered.get();
+        StandIn.patiently().until(answered::get, now -> now >= from + more);
     }
 
     @Test
@@ -236,9 +227,7 @@
         awaitYes(0);
         assertThat(call(0, "quiesce")).startsWith("200");
         start();
-        long until = System.nanoTime() + StandIn.PATIENCE_S * 1_000_000_000L;
-        while (!log(1).contains(" serves at ") && System.nanoTime() < until) { Thread.sleep(5); }
-        assertThat(log(1)).contains(" serves at ");
+        StandIn.patiently().untilAsserted(() -> assertThat(log(1)).contains(" serves at "));
         assertThat(call(1, "health")).startsWith("400");
         assertThat(call(1, "cordon s-1")).startsWith("200"); // holds in both at its yes
         assertThat(call(0, "counters")).contains("app.ejected:1|g");
--- a/src/test/java/yardusher/story/WatchStoryTest.java
+++ b/src/test/java/yardusher/story/WatchStoryTest.java
@@ -9,6 +9,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Semaphore;
@@ -123,12 +124,7 @@
     }
 
     private static void await(BooleanSupplier done) {
-        long until = System.nanoTime() + StandIn.PATIENCE_S * 1_000_000_000L;
-        while (!done.getAsBoolean()) {
-            if (System.nanoTime() > until) { throw new AssertionError("never came"); }
-            Thread.onSpinWait();
-            Thread.yield();
-        }
+        StandIn.patiently().pollInterval(Duration.ofMillis(1)).until(done::getAsBoolean);
     }
 
     /** Until every ask has been seen, every list read, and three round trips through the ingress brought nothing new. */
