--- a/src/main/java/yardusher/clients/PlatformFront.java
+++ b/src/main/java/yardusher/clients/PlatformFront.java
@@ -17,7 +17,10 @@
 import yardusher.core.Ingress;
 import yardusher.core.Intake;
 import yardusher.core.Order;
+import yardusher.core.Session;
 import yardusher.core.Terminal;
+import yardusher.error.CommandError;
+import yardusher.error.YardusherError;
 import yardusher.net.Answers;
 import yardusher.net.Budget;
 import yardusher.net.Sockets;
@@ -34,6 +37,8 @@
     private final Map<String, Integer> classes = new HashMap<>();
     private final Map<String, Integer> plans = new HashMap<>();
     private final Answers answers;
+    private boolean unitsOn;                         // names of units are read in the list
+    private boolean unitsPassOn;
     private LongFunction<String> keyShown;           // null where keys are off
     private Supplier<String> keyLine;
     /** The ids of transactions without their final answer: a second one under such an id is somebody else's. */
@@ -76,6 +81,12 @@
         keyLine = line;
     }
 
+    /** From now on the names u, p and b are read in lists, and regions are told of them or not. */
+    public void readUnits(boolean passOn) {
+        unitsOn = true;
+        unitsPassOn = passOn;
+    }
+
     private boolean keys(byte[][] words, Answers.Slot slot) {
         String name = new String(words[0], StandardCharsets.ISO_8859_1).toUpperCase(Locale.ROOT);
         if (!name.startsWith("KEYS.") || !slot.isFromHere()) { return false; }
@@ -95,11 +106,11 @@
         int classIndex;
         int plan;
         try {
-            call = Call.of(words);
+            call = unitsOn ? Call.withUnit(words, unitsPassOn) : Call.of(words);
             classIndex = index(classes, call.className);
             plan = index(plans, call.plan);
             check(call, classIndex);
-        } catch (IllegalArgumentException e) {
+        } catch (YardusherError e) {
             ingress.counters().invalid++;
             slot.reject(e.getMessage());
             return;
@@ -111,7 +122,7 @@
 
     private static int index(Map<String, Integer> of, String name) {
         Integer index = of.get(name);
-        if (index == null) { throw new IllegalArgumentException("unknown class or plan"); }
+        if (index == null) { throw new CommandError.Argument("unknown class or plan"); }
         return index;
     }
 
@@ -120,19 +131,22 @@
         Api.Settings settings = ingress.settings();
         Api.Effect effect = settings.classes().get(classIndex).effect();
         if (call.isGet() != (effect == Api.Effect.IDEMPOTENT) || call.hasBody() == call.isGet()) {
-            throw new IllegalArgumentException("not the command of this class");
+            throw new CommandError.Argument("not the command of this class");
         }
         if ((call.key != null) != (effect == Api.Effect.DEDUPLICATED)) {
-            throw new IllegalArgumentException("a keyed class needs k, and no other has it");
+            throw new CommandError.Argument("a keyed class needs k, and no other has it");
         }
-        if (settings.mostUnits() > 0 && call.units > settings.mostUnits()) { throw new IllegalArgumentException("bad units"); }
+        if (settings.mostUnits() > 0 && call.units > settings.mostUnits()) { throw new CommandError.Argument("bad units"); }
         if (call.spread < 1 || call.spread > settings.gateways() || call.first >= settings.gateways()) {
-            throw new IllegalArgumentException("bad set of ingresses");
+            throw new CommandError.Argument("bad set of ingresses");
         }
-        if (!ids.add(call.id)) { throw new IllegalArgumentException("a request with this id is open"); }
+        if (!ids.add(call.id)) { throw new CommandError.Refused("a request with this id is open"); }
     }
 
     private record Reply(PlatformFront front, Answers.Slot slot, long id) implements Terminal {
+        @Override
+        public Session session() { return slot.session(); }
+
         @Override
         public void served(byte[] value) { end(new Encoder(value.length + 16).bulk(value).toBytes()); }
 
