--- a/src/main/java/yardusher/units/Asked.java
+++ b/src/main/java/yardusher/units/Asked.java
@@ -31,6 +31,7 @@
     String home;                                     // whom it was asked of; null for this ingress
     long homeLife;
     int hops;                                        // homes asked so far
+    int due;                                         // where it has its place and waits: the part that is awaited, else 0
     Deadlines.Entry timer;
     // Of its run:
     Stay stay;
--- a/src/main/java/yardusher/units/Message.java
+++ b/src/main/java/yardusher/units/Message.java
@@ -18,8 +18,8 @@
     /** {@code to}: where it is to be asked for, empty but for MOVED. */
     record Refuse(UnitName unit, long ask, Refusal why, long figure, String to) implements Message { }
 
-    /** From a home: it has its place and waits for its turn. */
-    record Waits(UnitName unit, long ask) implements Message { }
+    /** From a home: it has its place and waits for its turn; part {@code due} is the one that is awaited. */
+    record Waits(UnitName unit, long ask, int due) implements Message { }
 
     /** From a home: the unit is over. */
     record Told(UnitName unit, long ask, Unit.State state, int served) implements Message { }
@@ -84,6 +84,7 @@
             out.writeByte(4);
             name(out, m.unit);
             out.writeLong(m.ask);
+            out.writeInt(m.due);
         } else if (message instanceof Told m) {
             out.writeByte(5);
             name(out, m.unit);
@@ -137,7 +138,7 @@
             case 1 -> new Ask(name(in), in.readLong(), in.readLong(), positive(in.readInt()), one(Ticket.Kind.values(), in), time(in), time(in));
             case 2 -> new Grant(name(in), in.readLong(), positive(in.readInt()), in.readBoolean(), in.readLong(), in.readInt());
             case 3 -> new Refuse(name(in), in.readLong(), one(Refusal.values(), in), in.readLong(), in.readUTF());
-            case 4 -> new Waits(name(in), in.readLong());
+            case 4 -> new Waits(name(in), in.readLong(), positive(in.readInt()));
             case 5 -> new Told(name(in), in.readLong(), one(Unit.State.values(), in), positive(in.readInt()));
             case 6 -> new Done(name(in), positive(in.readInt()), one(Unit.Result.values(), in), time(in), in.readLong(), in.readInt(), in.readUTF(), in.readLong());
             case 7 -> new Withdraw(name(in), in.readLong(), in.readUTF(), in.readLong());
--- a/src/main/java/yardusher/units/UnitsIntake.java
+++ b/src/main/java/yardusher/units/UnitsIntake.java
@@ -269,6 +269,7 @@
 
     private void ask(Asked asked) {
         double now = turns.now();
+        asked.due = 0;
         if (asked.hops++ >= MOST_HOPS) {
             end(asked, new UnitError.Holder(asked.unit, String.valueOf(asked.home)), false);
             return;
@@ -360,7 +361,15 @@
     private void tooLate(Asked asked) {
         if (asked.stage != Asked.Stage.WAITS || asked.answered) { return; }
         withdraw(asked);
-        end(asked, new UnitError.Holder(asked.unit, asked.home == null ? at.self : asked.home), false);
+        if (asked.due == 0) {
+            end(asked, new UnitError.Holder(asked.unit, asked.home == null ? at.self : asked.home), false);
+        } else if (asked.part > asked.due) {
+            end(asked, new UnitError.Order(asked.unit, asked.part, asked.due), false);
+        } else {                                     // what it waited for took all of its time
+            asked.stage = Asked.Stage.OVER;
+            asks.remove(asked.ask);
+            asked.failed("deadline passed", false);
+        }
     }
 
     private void withdraw(Asked asked) {
@@ -539,7 +548,12 @@
 
     @Override
     public void waits(Unit unit, Ticket ticket) {
-        if (!isHere(ticket)) { say(ticket, new Message.Waits(unit.name, ticket.ask())); }
+        if (isHere(ticket)) {
+            Asked asked = asks.get(ticket.ask());
+            if (asked != null) { asked.due = unit.next(); }
+        } else {
+            say(ticket, new Message.Waits(unit.name, ticket.ask(), unit.next()));
+        }
     }
 
     @Override
@@ -624,7 +638,10 @@
             refused(m, from);
         } else if (message instanceof Message.Waits m) {
             Asked asked = waiting(m.unit(), m.ask());
-            if (asked != null) { wait(asked, lastCall(asked)); }
+            if (asked != null) {
+                asked.due = m.due();
+                wait(asked, lastCall(asked));
+            }
         } else if (message instanceof Message.Told m) {
             told(m.unit(), m.ask(), m.state(), m.served());
         } else if (message instanceof Message.Done m) {
