--- a/src/main/java/yardusher/units/UnitsIntake.java
+++ b/src/main/java/yardusher/units/UnitsIntake.java
@@ -49,7 +49,7 @@
     private static final int MOST_SEARCHES = 64;     // lives that are asked about at once
     private static final int PUMP = 256;             // units on their way to the next home at once
     private static final int TICK = 256;             // units looked at in one go
-    private static final double LATE_MS = 20;        // a terminal is answered so long before it gives up, or a tenth of its wait
+    private static final double LATE_MS = 100;       // a terminal whose part waits is answered so long before it gives up, or an eighth of its wait
     private static final double SLOW_MS = 100;       // between looks while something is held
     private static final double TICK_MS = 5;
     private static final double SILENT_OUT_MS = 1000;
@@ -256,7 +256,7 @@
         return asked;
     }
 
-    private static double lastCall(Asked asked) { return asked.deadline - Math.min(LATE_MS, asked.order.waitMs() / 10); }
+    private static double lastCall(Asked asked) { return asked.deadline - Math.min(LATE_MS, asked.order.waitMs() / 8); }
 
     private double repeatMs(Asked asked) {
         Api.RequestClass of = at.classes.get(asked.order.classIndex());
