--- a/src/main/java/yardusher/units/UnitsIntake.java
+++ b/src/main/java/yardusher/units/UnitsIntake.java
@@ -49,7 +49,7 @@
     private static final int MOST_SEARCHES = 64;     // lives that are asked about at once
     private static final int PUMP = 256;             // units on their way to the next home at once
     private static final int TICK = 256;             // units looked at in one go
-    private static final double LATE_MS = 20;        // a terminal is answered so long before it gives up, or a tenth of its wait
+    private static final double LATE_MS = 100;       // a terminal whose part waits is answered so long before it gives up, or an eighth of its wait
     private static final double SLOW_MS = 100;       // between looks while something is held
     private static final double TICK_MS = 5;
     private static final double SILENT_OUT_MS = 1000;
@@ -256,7 +256,7 @@
         return asked;
     }
 
-    private static double lastCall(Asked asked) { return asked.deadline - Math.min(LATE_MS, asked.order.waitMs() / 10); }
+    private static double lastCall(Asked asked) { return asked.deadline - Math.min(LATE_MS, asked.order.waitMs() / 8); }
 
     private double repeatMs(Asked asked) {
         Api.RequestClass of = at.classes.get(asked.order.classIndex());
@@ -269,6 +269,7 @@
 
     private void ask(Asked asked) {
         double now = turns.now();
+        asked.due = 0;
         if (asked.hops++ >= MOST_HOPS) {
             end(asked, new UnitError.Holder(asked.unit, String.valueOf(asked.home)), false);
             return;
@@ -360,7 +361,15 @@
     private void tooLate(Asked asked) {
         if (asked.stage != Asked.Stage.WAITS || asked.answered) { return; }
         withdraw(asked);
-        end(asked, new UnitError.Holder(asked.unit, asked.home == null ? at.self : asked.home), false);
+        if (asked.due == 0) {
+            end(asked, new UnitError.Holder(asked.unit, asked.home == null ? at.self : asked.home), false);
+        } else if (asked.part > asked.due) {
+            end(asked, new UnitError.Order(asked.unit, asked.part, asked.due), false);
+        } else {                                     // what it waited for took all of its time
+            asked.stage = Asked.Stage.OVER;
+            asks.remove(asked.ask);
+            asked.failed("deadline passed", false);
+        }
     }
 
     private void withdraw(Asked asked) {
@@ -539,7 +548,12 @@
 
     @Override
     public void waits(Unit unit, Ticket ticket) {
-        if (!isHere(ticket)) { say(ticket, new Message.Waits(unit.name, ticket.ask())); }
+        if (isHere(ticket)) {
+            Asked asked = asks.get(ticket.ask());
+            if (asked != null) { asked.due = unit.next(); }
+        } else {
+            say(ticket, new Message.Waits(unit.name, ticket.ask(), unit.next()));
+        }
     }
 
     @Override
@@ -624,7 +638,10 @@
             refused(m, from);
         } else if (message instanceof Message.Waits m) {
             Asked asked = waiting(m.unit(), m.ask());
-            if (asked != null) { wait(asked, lastCall(asked)); }
+            if (asked != null) {
+                asked.due = m.due();
+                wait(asked, lastCall(asked));
+            }
         } else if (message instanceof Message.Told m) {
             told(m.unit(), m.ask(), m.state(), m.served());
         } else if (message instanceof Message.Done m) {
