--- a/src/main/java/yardusher/net/Answers.java
+++ b/src/main/java/yardusher/net/Answers.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.function.Supplier;
 import yardusher.core.Flow;
+import yardusher.core.Session;
 import yardusher.core.Stay;
 import yardusher.core.Turns;
 import yardusher.resp.Encoder;
@@ -147,9 +148,14 @@
         if (last) { crowd.closeLeaving(); }
     }
 
-    /** Accepts no more; connections are closed as soon as all they asked is answered. */
+    /**
+     * Accepts no more; connections are closed as soon as all they asked is answered. Guards against a terminal whose requests
+     * overlap on one connection, which would stay open up to the kill with the last of them unanswered: a little later no more is
+     * read behind what is open there.
+     */
     public void close() {
         closing = true;
+        departure.close(turns.now());
         door.close();
         for (TerminalLink terminal : crowd.all()) { terminal.closeIfIdle(); }
     }
@@ -192,6 +198,9 @@
         /** Whether the terminal is on this machine. */
         public boolean isFromHere() { return terminal.isFromHere(); }
 
+        /** The connection it came on. */
+        public Session session() { return terminal; }
+
         /** Reads no more of this terminal's commands for a while. */
         public void pauseReading(double ms) { terminal.pause(ms); }
 
