--- a/src/main/java/yardusher/Gossip.java
+++ b/src/main/java/yardusher/Gossip.java
@@ -140,8 +140,7 @@
         StringBuilder body = new StringBuilder("m");
         sequence = (sequence + 1) % SEQUENCES;
         boolean greets = clock.now - clock.startedAt < Clock.SWEEP_MS; // and asks for what is known
-        Digits.put(body, peers.life + (greets ? Peers.LIVES : 0), 1);
-        Digits.put(body, sequence, 2);
+        Digits.put(body, peers.life + (greets ? Peers.LIVES : 0), 1); Digits.put(body, sequence, 2);
         int carried = Math.min(SWEPT, (verdicts.size() + 2) / Customer.NEIGHBOURS);
         for (; carried > 0; carried--) { verdicts.poll().put(body); }
         for (Iterator<Object> all = box.items.iterator(); all.hasNext();) {
