Datagrams that cannot be read are typed errors without a stack: view and parts

Need: each made-up or cut datagram walked a stack for an IllegalArgumentException that only a counter read; a call at the second address for a part that is off was an error that nothing took. Change: view.Wire tells ViewError.Message, parts.Telling PartError.Message, the call CommandError.Refused.

--- a/src/main/java/yardusher/admin/AdminFront.java
+++ b/src/main/java/yardusher/admin/AdminFront.java
@@ -66,7 +66,7 @@
             case HEALTH -> caller.told(operator.takesClients() ? "200 yes\n" : "400 no clients are taken\n");
             case MEMBERS, UNITS, PARTS -> {
                 String report = operator.report(call.verb().word());
-                if (report == null) { throw new IllegalArgumentException(call.verb().word() + " is off here"); }
+                if (report == null) { throw new CommandError.Refused(call.verb().word() + " is off here"); }
                 caller.told(report + "EOF\n");
             }
             case COUNTERS -> caller.told(operator.figures() + "EOF\n");
--- a/src/main/java/yardusher/parts/Negotiator.java
+++ b/src/main/java/yardusher/parts/Negotiator.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import yardusher.error.PartError;
 import yardusher.parts.Ledger.Region;
 
 /**
@@ -257,7 +258,7 @@
         Telling telling;
         try {
             telling = Telling.of(body);
-        } catch (IllegalArgumentException e) {
+        } catch (PartError e) {
             bad++;
             return;
         }
--- a/src/main/java/yardusher/parts/Telling.java
+++ b/src/main/java/yardusher/parts/Telling.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
+import yardusher.error.PartError;
 
 /**
  * One datagram from one ingress to another. {@code number} of {@code count} ingresses and {@code life} say who speaks, {@code to} which life of
@@ -62,20 +63,20 @@
             value |= (next & 0x7F) << shift;
             if (next >= 0) { return value; }
         }
-        throw new IllegalArgumentException("a figure too long");
+        throw new PartError.Message(null, "-", "a figure too long");
     }
 
     private static int figure(ByteBuffer in, int most) {
         int value = get(in);
-        if (value < 0 || value > most) { throw new IllegalArgumentException("a figure of " + value); }
+        if (value < 0 || value > most) { throw new PartError.Message(null, "-", "a figure of " + value); }
         return value;
     }
 
-    /** Reads a body; an {@link IllegalArgumentException} for one that is none. */
+    /** Reads a body; a {@link PartError.Message} for one that is none. */
     static Telling of(byte[] body) {
         try {
             ByteBuffer in = ByteBuffer.wrap(body);
-            if (in.get() != VERSION) { throw new IllegalArgumentException("another version"); }
+            if (in.get() != VERSION) { throw new PartError.Message(null, "-", "another version"); }
             int flags = in.get();
             int number = figure(in, MOST);
             int count = figure(in, MOST);
@@ -94,18 +95,18 @@
                 int old = figure(in, MOST);
                 int has = get(in);
                 has = has >>> 1 ^ -(has & 1);
-                if (has < -MOST || has > MOST) { throw new IllegalArgumentException("has " + has); }
+                if (has < -MOST || has > MOST) { throw new PartError.Message(null, "-", "has " + has); }
                 int uses = figure(in, MOST);
                 int wants = figure(in, MOST);
                 int asked = figure(in, MOST);
                 all.add(new Row(region, granted, back, taken, returned, old, has, uses, wants, asked, figure(in, MOST), figure(in, MOST)));
             }
             if (in.hasRemaining() || flags > 7 || flags < 0 || number >= count || weight < 1 || life <= 0 || to < 0) {
-                throw new IllegalArgumentException("not a telling");
+                throw new PartError.Message(null, "-", "not a telling");
             }
             return new Telling(number, count, weight, life, to, order, (flags & 1) != 0, (flags & 2) != 0, (flags & 4) != 0, all);
         } catch (BufferUnderflowException e) {
-            throw new IllegalArgumentException("cut", e);
+            throw new PartError.Message(null, "-", "cut");
         }
     }
 }
--- a/src/main/java/yardusher/view/Membership.java
+++ b/src/main/java/yardusher/view/Membership.java
@@ -612,7 +612,7 @@
         Wire.Message m;
         try {
             m = wire.read(body);
-        } catch (IllegalArgumentException e) {
+        } catch (ViewError e) {
             spoilt++;
             return;
         }
--- a/src/main/java/yardusher/view/Wire.java
+++ b/src/main/java/yardusher/view/Wire.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.UnaryOperator;
+import yardusher.error.ViewError;
 import yardusher.mesh.Mesh;
 
 /**
@@ -146,12 +147,12 @@
         out.put((byte) rest);
     }
 
-    /** Reads a datagram; an {@link IllegalArgumentException} says what is wrong with it. */
+    /** Reads a datagram; a {@link ViewError.Message} says what is wrong with it. */
     Message read(byte[] body) {
         try {
             ByteBuffer in = ByteBuffer.wrap(body);
             int kind = in.get();
-            if (kind < 0 || kind >= TYPES.length) { throw new IllegalArgumentException("unknown type " + kind); }
+            if (kind < 0 || kind >= TYPES.length) { throw new ViewError.Message(null, "unknown type " + kind); }
             Type type = TYPES[kind];
             boolean taking = in.get() == 1;
             News from = news(in);
@@ -171,7 +172,7 @@
                     number = in.getInt();
                     life = in.getLong();
                     one = in.get() == 0 ? null : news(in);
-                    if (one == null && type != Type.WELCOME) { throw new IllegalArgumentException("names nobody"); }
+                    if (one == null && type != Type.WELCOME) { throw new ViewError.Message(null, "names nobody"); }
                 }
                 case SYNC -> {
                     buckets = new long[Roster.BUCKETS];
@@ -184,39 +185,39 @@
             while (in.hasRemaining()) { news.add(news(in)); }
             return new Message(type, from, taking, digest, table, number, life, one, buckets, again, news);
         } catch (BufferUnderflowException e) {
-            throw new IllegalArgumentException("ends early", e);
+            throw new ViewError.Message(null, "ends early");
         }
     }
 
     private News news(ByteBuffer in) {
         String name = text(in);
         String hall = text(in);
-        if (!isName(name)) { throw new IllegalArgumentException("a name that cannot be"); }
-        if (!isHall(hall)) { throw new IllegalArgumentException("a hall that cannot be"); }
+        if (!isName(name)) { throw new ViewError.Message(null, "a name that cannot be"); }
+        if (!isHall(hall)) { throw new ViewError.Message(null, "a hall that cannot be"); }
         int length = in.get();
-        if (length != 4 && length != 16) { throw new IllegalArgumentException("an address of " + length + " bytes"); }
+        if (length != 4 && length != 16) { throw new ViewError.Message(null, "an address of " + length + " bytes"); }
         byte[] address = new byte[length];
         in.get(address);
         int port = in.getShort() & 0xffff;
         Who who;
         try {
             InetAddress at = InetAddress.getByAddress(address);
-            if (port == 0 || at.isAnyLocalAddress() || at.isMulticastAddress()) { throw new IllegalArgumentException("an address that cannot be"); }
+            if (port == 0 || at.isAnyLocalAddress() || at.isMulticastAddress()) { throw new ViewError.Message(null, "an address that cannot be"); }
             who = known.apply(new Who(name, hall, new InetSocketAddress(at, port)));
         } catch (UnknownHostException e) {
-            throw new IllegalArgumentException("an address that cannot be", e);
+            throw new ViewError.Message(null, "an address that cannot be");
         }
         long life = in.getLong();
         long born = whole(in);
         long incarnation = born + whole(in);
         int state = in.get();
-        if (born < 0 || incarnation < born) { throw new IllegalArgumentException("an incarnation that cannot be"); }
-        if (state < 0 || state >= STATES.length) { throw new IllegalArgumentException("unknown state " + state); }
+        if (born < 0 || incarnation < born) { throw new ViewError.Message(null, "an incarnation that cannot be"); }
+        if (state < 0 || state >= STATES.length) { throw new ViewError.Message(null, "unknown state " + state); }
         int[] accusers = News.NOBODY;
         long age = 0;
         if (STATES[state] == View.State.SUSPECT) {
             int count = in.get();
-            if (count < 1 || count > MOST_ACCUSERS) { throw new IllegalArgumentException(count + " accusers"); }
+            if (count < 1 || count > MOST_ACCUSERS) { throw new ViewError.Message(null, count + " accusers"); }
             accusers = new int[count];
             for (int i = 0; i < count; i++) { accusers[i] = in.getInt(); }
         } else if (STATES[state] != View.State.ALIVE) {
@@ -238,6 +239,6 @@
             value |= (long) (next & 127) << shift;
             if (next >= 0) { return value; }
         }
-        throw new IllegalArgumentException("a whole number that is too long");
+        throw new ViewError.Message(null, "a whole number that is too long");
     }
 }
--- a/src/test/java/yardusher/parts/LedgerTest.java
+++ b/src/test/java/yardusher/parts/LedgerTest.java
@@ -10,6 +10,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Test;
+import yardusher.error.PartError;
 
 /** Shares, loans and returns between two ingresses, what a repeat and a new life change, and what is not believed. */
 class LedgerTest {
@@ -180,7 +181,7 @@
         try {
             Telling telling = Telling.of(bytes);
             assertThat(telling.number()).isLessThan(telling.count());
-        } catch (IllegalArgumentException e) { /* as it should */ }
+        } catch (PartError e) { /* as it should */ }
     }
 
     @Test
@@ -193,7 +194,7 @@
         byte[] bytes = told.bytes();
         for (int i = 0; i < bytes.length; i++) {
             byte[] cut = java.util.Arrays.copyOf(bytes, i);
-            assertThatThrownBy(() -> Telling.of(cut)).isInstanceOf(IllegalArgumentException.class);
+            assertThatThrownBy(() -> Telling.of(cut)).isInstanceOf(PartError.Message.class);
         }
         List<Telling.Row> many = java.util.Collections.nCopies(Telling.ROWS, new Telling.Row(0xFFFFFFFFL, Integer.MAX_VALUE, Integer.MAX_VALUE, Integer.MAX_VALUE,
                 Integer.MAX_VALUE, Telling.MOST, -Telling.MOST, Telling.MOST, Telling.MOST, Telling.MOST, Telling.MOST, Telling.MOST));
--- a/src/test/java/yardusher/view/WireTest.java
+++ b/src/test/java/yardusher/view/WireTest.java
@@ -1,7 +1,7 @@
 package yardusher.view;
 
 import static org.assertj.core.api.Assertions.assertThat;
-import static org.assertj.core.api.Assertions.assertThatIllegalArgumentException;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -145,9 +145,9 @@
         for (String name : new String[] {"", "a b", "x\n", "n/1", "a".repeat(65)}) { assertThat(Wire.isName(name)).isFalse(); }
         byte[] body = new Wire.Writer(Wire.Type.GOSSIP, RosterTest.news("n1", 1, 1, 1, State.ALIVE), true, 0, 0).body();
         body[3] = ' ';
-        assertThatIllegalArgumentException().isThrownBy(() -> WIRE.read(body)).withMessageMatching("[ -~]+");
+        assertThatExceptionOfType(ViewError.Message.class).isThrownBy(() -> WIRE.read(body)).withMessageMatching("[ -~]+");
         body[0] = 99;
-        assertThatIllegalArgumentException().isThrownBy(() -> WIRE.read(body)).withMessage("unknown type 99");
-        assertThatIllegalArgumentException().isThrownBy(() -> WIRE.read(new byte[0])).withMessage("ends early");
+        assertThatExceptionOfType(ViewError.Message.class).isThrownBy(() -> WIRE.read(body)).withMessage("unknown type 99");
+        assertThatExceptionOfType(ViewError.Message.class).isThrownBy(() -> WIRE.read(new byte[0])).withMessage("ends early");
     }
 }
