--- a/lab/src/yardusher/lab/FleetRun.java
+++ b/lab/src/yardusher/lab/FleetRun.java
@@ -24,7 +24,7 @@
     private static final long MOST_TAKEOVER_MS = 3500;
 
     /** How a seed went. */
-    public record Verdict(long seed, int faults, int rolls, int rollsDone, int owners, long effects, int transactions, long unserved, List<String> breaches) { }
+    public record Verdict(long seed, int faults, int rolls, int rollsDone, int owners, long effects, long refused, int transactions, long unserved, List<String> breaches) { }
 
     private final Installation site;
     private final Random random;
@@ -81,7 +81,7 @@
         if (lost * 100 > last.size()) { breaches.add(lost + " transactions of " + last.size() + " were not served in " + TRIES + " tries"); }
         breaches.addAll(Checks.served(site.regionHistory(), site.terminalHistory()));
         breaches.addAll(Checks.connections(site.regionHistory()));
-        return new Verdict(seed, verdict.faults(), verdict.rolls(), verdict.rollsDone(), verdict.owners(), verdict.effects(), last.size(), lost, breaches);
+        return new Verdict(seed, verdict.faults(), verdict.rolls(), verdict.rollsDone(), verdict.owners(), verdict.effects(), verdict.refused(), last.size(), lost, breaches);
     }
 
     private Verdict play(long seed, int troubles, List<String> breaches) throws IOException, InterruptedException {
@@ -109,7 +109,8 @@
         }
         int owners = (int) history.stream().filter(event -> event.what().equals("seals")).map(History.Event::token).distinct().count();
         long effects = history.stream().filter(event -> event.what().startsWith("acts")).count();
-        return new Verdict(seed, faults, rolls, done.size(), owners, effects, 0, 0, breaches);
+        long refused = history.stream().filter(event -> !event.step().equals("-") && (event.what().startsWith("refused") || event.what().startsWith("dropped"))).count();
+        return new Verdict(seed, faults, rolls, done.size(), owners, effects, refused, 0, 0, breaches);
     }
 
     private Set<String> names() {
@@ -215,11 +216,9 @@
         for (until = System.currentTimeMillis() + MOST_TAKEOVER_MS; System.currentTimeMillis() < until && !site.way(owner, target).there.isHolding();) { Thread.sleep(10); }
         say((site.way(owner, target).there.isHolding() ? "an order of a" : "no order of a") + owner + " to a" + target + " is held");
         if (dies) { site.kill(owner); } else { site.pause(owner); }
+        // Before anybody takes the roll up: else the next owner has the step done, and the late order finds it known.
+        if (another) { order(target, "later-" + faults + "-" + began, "take-over"); }
         awaitNext(owner, target);
-        if (another) {
-            order(target, "later-" + faults + "-" + began, "take-over");
-            awaitNext(owner, target);
-        }
         heal();
         if (dies) { site.start(owner); } else { site.resume(owner); }
     }
@@ -293,8 +292,8 @@
                     try {
                         if (Files.exists(folder)) { Installation.delete(folder); }
                         Verdict verdict = play(folder, seed, agents, instances, troubles, plant);
-                        System.out.printf("seed %d: %d faults, %d rolls ordered, %d done, %d owners, %d effects, %d transactions, %d unserved, %.0f s%s%n", seed,
-                                verdict.faults(), verdict.rolls(), verdict.rollsDone(), verdict.owners(), verdict.effects(), verdict.transactions(), verdict.unserved(),
+                        System.out.printf("seed %d: %d faults, %d rolls ordered, %d done, %d owners, %d effects, %d late orders refused, %d transactions, %d unserved, %.0f s%s%n", seed,
+                                verdict.faults(), verdict.rolls(), verdict.rollsDone(), verdict.owners(), verdict.effects(), verdict.refused(), verdict.transactions(), verdict.unserved(),
                                 (System.nanoTime() - from) / 1e9, verdict.breaches().isEmpty() ? "" : "  BREACH " + verdict.breaches());
                         if (verdict.breaches().isEmpty()) { Installation.delete(folder); } else { broken.incrementAndGet(); }
                     } catch (IOException | InterruptedException | RuntimeException e) {
