--- a/src/main/java/yardusher/view/Membership.java
+++ b/src/main/java/yardusher/view/Membership.java
@@ -78,7 +78,7 @@
     }
 
     private static final int HELPERS = 3;
-    private static final int WATCHERS = 4;           // on the ring before a member; the first probes it each round, all once it is suspected
+    private static final int WATCHERS = 4;           // alive, on the ring before a member; the first probes it each round, all once it is suspected
     private static final int FANOUT = 3;
     private static final int MOST_FAVOURS = 256;
     private static final int MOST_PAGES = 8;         // datagrams in answer to one SYNC or JOIN
@@ -230,7 +230,7 @@
     /** Danger: this process did not run for so long, so it has heard nobody. What waits for others waits as much longer. */
     private void slept(double ms) {
         late++;
-        if (ms > roundMs / 2) { health.worse(1); }
+        if (ms > roundMs / 2) { health.lateness(); }
         for (Probe probe : probes) {
             probe.againAt += ms;
             probe.askAt += ms;
@@ -242,13 +242,13 @@
     }
 
     private double deadline(Entry suspect) {
-        return suspect.sinceMs + Suspicion.lasts(roundMs, settings.suspicion(), roster.there().size(), suspect.accusers.length, health.factor());
+        return suspect.sinceMs + Suspicion.lasts(roundMs, settings.suspicion(), roster.there().size(), suspect.accusers.length, health.patience());
     }
 
     // ---- probes
 
     private void round(double now) {
-        roundAt = now + roundMs * health.factor() * (0.95 + 0.1 * random.nextDouble());
+        roundAt = now + roundMs * health.slower() * (0.95 + 0.1 * random.nextDouble());
         int there = roster.there().size();
         if (there < 2) { return; }
         for (int i = 0; i < there; i++) {            // the next of the shuffled row who is there
@@ -264,7 +264,13 @@
                 break;
             }
         }
-        for (int steps = 1; steps < Math.min(WATCHERS + 1, there); steps++) { // the next on the ring, past those that may be dead
+        watch(now);
+    }
+
+    /** Probes who is next on the ring, and on past those that may be dead. */
+    private void watch(double now) {
+        int there = roster.there().size();
+        for (int steps = 1; steps < Math.min(WATCHERS + 1, there); steps++) {
             Entry entry = roster.after(own, steps);
             probe(entry, now);
             if (entry.state == State.ALIVE) { break; }
@@ -274,9 +280,9 @@
     private void probe(Entry target, double now) {
         if (target == own || probes.stream().anyMatch(one -> one.target == target)) { return; }
         Probe probe = new Probe(target, ++number);
-        probe.againAt = now + roundMs * 0.3 * health.factor();
-        probe.askAt = now + roundMs * 0.5 * health.factor();
-        probe.failAt = now + roundMs * health.factor();
+        probe.againAt = now + roundMs * 0.3 * health.slower();
+        probe.askAt = now + roundMs * 0.5 * health.slower();
+        probe.failAt = now + roundMs * health.slower();
         probes.add(probe);
         ping(target, probe.number, now);
     }
@@ -309,10 +315,11 @@
         }
         if (probe.failAt > now) { return; }
         probes.remove(probe);
-        if (flaw != Flaw.NO_HEALTH) { health.worse(probe.helpers == 0 ? 0 : Math.max(0, probe.helpers - probe.unheard)); }
+        if (flaw != Flaw.NO_HEALTH) { health.silence(Math.max(0, probe.helpers - probe.unheard)); }
         if (roster.accuse(probe.target, (int) own.place, now)) {
             accused++;
             rumours.add(probe.target, 0);
+            watch(now);                              // a hall that dies leaves gaps on the ring
         }
     }
 
@@ -395,14 +402,22 @@
         if (taken != Roster.Taken.NEW) { return taken; }
         Entry entry = roster.get(news.who().name());
         rumours.add(entry, now - enteredMs < ENTERING_MS && news.isThere() ? limit() / 2 : 0);
-        if (entry.state == State.SUSPECT && was != State.SUSPECT && phase == Phase.IN) {
-            int steps = roster.before(own, entry);   // on the ring those before it look for themselves at once
-            if (steps >= 1 && steps <= WATCHERS) { probe(entry, now); }
-        }
+        if (entry.state == State.SUSPECT && phase == Phase.IN && watches(entry)) { probe(entry, now); }
         if (entry.state == State.GONE && goneAt == Double.POSITIVE_INFINITY) { goneAt = now + GONE_EVERY_MS * random.nextDouble(); }
         return taken;
     }
 
+    /** Whether this is one of the few who look for themselves once that one is suspected: those before it on the ring who may be there. */
+    private boolean watches(Entry suspect) {
+        int alive = 0;
+        for (int steps = 1; steps <= 4 * WATCHERS && alive < WATCHERS; steps++) {
+            Entry before = roster.after(suspect, -steps);
+            if (before == own) { return true; }
+            if (before.state == State.ALIVE) { alive++; }
+        }
+        return false;
+    }
+
     private Roster.Taken revive(News news, double now) {
         roster.drop(roster.get(news.who().name()), now);
         return roster.take(news, now);
@@ -431,7 +446,7 @@
                 announce(now);
             } else if (news.state() != State.ALIVE && news.incarnation() >= incarnation || news.incarnation() > incarnation) {
                 if (flaw == Flaw.NO_REFUTATION) { return; }
-                health.worse(1);
+                health.silence(1);
                 refuted++;
                 incarnation = news.incarnation() + 1;
                 announce(now);
@@ -604,6 +619,7 @@
         if (m.from().life() == life && m.from().who().name().equals(self.name())) { return; } // its own, come back
         Entry contradicted = m.taking() ? speaker(m, now) : null;
         for (News one : m.news()) { take(one, now); }
+        if (phase == Phase.JOINING && m.taking() && joinAt > now + JOIN_LEAST_MS) { joinAt = now + JOIN_LEAST_MS * random.nextDouble(); } // somebody is there
         if (phase != Phase.LEFT) { answer(m, contradicted, now); }
         dueAt = Math.min(dueAt, nextDue(now));
     }
--- a/src/main/java/yardusher/view/Roster.java
+++ b/src/main/java/yardusher/view/Roster.java
@@ -117,10 +117,15 @@
             put(held, news, now);
             return Taken.NEW;
         }
-        if (held.state == State.LEFT) { return news.state() == State.LEFT ? Taken.KNOWN : Taken.OUTDATED; }
-        if (news.incarnation() != held.incarnation) {
-            if (news.incarnation() < held.incarnation && news.state() != State.LEFT) { return Taken.OUTDATED; }
-            put(held, news, now);                    // who left has left, whatever was said of it before
+        if (held.state == State.LEFT || news.state() == State.LEFT) { // who left has left, whatever is said of it beside
+            long incarnation = Math.max(held.incarnation, news.incarnation());
+            if (held.state == State.LEFT && incarnation == held.incarnation) { return news.state() == State.LEFT ? Taken.KNOWN : Taken.OUTDATED; }
+            put(held, new News(news.who(), news.life(), news.born(), incarnation, State.LEFT, News.NOBODY, news.ageS()), now);
+            return Taken.NEW;
+        }
+        if (news.incarnation() < held.incarnation) { return Taken.OUTDATED; }
+        if (news.incarnation() > held.incarnation) {
+            put(held, news, now);
             return Taken.NEW;
         }
         if (news.state() == State.SUSPECT && held.state == State.SUSPECT) { return confirm(held, news.accusers()) ? Taken.NEW : Taken.KNOWN; }
@@ -227,16 +232,13 @@
         return -from - 1;
     }
 
-    /** Who follows on the ring after so many; the ring is closed. Only where somebody is there. */
+    /** Who stands so many steps after one who is there; before it where they are negative. The ring is closed. */
     Entry after(Entry entry, int steps) {
         int at = index(entry);
         int size = ring.size();
         return ring.get(Math.floorMod(at >= 0 ? at + steps : -at - 1 + steps - 1, size));
     }
 
-    /** How many steps before the other it stands on the ring. */
-    int before(Entry entry, Entry other) { return Math.floorMod(index(other) - index(entry), Math.max(1, ring.size())); }
-
     /** Not the incarnation: who was suspected and said that it is there is still the same process, and the picture the same. */
     private static long seen(Entry entry) {
         return mix(mix(mix(entry.place, address(entry.who.at())), entry.born), entry.life);
--- a/src/main/java/yardusher/view/ViewSettings.java
+++ b/src/main/java/yardusher/view/ViewSettings.java
@@ -34,17 +34,17 @@
         if (table == null) { return null; }
         table.only(KEYS);
         String installation = table.text("installation");
-        if (!installation.matches("[!-~]{1,64}")) { throw new ConfigError.Value(null, "view.installation", "1 to 64 visible characters"); }
+        if (!installation.matches("[!-~]{1,64}")) { throw bad("installation", "1 to 64 visible characters"); }
         String hall = table.text("hall", null);
-        if (hall != null && !Wire.isHall(hall)) { throw new ConfigError.Value(null, "view.hall", "1 to " + Wire.MOST_HALL + " visible characters"); }
+        if (hall != null && !Wire.isHall(hall)) { throw bad("hall", "1 to " + Wire.MOST_HALL + " visible characters"); }
         List<InetSocketAddress> seeds = table.texts("seeds").stream().map(text -> address("seeds", text)).toList();
-        if (seeds.size() > MOST_SEEDS) { throw new ConfigError.Value(null, "view.seeds", MOST_SEEDS + " addresses at the most"); }
+        if (seeds.size() > MOST_SEEDS) { throw bad("seeds", MOST_SEEDS + " addresses at the most"); }
         String advertise = table.text("advertise", null);
         InetSocketAddress listen = address("listen", table.text("listen"));
         if (advertise == null && listen.getAddress().isAnyLocalAddress()) {
-            throw new ConfigError.Missing(null, "view.advertise", "an address that the others reach in view.advertise, since view.listen names none");
+            throw bad("advertise", "an address that the others reach, since view.listen names none");
         }
-        return new ViewSettings(listen, advertise == null ? null : reached("advertise", advertise), installation, seeds,
+        return new ViewSettings(listen, advertise == null ? null : address("advertise", advertise), installation, seeds,
                 table.whole("probe_ms", PROBE_MS, 50, 60_000), table.whole("suspicion", SUSPICION, 2, 100), table.whole("remember_s", REMEMBER_S, 1, 86_400),
                 table.whole("settle_ms", SETTLE_MS, 0, 60_000), hall);
     }
@@ -54,8 +54,8 @@
             InetSocketAddress at = Sockets.address(text);
             if (key.equals("listen") || at.getPort() != 0 && !at.getAddress().isAnyLocalAddress()) { return at; }
         } catch (ConfigError e) { /* told below, with the key */ }
-        throw new ConfigError.Value(null, "view." + key, "an address in digits and a port, as 127.0.0.4:7946, not " + text);
+        throw bad(key, "an address in digits and a port, as 127.0.0.4:7946, not " + text);
     }
 
-    private static InetSocketAddress reached(String key, String text) { return address(key, text); }
+    private static ConfigError bad(String key, String allowed) { return new ConfigError.Value(null, "view." + key, allowed); }
 }
