--- a/src/main/java/yardusher/net/Departure.java
+++ b/src/main/java/yardusher/net/Departure.java
@@ -9,6 +9,7 @@
     private static final double AWAY_BY_MS = 3500;   // nothing is idle 4 s after the call
     private static final double AWAY_READ_MS = 1800; // nothing that is open then came in the last 2 s
     private static final double LEFT_READ_MS = 600;  // what comes 0.7 s after SIGTERM is owed its answer whatever it takes
+    private static final double CLOSED_READ_MS = 100; // the same, since the door closes half a second after SIGTERM
     private static final double LEAVE_IDLE_MS = 200; // who has been idle so long has likely nothing on its way
 
     private boolean forGood;
@@ -35,6 +36,9 @@
         return leaveBy;
     }
 
+    /** The door has closed at the end of this process: a little later no more is read behind what is open. */
+    void close(double now) { leaveBy = Math.min(leaveBy, now + CLOSED_READ_MS); }
+
     /** Whether connections close behind their answers. */
     boolean isUnderWay(double now) { return now >= leaveFrom; }
 
