--- a/src/main/java/yardusher/cli/OrdersCommand.java
+++ b/src/main/java/yardusher/cli/OrdersCommand.java
@@ -1,6 +1,7 @@
 package yardusher.cli;
 
 import java.io.IOException;
+import java.io.OutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -14,6 +15,7 @@
 import yardusher.agent.AgentConfig;
 import yardusher.error.CommandError;
 import yardusher.error.ConfigError;
+import yardusher.error.JournalError;
 import yardusher.journal.Orders;
 import yardusher.settings.Settings;
 
@@ -33,7 +35,15 @@
         for (String name : new String[] {"json", "csv", "progress"}) { options.addOption(Option.builder().longOpt(name).build()); }
     }
 
-    static int run(CommandLine line) throws IOException {
+    static int run(CommandLine line) {
+        try {
+            return answer(line);
+        } catch (IOException e) {
+            throw new JournalError.Damaged(String.join(" ", line.getArgList().subList(1, line.getArgList().size())), "cannot be read: " + e.getMessage(), e);
+        }
+    }
+
+    private static int answer(CommandLine line) throws IOException {
         List<String> words = line.getArgList();
         String what = words.isEmpty() ? "" : words.get(0);
         if (!List.of("list", "show", "open", "verify", "export").contains(what)
@@ -66,7 +76,7 @@
         }
         Path file = Path.of(line.getOptionValue("output"));
         long count;
-        try (PrintStream out = new PrintStream(Files.newOutputStream(file), false, StandardCharsets.UTF_8)) {
+        try (PrintStream out = new PrintStream(output(file), false, StandardCharsets.UTF_8)) {
             count = Orders.list(folders, asked, form, most, out, err);
             if (out.checkError()) { throw new CommandError.Output(file, null); }
         }
@@ -74,6 +84,14 @@
         return 0;
     }
 
+    private static OutputStream output(Path file) {
+        try {
+            return Files.newOutputStream(file);
+        } catch (IOException e) {
+            throw new CommandError.Output(file, e);
+        }
+    }
+
     private static long most(String text) {
         if (text == null) { return Long.MAX_VALUE; }
         if (text.matches("[1-9][0-9]{0,17}")) { return Long.parseLong(text); }
--- a/src/main/java/yardusher/error/ViewError.java
+++ b/src/main/java/yardusher/error/ViewError.java
@@ -18,17 +18,6 @@
         }
     }
 
-    /** It is of another installation. */
-    public static final class Foreign extends ViewError {
-        private static final long serialVersionUID = 1L;
-
-        public Foreign(Object peer, String installation) {
-            super("VIEW_FOREIGN", FAILED, peer, "is of the installation " + installation,
-                    "Correct view.installation or the seeds of one of the two; nothing of the other's is believed.", null,
-                    "installation", installation);
-        }
-    }
-
     /** No seed answers: the ingress serves alone and goes on asking. */
     public static final class NoSeed extends ViewError {
         private static final long serialVersionUID = 1L;
--- a/src/test/java/yardusher/error/ErrorTableTest.java
+++ b/src/test/java/yardusher/error/ErrorTableTest.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
 /** Every type of error stands in the operators' table, and gives what an operator needs. */
@@ -98,6 +99,16 @@
         assertThat(codes).doesNotHaveDuplicates();
     }
 
+    @Test
+    void everyTypeIsMadeSomewhere() throws Exception {
+        StringBuilder sources = new StringBuilder();
+        try (Stream<Path> files = Files.walk(Path.of("src/main/java"))) {
+            for (Path file : files.filter(one -> one.toString().endsWith(".java")).toList()) { sources.append(Files.readString(file)); }
+        }
+        assertThat(types(YardusherError.class)).allMatch(type -> sources.indexOf("new " + type.getEnclosingClass().getSimpleName() + "."
+                + type.getSimpleName() + "(") > 0);
+    }
+
     @Test
     void whatOthersSendWalksNoStack() throws Exception {
         for (Class<?> type : types(YardusherError.class)) {
