--- a/lab/src/yardusher/lab/ViewRun.java
+++ b/lab/src/yardusher/lab/ViewRun.java
@@ -117,7 +117,10 @@
         double healed = fleet.awaitSettledOf(names, HEAL_MS);
         net.until(net.now() + 5000);
         List<String> breaches = new ArrayList<>();
-        if (healed < 0) { breaches.add("not settled " + HEAL_MS + " ms after all was healed"); }
+        if (healed < 0) {
+            breaches.add("not settled " + HEAL_MS + " ms after all was healed: " + fleet.running().stream().map(life -> life.place + " " + life.name + " "
+                    + life.membership.phase() + " " + life.membership.size()).toList());
+        }
         fleet.calm();
         breaches.addAll(checker.breaches());
         doubles.forEach((first, second) -> {
--- a/src/main/java/yardusher/view/Membership.java
+++ b/src/main/java/yardusher/view/Membership.java
@@ -87,6 +87,7 @@
     private static final double GONE_EVERY_MS = 1000;
     private static final double ASKS_OF_ONE = 4;     // a second, from all members together
     private static final double SEED_EVERY_MS = 5000;
+    private static final int SEEDS_AT_ONCE = 3;
     private static final double SYNC_EVERY_MS = 1000;
     private static final double SYNC_STILL_MS = 300;
     private static final double JOIN_LEAST_MS = 200;
@@ -354,9 +355,10 @@
         alone = roster.there().size() > 1 ? 0 : alone + 1;    // admitted by a seed that knew nobody, or cut off
         seedAt = now + (alone == 0 ? SEED_EVERY_MS : backoff(alone)) * (0.5 + random.nextDouble());
         List<InetSocketAddress> silent = seeds().stream().filter(at -> roster.there().stream().noneMatch(one -> one.who.at().equals(at))).toList();
-        if (!silent.isEmpty() && flaw != Flaw.NO_ASKING_THE_GONE) {
-            write(silent.get(random.nextInt(silent.size())), fill(writer(Wire.Type.PING).probe(0, 0), now));
-        }
+        if (flaw == Flaw.NO_ASKING_THE_GONE) { return; }
+        List<InetSocketAddress> asked = new ArrayList<>(silent);
+        Collections.shuffle(asked, random);
+        for (InetSocketAddress seed : asked.subList(0, Math.min(SEEDS_AT_ONCE, asked.size()))) { write(seed, fill(writer(Wire.Type.PING).probe(0, 0), now)); }
     }
 
     // ---- news
