--- a/lab/src/yardusher/lab/ViewReal.java
+++ b/lab/src/yardusher/lab/ViewReal.java
@@ -50,6 +50,7 @@
         CASES.put("join", ViewReal::join);
         CASES.put("bad-datagrams", ViewReal::badDatagrams);
         CASES.put("no-seed", ViewReal::noSeed);
+        LONG.put("cost", ViewReal::cost);
         LONG.put("halves-60", (folder, size, seed, found, note) -> split(folder, size, seed, 2, 60_000, found, note));
         LONG.put("thirds-60", (folder, size, seed, found, note) -> split(folder, size, seed, 3, 60_000, found, note));
     }
@@ -358,6 +359,31 @@
         }
     }
 
+    /** What the view costs in calm: the same processes with it and without it. */
+    private static void cost(Path folder, int size, long seed, List<String> found, StringBuilder note) throws Exception {
+        for (boolean on : new boolean[] {false, true}) {
+            try (ViewGroup view = new ViewGroup(folder.resolve(on ? "on" : "off"), size, seed, Math.min(SEEDS, size), false)) {
+                if (!on) { view.group.settings(i -> null); }
+                view.start(view.all(), 10);
+                if (on && view.awaitSettled(view.all(), size, JOIN_MS) == null) { found.add("did not settle"); }
+                Thread.sleep(5000);
+                double from = Group.now();
+                double cpu = view.all().stream().mapToDouble(view::cpuMs).sum();
+                long sent = on ? view.sum(view.all(), "mesh_sent") : 0;
+                long bytes = on ? view.sum(view.all(), "mesh_sent_bytes") : 0;
+                Thread.sleep(15_000);
+                double ms = Group.now() - from;
+                cpu = view.all().stream().mapToDouble(view::cpuMs).sum() - cpu;
+                sent = on ? view.sum(view.all(), "mesh_sent") - sent : 0;
+                bytes = on ? view.sum(view.all(), "mesh_sent_bytes") - bytes : 0;
+                double kb = 0;
+                for (int i = 0; i < size; i++) { kb += (double) view.residentKb(i) / size; }
+                note.append(String.format(java.util.Locale.ROOT, "%s: %.2f%% of a core, %.1f MB resident, %.1f datagrams and %.0f bytes a second and process; ",
+                        on ? "with" : "without", 100 * cpu / ms / size, kb / 1024, 1000 * sent / ms / size, 1000 * bytes / ms / size));
+            }
+        }
+    }
+
     /** No seed is there: all serve, and find one another once it comes. */
     private static void noSeed(Path folder, int size, long seed, List<String> found, StringBuilder note) throws Exception {
         try (ViewGroup view = new ViewGroup(folder, size, seed, 1, true)) {
