--- a/lab/src/yardusher/parts/PartsScripted.java
+++ b/lab/src/yardusher/parts/PartsScripted.java
@@ -18,14 +18,14 @@
  * that are stopped or restart; numbers lowered. It stands in this package since it looks at decisions that are nobody else's.
  */
 public final class PartsScripted {
-    /** Which way connections are divided. */
-    public enum Way { TODAY, FIXED, SUBSETS, PARTS }
+    /** Which way connections are divided. NEED: without a word, each keeps to as many regions as it needs, by a draw of its own. */
+    public enum Way { TODAY, FIXED, SUBSETS, NEED, PARTS }
 
     /** What is done to them. */
     public enum Faults { NONE, ALL }
 
     /** How demand lies. */
-    public enum Load { AMPLE, FULL, SCARCE, HALF_HOT, MOVES, RANDOM }
+    public enum Load { LIGHT, AMPLE, FULL, SCARCE, HALF_HOT, MOVES, RANDOM }
 
     /** {@code regions} hold {@code number} connections each. */
     public record Setup(int ingresses, int regions, int number, Way way, Faults faults, Load load, double seconds, Ledger.Without without) { }
@@ -34,6 +34,8 @@
     public record Run(long seed, String breach, long asked, long served, long refused, long tooMany, long handshakes, double use, double jain,
             double p50, double p99, List<Double> hotMs, long moved, long told, double toldBytes, int faults, int mostLeak) { }
 
+    private static final double LIGHT_PER_S = Double.parseDouble(System.getProperty("lab.light", "30"));
+    private static final double KEPT = Double.parseDouble(System.getProperty("lab.kept", "0"));
     private static final double LAT_MS = 0.3;        // one way, on a network of one installation
     private static final double HANDSHAKE_MS = 1.5;  // beyond that, as TLS would
     private static final double SERVICE_MS = 30;
@@ -259,7 +261,7 @@
 
     /** What an ingress may have open at a region where nobody negotiates. */
     private int fixed(int ingress, int region) {
-        if (setup.way == Way.TODAY) { return Integer.MAX_VALUE; }
+        if (setup.way == Way.TODAY || setup.way == Way.NEED) { return Integer.MAX_VALUE; }
         if (setup.way == Way.FIXED) { return Ledger.share(id(region), setup.number, ingress, setup.ingresses); }
         // Subsets: each region serves so many ingresses that each has four at least, each ingress as many regions.
         int shared = Math.max(1, Math.min(setup.ingresses, setup.number / 4));
@@ -280,7 +282,7 @@
             int number = i;
             later(now + (harsh ? random.nextInt(1500) : random.nextInt(20)), () -> start(number));
         }
-        measureFrom = START + 3000;
+        measureFrom = setup.load == Load.LIGHT ? START : START + 3000;
         double end = START + setup.seconds * 1000;
         load();
         later(measureFrom, this::look);
@@ -308,9 +310,22 @@
         if (procs[number] != null && !procs[number].dead) { return; }
         Proc proc = new Proc(number, (long) now);
         procs[number] = proc;
+        if (setup.way == Way.NEED) { keep(proc, 0); }
         if (setup.way == Way.PARTS) { later(now + (kepts[number].clean ? 0 : ENDED_MS), () -> run(proc, () -> proc.begin(kepts[number]))); }
     }
 
+    /** Keeps a process to as many regions as it needs, the first of a draw of its own. */
+    private void keep(Proc proc, double peak) {
+        int busy = Arrays.stream(proc.busy).sum();
+        double now100 = Math.max(busy, peak * 0.97);
+        int regions = (int) Math.ceil(1.5 * now100) + 2;
+        Integer[] order = new Integer[setup.regions];
+        for (int r = 0; r < order.length; r++) { order[r] = r; }
+        Arrays.sort(order, java.util.Comparator.comparingLong(r -> Ledger.mix(r * 7919L + proc.number)));
+        for (int k = 0; k < order.length; k++) { proc.room[order[k]] = k < regions ? Integer.MAX_VALUE : 0; }
+        later(now + 100, () -> run(proc, () -> keep(proc, now100)));
+    }
+
     // Demand.
 
     /** How many connections are needed in all, at a region's pace. */
@@ -324,6 +339,9 @@
     private void load() {
         int n = setup.ingresses;
         switch (setup.load) {
+            case LIGHT -> {
+                for (int i = 0; i < n; i++) { demand(i, LIGHT_PER_S * SERVICE_MS / 1000); } // from the first moment of a new process
+            }
             case AMPLE -> {
                 for (int i = 0; i < n; i++) { demand(i, 0.4 * capacity() / n); }
             }
@@ -394,7 +412,7 @@
             int r = (start + i) % setup.regions;
             if (proc.waits || proc.busy[r] >= proc.room[r]) { continue; }
             drawn++;
-            if (best < 0 || proc.busy[r] < proc.busy[best]) { best = r; }
+            if (best < 0 || load(proc, r) < load(proc, best)) { best = r; }
         }
         if (best < 0) {
             proc.refused++;
@@ -429,10 +447,16 @@
         later(Math.max(now + LAT_MS, places[region].stoppedUntil), () -> accept(proc, fresh, asksAt));
     }
 
+    /** What a choice goes by; {@code lab.kept}: a connection that stands ready there counts for so much less. */
+    private double load(Proc proc, int region) {
+        List<Conn> idle = proc.idle.get(region);
+        return proc.busy[region] - (KEPT > 0 && !idle.isEmpty() && now - idle.get(0).restsSince >= SETTLED_MS ? KEPT : 0);
+    }
+
     private void accept(Proc proc, Conn conn, double asksAt) {
         Place place = places[conn.region];
         boolean full = place.open >= place.number;
-        if (setup.way == Way.TODAY && full) {
+        if ((setup.way == Way.TODAY || setup.way == Way.NEED) && full) {
             tooMany += now >= measureFrom ? 1 : 0;
             conn.closed = true;
             later(now + LAT_MS, () -> run(proc, () -> {
--- a/src/main/java/yardusher/parts/Account.java
+++ b/src/main/java/yardusher/parts/Account.java
@@ -35,6 +35,7 @@
     int backBefore;
     int toldHas;                                     // what it was last told of this one
     int toldWants;
+    int toldUses;
     boolean isDirty;                                 // something of it is to be told soon
 
     /** How many of mine the other may hold, at the most. */
--- a/src/main/java/yardusher/parts/Negotiator.java
+++ b/src/main/java/yardusher/parts/Negotiator.java
@@ -78,6 +78,7 @@
         private double homeAt;
         private int newsHas;
         private int newsWants;
+        private int newsUses;
         private int avail;                           // what others have beyond their fair parts
 
         Stand(Region region, double now) {
@@ -623,11 +624,12 @@
         List<Stand> news = new ArrayList<>();
         for (Stand stand : stands.values()) {
             int has = ledger.allowance(stand.region);
-            boolean differs = has != stand.newsHas || stand.wants != stand.newsWants;
+            boolean differs = has != stand.newsHas || stand.wants != stand.newsWants || isOther(stand.uses, stand.newsUses);
             boolean short0 = stand.wants > has || stand.newsWants > stand.newsHas || now - stand.idleSince < ACTIVE_MS;
             if (differs && short0 && now - newsAt >= apart) {
                 stand.newsHas = has;
                 stand.newsWants = stand.wants;
+                stand.newsUses = stand.uses;
                 news.add(stand);
             }
         }
@@ -643,6 +645,9 @@
         }
     }
 
+    /** What is used changes all the time; only a change that matters is news. */
+    private static boolean isOther(int uses, int told) { return Math.abs(uses - told) >= Math.max(2, told / 8) || (uses == 0) != (told == 0); }
+
     private boolean isKnown(InetSocketAddress at, double now) {
         for (Other other : others) {
             if (other != null && at.equals(other.at) && now - other.heardAt < SILENT_BEAT_MS) { return true; }
@@ -673,7 +678,7 @@
             Account account = region.account(other.number);
             Stand stand = stands.get(region.id);
             if (account.old > 0 && !other.settledMe) { continue; }
-            boolean changed = account.toldHas != ledger.allowance(region) || stand != null && account.toldWants != stand.wants;
+            boolean changed = account.toldHas != ledger.allowance(region) || stand != null && (account.toldWants != stand.wants || isOther(stand.uses, account.toldUses));
             boolean unheard = account.isUnheard();
             asks |= unheard;
             if (all || account.isDirty || unheard && (again || beat) || beat && changed || stand != null && news.contains(stand)) {
@@ -704,6 +709,7 @@
         account.isDirty = false;
         account.toldHas = ledger.allowance(region);
         account.toldWants = stand == null ? 0 : stand.wants;
+        account.toldUses = stand == null ? 0 : stand.uses;
         return new Telling.Row(region.id, account.granted, account.back, account.taken, account.returned, account.old, account.toldHas,
                 stand == null ? 0 : stand.uses, account.toldWants, account.asking, account.ask, account.sake);
     }
