--- a/src/main/java/yardusher/cli/Subsystems.java
+++ b/src/main/java/yardusher/cli/Subsystems.java
@@ -41,7 +41,7 @@
         if (own.keys() != null) { all.add(new KeysSubsystem(own.keys(), own.journal())); }
         if (own.parts() != null) { all.add(new PartsSubsystem(own.parts())); }
         if (own.units() != null) { all.add(new UnitsSubsystem(own.units())); } // outermost: what belongs together, then each key
-        return new Subsystems(all, view == null ? null : view.mesh(), view);
+        return new Subsystems(all, view == null ? null : view.mesh(), view == null ? null : view.view());
     }
 
     OrderLog orders() {
