--- a/src/main/java/yardusher/units/Asked.java
+++ b/src/main/java/yardusher/units/Asked.java
@@ -42,7 +42,7 @@
     boolean taken;
     boolean recorded;                                // by the order log behind this one
     int out;                                         // attempts that are not over
-    long outAt = -1;                                 // the region of the one that is out
+    int outZone = -1;                                // the zone of the region of the one that is out
     boolean letOut;                                  // and it was let go
     boolean answered;
     boolean served;
--- a/src/main/java/yardusher/units/Unit.java
+++ b/src/main/java/yardusher/units/Unit.java
@@ -238,6 +238,7 @@
                 doubtSaid = was.part() > 0;
             }
         }
+        if (result == Result.MAY_HAVE_RUN && !isBound() && state == State.OPEN) { begin(Boundary.LOST, sink); } // nobody knows where
         if (result == Result.SERVED && was.kind() == Ticket.Kind.LAST && state == State.OPEN) { begin(Boundary.SAID, sink); }
         advance(now, sink);
         return true;
--- a/src/main/java/yardusher/units/UnitLog.java
+++ b/src/main/java/yardusher/units/UnitLog.java
@@ -57,10 +57,11 @@
             return;
         }
         asked.out++;
-        asked.outAt = attempt.region;
         asked.letOut = false;
         Consumer<Boolean> look = may -> {
-            boolean goes = may && fits(asked, attempt.region);
+            int zone = zones.applyAsInt(attempt.region);
+            boolean goes = may && fits(asked, attempt.region, zone);
+            asked.outZone = zone;                    // by its end it may be listed no more
             if (may && !goes) { held++; }
             asked.letOut = goes && !attempt.isOver();
             then.accept(goes);
@@ -68,9 +69,9 @@
         if (asked.recorded) { inner.intend(attempt, look); } else { look.accept(true); }
     }
 
-    private boolean fits(Asked asked, long region) {
-        return asked.stage == Asked.Stage.RUNS && !asked.answered && (asked.server < 0 || asked.server == region)
-                && (asked.zone < 0 || asked.zone == zones.applyAsInt(region));
+    private static boolean fits(Asked asked, long region, int zone) {
+        return asked.stage == Asked.Stage.RUNS && !asked.answered && zone >= 0 && (asked.server < 0 || asked.server == region)
+                && (asked.zone < 0 || asked.zone == zone);
     }
 
     @Override
@@ -91,7 +92,7 @@
         boolean ran = asked.letOut && !outcome.neverRan();
         if (ran) {
             asked.mayHaveRun |= outcome != Api.Outcome.SERVED;
-            if (asked.toRegion) { asked.server = attempt.region; } else if (asked.zone < 0) { asked.zone = zones.applyAsInt(attempt.region); }
+            if (asked.toRegion) { asked.server = attempt.region; } else { asked.zone = asked.outZone; }
             boolean heard = outcome == Api.Outcome.SERVED || outcome == Api.Outcome.SERVER_ERROR;
             if (!heard) { asked.looseUntil = Math.max(asked.looseUntil, attempt.sentAt + attempt.waitMs + settleMs); }
         }
--- a/src/main/java/yardusher/units/UnitTable.java
+++ b/src/main/java/yardusher/units/UnitTable.java
@@ -174,6 +174,7 @@
         Unit unit = units.get(name);
         if (unit == null) { return; }
         unit.withdraw(now, holder, lifeOf, ask, sink);
+        if (units.containsKey(name)) { touch(unit); }
         ordered(unit);
         wake(now, unit);
     }
@@ -188,7 +189,9 @@
     /** A name is in a new life, or will not be heard of again: see {@link Unit#died}. */
     void died(double now, String holder, long lifeNow) {
         for (Unit unit : List.copyOf(units.values())) {
+            double before = unit.wordAt();
             unit.died(now, holder, lifeNow, rules, sink);
+            if (unit.wordAt() != before && units.containsKey(unit.name)) { touch(unit); }
             ordered(unit);
             wake(now, unit);
         }
@@ -212,6 +215,7 @@
             unit.looked(now);
             outs.remove(unit.name);
             outs.put(unit.name, unit);
+            touch(unit);                             // else it would hide the silent ones behind it
         }
         return found;
     }
@@ -219,6 +223,7 @@
     /** The holder of a part is held for gone, by rule: see {@link Unit#died}. */
     void presume(double now, Unit unit) {
         unit.died(now, unit.out().holder(), -1, rules, sink);
+        if (units.containsKey(unit.name)) { touch(unit); }
         ordered(unit);
         wake(now, unit);
     }
