--- a/src/main/java/yardusher/parts/PartsSubsystem.java
+++ b/src/main/java/yardusher/parts/PartsSubsystem.java
@@ -151,8 +151,8 @@
 
     private void members(View.Picture picture) {
         if (negotiator == null) { return; }
-        InetSocketAddress own = site.mesh().address();
-        negotiator.members(picture.members().stream().map(View.Member::at).filter(at -> !at.equals(own)).toList());
+        String own = site.view().self().name();
+        negotiator.members(picture.members().stream().filter(one -> !one.name().equals(own)).map(View.Member::at).toList());
     }
 
     /** The service table changed, or its numbers did. */
