--- a/lab/src/yardusher/lab/PartsCases.java
+++ b/lab/src/yardusher/lab/PartsCases.java
@@ -10,7 +10,7 @@
 /** The hard cases of divided connections, each by real processes and by itself; what is found is a line for each breach. */
 public final class PartsCases {
     /** Which. */
-    public enum Case { STOPPED, LOWERED, COLD, ROLL, UPGRADE, CUT, MANY, KILLED }
+    public enum Case { STOPPED, LOWERED, COLD, ROLL, UPGRADE, CUT, MANY, KILLED, FROZEN }
 
     private static final String REGION = "00000000";
     private static final int LOWERED_MS = 5000;      // by then a lowered number holds, where all are told and nobody is away
@@ -132,6 +132,18 @@
                     }
                     note.append(kills).append(" givers killed");
                 }
+                case FROZEN -> {                     // what is given up there is not free until it has closed
+                    try (Crowd all = new Crowd(group, 2 * number, 30, -1)) {
+                        for (int i = 0; i < 3; i++) {
+                            Thread.sleep(500);
+                            region.freeze(true);
+                            Thread.sleep(ms);
+                            region.freeze(false);
+                        }
+                        Thread.sleep(500);
+                    }
+                    note.append("3 times frozen for ").append(ms).append(" ms");
+                }
                 default -> { }
             }
             note.append(", ");
--- a/src/test/java/yardusher/lab/PartsStoryTest.java
+++ b/src/test/java/yardusher/lab/PartsStoryTest.java
@@ -17,7 +17,7 @@
     Path folder;
 
     @ParameterizedTest
-    @EnumSource(value = PartsCases.Case.class, names = {"STOPPED", "LOWERED", "ROLL", "KILLED"})
+    @EnumSource(value = PartsCases.Case.class, names = {"STOPPED", "LOWERED", "ROLL", "KILLED", "FROZEN"})
     void theNumberHolds(PartsCases.Case what) throws Exception {
         assertThat(PartsCases.play(folder, what, 3, 9, 1500, new StringBuilder())).isEmpty();
     }
