--- a/src/main/java/yardusher/Gossip.java
+++ b/src/main/java/yardusher/Gossip.java
@@ -93,7 +93,7 @@
         earnedAt = clock.now;
         Outbox own = outboxes.remove(settings.self()); // no message to take in
         for (int n = own == null ? 0 : own.size(); n-- > 0 && own.size() > 0;) { tell(settings.self(), own); }
-        for (; !outboxes.isEmpty() && earned >= 1; earned--) {
+        for (int n = outboxes.size(); n-- > 0 && earned >= 1; earned--) {
             int peer = Outbox.first(outboxes);
             tell(peer, outboxes.get(peer));
             if (outboxes.get(peer).size() == 0) { outboxes.remove(peer); }
