--- a/lab/src/yardusher/lab/UnitsRun.java
+++ b/lab/src/yardusher/lab/UnitsRun.java
@@ -196,7 +196,10 @@
             if (got.end() != Terminals.End.SERVED && !got.answer().contains("where " + (part + 1) + " is due")) { return; }
         }
         if (number % 3 != 0) {
-            if (random.nextInt(10) == 0) { return; } // never said
+            if (random.nextInt(10) == 0) {           // never said: not one that could be whole
+                begun.decrementAndGet();
+                return;
+            }
             for (int i = 0; i < 4; i++) {
                 Terminals.Try ended = group.terminals().send(any(random), command(random, customer, 800).with("u", unit).with("b", "end"));
                 if (ended.end() == Terminals.End.SERVED) { break; }
--- a/lab/src/yardusher/units/UnitsWorld.java
+++ b/lab/src/yardusher/units/UnitsWorld.java
@@ -372,7 +372,7 @@
             int other = to.getPort() - 1000;
             int copies = cut[index][other] || random.nextDouble() < loss ? 0 : random.nextDouble() < twice ? 2 : 1;
             for (int i = 0; i < copies; i++) {
-                double late = 0.1 + random.nextDouble() * (random.nextDouble() < lateShare ? 400 : 1);
+                double late = 0.1 + random.nextDouble() * (random.nextDouble() < lateShare ? 1500 : 1);
                 byte[] bytes = body.clone();
                 if (random.nextDouble() < spoilt) { bytes[random.nextInt(bytes.length)] ^= (byte) (1 << random.nextInt(8)); }
                 later(late, () -> nodes[other].turn(() -> {
--- a/src/main/java/yardusher/units/Unit.java
+++ b/src/main/java/yardusher/units/Unit.java
@@ -168,7 +168,7 @@
 
     /** Lets the next part out where one may go, and ends what is to end. */
     void advance(double now, Sink sink) {
-        waiting.removeIf(t -> t.kind().isPart() && t.dueMs() <= now); // their holders have told their terminals
+        expire(now);
         while (out == null && state == State.OPEN) {
             Ticket t = due();
             if (t == null) { return; }
@@ -196,6 +196,9 @@
         if (state == State.ENDING && out == null && now >= looseUntil) { finish(sink); }
     }
 
+    /** Drops who waited longer than its terminal does; its holder has told it. */
+    void expire(double now) { waiting.removeIf(t -> t.kind().isPart() && t.dueMs() <= now); }
+
     private void letOut(double now, Ticket t, boolean again, Sink sink) {
         waiting.remove(t);
         repeats = isPast(t);
--- a/src/main/java/yardusher/units/UnitTable.java
+++ b/src/main/java/yardusher/units/UnitTable.java
@@ -120,6 +120,7 @@
     private boolean giveUp(double now, double silentMs) {
         for (Unit unit : units.values()) {
             if (now - unit.wordAt() < silentMs) { return false; }
+            unit.expire(now);                        // a question that came after its withdrawal would wait for ever
             if (unit.state() != Unit.State.OPEN || unit.out() != null || unit.waitingCount() > 0) { continue; }
             unit.end(now, Unit.Boundary.SILENT, null, sink);
             wake(now, unit);
