--- a/src/main/java/yardusher/net/Answers.java
+++ b/src/main/java/yardusher/net/Answers.java
@@ -199,7 +199,7 @@
         public boolean isFromHere() { return terminal.isFromHere(); }
 
         /** The connection it came on. */
-        public Session session() { return terminal; }
+        public Session session() { return terminal.session(); }
 
         /** Reads no more of this terminal's commands for a while. */
         public void pauseReading(double ms) { terminal.pause(ms); }
--- a/src/main/java/yardusher/net/TerminalLink.java
+++ b/src/main/java/yardusher/net/TerminalLink.java
@@ -15,7 +15,7 @@
  * One terminal's connection: reads its commands, gives each a place in the order of answers, waits for room for a large body,
  * and writes the answers in that order however they come. In turns.
  */
-final class TerminalLink implements Link.Owner, Session {
+final class TerminalLink implements Link.Owner {
     private static final int MOST_UNANSWERED = 64; // on one connection; more are read when some are answered
     private static final int MOST_UNREAD = 256 * 1024; // bytes of answers that the terminal has not taken yet
     private static final int TURN_COMMANDS = 32;   // of one connection in one turn; then it is the others' turn
@@ -37,6 +37,7 @@
     private double bodyFrom;
     private int rejected;
     private boolean lost;
+    private Session session;                         // null until somebody asks for it
     private List<Runnable> atEnd;                    // null for none
     private boolean over;                            // the connection has ended
     private boolean paused;
@@ -258,8 +259,13 @@
         if (told != null) { told.forEach(turns::afterwards); }
     }
 
-    @Override
-    public void atEnd(Runnable then) {
+    /** This connection, for what belongs to it as a whole. */
+    Session session() {
+        if (session == null) { session = this::atEnd; }
+        return session;
+    }
+
+    private void atEnd(Runnable then) {
         if (over) {
             turns.afterwards(then);
             return;
