--- a/lab/src/yardusher/lab/Plant.java
+++ b/lab/src/yardusher/lab/Plant.java
@@ -40,9 +40,9 @@
                 "Step known = kept.steps.get(step);\n if (known != null && known.token() != token) { known = null; }"))); // each owner's steps are its own
         ALL.put("no-resume", List.of(new Edit("fleet/Outpost.java", "targets.starts(instance) > Long.parseLong(before)", "false")));
         ALL.put("no-look", List.of(SLOW_DISK, new Edit("fleet/Outpost.java", "!fence.may(kind.word(), token) || token < given(kind)", "false")));
+        // Two that are no breach: what guards against them has to hold.
         ALL.put("no-lease", List.of(new Edit("fleet/Holder.java", "holdings.get(holding.kind) == holding && leases.holds(turns.now(), holding.kind, holding.token)",
                 "true")));
-        // Two that are no breach: what guards against them has to hold.
         ALL.put("slow-disk", List.of(SLOW_DISK));
     }
 
