--- a/lab/src/yardusher/lab/Plant.java
+++ b/lab/src/yardusher/lab/Plant.java
@@ -41,7 +41,7 @@
         ALL.put("no-resume", List.of(new Edit("fleet/Outpost.java", "targets.starts(instance) > Long.parseLong(before)", "false")));
         ALL.put("no-look", List.of(SLOW_DISK, new Edit("fleet/Outpost.java", "!fence.may(kind.word(), token) || token < given(kind)", "false")));
         // Two that are no breach: what guards against them has to hold.
-        ALL.put("no-lease", List.of(new Edit("fleet/Holder.java", "holdings.get(holding.kind) == holding && leases.holds(turns.now(), holding.kind, holding.token)",
+        ALL.put("no-lease", List.of(new Edit("fleet/Holder.java", "holdings.get(holding.kind) == holding && leases.holds(loop.now(), holding.kind, holding.token)",
                 "true")));
         ALL.put("slow-disk", List.of(SLOW_DISK));
     }
--- a/lab/src/yardusher/units/UnitsWorld.java
+++ b/lab/src/yardusher/units/UnitsWorld.java
@@ -22,11 +22,11 @@
 import yardusher.core.Ingress;
 import yardusher.core.Order;
 import yardusher.core.OrderLog;
-import yardusher.core.Regions;
+import yardusher.core.Backends;
 import yardusher.core.Session;
 import yardusher.core.Stay;
 import yardusher.core.Terminal;
-import yardusher.core.Turns;
+import yardusher.core.EventLoop;
 import yardusher.core.UnitWord;
 import yardusher.lab.UnitsChecker;
 import yardusher.log.Events;
@@ -106,7 +106,7 @@
             if (closed) { return; }
             closed = true;
             later(0.1, () -> onNode(node, life, () -> {
-                atEnd.forEach(nodes[node].turns::afterwards);
+                atEnd.forEach(nodes[node].loop::afterwards);
                 for (Try one : List.copyOf(open)) {
                     one.left = true;
                     if (one.stay != null) { one.stay.gone(); }
@@ -159,7 +159,7 @@
         public void served(byte[] value) { over(new String(value, StandardCharsets.UTF_8), true); }
 
         @Override
-        public void shortOnCapacity(long retryAfterMs, boolean mayHaveRun) {
+        public void reject(long retryAfterMs, boolean mayHaveRun) {
             busy = true;
             over("BUSY " + retryAfterMs, false);
         }
@@ -197,7 +197,7 @@
     }
 
     /** An ingress, over all its lives. */
-    final class Node implements Regions, Mesh, View, Events {
+    final class Node implements Backends, Mesh, View, Events {
         final int index;
         final String name;
         Mode mode;
@@ -206,7 +206,7 @@
         boolean draining;
         int lives;
         final List<Runnable> held = new ArrayList<>();       // while it is stopped
-        Turns turns;
+        EventLoop loop;
         Ingress core;
         UnitsIntake intake;
         private Mesh.Hearer hearer;
@@ -241,13 +241,13 @@
                 heardAt[i] = now;
                 seen[i] = nodes[i] != null && nodes[i].up;
             }
-            turns = new Turns(() -> now, e -> problems.add(name + ": " + stack(e)));
-            turns.turn(() -> {
+            loop = new EventLoop(() -> now, e -> problems.add(name + ": " + stack(e)));
+            loop.turn(() -> {
                 UnitLog log = new UnitLog(OrderLog.NONE);
-                core = new Ingress(site(index), seed * 31 + index * 7 + lives, turns, this, (to, body) -> { }, new Counters(), log);
+                core = new Ingress(site(index), seed * 31 + index * 7 + lives, loop, this, (to, body) -> { }, new Counters(), log);
                 core.tell(list());
                 long life = without == Without.LIVES ? 1000 + index : 1000 + index + 100L * lives;
-                UnitsIntake.Place place = new UnitsIntake.Place(name, life, turns, core, log, new UnitsIntake.Regions() {
+                UnitsIntake.Place place = new UnitsIntake.Place(name, life, loop, core, log, new UnitsIntake.Regions() {
                     @Override
                     public int zoneOf(long region) { return knows(region) ? regions.get(region).zone : -1; }
 
@@ -300,7 +300,7 @@
         /** Does work in a turn, or once it goes on. */
         void turn(Runnable work) {
             if (!up) { return; }
-            if (paused) { held.add(work); } else { turns.turn(work); }
+            if (paused) { held.add(work); } else { loop.turn(work); }
         }
 
         void resume() {
@@ -308,19 +308,19 @@
             if (!up) { return; }
             List<Runnable> waited = new ArrayList<>(held);
             held.clear();
-            waited.forEach(turns::turn);
+            waited.forEach(loop::turn);
         }
 
-        // Regions.
+        // Backends.
 
         @Override
         public boolean knows(long region) { return regions.containsKey(region) && regions.get(region).listed; }
 
         @Override
         public void begin(Attempt attempt, ByteBuffer... cargo) {
-            RegionAt region = regions.get(attempt.region);
+            RegionAt region = regions.get(attempt.backend);
             int life = lives;
-            String id = String.format("%016x", attempt.transaction.order.cargo().id());
+            String id = String.format("%016x", attempt.request.order.cargo().id());
             boolean[] open = {true};
             RunAt[] run = new RunAt[1];
             attempt.giveUp = () -> {
@@ -407,7 +407,7 @@
                     (there ? came : gone).add(told(i));
                 }
             }
-            if ((!came.isEmpty() || !gone.isEmpty()) && follower != null) { turns.turn(() -> follower.accept(new Change(picture(), came, gone))); }
+            if ((!came.isEmpty() || !gone.isEmpty()) && follower != null) { loop.turn(() -> follower.accept(new Change(picture(), came, gone))); }
         }
 
         @Override
@@ -548,7 +548,7 @@
             }
             now = next;
             for (Node node : nodes) {
-                if (node.up && !node.paused) { node.turns.turn(() -> { }); }
+                if (node.up && !node.paused) { node.loop.turn(() -> { }); }
             }
             if (lookedAt + 20 <= (long) now) {
                 lookedAt = (long) now;
--- a/src/main/java/yardusher/Customer.java
+++ b/src/main/java/yardusher/Customer.java
@@ -66,7 +66,7 @@
         return of.get(of.size() - 1);
     }
 
-    /** Turns all rows up to the present slot; what is older than ten slots drops, also after a stall. */
+    /** EventLoop all rows up to the present slot; what is older than ten slots drops, also after a stall. */
     void turn() {
         long slot = (long) Math.floor(clock.now / slotMs);
         if (slot == head) { return; }
--- a/src/main/java/yardusher/admin/AdminFront.java
+++ b/src/main/java/yardusher/admin/AdminFront.java
@@ -7,7 +7,7 @@
 import java.util.LinkedHashSet;
 import java.util.Set;
 import yardusher.core.Deadlines;
-import yardusher.core.Turns;
+import yardusher.core.EventLoop;
 import yardusher.error.CommandError;
 import yardusher.error.YardusherError;
 import yardusher.net.Lines;
@@ -27,7 +27,7 @@
     private static final double CALL_MS = 2000;      // to the end of the line: twice what a caller waits for its answer
 
     private final Operator operator;
-    private final Turns turns;
+    private final EventLoop loop;
     private final Sockets.Door door;
     /** Callers without an answer, and those that get theirs; the longest so first. */
     private final Set<Caller> asking = new LinkedHashSet<>();
@@ -35,7 +35,7 @@
 
     public AdminFront(Sockets sockets, InetSocketAddress at, Operator operator) throws IOException {
         this.operator = operator;
-        turns = sockets.turns();
+        loop = sockets.loop();
         door = sockets.listen(at, Caller::new, nothing -> true);
     }
 
@@ -92,8 +92,8 @@
             if (asking.size() + answered.size() >= MOST_CALLERS) {
                 (answered.isEmpty() ? asking : answered).iterator().next().end();
             }
-            link = new Link(channel, turns, this, lines);
-            lineBy = turns.deadlines().at(turns.now() + CALL_MS, this::end);
+            link = new Link(channel, loop, this, lines);
+            lineBy = loop.deadlines().at(loop.now() + CALL_MS, this::end);
             asking.add(this);
             link.readMore();
         }
@@ -106,7 +106,7 @@
                 if (line == null) { return true; }
                 if (line.startsWith(HANDOVER)) {
                     heir = operator.succeed(line, lines, link);
-                    turns.deadlines().cancel(lineBy);
+                    loop.deadlines().cancel(lineBy);
                     asking.remove(this);
                     return heir.readable(from);
                 }
@@ -121,7 +121,7 @@
         /** Answers, once, and lets the caller go. */
         private void told(String told) {
             if (!asking.contains(this)) { return; }
-            turns.deadlines().cancel(lineBy);
+            loop.deadlines().cancel(lineBy);
             asking.remove(this);
             answered.add(this);
             link.write(told.getBytes(StandardCharsets.US_ASCII));
@@ -141,7 +141,7 @@
         @Override
         public void ended(Link from) {
             if (heir != null) { heir.ended(from); }
-            turns.deadlines().cancel(lineBy);
+            loop.deadlines().cancel(lineBy);
             asking.remove(this);
             answered.remove(this);
         }
--- a/src/main/java/yardusher/agent/Agent.java
+++ b/src/main/java/yardusher/agent/Agent.java
@@ -13,7 +13,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
-import yardusher.core.Turns;
+import yardusher.core.EventLoop;
 import yardusher.fleet.FleetAgent;
 import yardusher.fleet.FleetSettings;
 import yardusher.net.Answers;
@@ -26,7 +26,7 @@
  * the next once the one before answers again.
  */
 public final class Agent implements Answers.Commands {
-    private final Turns turns;
+    private final EventLoop loop;
     private final Sockets sockets;
     private final Map<String, Instance> instances = new LinkedHashMap<>();
     private final ArrayDeque<Instance> rolling = new ArrayDeque<>();
@@ -43,8 +43,8 @@
     /** {@code admins}: the second address of an instance, as its configuration names it; null for none. */
     public Agent(AgentConfig config, Function<AgentConfig.Entry, InetSocketAddress> admins) throws IOException {
         long start = System.nanoTime();
-        turns = new Turns(() -> (System.nanoTime() - start) / 1e6, Throwable::printStackTrace);
-        sockets = new Sockets(turns);
+        loop = new EventLoop(() -> (System.nanoTime() - start) / 1e6, Throwable::printStackTrace);
+        sockets = new Sockets(loop);
         stopMs = config.stopMs();
         FleetSettings part = config.fleet();
         targets = part == null ? null : new Fleet(instances, sockets, part.readyMs() + config.stopMs(), admins);
@@ -59,8 +59,8 @@
     public InetSocketAddress address() throws IOException { return answers.address(); }
 
     public void start() {
-        turns.startTimer();
-        turns.turn(() -> {
+        loop.startTimer();
+        loop.turn(() -> {
             instances.values().forEach(Instance::adoptOrStart);
             answers.open();
             if (fleet != null) { fleet.start(); }
@@ -69,7 +69,7 @@
 
     /** Stops all instances and waits for their ends; where the file says so, they go on and the next agent adopts them. */
     public void close() throws InterruptedException {
-        turns.turn(() -> {
+        loop.turn(() -> {
             ending = true;
             rolling.clear();
             answers.close();
@@ -78,7 +78,7 @@
             changed();
         });
         over.await(stopMs + 2000, TimeUnit.MILLISECONDS);
-        turns.stop();
+        loop.stop();
         if (fleet != null) {
             try {
                 fleet.end();
@@ -94,7 +94,7 @@
         Instance now = rolling.peek();
         if (now != null && now.state() == Instance.State.READY) {
             rolling.poll();
-            turns.afterwards(this::roll);
+            loop.afterwards(this::roll);
         }
         if (targets != null) { targets.changed(); }
     }
--- a/src/main/java/yardusher/agent/Fleet.java
+++ b/src/main/java/yardusher/agent/Fleet.java
@@ -9,7 +9,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import yardusher.core.Deadlines;
-import yardusher.core.Turns;
+import yardusher.core.EventLoop;
 import yardusher.error.WireError;
 import yardusher.fleet.Targets;
 import yardusher.fleet.Undertaking;
@@ -17,13 +17,13 @@
 import yardusher.net.Link;
 import yardusher.net.Sockets;
 
-/** This agent's instances as the fleet's work sees them. In turns. */
+/** This agent's instances as the fleet's work sees them. In loop. */
 final class Fleet implements Targets {
     private static final double CALL_MS = 2000;
 
     private final Map<String, Instance> instances;
     private final Sockets sockets;
-    private final Turns turns;
+    private final EventLoop loop;
     private final double withinMs;
     private final Function<AgentConfig.Entry, InetSocketAddress> admins;
     private final List<Waiting> waiting = new ArrayList<>();
@@ -46,7 +46,7 @@
     Fleet(Map<String, Instance> instances, Sockets sockets, double withinMs, Function<AgentConfig.Entry, InetSocketAddress> admins) {
         this.instances = instances;
         this.sockets = sockets;
-        this.turns = sockets.turns();
+        this.loop = sockets.loop();
         this.withinMs = withinMs;
         this.admins = admins;
     }
@@ -82,12 +82,12 @@
 
     private void await(Instance instance, long starts, Consumer<Boolean> then) {
         Waiting one = new Waiting(instance, starts, then);
-        one.limit = turns.deadlines().at(turns.now() + withinMs, () -> {
+        one.limit = loop.deadlines().at(loop.now() + withinMs, () -> {
             waiting.remove(one);
             then.accept(false);
         });
         waiting.add(one);
-        turns.afterwards(this::changed);
+        loop.afterwards(this::changed);
     }
 
     /** An instance's state has changed. */
@@ -96,8 +96,8 @@
             Waiting one = all.next();
             if (one.instance.state() != Instance.State.READY || one.instance.starts() <= one.starts) { continue; }
             all.remove();
-            turns.deadlines().cancel(one.limit);
-            turns.afterwards(() -> one.then.accept(true));
+            loop.deadlines().cancel(one.limit);
+            loop.afterwards(() -> one.then.accept(true));
         }
     }
 
@@ -108,7 +108,7 @@
     public void call(String instance, String line, Consumer<String> then) {
         InetSocketAddress at = admins.apply(instances.get(instance).entry);
         if (at == null) {
-            turns.afterwards(() -> then.accept("400 no second address is configured"));
+            loop.afterwards(() -> then.accept("400 no second address is configured"));
             return;
         }
         boolean[] over = new boolean[1];
@@ -119,7 +119,7 @@
         };
         sockets.connect(at, CALL_MS, channel -> {
             Lines lines = new Lines(512);
-            Link link = new Link(channel, turns, new Link.Owner() {
+            Link link = new Link(channel, loop, new Link.Owner() {
                 @Override
                 public boolean readable(Link from) {
                     String answer;
@@ -139,7 +139,7 @@
             }, lines);
             link.write((line + "\n").getBytes(StandardCharsets.US_ASCII));
             link.readMore();
-            turns.deadlines().at(turns.now() + CALL_MS, () -> {
+            loop.deadlines().at(loop.now() + CALL_MS, () -> {
                 link.close();
                 once.accept(null);
             });
--- a/src/main/java/yardusher/agent/Instance.java
+++ b/src/main/java/yardusher/agent/Instance.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.Locale;
 import yardusher.core.Deadlines;
-import yardusher.core.Turns;
+import yardusher.core.EventLoop;
 import yardusher.fence.Memory;
 import yardusher.net.Link;
 import yardusher.net.Sockets;
@@ -26,7 +26,7 @@
     final AgentConfig.Entry entry;
     private final AgentConfig config;
     private final Sockets sockets;
-    private final Turns turns;
+    private final EventLoop loop;
     private final InetSocketAddress address;
     private final Runnable changed;
     private State state = State.STOPPED;
@@ -45,7 +45,7 @@
         this.entry = entry;
         this.config = config;
         this.sockets = sockets;
-        this.turns = sockets.turns();
+        this.loop = sockets.loop();
         this.changed = changed;
         this.address = Sockets.address(entry.address());
     }
@@ -55,7 +55,7 @@
     String status() {
         return entry.name() + " " + state.name().toLowerCase(Locale.ROOT) + " address=" + entry.address() + " pid="
                 + (process == null ? "-" : process.pid()) + " restarts=" + restarts + " up_s="
-                + (process == null ? 0 : (long) ((turns.now() - startedAt) / 1000));
+                + (process == null ? 0 : (long) ((loop.now() - startedAt) / 1000));
     }
 
     void start() {
@@ -64,10 +64,10 @@
             return;
         }
         if (process != null) { return; }
-        turns.deadlines().cancel(pending);
+        loop.deadlines().cancel(pending);
         List<String> command = new ArrayList<>(Hangup.restored(config.command())); // an agent under nohup hands it down
         command.addAll(List.of("serve", entry.config(), "--limits", entry.limits(), "--settings", entry.settings()));
-        startedAt = turns.now();
+        startedAt = loop.now();
         reloads = false;
         Process begun;
         try {
@@ -86,7 +86,7 @@
             note("started pid=" + handle.pid());
         }
         become(State.STARTING);
-        begun.onExit().thenRun(() -> turns.turn(() -> exited(handle, " with " + begun.exitValue())));
+        begun.onExit().thenRun(() -> loop.turn(() -> exited(handle, " with " + begun.exitValue())));
         ping(handle);
     }
 
@@ -107,9 +107,9 @@
         }
         System.err.println("agent: " + entry.name() + " runs already, pid " + found.pid() + ": adopted");
         process = found;
-        startedAt = turns.now();
+        startedAt = loop.now();
         become(State.STARTING);
-        found.onExit().thenRun(() -> turns.turn(() -> exited(found, "")));
+        found.onExit().thenRun(() -> loop.turn(() -> exited(found, "")));
         ping(found);
     }
 
@@ -119,7 +119,7 @@
     /** Asks it to end with SIGTERM, so that it answers what it has taken; kills it when it does not. */
     void stop(boolean again) {
         startAgain = again;
-        turns.deadlines().cancel(pending);
+        loop.deadlines().cancel(pending);
         if (process == null) {
             become(State.STOPPED);
             if (again) { start(); }
@@ -129,7 +129,7 @@
         become(State.STOPPING);
         ProcessHandle ending = process;
         ending.destroy();
-        pending = turns.deadlines().at(turns.now() + config.stopMs(), ending::destroyForcibly);
+        pending = loop.deadlines().at(loop.now() + config.stopMs(), ending::destroyForcibly);
     }
 
     /**
@@ -152,7 +152,7 @@
     private void exited(ProcessHandle ended, String how) {
         if (ended != process) { return; }
         process = null;
-        turns.deadlines().cancel(pending);
+        loop.deadlines().cancel(pending);
         if (state == State.STOPPING) {
             become(State.STOPPED);
             if (startAgain) {
@@ -163,14 +163,14 @@
             return;
         }
         System.err.println("agent: " + entry.name() + " ended by itself" + how);
-        if (turns.now() - startedAt > STEADY_MS) { backoffMs = BACKOFF_MS; }
+        if (loop.now() - startedAt > STEADY_MS) { backoffMs = BACKOFF_MS; }
         backOff();
     }
 
     /** Guards against a crash loop that takes the machine: each crash soon after a start doubles the wait. */
     private void backOff() {
         become(State.BACKOFF);
-        pending = turns.deadlines().at(turns.now() + backoffMs, () -> {
+        pending = loop.deadlines().at(loop.now() + backoffMs, () -> {
             restarts++;
             start();
         });
@@ -186,9 +186,9 @@
 
     private void ping(ProcessHandle of) {
         if (of != process || state != State.STARTING) { return; }
-        Runnable again = () -> turns.deadlines().at(turns.now() + PING_MS, () -> ping(of));
+        Runnable again = () -> loop.deadlines().at(loop.now() + PING_MS, () -> ping(of));
         sockets.connect(address, 1000, channel -> {
-            Link link = new Link(channel, turns, new Link.Owner() {
+            Link link = new Link(channel, loop, new Link.Owner() {
                 @Override
                 public boolean readable(Link from) {
                     try {
--- a/src/main/java/yardusher/cli/Serve.java
+++ b/src/main/java/yardusher/cli/Serve.java
@@ -22,7 +22,7 @@
 import yardusher.core.Counters;
 import yardusher.core.Ingress;
 import yardusher.core.Intake;
-import yardusher.core.Turns;
+import yardusher.core.EventLoop;
 import yardusher.error.CommandError;
 import yardusher.error.ConfigError;
 import yardusher.error.YardusherError;
@@ -30,8 +30,8 @@
 import yardusher.handover.Handover;
 import yardusher.limits.LimitsConfig;
 import yardusher.limits.LimitsFront;
-import yardusher.list.ServiceTable;
-import yardusher.list.Watch;
+import yardusher.discovery.DiscoveredBackends;
+import yardusher.discovery.Watch;
 import yardusher.log.Events;
 import yardusher.log.Logs;
 import yardusher.net.Budget;
@@ -40,7 +40,7 @@
 import yardusher.net.Sockets;
 import yardusher.peers.PeerSocket;
 import yardusher.resp.Decoder;
-import yardusher.servers.RegionPool;
+import yardusher.servers.BackendPool;
 import yardusher.settings.Settings;
 import yardusher.subsystem.Site;
 
@@ -52,16 +52,16 @@
 
     private static final int BODIES_PART = 8;        // of the heap, for large bodies, but one always fits
 
-    private final Turns turns;
+    private final EventLoop loop;
     private final Budget bodies = new Budget(Math.max(Decoder.MOST_LARGE, Runtime.getRuntime().maxMemory() / BODIES_PART));
     private final Sockets sockets;
     private final Counters counters = new Counters();
-    private final RegionPool pool;
+    private final BackendPool pool;
     private final Ingress ingress;
     private final PlatformFront front;
     private final LimitsFront limitsFront;
     private final Watch watch;
-    private final ServiceTable table;
+    private final DiscoveredBackends table;
     private final AdminFront admin;                  // null where no second address is named
     private final Subsystems parts;
     private final InstanceFence fence;               // null where the fleet's work has no say here
@@ -93,27 +93,27 @@
     public Serve(Config config, InetSocketAddress adminAt, Path notes, LimitsConfig limits, Settings own,
             DoubleSupplier clock) throws IOException {
         this.config = config;
-        turns = new Turns(clock, this::fault);
-        sockets = new Sockets(turns);
+        loop = new EventLoop(clock, this::fault);
+        sockets = new Sockets(loop);
         int budget = Math.max(64, config.sockets() - OWN_DESCRIPTORS);
         Api.Settings settings = config.settings();
         longestMs = settings.classes().stream().mapToDouble(Api.RequestClass::deadlineMs).max().orElse(1000);
-        pool = new RegionPool(sockets, counters, settings.report(), config.dialMs(), config.idleMs(), longestMs, budget * 2 / 5);
+        pool = new BackendPool(sockets, counters, settings.report(), config.dialMs(), config.idleMs(), longestMs, budget * 2 / 5);
         this.budget = budget;
         peers = config.peerListen() == null || !settings.limits().peers() ? null
-                : new PeerSocket(config.peerListen(), config.peers(), turns);
+                : new PeerSocket(config.peerListen(), config.peers(), loop);
         this.adminAt = adminAt;
         handover = new Handover(sockets, new Part(), settings.self(), config.name(), notes, Events.plain(config.name()));
         events = Logs.of(own.log(), config.name());
         fence = own.fenced() ? new InstanceFence() : null;
-        parts = Subsystems.of(own, config, turns);
+        parts = Subsystems.of(own, config, loop);
         Object[] made = new Object[6];
         Exception[] problem = new Exception[1];
-        turns.turn(() -> {
+        loop.turn(() -> {
             try {
-                Ingress core = new Ingress(settings, config.seed(), turns, pool, handover, counters, parts.orders());
+                Ingress core = new Ingress(settings, config.seed(), loop, pool, handover, counters, parts.orders());
                 pool.serve(core);
-                ServiceTable table = new ServiceTable(config.zones(), pool);
+                DiscoveredBackends table = new DiscoveredBackends(config.zones(), pool);
                 core.tell(table.take(config.known(), Api.ListKind.CACHED));
                 made[0] = core;
                 made[5] = table;
@@ -137,12 +137,12 @@
         limitsFront = (LimitsFront) made[3];
         share(false);
         counters.more = () -> " " + bodies.line() + parts.line();
-        table = (ServiceTable) made[5];
+        table = (DiscoveredBackends) made[5];
         admin = (AdminFront) made[4];
     }
 
-    private Site site(Ingress core, ServiceTable table, PlatformFront clients) {
-        return new Site(config.name(), config.seed(), turns, sockets, config.settings(), config.classes(), config.plans(), config.zones(), core,
+    private Site site(Ingress core, DiscoveredBackends table, PlatformFront clients) {
+        return new Site(config.name(), config.seed(), loop, sockets, config.settings(), config.classes(), config.plans(), config.zones(), core,
                 pool, table, clients, events, parts.mesh(), parts.view());
     }
 
@@ -238,7 +238,7 @@
     }
 
     private void banHere(String region, boolean out) {
-        long id = ServiceTable.id(region);
+        long id = DiscoveredBackends.id(region);
         if (out) { banned.add(region); } else { banned.remove(region); }
         ingress.tell(new Api.Ban(id, out));          // the module first: it places anew what the pool gives up
         pool.ban(id, out);
@@ -261,7 +261,7 @@
     /** Null where no second address is named. */
     public AdminFront admin() { return admin; }
 
-    public Turns turns() { return turns; }
+    public EventLoop loop() { return loop; }
 
     public PlatformFront front() { return front; }
 
@@ -288,8 +288,8 @@
 
     /** Takes clients before it returns; an {@link IOException} where an address cannot be listened at. */
     public void start() throws IOException {
-        turns.startTimer();
-        turns.turn(() -> {
+        loop.startTimer();
+        loop.turn(() -> {
             watch.start();
             if (admin != null) { admin.open(); }
             try {
@@ -328,7 +328,7 @@
             return "keeps its configuration: " + e.getMessage();
         }
         String[] done = new String[1];
-        turns.turn(() -> {
+        loop.turn(() -> {
             watch.move(next.discovery());
             boolean more = !config.sameBut(next);
             config = next;
@@ -341,13 +341,13 @@
 
     /** Accepts for a while, answers all that was taken, and returns well before the platform would kill it. */
     public void drain() throws InterruptedException {
-        turns.turn(() -> {
+        loop.turn(() -> {
             parts.drain();
             if (handover.hasHeir()) {
                 front.answers().leave();
                 if (limitsFront != null) { limitsFront.answers().leave(); }
             }
-            turns.deadlines().at(turns.now() + ACCEPT_ON_MS, () -> {
+            loop.deadlines().at(loop.now() + ACCEPT_ON_MS, () -> {
                 if (handover.hasHeir()) { serving = false; } else { closeFronts(); }
                 waitForOpen();
             });
@@ -366,18 +366,18 @@
                 && (limitsFront == null || limitsFront.answers().terminalCount() == 0)) {
             drained.countDown();
         } else {
-            turns.deadlines().at(turns.now() + 20, this::waitForOpen);
+            loop.deadlines().at(loop.now() + 20, this::waitForOpen);
         }
     }
 
     public String countersLine() {
         String[] line = new String[1];
-        turns.turn(() -> line[0] = ingress.countersLine());
+        loop.turn(() -> line[0] = ingress.countersLine());
         return line[0];
     }
 
     public void close() {
-        turns.turn(() -> {
+        loop.turn(() -> {
             watch.stop();
             handover.end();
             if (peers != null) { peers.close(); }
@@ -386,7 +386,7 @@
             parts.close();
         });
         parts.end();
-        turns.stop();
+        loop.stop();
         sockets.shutdown();
     }
 
@@ -420,7 +420,7 @@
             try {
                 serve.drain();
             } catch (InterruptedException e) { /* the process ends all the same */ }
-            serve.turns.turn(() -> {
+            serve.loop.turn(() -> {
                 serve.handover.end();
                 serve.parts.close();
             });
--- a/src/main/java/yardusher/cli/Subsystems.java
+++ b/src/main/java/yardusher/cli/Subsystems.java
@@ -7,7 +7,7 @@
 import java.util.stream.Collectors;
 import yardusher.core.Intake;
 import yardusher.core.OrderLog;
-import yardusher.core.Turns;
+import yardusher.core.EventLoop;
 import yardusher.journal.JournalSubsystem;
 import yardusher.keys.KeysSubsystem;
 import yardusher.log.Logs;
@@ -26,17 +26,17 @@
  */
 record Subsystems(List<Subsystem> all, Mesh mesh, View view) {
     /** Makes those whose tables are there; a {@link yardusher.error.YardusherError} where one cannot be made as it is set. */
-    static Subsystems of(Settings own, Config config, Turns turns) throws IOException {
+    static Subsystems of(Settings own, Config config, EventLoop loop) throws IOException {
         List<Subsystem> all = new ArrayList<>();
         ViewSubsystem view = null;
         if (own.view() != null) {                    // made first, so closed last: others say their last words over its mesh
-            view = new ViewSubsystem(own.view(), config.name(), config.zones().get(config.settings().zone()), config.seed(), turns,
+            view = new ViewSubsystem(own.view(), config.name(), config.zones().get(config.settings().zone()), config.seed(), loop,
                     Logs.of(own.log(), config.name()));
             all.add(view);
         }
         if (own.journal() != null) {
             all.add(new JournalSubsystem(own.journal(), own.keys() != null, config.name(), config.settings(), config.classes(),
-                    config.plans(), turns, Logs.of(own.log(), config.name())));
+                    config.plans(), loop, Logs.of(own.log(), config.name())));
         }
         if (own.keys() != null) { all.add(new KeysSubsystem(own.keys(), own.journal())); }
         if (own.parts() != null) { all.add(new PartsSubsystem(own.parts())); }
--- a/src/main/java/yardusher/clients/PlatformFront.java
+++ b/src/main/java/yardusher/clients/PlatformFront.java
@@ -172,7 +172,7 @@
         }
 
         @Override
-        public void shortOnCapacity(long retryAfterMs, boolean mayHaveRun) {
+        public void reject(long retryAfterMs, boolean mayHaveRun) {
             end(retryAfterMs <= 0 ? BUSY : new Encoder(24).failure("BUSY " + retryAfterMs).toBytes());
         }
 
--- a/src/main/java/yardusher/core/Admit.java
+++ b/src/main/java/yardusher/core/Admit.java
@@ -5,16 +5,16 @@
 
 /** Second stage: the module is asked. What it decides comes back as actions. */
 final class Admit {
-    private final Turns turns;
+    private final EventLoop loop;
     private final Policy module;
     private double last = Double.NEGATIVE_INFINITY;
 
-    Admit(Turns turns, Policy module) {
-        this.turns = turns;
+    Admit(EventLoop loop, Policy module) {
+        this.loop = loop;
         this.module = module;
     }
 
-    void ask(Transaction t) {
+    void ask(Request t) {
         Order o = t.order;
         tell(new Api.Request(t.number, o.classIndex(), o.plan(), o.customer(), t.deadline, o.units(), o.first(),
                 o.spread(), o.only()));
@@ -22,7 +22,7 @@
 
     /** Gives the module an event at the present time, which never goes back. */
     void tell(Api.Event event) {
-        last = Math.max(last, turns.now());
+        last = Math.max(last, loop.now());
         module.on(last, event);
     }
 }
--- a/src/main/java/yardusher/core/Attempt.java
+++ b/src/main/java/yardusher/core/Attempt.java
@@ -2,11 +2,11 @@
 
 import yardusher.Api;
 
-/** One sending of a transaction to a region. It ends once, by {@link Ingress#ended}. */
+/** One sending of a request to a backend. It ends once, by {@link Ingress#ended}. */
 public final class Attempt {
-    public final Transaction transaction;
+    public final Request request;
     public final int number;
-    public final long region;
+    public final long backend;
     public final double sentAt;
     public final long waitMs;
     /** For the order log alone: whether its intent is told. */
@@ -15,19 +15,19 @@
     /** How long its answer's first byte took, in milliseconds; negative where it is measured at its end. */
     double beganMs = -1;
     boolean over;
-    /** Whether it has left for the regions' side; till then it is parked, and never ran. */
+    /** Whether it has left for the backends' side; till then it is parked, and never ran. */
     boolean begun;
-    /** Set by the region's connection: gives the attempt up. */
+    /** Set by the backend's connection: gives the attempt up. */
     public Runnable giveUp = () -> { };
-    /** Set by the region's connection once the last byte is written: from there on it may have run. */
+    /** Set by the backend's connection once the last byte is written: from there on it may have run. */
     public boolean written;
     /** Whether it stands in the count of those written whole. */
     boolean forwarded;
 
-    Attempt(Transaction transaction, int number, long region, double sentAt, long waitMs) {
-        this.transaction = transaction;
+    Attempt(Request request, int number, long backend, double sentAt, long waitMs) {
+        this.request = request;
         this.number = number;
-        this.region = region;
+        this.backend = backend;
         this.sentAt = sentAt;
         this.waitMs = waitMs;
     }
--- a/src/main/java/yardusher/core/Book.java
+++ b/src/main/java/yardusher/core/Book.java
@@ -2,29 +2,29 @@
 
 import java.util.Map;
 
-/** Last stage: attempts and transactions that are over leave the books. */
+/** Last stage: attempts and requests that are over leave the books. */
 final class Book {
-    private final Turns turns;
-    private final Map<Long, Transaction> open;
+    private final EventLoop loop;
+    private final Map<Long, Request> open;
     private final Counters counters;
     private final OrderLog log;
 
-    Book(Turns turns, Map<Long, Transaction> open, Counters counters, OrderLog log) {
+    Book(EventLoop loop, Map<Long, Request> open, Counters counters, OrderLog log) {
         this.log = log;
-        this.turns = turns;
+        this.loop = loop;
         this.open = open;
         this.counters = counters;
     }
 
     void attempt(Attempt attempt, Attempt.Result result) {
         attempt.over = true;
-        attempt.transaction.mayHaveRun |= !result.outcome().neverRan();
+        attempt.request.mayHaveRun |= !result.outcome().neverRan();
         counters.outcomes[result.outcome().ordinal()]++;
-        turns.deadlines().cancel(attempt.timeOut);
-        if (attempt.transaction.recorded) { log.ended(attempt, result.outcome()); }
+        loop.deadlines().cancel(attempt.timeOut);
+        if (attempt.request.recorded) { log.ended(attempt, result.outcome()); }
     }
 
-    void close(Transaction t) {
-        if (open.remove(t.number) != null) { turns.deadlines().cancel(t.lastCall); }
+    void close(Request t) {
+        if (open.remove(t.number) != null) { loop.deadlines().cancel(t.lastCall); }
     }
 }
--- a/src/main/java/yardusher/core/Cargo.java
+++ b/src/main/java/yardusher/core/Cargo.java
@@ -2,15 +2,15 @@
 
 import java.nio.ByteBuffer;
 
-/** What a region is handed for a transaction. The core never looks inside, but for what names it. */
+/** What a backend is handed for a request. The core never looks inside, but for what names it. */
 public interface Cargo {
-    /** The cargo's bytes, telling the region how long its answer is waited for: parts to be written one behind another. */
+    /** The cargo's bytes, telling the backend how long its answer is waited for: parts to be written one behind another. */
     ByteBuffer[] encoded(long waitMs);
 
-    /** The request's id, as the region is told it. */
+    /** The request's id, as the backend is told it. */
     long id();
 
-    /** The idempotency key as the region is told it, in 16 hex digits; null where the class has none. */
+    /** The idempotency key as the backend is told it, in 16 hex digits; null where the class has none. */
     String key();
 
     /** A fingerprint of what is asked for: the same for the same request, whatever its id and its time. */
--- a/src/main/java/yardusher/core/Counters.java
+++ b/src/main/java/yardusher/core/Counters.java
@@ -6,7 +6,7 @@
 public final class Counters {
     public long takenIn;
     public long invalid;
-    /** Final answers, by class; a transaction whose terminal has left stands under clientsGone alone. */
+    /** Final answers, by class; a request whose terminal has left stands under clientsGone alone. */
     public long[] served = new long[0];
     public long[] refused = new long[0];
     public long[] failed = new long[0];
@@ -27,7 +27,7 @@
     public long listWhole;
     public long listBad;
     public long listChanges;
-    /** Attempts after the first of a transaction. */
+    /** Attempts after the first of a request. */
     public long further;
     public long connectionsReused;
     public long connectionsFailed;
--- a/src/main/java/yardusher/core/Dispatch.java
+++ b/src/main/java/yardusher/core/Dispatch.java
@@ -6,32 +6,32 @@
 
 /** Fourth stage, send: the attempt goes out, and its time-out stands among the deadlines. */
 final class Dispatch {
-    private final Turns turns;
-    private final Regions regions;
+    private final EventLoop loop;
+    private final Backends backends;
     private final Counters counters;
     private final OrderLog log;
-    private final Consumer<Transaction> unrecorded;
+    private final Consumer<Request> unrecorded;
     private final BiConsumer<Attempt, Attempt.Result> ended;
 
-    /** {@code unrecorded} is told of a transaction whose attempt may not go out since its intent has no record. */
-    Dispatch(Turns turns, Regions regions, Counters counters, OrderLog log, Consumer<Transaction> unrecorded,
+    /** {@code unrecorded} is told of a request whose attempt may not go out since its intent has no record. */
+    Dispatch(EventLoop loop, Backends backends, Counters counters, OrderLog log, Consumer<Request> unrecorded,
             BiConsumer<Attempt, Attempt.Result> ended) {
         this.log = log;
         this.unrecorded = unrecorded;
-        this.turns = turns;
-        this.regions = regions;
+        this.loop = loop;
+        this.backends = backends;
         this.counters = counters;
         this.ended = ended;
     }
 
-    void send(Transaction t, long region, double timeoutMs) {
-        double now = turns.now();
+    void send(Request t, long backend, double timeoutMs) {
+        double now = loop.now();
         double wait = Math.max(1, Math.min(timeoutMs > 0 ? timeoutMs : Double.MAX_VALUE, t.deadline - now));
-        Attempt attempt = new Attempt(t, t.attempts++, region, now, (long) Math.ceil(wait));
+        Attempt attempt = new Attempt(t, t.attempts++, backend, now, (long) Math.ceil(wait));
         t.attempt = attempt;
         counters.attempts++;
         counters.further += attempt.number > 0 ? 1 : 0;
-        attempt.timeOut = turns.deadlines().at(now + wait, () -> expire(attempt));
+        attempt.timeOut = loop.deadlines().at(now + wait, () -> expire(attempt));
         if (!t.recorded) {
             begin(attempt, attempt.waitMs);
             return;
@@ -40,17 +40,17 @@
             if (attempt.over) { return; }            // given up while it was parked
             if (!may) {
                 unrecorded.accept(t);
-            } else if (!regions.knows(region)) {     // left the service table while it was parked
+            } else if (!backends.knows(backend)) {     // left the service table while it was parked
                 ended.accept(attempt, Attempt.Result.of(Api.Outcome.NOT_SENT));
             } else {
-                begin(attempt, (long) Math.max(1, Math.ceil(now + wait - turns.now())));
+                begin(attempt, (long) Math.max(1, Math.ceil(now + wait - loop.now())));
             }
         });
     }
 
     private void begin(Attempt attempt, long waitMs) {
         attempt.begun = true;
-        regions.begin(attempt, attempt.transaction.order.cargo().encoded(waitMs));
+        backends.begin(attempt, attempt.request.order.cargo().encoded(waitMs));
     }
 
     private void expire(Attempt attempt) {
--- a/src/main/java/yardusher/core/Turns.java
+++ b/src/main/java/yardusher/core/EventLoop.java
@@ -10,7 +10,7 @@
  * The one writer of all state: a turn is one completion, peer datagram or timer, and never two run at once.
  * A lock and not a queue to one more thread: a completion runs on the thread that was handed it, with no hop.
  */
-public final class Turns {
+public final class EventLoop {
     private final ReentrantLock lock = new ReentrantLock();
     private final Condition sooner = lock.newCondition();
     private final ArrayDeque<Runnable> later = new ArrayDeque<>();
@@ -21,7 +21,7 @@
     private boolean stopped;
 
     /** The clock is in milliseconds and never goes back. */
-    public Turns(DoubleSupplier clock, Consumer<Throwable> faults) {
+    public EventLoop(DoubleSupplier clock, Consumer<Throwable> faults) {
         this.clock = clock;
         this.faults = faults;
     }
--- a/src/main/java/yardusher/core/Ids.java
+++ b/src/main/java/yardusher/core/Ids.java
@@ -4,7 +4,7 @@
 import java.security.SecureRandom;
 
 /**
- * Numbers for what an ingress makes itself: transaction ids, lives. A sequence that begins at a random point of all
+ * Numbers for what an ingress makes itself: request ids, lives. A sequence that begins at a random point of all
  * 64-bit numbers and is scrambled one to one (the finalizer of SplitMix64), so that no two of one life are equal and
  * those of two lives or ingresses meet only if their beginnings lie within each other's length: of a thousand lives of
  * a thousand million ids each, with a chance of about 1 in 18,000. A configured seed has no part in it.
--- a/src/main/java/yardusher/core/Order.java
+++ b/src/main/java/yardusher/core/Order.java
@@ -3,7 +3,7 @@
 import yardusher.Api;
 
 /**
- * What a front asks for: a transaction before it is taken in. Class and plan are indexes of the settings; {@code only} is
+ * What a front asks for: a request before it is taken in. Class and plan are indexes of the settings; {@code only} is
  * where it may run, null for anywhere.
  */
 public record Order(int classIndex, int plan, long customer, double units, int first, int spread,
--- a/src/main/java/yardusher/core/OrderLog.java
+++ b/src/main/java/yardusher/core/OrderLog.java
@@ -4,17 +4,17 @@
 import yardusher.Api;
 
 /**
- * What is told of transactions that must not run twice, in the order in which it happens. Called in turns only; no
+ * What is told of requests that must not run twice, in the order in which it happens. Called in turns only; no
  * call waits. An intent stands recorded before the first byte of its attempt goes out.
  */
 public interface OrderLog {
-    /** Whether a transaction that comes in is recorded, goes on without a record, or is turned away at once. */
+    /** Whether a request that comes in is recorded, goes on without a record, or is turned away at once. */
     enum Admission { RECORDED, UNRECORDED, REFUSED }
 
     /** What the terminal was finally told; GONE: it left and was told nothing. */
-    enum Answer { SERVED, SHORT_ON_CAPACITY, FAILED, GONE }
+    enum Answer { SERVED, REJECTED, FAILED, GONE }
 
-    Admission take(Transaction transaction);
+    Admission take(Request request);
 
     /**
      * Parks an attempt until its intent is recorded. The consumer is run once, in this or a later turn: with true
@@ -27,7 +27,7 @@
 
     void ended(Attempt attempt, Api.Outcome outcome);
 
-    void answered(Transaction transaction, Answer answer);
+    void answered(Request request, Answer answer);
 
     /** How long who was refused for want of a record should stay away, in milliseconds. */
     double retryAfterMs();
@@ -35,7 +35,7 @@
     /** Records nothing. */
     OrderLog NONE = new OrderLog() {
         @Override
-        public Admission take(Transaction transaction) { return Admission.UNRECORDED; }
+        public Admission take(Request request) { return Admission.UNRECORDED; }
 
         @Override
         public void intend(Attempt attempt, Consumer<Boolean> then) { then.accept(true); }
@@ -47,7 +47,7 @@
         public void ended(Attempt attempt, Api.Outcome outcome) { }
 
         @Override
-        public void answered(Transaction transaction, Answer answer) { }
+        public void answered(Request request, Answer answer) { }
 
         @Override
         public double retryAfterMs() { return 0; }
--- a/src/main/java/yardusher/core/Relay.java
+++ b/src/main/java/yardusher/core/Relay.java
@@ -10,7 +10,7 @@
         this.log = log;
     }
 
-    void served(Transaction t, byte[] value) {
+    void served(Request t, byte[] value) {
         if (first(t, OrderLog.Answer.SERVED)) {
             counters.served[t.order.classIndex()]++;
             if (t.flow != null) { t.flow.end(); } else { t.order.terminal().served(value); }
@@ -18,21 +18,21 @@
     }
 
     /** A value that was passed on in part cannot be finished. */
-    void broken(Transaction t) {
+    void broken(Request t) {
         if (first(t, OrderLog.Answer.FAILED)) {
             counters.failed[t.order.classIndex()]++;
             t.flow.broken();
         }
     }
 
-    void shortOnCapacity(Transaction t, double retryAfterMs) {
-        if (first(t, OrderLog.Answer.SHORT_ON_CAPACITY)) {
+    void reject(Request t, double retryAfterMs) {
+        if (first(t, OrderLog.Answer.REJECTED)) {
             counters.refused[t.order.classIndex()]++;
-            t.order.terminal().shortOnCapacity((long) Math.ceil(retryAfterMs), t.mayHaveRun);
+            t.order.terminal().reject((long) Math.ceil(retryAfterMs), t.mayHaveRun);
         }
     }
 
-    void failed(Transaction t, String why) {
+    void failed(Request t, String why) {
         if (first(t, OrderLog.Answer.FAILED)) {
             counters.failed[t.order.classIndex()]++;
             t.order.terminal().failed(why, t.mayHaveRun());
@@ -40,7 +40,7 @@
     }
 
     /** Guards against a second final answer, and one to a terminal that has left. */
-    private boolean first(Transaction t, OrderLog.Answer answer) {
+    private boolean first(Request t, OrderLog.Answer answer) {
         boolean first = !t.answered && !t.gone;
         t.answered = true;
         if (first && t.recorded) { log.answered(t, answer); }
--- a/src/main/java/yardusher/core/Transaction.java
+++ b/src/main/java/yardusher/core/Request.java
@@ -3,7 +3,7 @@
 import java.util.function.Consumer;
 
 /** One request from its taking in to its final answer. Written in turns only. */
-public final class Transaction implements Stay {
+public final class Request implements Stay {
     public final long number;
     public final Order order;
     public final double arrivedAt;
@@ -17,14 +17,14 @@
     boolean mayHaveRun;
     /** Whether the order log records it; all it is told after the taking in goes by this. */
     boolean recorded;
-    /** For the order log alone: whether it has told of this transaction yet. */
+    /** For the order log alone: whether it has told of this request yet. */
     public boolean noted;
     Deadlines.Entry lastCall;
 
     /** What is done when the terminal leaves. */
-    private final Consumer<Transaction> leaves;
+    private final Consumer<Request> leaves;
 
-    Transaction(long number, Order order, double arrivedAt, Consumer<Transaction> leaves) {
+    Request(long number, Order order, double arrivedAt, Consumer<Request> leaves) {
         this.leaves = leaves;
         this.number = number;
         this.order = order;
--- a/src/main/java/yardusher/core/Route.java
+++ b/src/main/java/yardusher/core/Route.java
@@ -1,18 +1,18 @@
 package yardusher.core;
 
-/** Third stage: whether the region that the module names can get this transaction's next attempt. */
+/** Third stage: whether the backend that the module names can get this request's next attempt. */
 final class Route {
-    private final Regions regions;
+    private final Backends backends;
     private final int maxAttempts;
 
-    Route(Regions regions, int maxAttempts) {
-        this.regions = regions;
+    Route(Backends backends, int maxAttempts) {
+        this.backends = backends;
         this.maxAttempts = maxAttempts;
     }
 
-    boolean open(Transaction t, long region, double now) {
-        // Guards against a second copy: never two attempts of a transaction out at once.
+    boolean open(Request t, long backend, double now) {
+        // Guards against a second copy: never two attempts of a request out at once.
         boolean alone = t.attempt == null || t.attempt.over;
-        return alone && !t.answered && !t.gone && t.attempts < maxAttempts && now < t.deadline && regions.knows(region);
+        return alone && !t.answered && !t.gone && t.attempts < maxAttempts && now < t.deadline && backends.knows(backend);
     }
 }
--- a/src/main/java/yardusher/core/TakeIn.java
+++ b/src/main/java/yardusher/core/TakeIn.java
@@ -3,26 +3,26 @@
 import java.util.Map;
 import java.util.function.Consumer;
 
-/** First stage: an order becomes a transaction with a deadline, held until its one final answer. */
+/** First stage: an order becomes a request with a deadline, held until its one final answer. */
 final class TakeIn {
-    private final Turns turns;
-    private final Map<Long, Transaction> open;
+    private final EventLoop loop;
+    private final Map<Long, Request> open;
     private final Counters counters;
-    private final Consumer<Transaction> leaves;
+    private final Consumer<Request> leaves;
     private long last;
 
-    TakeIn(Turns turns, Map<Long, Transaction> open, Counters counters, Consumer<Transaction> leaves) {
+    TakeIn(EventLoop loop, Map<Long, Request> open, Counters counters, Consumer<Request> leaves) {
         this.leaves = leaves;
-        this.turns = turns;
+        this.loop = loop;
         this.open = open;
         this.counters = counters;
     }
 
-    Transaction take(Order order, Runnable atDeadline, double graceMs) {
-        Transaction transaction = new Transaction(++last, order, turns.now(), leaves);
-        open.put(transaction.number, transaction);
+    Request take(Order order, Runnable atDeadline, double graceMs) {
+        Request request = new Request(++last, order, loop.now(), leaves);
+        open.put(request.number, request);
         counters.takenIn++;
-        transaction.lastCall = turns.deadlines().at(transaction.deadline + graceMs, atDeadline);
-        return transaction;
+        request.lastCall = loop.deadlines().at(request.deadline + graceMs, atDeadline);
+        return request;
     }
 }
--- a/src/main/java/yardusher/list/Backoff.java
+++ b/src/main/java/yardusher/discovery/Backoff.java
@@ -1,4 +1,4 @@
-package yardusher.list;
+package yardusher.discovery;
 
 import java.util.SplittableRandom;
 
--- a/src/main/java/yardusher/list/ChunkedLines.java
+++ b/src/main/java/yardusher/discovery/ChunkedLines.java
@@ -1,4 +1,4 @@
-package yardusher.list;
+package yardusher.discovery;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
--- a/src/main/java/yardusher/list/ServiceTable.java
+++ b/src/main/java/yardusher/discovery/DiscoveredBackends.java
@@ -1,4 +1,4 @@
-package yardusher.list;
+package yardusher.discovery;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
@@ -13,16 +13,16 @@
 import java.util.Set;
 import yardusher.Api;
 import yardusher.net.Sockets;
-import yardusher.servers.RegionPool;
+import yardusher.servers.BackendPool;
 import yardusher.wire.Codec;
 
 /** The service table: discovery's list as it was last told, and what each word of it means to the module. */
-public final class ServiceTable {
+public final class DiscoveredBackends {
     private static final JsonFactory JSON = new JsonFactory();
     private static final int MOST_TOLD = 4096;       // ids remembered, also of regions that have gone
 
     private final List<String> zones;
-    private final RegionPool pool;
+    private final BackendPool pool;
     private final Map<Long, InetSocketAddress> known = new LinkedHashMap<>();
     /** Ids as they were told, for as long as there are no more than MOST_TOLD newer ones. */
     private final Set<String> told = new LinkedHashSet<>();
@@ -30,7 +30,7 @@
     private Runnable follower;                       // null for none
     private long revision;
 
-    public ServiceTable(List<String> zones, RegionPool pool) {
+    public DiscoveredBackends(List<String> zones, BackendPool pool) {
         this.zones = zones;
         this.pool = pool;
     }
--- a/src/main/java/yardusher/list/Watch.java
+++ b/src/main/java/yardusher/discovery/Watch.java
@@ -1,4 +1,4 @@
-package yardusher.list;
+package yardusher.discovery;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -12,7 +12,7 @@
 import yardusher.core.Counters;
 import yardusher.core.Deadlines;
 import yardusher.core.Ingress;
-import yardusher.core.Turns;
+import yardusher.core.EventLoop;
 import yardusher.net.Sockets;
 
 /**
@@ -25,8 +25,8 @@
     private static final double AGAIN_MOST_MS = 1000;
 
     private final Sockets sockets;
-    private final Turns turns;
-    private final ServiceTable table;
+    private final EventLoop loop;
+    private final DiscoveredBackends table;
     private final Ingress ingress;
     private final Counters counters;
     private InetSocketAddress address;
@@ -35,9 +35,9 @@
     private Deadlines.Entry pending;                 // the clock's next look
     private double pendingAt = Double.POSITIVE_INFINITY;
 
-    public Watch(Sockets sockets, InetSocketAddress address, ServiceTable table, Ingress ingress, long seed) {
+    public Watch(Sockets sockets, InetSocketAddress address, DiscoveredBackends table, Ingress ingress, long seed) {
         this.sockets = sockets;
-        this.turns = sockets.turns();
+        this.loop = sockets.loop();
         this.address = address;
         this.table = table;
         this.ingress = ingress;
@@ -55,7 +55,7 @@
     }
 
     public void start() {
-        clock.start(turns.now());
+        clock.start(loop.now());
         look();
     }
 
@@ -63,7 +63,7 @@
     public void move(InetSocketAddress to) {
         if (to.equals(address)) { return; }
         address = to;
-        clock.move(turns.now());
+        clock.move(loop.now());
         look();
     }
 
@@ -76,11 +76,11 @@
     private void look() {
         double next = clock.next();
         if (next >= pendingAt) { return; }
-        turns.deadlines().cancel(pending);
+        loop.deadlines().cancel(pending);
         pendingAt = next;
-        pending = turns.deadlines().at(next, () -> {
+        pending = loop.deadlines().at(next, () -> {
             pendingAt = Double.POSITIVE_INFINITY;
-            clock.look(turns.now());
+            clock.look(loop.now());
             look();
         });
     }
@@ -114,14 +114,14 @@
             channel.write(request, null, new CompletionHandler<Integer, Void>() {
                 @Override
                 public void completed(Integer count, Void none) {
-                    turns.turn(() -> {
+                    loop.turn(() -> {
                         if (closed) { return; }
                         if (request.hasRemaining()) { write(request); } else { read(); }
                     });
                 }
 
                 @Override
-                public void failed(Throwable why, Void none) { turns.turn(Stream.this::fail); }
+                public void failed(Throwable why, Void none) { loop.turn(Stream.this::fail); }
             });
         }
 
@@ -129,10 +129,10 @@
             in.clear();
             channel.read(in, null, new CompletionHandler<Integer, Void>() {
                 @Override
-                public void completed(Integer count, Void none) { turns.turn(() -> got(count)); }
+                public void completed(Integer count, Void none) { loop.turn(() -> got(count)); }
 
                 @Override
-                public void failed(Throwable why, Void none) { turns.turn(Stream.this::fail); }
+                public void failed(Throwable why, Void none) { loop.turn(Stream.this::fail); }
             });
         }
 
@@ -147,7 +147,7 @@
                 for (String line; !closed && (line = lines.next()) != null;) {
                     String object = objects.add(line);
                     if (object == null) { continue; }
-                    if (object.isBlank()) { clock.empty(number, turns.now()); } else { news(object); }
+                    if (object.isBlank()) { clock.empty(number, loop.now()); } else { news(object); }
                     look();
                 }
             } catch (IOException e) {
@@ -164,7 +164,7 @@
             Api.ServerList news = table.line(object);
             counters.listChanges++;
             counters.listWhole += news.kind() == Api.ListKind.FULL ? 1 : 0;
-            clock.object(number, turns.now());
+            clock.object(number, loop.now());
             ingress.tell(news);
         }
 
@@ -172,7 +172,7 @@
             if (closed) { return; }
             close();
             streams.remove(number);
-            clock.ended(number, turns.now());
+            clock.ended(number, loop.now());
             look();
         }
 
--- a/src/main/java/yardusher/list/WatchClock.java
+++ b/src/main/java/yardusher/discovery/WatchClock.java
@@ -1,4 +1,4 @@
-package yardusher.list;
+package yardusher.discovery;
 
 /**
  * When discovery is asked, and which of its watches is believed. Free of I/O and clock: what happened comes in with its time in
--- a/src/main/java/yardusher/fence/Memory.java
+++ b/src/main/java/yardusher/fence/Memory.java
@@ -11,14 +11,14 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import yardusher.core.Turns;
+import yardusher.core.EventLoop;
 import yardusher.disk.Fields;
 import yardusher.disk.Ledger;
 import yardusher.disk.Storage;
 import yardusher.error.RegisterError;
 
 /**
- * An agent's lasting memory: tokens sealed, steps begun and ended, and which processes it has started. Turns write by
+ * An agent's lasting memory: tokens sealed, steps begun and ended, and which processes it has started. EventLoop write by
  * handing lines over; a thread of its own writes and syncs them, many at once, and a turn hears of it. In turns only,
  * but for opening.
  */
@@ -35,7 +35,7 @@
     private final String member;
     private final Fence fence = new Fence();
     private final Map<String, Started> started = new LinkedHashMap<>();
-    private final Turns turns;
+    private final EventLoop loop;
     private final ExecutorService disk = Executors.newSingleThreadExecutor(work -> {
         Thread thread = new Thread(work, "fence");
         thread.setDaemon(true);
@@ -48,10 +48,10 @@
     private final Map<String, Long> lasting = new LinkedHashMap<>(); // tokens whose seal is on disk, by work
     private String complaint;
 
-    private Memory(String installation, String member, Turns turns) {
+    private Memory(String installation, String member, EventLoop loop) {
         this.installation = installation;
         this.member = member;
-        this.turns = turns;
+        this.loop = loop;
     }
 
     /**
@@ -60,8 +60,8 @@
      * @throws RegisterError where the folder is another member's or installation's
      * @throws RegisterError.Damaged where what it holds is damaged: orders might be followed that were refused before
      */
-    public static Memory open(Storage storage, String installation, String member, Turns turns) throws IOException {
-        Memory memory = new Memory(installation, member, turns);
+    public static Memory open(Storage storage, String installation, String member, EventLoop loop) throws IOException {
+        Memory memory = new Memory(installation, member, loop);
         Ledger.Content content = new Ledger.Content() {
             @Override
             public void take(Ledger.Line line) throws IOException { memory.take(line); }
@@ -191,12 +191,12 @@
                 try {
                     ledger.append(lines);
                     ledger.force();
-                    if (ledger.isLong()) { turns.turn(this::rollLater); }
+                    if (ledger.isLong()) { loop.turn(this::rollLater); }
                 } catch (IOException e) {
                     why = e;
                 }
                 IOException told = why;
-                turns.turn(() -> {
+                loop.turn(() -> {
                     complain(told);
                     writing = false;
                     heirs.forEach(heir -> heir.accept(told));
--- a/src/main/java/yardusher/fleet/Desk.java
+++ b/src/main/java/yardusher/fleet/Desk.java
@@ -4,7 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.function.Consumer;
-import yardusher.core.Turns;
+import yardusher.core.EventLoop;
 import yardusher.error.CommandError;
 import yardusher.error.WireError;
 import yardusher.error.YardusherError;
@@ -17,19 +17,19 @@
 import yardusher.resp.Encoder;
 import yardusher.resp.Value;
 
-/** Answers the commands of the fleet that come in: other members' messages, operations and orders, and the operators' own. In turns. */
+/** Answers the commands of the fleet that come in: other members' messages, operations and orders, and the operators' own. In loop. */
 final class Desk {
     private static final double TRY_AGAIN_MS = 60;
 
     private final FleetSettings settings;
-    private final Turns turns;
+    private final EventLoop loop;
     private final Seat seat;
     private final Fellows fellows;
     private final Outpost outpost;
 
-    Desk(FleetSettings settings, Turns turns, Seat seat, Fellows fellows, Outpost outpost) {
+    Desk(FleetSettings settings, EventLoop loop, Seat seat, Fellows fellows, Outpost outpost) {
         this.settings = settings;
-        this.turns = turns;
+        this.loop = loop;
         this.seat = seat;
         this.fellows = fellows;
         this.outpost = outpost;
@@ -120,15 +120,15 @@
             case "forget" -> new Op.Forget(command, new Member(text(words, 5)).name());
             default -> throw new CommandError.Unknown("no order " + verb);
         };
-        seat.untilAnswered(op, turns.now() + 4000, answer -> {
+        seat.untilAnswered(op, loop.now() + 4000, answer -> {
             if (answer == null) {
                 slot.answer(failure("TRYAGAIN no majority of the agents answers; it is not known whether the order was taken. Ask again with id " + command));
             } else if (!answer.ok()) {
                 slot.answer(failure("REFUSED " + answer.text()));
             } else if (op instanceof Op.Admit admit) {
-                member(admit.member(), true, turns.now() + 4000, slot, answer.text());
+                member(admit.member(), true, loop.now() + 4000, slot, answer.text());
             } else if (op instanceof Op.Forget forget) {
-                member(forget.member(), false, turns.now() + 4000, slot, answer.text());
+                member(forget.member(), false, loop.now() + 4000, slot, answer.text());
             } else {
                 slot.answer(new Encoder(128).bulk(answer.text()).toBytes());
             }
@@ -140,10 +140,10 @@
         Consumer<Boolean> then = done -> {
             if (done) {
                 slot.answer(new Encoder(128).bulk(text).toBytes());
-            } else if (turns.now() > until || seat.isClosed()) {
+            } else if (loop.now() > until || seat.isClosed()) {
                 slot.answer(failure("TRYAGAIN the members could not be changed yet; ask again"));
             } else {
-                turns.deadlines().at(turns.now() + TRY_AGAIN_MS, () -> member(member, in, until, slot, text));
+                loop.deadlines().at(loop.now() + TRY_AGAIN_MS, () -> member(member, in, until, slot, text));
             }
         };
         seat.change(member, in, then);
@@ -156,7 +156,7 @@
 
     /** The whole state: through the register, or this member's own copy, and which of the two it is. */
     private void read(Answers.Slot slot) {
-        seat.untilAnswered(new Op.Read(), turns.now() + 1500, answer -> {
+        seat.untilAnswered(new Op.Read(), loop.now() + 1500, answer -> {
             try {
                 View told = answer == null || answer.state() == null ? seat.view() : View.of(answer.state());
                 slot.answer(new Encoder(1024).bulk(Report.text(told, answer == null, settings, seat.node(), seat.addresses())).toBytes());
--- a/src/main/java/yardusher/fleet/Fellows.java
+++ b/src/main/java/yardusher/fleet/Fellows.java
@@ -7,7 +7,7 @@
 import yardusher.net.Sockets;
 import yardusher.resp.Encoder;
 
-/** The other agents that this one has heard of, and the way to each. In the agent's turns; bounded by the register's members. */
+/** The other agents that this one has heard of, and the way to each. In the agent's loop; bounded by the register's members. */
 final class Fellows {
     private final FleetSettings settings;
     private final Sockets sockets;
--- a/src/main/java/yardusher/fleet/FleetAgent.java
+++ b/src/main/java/yardusher/fleet/FleetAgent.java
@@ -12,7 +12,7 @@
 
 /**
  * One agent's part in its fleet: a member of the register ({@link Seat}), a target of orders ({@link Outpost}), from time to
- * time the holder of a work ({@link Holder}), and who answers for all of it ({@link Desk}). All of it in the agent's turns,
+ * time the holder of a work ({@link Holder}), and who answers for all of it ({@link Desk}). All of it in the agent's loop,
  * but for the register's own thread, which waits on the disk.
  */
 public final class FleetAgent {
@@ -37,7 +37,7 @@
         Store store;
         try {
             store = Store.open(folder, settings.installation(), settings.member());
-            memory = Memory.open(folder, settings.installation(), settings.member(), sockets.turns());
+            memory = Memory.open(folder, settings.installation(), settings.member(), sockets.loop());
         } catch (IOException e) {
             folder.close();
             throw new RegisterError.Damaged(settings.folder(), String.valueOf(e.getMessage()), e);
@@ -45,10 +45,10 @@
             folder.close();
             throw e.in(settings.folder());
         }
-        seat = new Seat(settings, fellows, sockets.turns(), random, folder, store, this::changed);
-        outpost = new Outpost(memory, targets, sockets.turns(), seat::view);
-        holder = new Holder(settings, sockets.turns(), seat, fellows, outpost, leases);
-        desk = new Desk(settings, sockets.turns(), seat, fellows, outpost);
+        seat = new Seat(settings, fellows, sockets.loop(), random, folder, store, this::changed);
+        outpost = new Outpost(memory, targets, sockets.loop(), seat::view);
+        holder = new Holder(settings, sockets.loop(), seat, fellows, outpost, leases);
+        desk = new Desk(settings, sockets.loop(), seat, fellows, outpost);
         settings.members().forEach(fellows::know);
     }
 
--- a/src/main/java/yardusher/fleet/Holder.java
+++ b/src/main/java/yardusher/fleet/Holder.java
@@ -8,7 +8,7 @@
 import java.util.TreeSet;
 import java.util.function.Consumer;
 import yardusher.core.Deadlines;
-import yardusher.core.Turns;
+import yardusher.core.EventLoop;
 import yardusher.register.Kind;
 import yardusher.register.Op;
 import yardusher.register.Work;
@@ -16,7 +16,7 @@
 
 /**
  * What this agent does as the holder of works: it claims, renews and loses leases as {@link Leases} says, and while it holds
- * one it seals, orders and keeps what the undertaking wants. In the agent's turns; bounded by the kinds of work.
+ * one it seals, orders and keeps what the undertaking wants. In the agent's loop; bounded by the kinds of work.
  */
 final class Holder {
     private static final double CALL_MS = 1000;      // for an order's answer
@@ -25,7 +25,7 @@
     private static final double REST_MS = 500;       // and else: bans for instances that have just started
 
     private final FleetSettings settings;
-    private final Turns turns;
+    private final EventLoop loop;
     private final Seat seat;
     private final Fellows fellows;
     private final Outpost outpost;
@@ -47,9 +47,9 @@
         }
     }
 
-    Holder(FleetSettings settings, Turns turns, Seat seat, Fellows fellows, Outpost outpost, Leases leases) {
+    Holder(FleetSettings settings, EventLoop loop, Seat seat, Fellows fellows, Outpost outpost, Leases leases) {
         this.settings = settings;
-        this.turns = turns;
+        this.loop = loop;
         this.seat = seat;
         this.fellows = fellows;
         this.outpost = outpost;
@@ -66,21 +66,21 @@
 
     /** Looks at once, and not again before it is due. */
     void tickNow() {
-        turns.deadlines().cancel(tick);
+        loop.deadlines().cancel(tick);
         tick();
     }
 
     void tick() {
         if (seat.isClosed()) { return; }
-        tick = turns.deadlines().at(turns.now() + REST_MS, this::tick); // before: a fault in what follows must not end it
+        tick = loop.deadlines().at(loop.now() + REST_MS, this::tick); // before: a fault in what follows must not end it
         look();
         outpost.tellAll();
-        double now = turns.now();
+        double now = loop.now();
         double due = leases.nextAt();
         // What is due already waits for somebody else's word, which brings a turn of its own.
         double next = !holdings.isEmpty() ? now + TICK_MS : due > now ? Math.min(due + 1, now + REST_MS) : now + REST_MS;
-        turns.deadlines().cancel(tick);
-        tick = turns.deadlines().at(next, this::tick);
+        loop.deadlines().cancel(tick);
+        tick = loop.deadlines().at(next, this::tick);
     }
 
     private boolean wants(Work work) {
@@ -88,14 +88,14 @@
     }
 
     private void look() {
-        double now = turns.now();
+        double now = loop.now();
         for (Leases.Act act : leases.look(now, seat.view(), this::wants)) {
             if (act instanceof Leases.Claim claim) {
                 seat.ask(new Op.Claim(settings.member(), claim.nonce(), System.currentTimeMillis(), claim.kind(), claim.seenToken(), claim.seenBeat()),
-                        answer -> leases.claimed(turns.now(), claim.kind(), claim.nonce(), answer != null && answer.ok() ? answer.token() : 0));
+                        answer -> leases.claimed(loop.now(), claim.kind(), claim.nonce(), answer != null && answer.ok() ? answer.token() : 0));
             } else if (act instanceof Leases.Renew renew) {
                 seat.ask(new Op.Renew(renew.kind(), renew.token(), renew.beat()), answer ->
-                        leases.renewed(turns.now(), renew.kind(), renew.token(), answer == null ? null : Boolean.valueOf(answer.ok())));
+                        leases.renewed(loop.now(), renew.kind(), renew.token(), answer == null ? null : Boolean.valueOf(answer.ok())));
             } else if (act instanceof Leases.Begin begin) {
                 Work work = seat.view().works().get(begin.kind());
                 holdings.put(begin.kind(), new Holding(begin.kind(), begin.token(), work));
@@ -110,7 +110,7 @@
     }
 
     private boolean isCurrent(Holding holding) {
-        return holdings.get(holding.kind) == holding && leases.holds(turns.now(), holding.kind, holding.token);
+        return holdings.get(holding.kind) == holding && leases.holds(loop.now(), holding.kind, holding.token);
     }
 
     /** Does what the undertaking wants next. Only while the lease lasts; what is on its way then is for the fences. */
@@ -122,7 +122,7 @@
             leases.released(holding.kind, holding.token);
             return;
         }
-        for (Undertaking.Act act : holding.undertaking.next(turns.now())) {
+        for (Undertaking.Act act : holding.undertaking.next(loop.now())) {
             if (act instanceof Undertaking.Seal seal) {
                 seal(holding, seal.member());
             } else if (act instanceof Undertaking.Do order) {
@@ -136,14 +136,14 @@
     private void keep(Holding holding, Undertaking.Keep keep) {
         seat.ask(new Op.Checkpoint(holding.kind, holding.token, keep.seq(), keep.text(), keep.state(), keep.note()), answer -> {
             if (answer == null) {                    // nobody knows: asked again until the lease is over
-                turns.deadlines().at(turns.now() + TRY_AGAIN_MS, () -> {
+                loop.deadlines().at(loop.now() + TRY_AGAIN_MS, () -> {
                     if (isCurrent(holding)) { keep(holding, keep); }
                 });
             } else if (answer.ok()) {
                 holding.undertaking.kept(keep.seq());
                 advance(holding);
             } else if (holdings.get(holding.kind) == holding) {
-                leases.renewed(turns.now(), holding.kind, holding.token, false);
+                leases.renewed(loop.now(), holding.kind, holding.token, false);
                 System.err.println("agent: " + settings.member() + " is refused by the register: " + answer.text());
             }
         });
@@ -157,9 +157,9 @@
                     String[] words = line.split(" ");
                     if (words.length == 2) { standings.add(new Undertaking.Standing(words[0], words[1].equals("ready"))); }
                 }
-                holding.undertaking.sealed(turns.now(), member, standings);
+                holding.undertaking.sealed(loop.now(), member, standings);
             } else {
-                holding.undertaking.silent(turns.now(), member, answer instanceof Value.Failure failure ? failure.text() : "no answer");
+                holding.undertaking.silent(loop.now(), member, answer instanceof Value.Failure failure ? failure.text() : "no answer");
             }
             advance(holding);
         });
@@ -168,9 +168,9 @@
     private void order(Holding holding, Undertaking.Do order) {
         ask(order.member(), List.of("FLEET.DO", holding.kind.word(), Long.toString(holding.token), order.step(), order.act()), answer -> {
             if (answer instanceof Value.Bulk told) {
-                holding.undertaking.told(turns.now(), order.member(), order.step(), told.text());
+                holding.undertaking.told(loop.now(), order.member(), order.step(), told.text());
             } else {
-                holding.undertaking.silent(turns.now(), order.member(), answer instanceof Value.Failure failure ? failure.text() : "no answer");
+                holding.undertaking.silent(loop.now(), order.member(), answer instanceof Value.Failure failure ? failure.text() : "no answer");
             }
             advance(holding);
         });
@@ -179,12 +179,12 @@
     /** Asks an agent, which may be this one; {@code then} hears null for no answer. */
     private void ask(String member, List<String> words, Consumer<Value> then) {
         if (member.equals(settings.member())) {
-            outpost.command(words.toArray(new String[0]), answer -> turns.afterwards(() -> then.accept(answer)));
+            outpost.command(words.toArray(new String[0]), answer -> loop.afterwards(() -> then.accept(answer)));
             return;
         }
         Peer peer = fellows.peer(member);
         if (peer == null) {
-            turns.afterwards(() -> then.accept(null));
+            loop.afterwards(() -> then.accept(null));
             return;
         }
         String[] rest = words.subList(1, words.size()).toArray(new String[0]);
@@ -193,7 +193,7 @@
 
     /** What it holds is taken by others, at once where this reaches the register, else once its lease is over. */
     void close() {
-        turns.deadlines().cancel(tick);
+        loop.deadlines().cancel(tick);
         holdings.forEach((kind, holding) -> seat.ask(new Op.Release(kind, holding.token), answer -> { }));
         holdings.clear();
     }
--- a/src/main/java/yardusher/fleet/Outpost.java
+++ b/src/main/java/yardusher/fleet/Outpost.java
@@ -7,7 +7,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-import yardusher.core.Turns;
+import yardusher.core.EventLoop;
 import yardusher.error.CommandError;
 import yardusher.error.YardusherError;
 import yardusher.fence.Fence;
@@ -21,7 +21,7 @@
 /**
  * Where the fleet's work takes effect: one agent's instances, behind its fence. A token is taken only once this member's
  * own copy of the register says that it was given; an order is written down before it is followed, and the look at the
- * fence and the act are one turn. In turns.
+ * fence and the act are one turn. In loop.
  */
 final class Outpost {
     private static final double SEAL_WAIT_MS = 800;  // for the own copy to hear of a token
@@ -55,7 +55,7 @@
     private final Memory memory;
     private final Fence fence;
     private final Targets targets;
-    private final Turns turns;
+    private final EventLoop loop;
     private final Supplier<View> view;
     private final List<Waiting> waiting = new ArrayList<>();
     private final Map<String, Told> told = new HashMap<>();
@@ -63,11 +63,11 @@
     private long revision;                           // of the bans held
     private String telling;                          // the step that waits for the instances, or null
 
-    Outpost(Memory memory, Targets targets, Turns turns, Supplier<View> view) {
+    Outpost(Memory memory, Targets targets, EventLoop loop, Supplier<View> view) {
         this.memory = memory;
         this.fence = memory.fence();
         this.targets = targets;
-        this.turns = turns;
+        this.loop = loop;
         this.view = view;
         fence.steps(Kind.BANS.word()).forEach((id, step) -> hold(id, step.act()));
     }
@@ -113,8 +113,8 @@
         } else if (token > given(kind)) {
             // Guards against tokens made up: what the register has not given here is not believed.
             if (waiting.size() >= MOST_WAITING) { then.accept(unproven(token)); } else {
-                waiting.add(new Waiting(kind, token, turns.now() + SEAL_WAIT_MS, then));
-                turns.deadlines().at(turns.now() + SEAL_WAIT_MS, this::changed);
+                waiting.add(new Waiting(kind, token, loop.now() + SEAL_WAIT_MS, then));
+                loop.deadlines().at(loop.now() + SEAL_WAIT_MS, this::changed);
             }
         } else {
             boolean anew = token > fence.sealed(kind.word());
@@ -142,7 +142,7 @@
     /** The own copy has changed, or time has passed: seals that waited for it. */
     void changed() {
         for (Waiting one : List.copyOf(waiting)) {
-            boolean late = turns.now() >= one.until();
+            boolean late = loop.now() >= one.until();
             if (one.token() > given(one.kind()) && !late) { continue; }
             waiting.remove(one);
             if (one.token() > given(one.kind())) { one.then().accept(unproven(one.token())); } else { seal(one.kind(), one.token(), one.then()); }
@@ -272,14 +272,14 @@
         long token = fence.sealed(Kind.BANS.word());
         if (revision == 0 || knows.unable != null) { return true; }
         if (knows.busy) { return false; }
-        if (turns.now() < knows.notBefore) { return false; }
+        if (loop.now() < knows.notBefore) { return false; }
         if (knows.fenced < token) {
             call(instance, knows, "fence bans " + token, () -> knows.fenced = token);
             return false;
         }
         for (Bans.Ban ban : bans.all()) {
             if (knows.revisions.getOrDefault(ban.region(), 0L) >= ban.revision()) { continue; }
-            if (turns.now() < knows.later.getOrDefault(ban.region(), 0.0)) { continue; }
+            if (loop.now() < knows.later.getOrDefault(ban.region(), 0.0)) { continue; }
             call(instance, knows, (ban.out() ? "cordon " : "uncordon ") + ban.region() + " " + token + " " + ban.revision(),
                     () -> knows.revisions.put(ban.region(), ban.revision()));
             return false;
@@ -294,18 +294,18 @@
             if (knows.starts != starts) { return; }
             knows.busy = false;
             if (answer == null) {
-                knows.notBefore = turns.now() + SILENT_MS;
+                knows.notBefore = loop.now() + SILENT_MS;
             } else if (answer.startsWith("200")) {
                 done.run();
             } else if (answer.contains("was ever listed")) {
-                knows.later.put(line.split(" ")[1], turns.now() + LISTED_MS);
+                knows.later.put(line.split(" ")[1], loop.now() + LISTED_MS);
             } else if (answer.contains("token")) {
                 knows.fenced = 0;                    // it has heard of a newer one, or of none: told anew
-                knows.notBefore = turns.now() + SILENT_MS;
+                knows.notBefore = loop.now() + SILENT_MS;
             } else {
                 knows.unable = answer;
             }
-            turns.afterwards(this::tellAll);
+            loop.afterwards(this::tellAll);
         });
     }
 }
--- a/src/main/java/yardusher/fleet/Peer.java
+++ b/src/main/java/yardusher/fleet/Peer.java
@@ -6,7 +6,7 @@
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import yardusher.core.Deadlines;
-import yardusher.core.Turns;
+import yardusher.core.EventLoop;
 import yardusher.net.Link;
 import yardusher.net.Sockets;
 import yardusher.resp.Malformed;
@@ -14,7 +14,7 @@
 
 /**
  * The way to one other agent: RESP commands on one connection, answered in their order. What is not answered in time is
- * given up, its answer dropped when it comes. Bounded; a member that is slow or away costs nobody else anything. In turns.
+ * given up, its answer dropped when it comes. Bounded; a member that is slow or away costs nobody else anything. In loop.
  */
 final class Peer implements Link.Owner {
     private static final int MOST_ASKED = 64;
@@ -34,7 +34,7 @@
     }
 
     private final Sockets sockets;
-    private final Turns turns;
+    private final EventLoop loop;
     private final RandomGenerator random;
     private InetSocketAddress address;
     private final ArrayDeque<Asked> asked = new ArrayDeque<>(); // written and unwritten, in order
@@ -47,7 +47,7 @@
 
     Peer(Sockets sockets, InetSocketAddress address, RandomGenerator random) {
         this.sockets = sockets;
-        this.turns = sockets.turns();
+        this.loop = sockets.loop();
         this.address = address;
         this.random = random;
     }
@@ -61,21 +61,21 @@
     }
 
     /** Whether there is a connection, or one is worth trying. */
-    boolean isLikely() { return link != null || dialling || turns.now() >= dialAt; }
+    boolean isLikely() { return link != null || dialling || loop.now() >= dialAt; }
 
     /** Asks; one of the two is run later, in a turn, and {@code orElse} after so many ms at the latest. */
     void ask(byte[] command, double withinMs, Consumer<Value> then, Runnable orElse) {
         boolean full = asked.size() >= MOST_ASKED || link != null && link.queued() > MOST_QUEUED;
-        if (closed || full || link == null && !dialling && turns.now() < dialAt) {
-            turns.afterwards(orElse);
+        if (closed || full || link == null && !dialling && loop.now() < dialAt) {
+            loop.afterwards(orElse);
             return;
         }
         Asked one = new Asked(command);
         one.then = then;
         one.orElse = orElse;
-        one.limit = turns.deadlines().at(turns.now() + withinMs, () -> {
+        one.limit = loop.deadlines().at(loop.now() + withinMs, () -> {
             giveUp(one);
-            if (link != null && turns.now() - heardAt > STUCK_MS) {
+            if (link != null && loop.now() - heardAt > STUCK_MS) {
                 link.close();
                 lost();
             }
@@ -96,8 +96,8 @@
         dialling = true;
         sockets.connect(address, DIAL_MS, channel -> {
             dialling = false;
-            link = new Link(channel, turns, this);
-            heardAt = turns.now();
+            link = new Link(channel, loop, this);
+            heardAt = loop.now();
             asked.removeIf(one -> one.then == null);  // given up before they were written
             for (Asked one : asked) { link.write(one.command); }
             link.readMore();
@@ -111,11 +111,11 @@
     private void lost() {
         link = null;
         waitMs = Math.min(MOST_WAIT_MS, waitMs == 0 ? LEAST_WAIT_MS : waitMs * 2);
-        dialAt = turns.now() + waitMs * (0.5 + random.nextDouble() / 2);
+        dialAt = loop.now() + waitMs * (0.5 + random.nextDouble() / 2);
         ArrayDeque<Asked> left = new ArrayDeque<>(asked);
         asked.clear();
         for (Asked one : left) {
-            turns.deadlines().cancel(one.limit);
+            loop.deadlines().cancel(one.limit);
             giveUp(one);
         }
     }
@@ -126,10 +126,10 @@
         try {
             for (Value answer; (answer = from.decoder().value()) != null;) {
                 Asked one = asked.poll();
-                heardAt = turns.now();
+                heardAt = loop.now();
                 waitMs = 0;
                 if (one == null) { throw new Malformed("an answer that nobody asked for"); }
-                turns.deadlines().cancel(one.limit);
+                loop.deadlines().cancel(one.limit);
                 Consumer<Value> then = one.then;
                 if (then != null) { then.accept(answer); }
                 if (link != from) { return false; }
@@ -151,7 +151,7 @@
         closed = true;
         if (link != null) { link.close(); }
         for (Iterator<Asked> all = asked.iterator(); all.hasNext();) {
-            turns.deadlines().cancel(all.next().limit);
+            loop.deadlines().cancel(all.next().limit);
             all.remove();
         }
     }
--- a/src/main/java/yardusher/fleet/Plan.java
+++ b/src/main/java/yardusher/fleet/Plan.java
@@ -16,7 +16,7 @@
         public String toString() { return member + "/" + name; }
     }
 
-    final Map<Target, Turn> turns = new LinkedHashMap<>();
+    final Map<Target, Turn> loop = new LinkedHashMap<>();
 
     /** One of each agent in turn, so that a batch is spread over machines. */
     static Plan of(Map<String, List<String>> byMember) {
@@ -24,7 +24,7 @@
         int most = byMember.values().stream().mapToInt(List::size).max().orElse(0);
         for (int i = 0; i < most; i++) {
             for (Map.Entry<String, List<String>> one : byMember.entrySet()) {
-                if (i < one.getValue().size()) { plan.turns.put(new Target(one.getKey(), one.getValue().get(i)), Turn.TODO); }
+                if (i < one.getValue().size()) { plan.loop.put(new Target(one.getKey(), one.getValue().get(i)), Turn.TODO); }
             }
         }
         return plan;
@@ -36,34 +36,34 @@
         Plan plan = new Plan();
         for (String one : text.split(",")) {
             String[] parts = one.split("[/:]");
-            plan.turns.put(new Target(parts[0], parts[1]), Turn.values()["todf".indexOf(parts[2])]);
+            plan.loop.put(new Target(parts[0], parts[1]), Turn.values()["todf".indexOf(parts[2])]);
         }
         return plan;
     }
 
     String encode() {
         StringBuilder out = new StringBuilder();
-        turns.forEach((target, turn) -> out.append(out.length() == 0 ? "" : ",").append(target).append(':').append("todf".charAt(turn.ordinal())));
+        loop.forEach((target, turn) -> out.append(out.length() == 0 ? "" : ",").append(target).append(':').append("todf".charAt(turn.ordinal())));
         return out.toString();
     }
 
     Plan copy() {
         Plan copy = new Plan();
-        copy.turns.putAll(turns);
+        copy.loop.putAll(loop);
         return copy;
     }
 
     List<Target> in(Turn turn) {
         List<Target> found = new ArrayList<>();
-        turns.forEach((target, now) -> {
+        loop.forEach((target, now) -> {
             if (now == turn) { found.add(target); }
         });
         return found;
     }
 
-    long count(Turn turn) { return turns.values().stream().filter(now -> now == turn).count(); }
+    long count(Turn turn) { return loop.values().stream().filter(now -> now == turn).count(); }
 
     String progress() {
-        return count(Turn.DONE) + " of " + turns.size() + " done, " + count(Turn.OUT) + " away, " + count(Turn.FAILED) + " failed";
+        return count(Turn.DONE) + " of " + loop.size() + " done, " + count(Turn.OUT) + " away, " + count(Turn.FAILED) + " failed";
     }
 }
--- a/src/main/java/yardusher/fleet/Roll.java
+++ b/src/main/java/yardusher/fleet/Roll.java
@@ -48,7 +48,7 @@
         plan = Plan.decode(work.checkpoint());
         kept = plan == null ? null : plan.copy();
         this.members = new TreeSet<>(members);
-        if (plan != null) { plan.turns.keySet().forEach(target -> this.members.add(target.member())); }
+        if (plan != null) { plan.loop.keySet().forEach(target -> this.members.add(target.member())); }
     }
 
     @Override
@@ -66,7 +66,7 @@
             return acts;
         }
         for (Plan.Target target : plan.in(Plan.Turn.OUT)) {
-            if (standings.containsKey(target.member()) && kept.turns.get(target) == Plan.Turn.OUT) {
+            if (standings.containsKey(target.member()) && kept.loop.get(target) == Plan.Turn.OUT) {
                 ask(now, target.member(), new Do(target.member(), step(target), order.act() + " " + target.name()), acts);
             }
         }
@@ -91,7 +91,7 @@
             standings.forEach((member, all) -> names.put(member, all.stream().map(Standing::name).toList()));
             Plan made = Plan.of(names);
             if (made.encode().length() > MOST_PLAN) {
-                keep(Work.State.FAILED, made.turns.size() + " instances are more than a roll can hold, nothing was begun", acts);
+                keep(Work.State.FAILED, made.loop.size() + " instances are more than a roll can hold, nothing was begun", acts);
                 return;
             }
             plan = made;
@@ -131,7 +131,7 @@
             keep(Work.State.FAILED, plan.progress() + ", " + lost, acts);
             return;
         }
-        boolean changed = !plan.turns.equals(kept.turns);
+        boolean changed = !plan.loop.equals(kept.loop);
         if (waits) { changed |= sendOut(now, out); }
         if (changed || !out.isEmpty()) { stuckAt = Double.NaN; } else if (Double.isNaN(stuckAt)) { stuckAt = now; }
         if (changed) {
@@ -163,7 +163,7 @@
         for (String member : members) {
             if (now - lookedAt.getOrDefault(member, Double.NEGATIVE_INFINITY) > LOOK_MS) {
                 // Whom nobody reaches may have everything away.
-                away += (int) plan.turns.keySet().stream().filter(target -> target.member().equals(member) && !out.contains(target)).count();
+                away += (int) plan.loop.keySet().stream().filter(target -> target.member().equals(member) && !out.contains(target)).count();
                 continue;
             }
             for (Standing one : standings.get(member)) {
@@ -173,7 +173,7 @@
         boolean changed = false;
         for (Plan.Target target : plan.in(Plan.Turn.TODO)) {
             if (away >= order.away()) { break; }
-            plan.turns.put(target, Plan.Turn.OUT);
+            plan.loop.put(target, Plan.Turn.OUT);
             away++;
             changed = true;
         }
@@ -206,8 +206,8 @@
         heard(now, member);
         if (!step.startsWith(id + "/") || plan == null || outcome.startsWith("running")) { return; }
         Plan.Target target = new Plan.Target(member, step.substring(step.indexOf('/') + 1));
-        if (plan.turns.get(target) != Plan.Turn.OUT) { return; }
-        plan.turns.put(target, outcome.startsWith("done") ? Plan.Turn.DONE : Plan.Turn.FAILED);
+        if (plan.loop.get(target) != Plan.Turn.OUT) { return; }
+        plan.loop.put(target, outcome.startsWith("done") ? Plan.Turn.DONE : Plan.Turn.FAILED);
         lookedAt.remove(member);                     // its word on its instances is from before
     }
 
--- a/src/main/java/yardusher/fleet/Seat.java
+++ b/src/main/java/yardusher/fleet/Seat.java
@@ -8,7 +8,7 @@
 import java.util.Random;
 import java.util.function.Consumer;
 import yardusher.core.Deadlines;
-import yardusher.core.Turns;
+import yardusher.core.EventLoop;
 import yardusher.disk.Storage;
 import yardusher.register.Answer;
 import yardusher.register.Loop;
@@ -29,7 +29,7 @@
 
     private final FleetSettings settings;
     private final Fellows fellows;
-    private final Turns turns;
+    private final EventLoop turns;
     private final Random random;
     private final Storage folder;
     private final Runnable changed;
@@ -40,7 +40,7 @@
     private boolean closed;
 
     /** {@code changed}: told in a turn when there is a newer copy. The store is open and becomes this one's. */
-    Seat(FleetSettings settings, Fellows fellows, Turns turns, Random random, Storage folder, Store store, Runnable changed) {
+    Seat(FleetSettings settings, Fellows fellows, EventLoop turns, Random random, Storage folder, Store store, Runnable changed) {
         this.settings = settings;
         this.fellows = fellows;
         this.turns = turns;
--- a/src/main/java/yardusher/fleet/Targets.java
+++ b/src/main/java/yardusher/fleet/Targets.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 
-/** The instances of one agent, as the fleet's work needs them. In turns. */
+/** The instances of one agent, as the fleet's work needs them. In loop. */
 public interface Targets {
     List<Undertaking.Standing> standings();
 
--- a/src/main/java/yardusher/handover/Handover.java
+++ b/src/main/java/yardusher/handover/Handover.java
@@ -9,7 +9,7 @@
 import java.util.Collection;
 import yardusher.core.Deadlines;
 import yardusher.core.Neighbours;
-import yardusher.core.Turns;
+import yardusher.core.EventLoop;
 import yardusher.error.CommandError;
 import yardusher.error.WireError;
 import yardusher.error.YardusherError;
@@ -58,7 +58,7 @@
     private static final double HELD_MS = 500;       // to the word that a ban holds there too: half a caller's patience
 
     private final Sockets sockets;
-    private final Turns turns;
+    private final EventLoop loop;
     private final Program program;
     private final int self;
     private final String name;
@@ -74,7 +74,7 @@
     /** {@code folder} is where notes lie, null for none; {@code self} this ingress's number. */
     public Handover(Sockets sockets, Program program, int self, String name, Path folder, Events events) {
         this.sockets = sockets;
-        this.turns = sockets.turns();
+        this.loop = sockets.loop();
         this.program = program;
         this.self = self;
         this.name = name;
@@ -108,13 +108,13 @@
             serve();
             return;
         }
-        foundBy = turns.deadlines().at(turns.now() + FOUND_MS, () -> alone("it does not answer"));
+        foundBy = loop.deadlines().at(loop.now() + FOUND_MS, () -> alone("it does not answer"));
         String call = "handover " + Note.VERSION + " " + before.token() + "\n";
         Runnable drop = sockets.connect(before.address(), FOUND_MS, channel -> {
             if (serving) { return; }
             Lines lines = new Lines(Word.MOST_LINE);
             other = new Other(lines, this);
-            Link link = new Link(channel, turns, other, lines);
+            Link link = new Link(channel, loop, other, lines);
             other.on(link);
             link.write(call.getBytes(StandardCharsets.US_ASCII));
             link.readMore();
@@ -134,7 +134,7 @@
         if (serving) { return; }
         serving = true;
         port = true;
-        turns.deadlines().cancel(foundBy);
+        loop.deadlines().cancel(foundBy);
         try {
             program.takePort();
             program.shares(other != null, true);
@@ -188,9 +188,9 @@
             if (!over[0]) { then.run(); }
             over[0] = true;
         };
-        Deadlines.Entry limit = turns.deadlines().at(turns.now() + HELD_MS, once);
+        Deadlines.Entry limit = loop.deadlines().at(loop.now() + HELD_MS, once);
         other.ban(new Word.Ban(region, out), () -> {
-            turns.deadlines().cancel(limit);
+            loop.deadlines().cancel(limit);
             once.run();
         });
     }
--- a/src/main/java/yardusher/journal/Journal.java
+++ b/src/main/java/yardusher/journal/Journal.java
@@ -9,8 +9,8 @@
 import yardusher.core.Deadlines;
 import yardusher.core.Ids;
 import yardusher.core.OrderLog;
-import yardusher.core.Transaction;
-import yardusher.core.Turns;
+import yardusher.core.Request;
+import yardusher.core.EventLoop;
 import yardusher.disk.Folder;
 import yardusher.disk.Storage;
 import yardusher.error.JournalError;
@@ -18,7 +18,7 @@
 
 /**
  * The journal of sent orders: what is told of transactions that must not run twice is written ahead to segment files.
- * An attempt is parked until its intent is as durable as configured. Used in turns, none of which waits: entries gather
+ * An attempt is parked until its intent is as durable as configured. Used in loop, none of which waits: entries gather
  * in a batch, which goes to the writing thread at the turn's end where an attempt waits for it, or a little later;
  * while one batch is written the next gathers, and all that wait in it share its write.
  */
@@ -51,7 +51,7 @@
         final List<Waiter> waiters = new ArrayList<>();
     }
 
-    private final Turns turns;
+    private final EventLoop loop;
     private final Api.Settings site;
     private final JournalSettings settings;
     private final Segments segments;
@@ -81,7 +81,7 @@
      * @throws JournalError in one plain line where the folder cannot be used or another process uses it
      */
     public static Journal open(JournalSettings settings, String instance, Api.Settings site, List<String> classes,
-            List<String> plans, Turns turns, Events events) throws IOException {
+            List<String> plans, EventLoop loop, Events events) throws IOException {
         Folder folder;
         try {
             folder = Folder.writing(settings.folder().resolve(instance), instance);
@@ -90,27 +90,27 @@
         } catch (IOException e) {
             throw new JournalError.Folder("journal.folder " + settings.folder().resolve(instance), String.valueOf(e.getMessage()), e);
         }
-        return open(folder, settings, instance, site, classes, plans, turns, events);
+        return open(folder, settings, instance, site, classes, plans, loop, events);
     }
 
     static Journal open(Storage storage, JournalSettings settings, String instance, Api.Settings site,
-            List<String> classes, List<String> plans, Turns turns, Events events) throws IOException {
+            List<String> classes, List<String> plans, EventLoop loop, Events events) throws IOException {
         try {
-            Recovery.Found found = Recovery.run(storage, turns.now());
+            Recovery.Found found = Recovery.run(storage, loop.now());
             Indexer indexer = new Indexer(storage, instance);
             Segments segments = new Segments(storage, settings, found,
-                    new Entry.Opened(0, new Ids().next(), instance, classes, plans), turns::now, indexer);
+                    new Entry.Opened(0, new Ids().next(), instance, classes, plans), loop::now, indexer);
             for (Retention.Sealed one : found.sealed()) { indexer.build(one.number()); }
-            return new Journal(turns, site, settings, segments, found, events, instance);
+            return new Journal(loop, site, settings, segments, found, events, instance);
         } catch (IOException e) {
             storage.close();
             throw new JournalError.Folder("journal.folder " + settings.folder().resolve(instance), "cannot be written: " + e.getMessage(), e);
         }
     }
 
-    private Journal(Turns turns, Api.Settings site, JournalSettings settings, Segments segments, Recovery.Found found,
+    private Journal(EventLoop loop, Api.Settings site, JournalSettings settings, Segments segments, Recovery.Found found,
             Events events, String instance) {
-        this.turns = turns;
+        this.loop = loop;
         this.site = site;
         this.settings = settings;
         this.segments = segments;
@@ -126,7 +126,7 @@
     }
 
     @Override
-    public Admission take(Transaction t) {
+    public Admission take(Request t) {
         if (site.classes().get(t.order.classIndex()).effect() == Api.Effect.IDEMPOTENT) { return Admission.UNRECORDED; }
         if (!records()) {
             if (settings.refuses()) {
@@ -147,17 +147,17 @@
 
     @Override
     public void intend(Attempt attempt, Consumer<Boolean> then) {
-        Transaction t = attempt.transaction;
+        Request t = attempt.request;
         if (!records()) {
             unrecordedIntent(then);
             return;
         }
-        attempt.noted = gather(new Entry.Intended(nowUs(), t.number, attempt.number, attempt.region, facts(t), takenUs(t)));
+        attempt.noted = gather(new Entry.Intended(nowUs(), t.number, attempt.number, attempt.backend, facts(t), takenUs(t)));
         t.noted |= attempt.noted;
         gathering.waiters.add(new Waiter(attempt, then));
         if (flying == null && !handsOver) {
             handsOver = true;
-            turns.afterwards(this::handOver);        // all that this turn gathers shares the write
+            loop.afterwards(this::handOver);        // all that this turn gathers shares the write
         }
     }
 
@@ -173,17 +173,17 @@
 
     @Override
     public void written(Attempt attempt) {
-        if (attempt.noted) { gather(new Entry.Written(nowUs(), attempt.transaction.number, attempt.number)); }
+        if (attempt.noted) { gather(new Entry.Written(nowUs(), attempt.request.number, attempt.number)); }
     }
 
     @Override
     public void ended(Attempt attempt, Api.Outcome outcome) {
         if (!attempt.noted) { return; }              // sent on unrecorded: the gap tells of it
-        gather(new Entry.Ended(nowUs(), attempt.transaction.number, attempt.number, outcome, attempt.mayHaveGone()));
+        gather(new Entry.Ended(nowUs(), attempt.request.number, attempt.number, outcome, attempt.mayHaveGone()));
     }
 
     @Override
-    public void answered(Transaction t, Answer answer) {
+    public void answered(Request t, Answer answer) {
         if (!t.noted) {
             // Guards the folder's room against a flood beyond a quota: what was never tried is counted, not told.
             counts.untried++;
@@ -196,11 +196,11 @@
     @Override
     public double retryAfterMs() { return settings.retryAfterMs(); }
 
-    private static long takenUs(Transaction t) { return (long) (t.arrivedAt * 1e3); }
+    private static long takenUs(Request t) { return (long) (t.arrivedAt * 1e3); }
 
-    private long nowUs() { return (long) (turns.now() * 1e3); }
+    private long nowUs() { return (long) (loop.now() * 1e3); }
 
-    private Entry.Facts facts(Transaction t) {
+    private Entry.Facts facts(Request t) {
         String key = t.order.cargo().key();
         return new Entry.Facts(t.order.cargo().id(), key != null, key == null ? 0 : Long.parseUnsignedLong(key, 16),
                 t.order.customer(), t.order.classIndex(), t.order.plan(), t.order.units(), prints && key != null ? t.order.cargo().print() : 0);
@@ -225,8 +225,8 @@
         flying = gathering;
         gathering = spare;
         spare = null;
-        flyingSince = turns.now();
-        if (stallAt == null) { stallAt = turns.deadlines().at(flyingSince + settings.stallMs(), this::watch); }
+        flyingSince = loop.now();
+        if (stallAt == null) { stallAt = loop.deadlines().at(flyingSince + settings.stallMs(), this::watch); }
         submit(flying);
     }
 
@@ -235,7 +235,7 @@
         scribe.submit(() -> {
             Segments.Result result = segments.append(batch.entries);
             if (result.written()) { scribe.wrote(); }
-            turns.turn(() -> completed(batch, result));
+            loop.turn(() -> completed(batch, result));
         });
     }
 
@@ -245,7 +245,7 @@
             become(Health.FAILING, result.why().getMessage());
             withdraw(batch);
             withdraw(gathering);
-            turns.deadlines().at(turns.now() + retryMs, () -> submit(batch));
+            loop.deadlines().at(loop.now() + retryMs, () -> submit(batch));
             retryMs = Math.min(RETRY_MOST_MS, 2 * retryMs);
             return;                                  // it goes on flying: nothing may overtake it
         }
@@ -271,7 +271,7 @@
 
     private void flushSoon() {
         if (flushAt != null) { return; }
-        flushAt = turns.deadlines().at(turns.now() + settings.flushMs(), () -> {
+        flushAt = loop.deadlines().at(loop.now() + settings.flushMs(), () -> {
             flushAt = null;
             handOver();
         });
@@ -282,10 +282,10 @@
         stallAt = null;
         if (flying == null || health == Health.STALLED) { return; }
         double due = flyingSince + settings.stallMs();
-        if (due <= turns.now() && health != Health.FAILING) {
+        if (due <= loop.now() && health != Health.FAILING) {
             stalled();
         } else {
-            stallAt = turns.deadlines().at(Math.max(due, turns.now() + settings.flushMs()), this::watch);
+            stallAt = loop.deadlines().at(Math.max(due, loop.now() + settings.flushMs()), this::watch);
         }
     }
 
@@ -317,12 +317,12 @@
     }
 
     private void look() {
-        lookAt = turns.deadlines().at(turns.now() + LOOK_MS, () -> {
+        lookAt = loop.deadlines().at(loop.now() + LOOK_MS, () -> {
             lookAt = null;
             if (health != Health.FULL) { return; }
             scribe.submit(() -> {
                 boolean full = segments.recheck();
-                turns.turn(() -> {
+                loop.turn(() -> {
                     if (health != Health.FULL) { return; }
                     if (full) { look(); } else { become(Health.GOOD, ""); }
                 });
@@ -363,7 +363,7 @@
 
     Health health() { return health; }
 
-    /** Figures; read in turns. */
+    /** Figures; read in loop. */
     public Counts counts() { return counts; }
 
     /** What recovery had to say of the files. */
@@ -378,10 +378,10 @@
 
     /** Writes and syncs all that was told, and ends; false where the disk did not take it in time. Not in a turn. */
     public boolean close(long withinMs) {
-        turns.turn(this::handOver);
+        loop.turn(this::handOver);
         boolean ended = scribe.end(withinMs);
         // Entries of the last turns: the writing thread has ended, so they are written here.
-        turns.turn(() -> {
+        loop.turn(() -> {
             if (ended && flying == null && !gathering.entries.isEmpty()) { segments.append(gathering.entries); }
         });
         if (!ended) { return false; }
--- a/src/main/java/yardusher/journal/JournalSubsystem.java
+++ b/src/main/java/yardusher/journal/JournalSubsystem.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import yardusher.Api;
 import yardusher.core.OrderLog;
-import yardusher.core.Turns;
+import yardusher.core.EventLoop;
 import yardusher.log.Events;
 import yardusher.subsystem.Subsystem;
 
@@ -16,8 +16,8 @@
 
     /** {@code prints}: what is asked for is recorded by its print too, for who looks for repeats. Reads the disk. */
     public JournalSubsystem(JournalSettings settings, boolean prints, String instance, Api.Settings site, List<String> classes,
-            List<String> plans, Turns turns, Events events) throws IOException {
-        journal = Journal.open(settings, instance, site, classes, plans, turns, events);
+            List<String> plans, EventLoop loop, Events events) throws IOException {
+        journal = Journal.open(settings, instance, site, classes, plans, loop, events);
         if (prints) { journal.recordPrints(); }
     }
 
--- a/src/main/java/yardusher/journal/Orders.java
+++ b/src/main/java/yardusher/journal/Orders.java
@@ -27,7 +27,7 @@
 import yardusher.disk.Storage;
 import yardusher.error.CommandError;
 import yardusher.error.JournalError;
-import yardusher.list.ServiceTable;
+import yardusher.discovery.DiscoveredBackends;
 
 /** What the sub-command {@code orders} does with one or more folders of journals. */
 public final class Orders {
@@ -82,7 +82,7 @@
             if (of != SegmentIndex.Field.REGION && !text.matches("[0-9a-f]{1,16}")) {
                 throw new CommandError.Argument(field + " must be 1 to 16 hex digits");
             }
-            values.put(of, of == SegmentIndex.Field.REGION ? ServiceTable.id(text) : Long.parseUnsignedLong(text, 16));
+            values.put(of, of == SegmentIndex.Field.REGION ? DiscoveredBackends.id(text) : Long.parseUnsignedLong(text, 16));
             return this;
         }
 
--- a/src/main/java/yardusher/keys/KeyedIntake.java
+++ b/src/main/java/yardusher/keys/KeyedIntake.java
@@ -13,7 +13,7 @@
 import yardusher.core.Session;
 import yardusher.core.Stay;
 import yardusher.core.Terminal;
-import yardusher.core.Turns;
+import yardusher.core.EventLoop;
 
 /**
  * Stands between the fronts and the core: a request whose key runs waits for it, and one whose key is over gets the answer
@@ -22,16 +22,16 @@
  */
 public final class KeyedIntake implements Intake {
     private final Intake core;
-    private final Turns turns;
+    private final EventLoop loop;
     private final KeyTable<Asker> table;
     private final KeyTable.Rule[] rules;
     private final double retryAfterMs;
     private final Map<Long, Flight> flights = new HashMap<>(); // a key's transaction; as many as run
 
-    public KeyedIntake(Intake core, Turns turns, KeySettings settings, List<Api.RequestClass> classes, List<String> names) {
+    public KeyedIntake(Intake core, EventLoop loop, KeySettings settings, List<Api.RequestClass> classes, List<String> names) {
         settings.check(names);
         this.core = core;
-        this.turns = turns;
+        this.loop = loop;
         this.retryAfterMs = settings.retryAfterMs();
         table = new KeyTable<>(new FinishedKeys(settings.answerBytes()),
                 new KeyTable.Bounds(settings.mostRunning(), settings.mostWaiting()));
@@ -53,7 +53,7 @@
         Asker(Order order, long key) {
             this.order = order;
             this.key = key;
-            this.deadline = turns.now() + order.waitMs();
+            this.deadline = loop.now() + order.waitMs();
         }
 
         @Override
@@ -71,7 +71,7 @@
         private boolean last() {
             boolean first = !over;
             over = true;
-            turns.deadlines().cancel(lastCall);
+            loop.deadlines().cancel(lastCall);
             return first;
         }
 
@@ -79,8 +79,8 @@
             if (last()) { order.terminal().served(value); }
         }
 
-        void shortOnCapacity(long afterMs, boolean mayHaveRun) {
-            if (last()) { order.terminal().shortOnCapacity(afterMs, mayHaveRun); }
+        void reject(long afterMs, boolean mayHaveRun) {
+            if (last()) { order.terminal().reject(afterMs, mayHaveRun); }
         }
 
         void failed(String why, boolean mayHaveRun) {
@@ -105,7 +105,7 @@
         public void served(byte[] value) {
             if (end()) {
                 leader.served(value);
-                for (Asker one : table.ended(turns.now(), leader.key, KeyTable.Ending.SERVED, value).answered()) { one.served(value); }
+                for (Asker one : table.ended(loop.now(), leader.key, KeyTable.Ending.SERVED, value).answered()) { one.served(value); }
             }
         }
 
@@ -128,7 +128,7 @@
         private void over(KeyTable.Ending ending, Runnable last) {
             if (!end()) { return; }
             if (leader.last()) { last.run(); }
-            KeyTable.Next<Asker> next = table.ended(turns.now(), leader.key, ending, null);
+            KeyTable.Next<Asker> next = table.ended(loop.now(), leader.key, ending, null);
             if (ending == KeyTable.Ending.SERVED) {
                 for (Asker one : next.answered()) { one.failed("it ran, and its value is too large to be held", true); }
             } else {
@@ -137,10 +137,10 @@
         }
 
         @Override
-        public void shortOnCapacity(long afterMs, boolean mayHaveRun) {
+        public void reject(long afterMs, boolean mayHaveRun) {
             if (end()) {
-                leader.shortOnCapacity(afterMs, mayHaveRun);
-                follow(table.ended(turns.now(), leader.key, ending(mayHaveRun), null));
+                leader.reject(afterMs, mayHaveRun);
+                follow(table.ended(loop.now(), leader.key, ending(mayHaveRun), null));
             }
         }
 
@@ -148,7 +148,7 @@
         public void failed(String why, boolean mayHaveRun) {
             if (end()) {
                 leader.failed(why, mayHaveRun);
-                follow(table.ended(turns.now(), leader.key, ending(mayHaveRun), null));
+                follow(table.ended(loop.now(), leader.key, ending(mayHaveRun), null));
             }
         }
 
@@ -170,10 +170,10 @@
         if (told == null) { return core.take(order); }
         long key = Long.parseUnsignedLong(told, 16);
         Asker asker = new Asker(order, key);
-        KeyTable.Decision decision = table.arrive(turns.now(), key, order.cargo().print(), rules[order.classIndex()], asker);
+        KeyTable.Decision decision = table.arrive(loop.now(), key, order.cargo().print(), rules[order.classIndex()], asker);
         switch (decision.verdict()) {
             case LEAD -> lead(asker);
-            case JOIN -> asker.lastCall = turns.deadlines().at(asker.deadline, () -> {
+            case JOIN -> asker.lastCall = loop.deadlines().at(asker.deadline, () -> {
                 if (asker.over) { return; }
                 asker.failed("deadline passed", asker.mayHaveRun());
                 left(asker);
@@ -182,18 +182,18 @@
             case RAN -> asker.failed("it ran, and its answer is held no more", true);
             case UNKNOWN -> asker.failed("it may have run", true);
             case CONFLICT -> asker.failed("this key is another request's", false);
-            default -> asker.shortOnCapacity((long) Math.ceil(retryAfterMs), false);
+            default -> asker.reject((long) Math.ceil(retryAfterMs), false);
         }
         return asker;
     }
 
     private void lead(Asker asker) {
-        turns.deadlines().cancel(asker.lastCall);
+        loop.deadlines().cancel(asker.lastCall);
         Flight flight = new Flight(asker);
         flights.put(asker.key, flight);
         Order o = asker.order;
         flight.stay = core.take(new Order(o.classIndex(), o.plan(), o.customer(), o.units(), o.first(), o.spread(),
-                Math.max(1, asker.deadline - turns.now()), o.cargo(), flight, o.only()));
+                Math.max(1, asker.deadline - loop.now()), o.cargo(), flight, o.only()));
     }
 
     /** Who waited when a run ended without a value: one leads, or all get to know that it may have run. */
@@ -201,7 +201,7 @@
         for (Asker one : next.answered()) { one.failed("it may have run", true); }
         if (next.leads() == null) { return; }
         // After this turn's work: the core first ends the attempt of the run that is over.
-        turns.afterwards(() -> {
+        loop.afterwards(() -> {
             if (!next.leads().over) { lead(next.leads()); }
         });
     }
@@ -216,19 +216,19 @@
         boolean empty = table.left(asker.key, asker);
         Flight flight = flights.get(asker.key);
         if (flight == null) {
-            if (table.leaderless(asker.key)) { follow(table.ended(turns.now(), asker.key, KeyTable.Ending.NEVER_RAN, null)); }
+            if (table.leaderless(asker.key)) { follow(table.ended(loop.now(), asker.key, KeyTable.Ending.NEVER_RAN, null)); }
             return;
         }
         if (!empty) { return; }
         boolean mayHaveRun = flight.mayHaveRun();
         flight.end();
         flight.stay.gone();
-        follow(table.ended(turns.now(), asker.key, ending(mayHaveRun), null));
+        follow(table.ended(loop.now(), asker.key, ending(mayHaveRun), null));
     }
 
     /** What a journal tells of an order of an earlier life; times in milliseconds. */
     public void restore(long key, long print, int classIndex, double sentAtMs, double endedAtMs, boolean ran) {
-        if (classIndex >= 0 && classIndex < rules.length) { table.restore(turns.now(), key, print, rules[classIndex], sentAtMs, endedAtMs, ran); }
+        if (classIndex >= 0 && classIndex < rules.length) { table.restore(loop.now(), key, print, rules[classIndex], sentAtMs, endedAtMs, ran); }
     }
 
     /** How long before now an order may have ended to be of any use to {@link #restore}. */
@@ -240,7 +240,7 @@
 
     /** What is known of a key, in one line. */
     public String told(long key) {
-        String told = table.told(turns.now(), key);
+        String told = table.told(loop.now(), key);
         return told == null ? "not known" : told;
     }
 
--- a/src/main/java/yardusher/keys/KeysSubsystem.java
+++ b/src/main/java/yardusher/keys/KeysSubsystem.java
@@ -26,9 +26,9 @@
     @Override
     public Intake intake(Site site, Intake inner) throws IOException {
         List<String> classes = site.classes();
-        intake = new KeyedIntake(inner, site.turns(), settings, site.settings().classes(), classes);
+        intake = new KeyedIntake(inner, site.loop(), settings, site.settings().classes(), classes);
         if (journal != null) {
-            Journal.earlier(journal, site.name(), site.turns().now() - intake.longestLifetimeMs(), (key, print, className, sentAt, endedAt, ran) ->
+            Journal.earlier(journal, site.name(), site.loop().now() - intake.longestLifetimeMs(), (key, print, className, sentAt, endedAt, ran) ->
                     intake.restore(key, print, classes.indexOf(className), sentAt, endedAt, ran));
         }
         return intake;
--- a/src/main/java/yardusher/limits/LimitsFront.java
+++ b/src/main/java/yardusher/limits/LimitsFront.java
@@ -50,7 +50,7 @@
         this.classIndex = classNames.indexOf(config.className());
         check(config, classNames, planNames, ingress.settings().gateways());
         this.queries = config.queriesPerS();
-        this.queriesAt = sockets.turns().now();
+        this.queriesAt = sockets.loop().now();
         this.answers = new Answers(sockets, config.listen(), true, MOST_TERMINALS, new Budget(0), this);
     }
 
@@ -118,7 +118,7 @@
 
     private void query(LimitsConfig.Partner partner, int plan, Answers.Slot slot) {
         // Guards place-order against a flood of questions: past this rate they cost next to nothing.
-        double now = sockets.turns().now();
+        double now = sockets.loop().now();
         queries = Math.min(config.queriesPerS(), queries + config.queriesPerS() * (now - queriesAt) / 1000);
         queriesAt = now;
         if (queries < 1) {
@@ -178,7 +178,7 @@
         public Flow begin(long length) {
             return new Flow() {
                 @Override
-                public void part(ByteBuffer bytes, Runnable taken) { sockets.turns().afterwards(taken); }
+                public void part(ByteBuffer bytes, Runnable taken) { sockets.loop().afterwards(taken); }
 
                 @Override
                 public void end() { served(null); }
@@ -189,7 +189,7 @@
         }
 
         @Override
-        public void shortOnCapacity(long retryAfterMs, boolean mayHaveRun) {
+        public void reject(long retryAfterMs, boolean mayHaveRun) {
             open--;
             if (mayHaveRun) {
                 // Guards against "limited" for a partner with room: this was a failure or a time-out of a region.
--- a/src/main/java/yardusher/mesh/DatagramMesh.java
+++ b/src/main/java/yardusher/mesh/DatagramMesh.java
@@ -9,7 +9,7 @@
 import java.util.Map;
 import java.util.zip.CRC32C;
 import net.openhft.hashing.LongHashFunction;
-import yardusher.core.Turns;
+import yardusher.core.EventLoop;
 import yardusher.error.ViewError;
 import yardusher.net.Sockets;
 
@@ -27,7 +27,7 @@
 
     private final InetSocketAddress listen;
     private final long installation;
-    private final Turns turns;
+    private final EventLoop loop;
     private final Map<Kind, Hearer> hearers = new EnumMap<>(Kind.class);
     private final ByteBuffer out = ByteBuffer.allocateDirect(HEAD + MOST_BODY);
     private DatagramChannel channel;
@@ -40,10 +40,10 @@
     private long unheard;                            // of a kind that is off here
     private long unsent;                             // refused by the system
 
-    public DatagramMesh(InetSocketAddress listen, String installation, Turns turns) {
+    public DatagramMesh(InetSocketAddress listen, String installation, EventLoop loop) {
         this.listen = listen;
         this.installation = LongHashFunction.xx3().hashChars(installation);
-        this.turns = turns;
+        this.loop = loop;
     }
 
     /** Takes the port; a {@link ViewError.Listen} where it cannot be had. In a turn. */
@@ -74,7 +74,7 @@
                 InetSocketAddress sender = (InetSocketAddress) from.receive(in);
                 byte[] datagram = new byte[in.flip().remaining()];
                 in.get(datagram);
-                turns.turn(() -> take(sender, datagram));
+                loop.turn(() -> take(sender, datagram));
             } catch (IOException e) {
                 if (!from.isOpen()) { return; }      // else one refused datagram: the next may be fine
             }
--- a/src/main/java/yardusher/net/Answers.java
+++ b/src/main/java/yardusher/net/Answers.java
@@ -9,7 +9,7 @@
 import yardusher.core.Flow;
 import yardusher.core.Session;
 import yardusher.core.Stay;
-import yardusher.core.Turns;
+import yardusher.core.EventLoop;
 import yardusher.resp.Encoder;
 
 /**
@@ -32,7 +32,7 @@
     private static final double QUIET_MS = 30;
 
     private final Commands commands;
-    private final Turns turns;
+    private final EventLoop loop;
     private final Sockets.Door door;
     private final Crowd crowd = new Crowd();
     private final Departure departure = new Departure();
@@ -51,9 +51,9 @@
         this.bodies = bodies;
         this.commands = commands;
         limit(mostTerminals);
-        this.turns = sockets.turns();
-        door = sockets.door(at, shared, channel -> new TerminalLink(channel, this, crowd, turns), nothing -> room());
-        turns.deadlines().at(turns.now() + UPKEEP_MS, this::upkeep);
+        this.loop = sockets.loop();
+        door = sockets.door(at, shared, channel -> new ClientConnection(channel, this, crowd, loop), nothing -> room());
+        loop.deadlines().at(loop.now() + UPKEEP_MS, this::upkeep);
     }
 
     /** How many connections are held at the most; the longest idle beyond that close. */
@@ -74,11 +74,11 @@
     private boolean room() {
         // Guards who waits at the door of a version that ends: its half of the descriptors may be full, and they are reset.
         if (crowd.hasRoom(departure.isForGood())) { return true; }
-        TerminalLink longest = crowd.givesWay(turns.now());
+        ClientConnection longest = crowd.givesWay(loop.now());
         if (longest == null) {
             if (!looksAgain && !closing) {
                 looksAgain = true;
-                turns.deadlines().at(turns.now() + AGAIN_MS, () -> {
+                loop.deadlines().at(loop.now() + AGAIN_MS, () -> {
                     looksAgain = false;
                     door.open();
                 });
@@ -91,8 +91,8 @@
 
     /** Closes what has been silent or idle too long, and what never ends a command it has begun. */
     private void upkeep() {
-        double now = turns.now();
-        turns.deadlines().at(now + UPKEEP_MS, this::upkeep);
+        double now = loop.now();
+        loop.deadlines().at(now + UPKEEP_MS, this::upkeep);
         crowd.reap(now);
         sendAway(now);
         if (!closing) { door.open(); }
@@ -105,7 +105,7 @@
      * Sends the terminals away, while the door stays open for those that come all the same, or takes them again. A
      * connection closes right behind an answer, when its terminal is least likely to have sent the next command.
      */
-    public void away(boolean away) { departure.away(away, turns.now()); }
+    public void away(boolean away) { departure.away(away, loop.now()); }
 
     /**
      * The next version of this program takes the terminals that come: this one takes what waits to be accepted, answers what
@@ -113,7 +113,7 @@
      */
     public void leave() {
         if (departure.isForGood()) { return; }
-        double now = turns.now();
+        double now = loop.now();
         door.closeWhenQuiet(QUIET_MS, departure.leave(now));
         sendAway(now);
     }
@@ -127,7 +127,7 @@
     boolean isClosing() { return closing; }
 
     /** Whether connections close behind their answers. */
-    boolean isLeaving() { return closing || departure.isUnderWay(turns.now()); }
+    boolean isLeaving() { return closing || departure.isUnderWay(loop.now()); }
 
     /** One more terminal finds room. */
     void hasRoomAgain() {
@@ -137,7 +137,7 @@
     private void sendAway(double now) {
         if (!departure.isUnderWay(now) || closing) { return; }
         boolean last = departure.isLast(now);
-        for (TerminalLink terminal : crowd.all()) {
+        for (ClientConnection terminal : crowd.all()) {
             if (!terminal.owesNothing()) { continue; } // closes behind its answer
             if (last) {
                 terminal.drop();
@@ -155,9 +155,9 @@
      */
     public void close() {
         closing = true;
-        departure.close(turns.now());
+        departure.close(loop.now());
         door.close();
-        for (TerminalLink terminal : crowd.all()) { terminal.closeIfIdle(); }
+        for (ClientConnection terminal : crowd.all()) { terminal.closeIfIdle(); }
     }
 
     public static boolean isPing(byte[][] words) {
@@ -177,7 +177,7 @@
 
     /** The place of one answer on its connection. */
     public static final class Slot {
-        private final TerminalLink terminal;
+        private final ClientConnection terminal;
         byte[] bytes;
         Runnable body;                               // gives back what its large body holds
         byte[] head;                                 // of a value that comes in parts
@@ -186,7 +186,7 @@
         /** What is under way for this command, if anything. */
         public Stay stay;
 
-        Slot(TerminalLink terminal) { this.terminal = terminal; }
+        Slot(ClientConnection terminal) { this.terminal = terminal; }
 
         void dropBody() {
             if (body != null) { body.run(); }
--- a/src/main/java/yardusher/net/TerminalLink.java
+++ b/src/main/java/yardusher/net/ClientConnection.java
@@ -7,15 +7,15 @@
 import java.util.ArrayList;
 import java.util.List;
 import yardusher.core.Session;
-import yardusher.core.Turns;
+import yardusher.core.EventLoop;
 import yardusher.resp.Encoder;
 import yardusher.resp.Malformed;
 
 /**
  * One terminal's connection: reads its commands, gives each a place in the order of answers, waits for room for a large body,
- * and writes the answers in that order however they come. In turns.
+ * and writes the answers in that order however they come. In loop.
  */
-final class TerminalLink implements Link.Owner {
+final class ClientConnection implements Link.Owner {
     private static final int MOST_UNANSWERED = 64; // on one connection; more are read when some are answered
     private static final int MOST_UNREAD = 256 * 1024; // bytes of answers that the terminal has not taken yet
     private static final int TURN_COMMANDS = 32;   // of one connection in one turn; then it is the others' turn
@@ -26,7 +26,7 @@
 
     private final Answers front;
     private final Crowd crowd;
-    private final Turns turns;
+    private final EventLoop loop;
     private final Link link;
     private final boolean fromHere;
     private final ArrayDeque<Answers.Slot> slots = new ArrayDeque<>(2);
@@ -43,12 +43,12 @@
     private boolean paused;
     private boolean stalled;                         // it does not take its answers, so no more commands are read
 
-    TerminalLink(AsynchronousSocketChannel channel, Answers front, Crowd crowd, Turns turns) {
+    ClientConnection(AsynchronousSocketChannel channel, Answers front, Crowd crowd, EventLoop loop) {
         this.front = front;
         this.crowd = crowd;
-        this.turns = turns;
-        quietSince = turns.now();
-        link = new Link(channel, turns, this);
+        this.loop = loop;
+        quietSince = loop.now();
+        link = new Link(channel, loop, this);
         fromHere = isFromHere(channel);
         crowd.joins(this);
         link.readMore();
@@ -91,7 +91,7 @@
                     if (link.decoder().isEmpty()) {
                         begunAt = Double.POSITIVE_INFINITY;
                     } else if (begunAt == Double.POSITIVE_INFINITY || taken > 0) {
-                        begunAt = turns.now();
+                        begunAt = loop.now();
                     }
                     return true;
                 }
@@ -112,7 +112,7 @@
 
     /** A large body comes: it is read once there is room for it. True while more is to be read. */
     private boolean readsBody() throws Malformed {
-        double now = turns.now();
+        double now = loop.now();
         if (!front.bodies().fits(link.decoder().bodyLength())) { throw new Malformed("invalid bulk length"); }
         if (body != null) {
             if (now < bodyFrom + BODY_MS) { begunAt = quietSince = now; }
@@ -125,14 +125,14 @@
             bodyOpen = true;
             if (link.isClosed() || lost) { return; }
             link.decoder().openBody();
-            if (!here[0]) { turns.afterwards(this::goOn); }
+            if (!here[0]) { loop.afterwards(this::goOn); }
         });
         here[0] = false;
         return bodyOpen && readable(link);
     }
 
     private void goOn() {
-        begunAt = quietSince = turns.now();
+        begunAt = quietSince = loop.now();
         if (mayRead() && readable(link)) { link.readMore(); }
     }
 
@@ -144,7 +144,7 @@
 
     private boolean mayRead() {
         return !lost && !paused && !link.isClosed() && slots.size() < MOST_UNANSWERED
-                && link.queued() < MOST_UNREAD && (slots.isEmpty() || !front.departure().hasRead(turns.now()));
+                && link.queued() < MOST_UNREAD && (slots.isEmpty() || !front.departure().hasRead(loop.now()));
     }
 
     /** Framing is lost: what came before is still answered in order, then the connection closes. */
@@ -171,7 +171,7 @@
     void pause(double ms) {
         if (paused) { return; }
         paused = true;
-        turns.deadlines().at(turns.now() + ms, () -> {
+        loop.deadlines().at(loop.now() + ms, () -> {
             paused = false;
             if (mayRead() && readable(link)) { link.readMore(); }
         });
@@ -195,7 +195,7 @@
                 finish();
                 return;
             }
-            quietSince = turns.now();
+            quietSince = loop.now();
             crowd.isIdle(this, quietSince);
         }
         if (full && mayRead() && readable(link)) { link.readMore(); }
@@ -256,7 +256,7 @@
         over = true;
         List<Runnable> told = atEnd;
         atEnd = null;
-        if (told != null) { told.forEach(turns::afterwards); }
+        if (told != null) { told.forEach(loop::afterwards); }
     }
 
     /** This connection, for what belongs to it as a whole. */
@@ -267,7 +267,7 @@
 
     private void atEnd(Runnable then) {
         if (over) {
-            turns.afterwards(then);
+            loop.afterwards(then);
             return;
         }
         if (atEnd == null) { atEnd = new ArrayList<>(1); }
--- a/src/main/java/yardusher/net/Crowd.java
+++ b/src/main/java/yardusher/net/Crowd.java
@@ -19,10 +19,10 @@
     private static final double IDLE_WAY_MS = 250; // who connected and said nothing, then who is idle
     private static final double SHORT_IDLE_MS = 100; // where many are idle, the longest so is closed after this
 
-    private final Set<TerminalLink> terminals = new LinkedHashSet<>();
+    private final Set<ClientConnection> terminals = new LinkedHashSet<>();
     /** Terminals with nothing open, the longest so first: those that never ended a command, and the others. */
-    private final Set<TerminalLink> silent = new LinkedHashSet<>();
-    private final Set<TerminalLink> idle = new LinkedHashSet<>();
+    private final Set<ClientConnection> silent = new LinkedHashSet<>();
+    private final Set<ClientConnection> idle = new LinkedHashSet<>();
     /** Connections that get their last bytes. They still hold descriptors, so they have a bound too. */
     private final Set<Link> leaving = new LinkedHashSet<>();
     private int mostTerminals;
@@ -34,14 +34,14 @@
         mostLeaving = Math.max(2, most / 5);
         mostTerminals = Math.max(1, most - mostLeaving);
         mostIdle = Math.max(1, mostTerminals / 4);
-        for (TerminalLink terminal : new ArrayList<>(idle)) {
+        for (ClientConnection terminal : new ArrayList<>(idle)) {
             if (terminals.size() > mostTerminals) { terminal.finish(); }
         }
     }
 
     int size() { return terminals.size(); }
 
-    List<TerminalLink> all() { return new ArrayList<>(terminals); }
+    List<ClientConnection> all() { return new ArrayList<>(terminals); }
 
     /** {@code twice}: twice as many may be here. */
     boolean hasRoom(boolean twice) {
@@ -50,47 +50,47 @@
     }
 
     /** Who is to give way to a newcomer, or null: who said nothing for longest, then who is idle, then who is slow at its first command. */
-    TerminalLink givesWay(double now) {
-        TerminalLink longest = first(mute(), SILENT_WAY_MS, now);
+    ClientConnection givesWay(double now) {
+        ClientConnection longest = first(mute(), SILENT_WAY_MS, now);
         if (longest == null) { longest = first(idle, IDLE_WAY_MS, now); }
         return longest == null ? first(silent, SILENT_WAY_MS, now) : longest;
     }
 
     /** The longest silent that has not begun a command, if any. */
-    private Set<TerminalLink> mute() {
-        for (TerminalLink one : silent) {
+    private Set<ClientConnection> mute() {
+        for (ClientConnection one : silent) {
             if (!one.hasBegun()) { return Set.of(one); }
         }
         return Set.of();
     }
 
-    private static TerminalLink first(Set<TerminalLink> of, double quietMs, double now) {
-        TerminalLink first = of.isEmpty() ? null : of.iterator().next();
+    private static ClientConnection first(Set<ClientConnection> of, double quietMs, double now) {
+        ClientConnection first = of.isEmpty() ? null : of.iterator().next();
         return first != null && now - first.quietSince() >= quietMs ? first : null;
     }
 
-    void joins(TerminalLink terminal) {
+    void joins(ClientConnection terminal) {
         terminals.add(terminal);
         silent.add(terminal);
     }
 
     /** It has something open. */
-    void isBusy(TerminalLink terminal) {
+    void isBusy(ClientConnection terminal) {
         silent.remove(terminal);
         idle.remove(terminal);
     }
 
     /** It has nothing open any more. */
-    void isIdle(TerminalLink terminal, double now) {
+    void isIdle(ClientConnection terminal, double now) {
         idle.add(terminal);
         // Guards clients that use a new connection for each request and keep the old one: what they hold
         // idle is out of what they may hold at all, and they would find none left for their requests.
-        TerminalLink longest = idle.size() > mostIdle ? first(idle, SHORT_IDLE_MS, now) : null;
+        ClientConnection longest = idle.size() > mostIdle ? first(idle, SHORT_IDLE_MS, now) : null;
         if (longest != null) { longest.drop(); }
     }
 
     /** It is none of the terminals any more; true where one more has room for that. */
-    boolean leaves(TerminalLink terminal) {
+    boolean leaves(ClientConnection terminal) {
         isBusy(terminal);
         return terminals.remove(terminal) && terminals.size() == mostTerminals - 1;
     }
@@ -111,8 +111,8 @@
         reap(idle, now - (crowded ? IDLE_MS : CALM_IDLE_MS), now - SILENT_MS);
     }
 
-    private void reap(Set<TerminalLink> of, double quietBefore, double begunBefore) {
-        for (TerminalLink terminal : new ArrayList<>(of)) {
+    private void reap(Set<ClientConnection> of, double quietBefore, double begunBefore) {
+        for (ClientConnection terminal : new ArrayList<>(of)) {
             // Guards who has begun a command against an end without a word: a silent one is told, an idle one has its time.
             boolean begun = terminal.hasBegun();
             if (terminal.begunAt() < begunBefore || begun && of == silent && terminal.quietSince() < quietBefore) {
--- a/src/main/java/yardusher/net/Link.java
+++ b/src/main/java/yardusher/net/Link.java
@@ -6,13 +6,13 @@
 import java.nio.channels.CompletionHandler;
 import java.util.ArrayDeque;
 import yardusher.core.Deadlines;
-import yardusher.core.Turns;
+import yardusher.core.EventLoop;
 import yardusher.resp.Decoder;
 import yardusher.resp.Inbound;
 
 /**
  * One connection: reads into its decoder and writes what is queued, by completion handlers, each of them a
- * turn. All methods are called within turns.
+ * turn. All methods are called within loop.
  */
 public final class Link {
     /** What the owner of a connection is told, each within a turn. */
@@ -36,7 +36,7 @@
     private static final ByteBuffer SCRATCH = ByteBuffer.allocateDirect(64 * 1024);
 
     private final AsynchronousSocketChannel channel;
-    private final Turns turns;
+    private final EventLoop loop;
     private final Owner owner;
     private final Inbound inbound;
     private final ArrayDeque<ByteBuffer> queue = new ArrayDeque<>(4);
@@ -54,12 +54,12 @@
     private boolean writeFailed;
 
     /** A connection that carries RESP. */
-    public Link(AsynchronousSocketChannel channel, Turns turns, Owner owner) { this(channel, turns, owner, new Decoder()); }
+    public Link(AsynchronousSocketChannel channel, EventLoop loop, Owner owner) { this(channel, loop, owner, new Decoder()); }
 
-    public Link(AsynchronousSocketChannel channel, Turns turns, Owner owner, Inbound inbound) {
+    public Link(AsynchronousSocketChannel channel, EventLoop loop, Owner owner, Inbound inbound) {
         this.inbound = inbound;
         this.channel = channel;
-        this.turns = turns;
+        this.loop = loop;
         this.owner = owner;
     }
 
@@ -100,7 +100,7 @@
             end();
         } else if (!writing) {
             writing = true;
-            turns.afterwards(this::flush); // what one turn queues goes out together
+            loop.afterwards(this::flush); // what one turn queues goes out together
         }
     }
 
@@ -116,7 +116,7 @@
         }
         whenClosed = then;
         finishing = true;
-        drainEnd = turns.deadlines().at(turns.now() + DRAIN_MS, this::close);
+        drainEnd = loop.deadlines().at(loop.now() + DRAIN_MS, this::close);
         if (!writing && queue.isEmpty()) { drain(); }
     }
 
@@ -160,8 +160,8 @@
         if (closed) { return; }
         closed = true;
         queue.clear();
-        turns.deadlines().cancel(drainEnd);
-        turns.afterwards(whenClosed);
+        loop.deadlines().cancel(drainEnd);
+        loop.afterwards(whenClosed);
         try {
             channel.close();
         } catch (IOException e) { /* it is gone either way */ }
@@ -240,19 +240,19 @@
 
     private static final CompletionHandler<Integer, Link> READ = new CompletionHandler<>() {
         @Override
-        public void completed(Integer count, Link link) { link.turns.turn(() -> link.read(count)); }
+        public void completed(Integer count, Link link) { link.loop.turn(() -> link.read(count)); }
 
         @Override
-        public void failed(Throwable why, Link link) { link.turns.turn(link::end); }
+        public void failed(Throwable why, Link link) { link.loop.turn(link::end); }
     };
 
     private static final CompletionHandler<Integer, Link> WRITTEN = new CompletionHandler<>() {
         @Override
-        public void completed(Integer count, Link link) { link.turns.turn(() -> link.wrote(count)); }
+        public void completed(Integer count, Link link) { link.loop.turn(() -> link.wrote(count)); }
 
         @Override
         public void failed(Throwable why, Link link) {
-            link.turns.turn(() -> {
+            link.loop.turn(() -> {
                 link.writeFailed = true;
                 link.end();
             });
--- a/src/main/java/yardusher/net/Sockets.java
+++ b/src/main/java/yardusher/net/Sockets.java
@@ -13,17 +13,17 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import yardusher.core.Deadlines;
-import yardusher.core.Turns;
+import yardusher.core.EventLoop;
 import yardusher.error.ConfigError;
 import yardusher.error.WireError;
 
 /** Opens connections and listens, on one channel group with one thread of its own. */
 public final class Sockets {
     private final AsynchronousChannelGroup group;
-    private final Turns turns;
+    private final EventLoop loop;
 
-    public Sockets(Turns turns) throws IOException {
-        this.turns = turns;
+    public Sockets(EventLoop loop) throws IOException {
+        this.loop = loop;
         // One fixed thread polls and runs the handlers itself; a pool given from outside would cost a hop each.
         group = AsynchronousChannelGroup.withFixedThreadPool(1, work -> {
             Thread thread = new Thread(work, "sockets");
@@ -32,7 +32,7 @@
         });
     }
 
-    public Turns turns() { return turns; }
+    public EventLoop loop() { return loop; }
 
     /** An address of digits and a port, such as 127.0.0.4:6379. Names are not looked up. Else a {@link ConfigError}. */
     public static InetSocketAddress address(String text) {
@@ -91,9 +91,9 @@
             channel.accept(this, new CompletionHandler<AsynchronousSocketChannel, Door>() {
                 @Override
                 public void completed(AsynchronousSocketChannel guest, Door door) {
-                    turns.turn(() -> {
+                    loop.turn(() -> {
                         accepting = false;
-                        guestAt = turns.now();
+                        guestAt = loop.now();
                         quick(guest);
                         guests.accept(guest);
                         open();
@@ -102,9 +102,9 @@
 
                 @Override
                 public void failed(Throwable why, Door door) {
-                    turns.turn(() -> {
+                    loop.turn(() -> {
                         accepting = false;
-                        turns.deadlines().at(turns.now() + 50, Door.this::open);
+                        loop.deadlines().at(loop.now() + 50, Door.this::open);
                     });
                 }
             });
@@ -115,10 +115,10 @@
          * and who comes while it is open is accepted at once.
          */
         public void closeWhenQuiet(double quietMs, double by) {
-            double now = turns.now();
+            double now = loop.now();
             double at = Math.min(by, Math.max(now, guestAt) + quietMs);
-            turns.deadlines().at(at, () -> {
-                if (guestAt < now || turns.now() >= by) { close(); } else { closeWhenQuiet(quietMs, by); }
+            loop.deadlines().at(at, () -> {
+                if (guestAt < now || loop.now() >= by) { close(); } else { closeWhenQuiet(quietMs, by); }
             });
         }
 
@@ -158,7 +158,7 @@
         try {
             channel = AsynchronousSocketChannel.open(group);
         } catch (IOException e) {                    // no descriptor left: as if nobody had answered
-            turns.afterwards(() -> {
+            loop.afterwards(() -> {
                 if (!over[0]) { orElse.run(); }
             });
             return () -> over[0] = true;
@@ -167,7 +167,7 @@
             over[0] = true;
             shut(channel);
         };
-        Deadlines.Entry limit = turns.deadlines().at(turns.now() + withinMs, () -> {
+        Deadlines.Entry limit = loop.deadlines().at(loop.now() + withinMs, () -> {
             if (!over[0]) {
                 drop.run();
                 orElse.run();
@@ -176,8 +176,8 @@
         channel.connect(to, null, new CompletionHandler<Void, Void>() {
             @Override
             public void completed(Void nothing, Void none) {
-                turns.turn(() -> {
-                    turns.deadlines().cancel(limit);
+                loop.turn(() -> {
+                    loop.deadlines().cancel(limit);
                     if (over[0]) { return; }
                     over[0] = true;
                     quick(channel);
@@ -187,8 +187,8 @@
 
             @Override
             public void failed(Throwable why, Void none) {
-                turns.turn(() -> {
-                    turns.deadlines().cancel(limit);
+                loop.turn(() -> {
+                    loop.deadlines().cancel(limit);
                     if (over[0]) { return; }
                     drop.run();
                     orElse.run();
@@ -196,7 +196,7 @@
             }
         });
         return () -> {
-            turns.deadlines().cancel(limit);
+            loop.deadlines().cancel(limit);
             drop.run();
         };
     }
@@ -210,13 +210,13 @@
         try {
             channel = AsynchronousSocketChannel.open(group);
         } catch (IOException e) {
-            turns.afterwards(orElse);
+            loop.afterwards(orElse);
             return;
         }
         channel.connect(to, null, new CompletionHandler<Void, Void>() {
             @Override
             public void completed(Void nothing, Void none) {
-                turns.turn(() -> {
+                loop.turn(() -> {
                     quick(channel);
                     then.accept(channel);
                 });
@@ -224,7 +224,7 @@
 
             @Override
             public void failed(Throwable why, Void none) {
-                turns.turn(() -> {
+                loop.turn(() -> {
                     shut(channel);
                     orElse.run();
                 });
--- a/src/main/java/yardusher/nginx/Importer.java
+++ b/src/main/java/yardusher/nginx/Importer.java
@@ -16,7 +16,7 @@
 import yardusher.error.ConfigError;
 
 /**
- * Turns nginx's upstream and location blocks into a configuration of ours: the servers of one upstream become
+ * EventLoop nginx's upstream and location blocks into a configuration of ours: the servers of one upstream become
  * the known regions, each location that passes to it a class, each limit_req_zone a plan. Whatever has no
  * counterpart is named with its line; nothing is dropped in silence.
  */
--- a/src/main/java/yardusher/parts/PartSettings.java
+++ b/src/main/java/yardusher/parts/PartSettings.java
@@ -6,7 +6,7 @@
 import yardusher.Api;
 import yardusher.error.ConfigError;
 import yardusher.file.Toml;
-import yardusher.list.ServiceTable;
+import yardusher.discovery.DiscoveredBackends;
 
 /**
  * What deploy/yardusher.toml says in its table {@code parts}. {@code connections} is how many a region holds, of all ingresses
@@ -50,7 +50,7 @@
         int number = connections;
         boolean byId = false;
         for (Special one : regions) {
-            if (one.id != null && ServiceTable.id(one.id) == region.id()) {
+            if (one.id != null && DiscoveredBackends.id(one.id) == region.id()) {
                 number = one.connections;
                 byId = true;
             } else if (!byId && one.zone != null && region.zone() >= 0 && region.zone() < zones.size() && one.zone.equals(zones.get(region.zone()))) {
--- a/src/main/java/yardusher/parts/PartsSubsystem.java
+++ b/src/main/java/yardusher/parts/PartsSubsystem.java
@@ -9,7 +9,7 @@
 import yardusher.Api;
 import yardusher.core.Counters;
 import yardusher.core.Deadlines;
-import yardusher.core.Turns;
+import yardusher.core.EventLoop;
 import yardusher.error.ConfigError;
 import yardusher.error.PartError;
 import yardusher.mesh.Mesh;
@@ -31,7 +31,7 @@
     private PartSettings settings;
     private final Path folder;
     private Site site;
-    private Turns turns;
+    private EventLoop loop;
     private Counters counters;
     private Claim claim;
     private Negotiator negotiator;                   // null until the claim is there
@@ -64,7 +64,7 @@
     @Override
     public void join(Site joined) throws IOException {
         site = joined;
-        turns = joined.turns();
+        loop = joined.loop();
         counters = joined.ingress().counters();
         Api.Settings platform = joined.settings();
         int count = settings.ingresses() > 0 ? settings.ingresses() : platform.gateways();
@@ -77,7 +77,7 @@
             throw new ConfigError.Value(null, "parts.folder", "a folder that can be written, which " + folder + " is not");
         }
         joined.pool().allow(this);
-        joined.table().follow(() -> turns.afterwards(this::listed)); // once the module has the list
+        joined.table().follow(() -> loop.afterwards(this::listed)); // once the module has the list
         joined.mesh().hear(Mesh.Kind.PARTS, this::heard);
         if (joined.view() != null) { joined.view().follow(change -> members(change.now())); }
         listed();
@@ -90,20 +90,20 @@
     private void claim() {
         if (closed) { return; }
         try {
-            if (!claim.take(turns.now(), settings.begins())) {
+            if (!claim.take(loop.now(), settings.begins())) {
                 standBeside();
-                turns.deadlines().at(turns.now() + (guest == null ? CLAIM_MS : BESIDE_MS), this::claim);
+                loop.deadlines().at(loop.now() + (guest == null ? CLAIM_MS : BESIDE_MS), this::claim);
                 return;
             }
         } catch (IOException e) {
             site.events().warn("parts cannot be claimed", "why", String.valueOf(e.getMessage()));
-            turns.deadlines().at(turns.now() + CLAIM_MS, this::claim);
+            loop.deadlines().at(loop.now() + CLAIM_MS, this::claim);
             return;
         }
         claimState = "waits for its file";
         Thread thread = new Thread(() -> {           // no turn waits for a disk
             claim.sync();
-            turns.turn(this::claimed);
+            loop.turn(this::claimed);
         }, "parts-claim");
         thread.setDaemon(true);
         thread.start();
@@ -113,7 +113,7 @@
     private void claimed() {
         double wait = claim.wasClean() ? 0 : settings.endedMs();
         claimState = "waits until regions have seen the life before end";
-        if (wait == 0) { begin(); } else { turns.deadlines().at(turns.now() + wait, this::begin); }
+        if (wait == 0) { begin(); } else { loop.deadlines().at(loop.now() + wait, this::begin); }
     }
 
     /** The process before still has the claim: this one has open what that one gives it. */
@@ -129,7 +129,7 @@
         if (closed) { return; }
         int count = settings.ingresses() > 0 ? settings.ingresses() : site.settings().gateways();
         Ledger ledger = new Ledger(site.settings().self(), count, claim.life(), claim, claim.remembers());
-        negotiator = new Negotiator(ledger, new Negotiator.Rules(settings.least(), settings.weight(), settings.movesPerS()), this, turns.now());
+        negotiator = new Negotiator(ledger, new Negotiator.Rules(settings.least(), settings.weight(), settings.movesPerS()), this, loop.now());
         claimState = "claimed";
         site.events().info("parts: claimed", "life", claim.life(), "remembers", claim.remembers(), "in_order", claim.wasClean());
         trusted = claim.remembers();
@@ -158,7 +158,7 @@
     /** The service table changed, or its numbers did. */
     private void listed() {
         Set<Long> listed = new HashSet<>();
-        double now = turns.now();
+        double now = loop.now();
         for (Api.Server region : site.table().listed().values()) {
             listed.add(region.id());
             if (negotiator == null) {
@@ -176,17 +176,17 @@
 
     private void heard(InetSocketAddress from, byte[] body) {
         if (negotiator == null) { return; }
-        negotiator.heard(turns.now(), from, body);
+        negotiator.heard(loop.now(), from, body);
         soon();
     }
 
-    private void soon() { tickBy(turns.now() + SOON_MS); }
+    private void soon() { tickBy(loop.now() + SOON_MS); }
 
     private void tickBy(double at) {
         if (closed || at >= tickAt) { return; }
-        turns.deadlines().cancel(nextTick);
+        loop.deadlines().cancel(nextTick);
         tickAt = at;
-        nextTick = turns.deadlines().at(at, this::tick);
+        nextTick = loop.deadlines().at(at, this::tick);
     }
 
     private void tick() {
@@ -194,7 +194,7 @@
         if (closed || negotiator == null) { return; }
         if (settings.coldPercent() < 100) { warmed(); }
         beside();
-        double next = negotiator.tick(turns.now());
+        double next = negotiator.tick(loop.now());
         if (!trusted && negotiator.ledger().unsettled() == 0) {
             trusted = true;
             claim.trust();
@@ -204,7 +204,7 @@
 
     /** Gives a next version of this process what it wants of the share, and takes it back once that one has ended. */
     private void beside() {
-        double now = turns.now();
+        double now = loop.now();
         if (now < besideAt) { return; }
         besideAt = now + BESIDE_MS;
         boolean there = claim.hasBeside();
@@ -225,7 +225,7 @@
 
     /** Numbers of regions that have become warm. */
     private void warmed() {
-        double now = turns.now();
+        double now = loop.now();
         for (Api.Server region : site.table().listed().values()) {
             Negotiator.Stand stand = negotiator.stand(region.id());
             int number = settings.number(region, site.zones(), now, site.settings().rules().warmAfterMs());
@@ -325,7 +325,7 @@
             wants += stand.wants;
         }
         return "parts_claimed=1 parts_may=" + may + " parts_borrowed=" + held + " parts_lent=" + lent + " parts_open=" + open + " parts_closing=" + leaving
-                + " parts_wanted=" + wants + " parts_moved=" + n.moved + " parts_leak=" + n.leak(turns.now()) + " parts_unsettled=" + n.ledger().unsettled()
+                + " parts_wanted=" + wants + " parts_moved=" + n.moved + " parts_leak=" + n.leak(loop.now()) + " parts_unsettled=" + n.ledger().unsettled()
                 + " parts_told=" + n.told + " parts_told_bytes=" + n.toldBytes + " parts_heard=" + n.heard + " parts_bad=" + n.bad + " parts_foreign=" + n.foreign
                 + " parts_stale=" + n.stale + " parts_far=" + n.ledger().far;
     }
@@ -338,7 +338,7 @@
         if (negotiator == null) { return out.toString(); }
         Ledger ledger = negotiator.ledger();
         out.append("self\t").append(ledger.self).append(" of ").append(ledger.count).append("\tlife=").append(ledger.life)
-                .append("\tunsettled=").append(ledger.unsettled()).append("\tfresh=").append(negotiator.freshOthers(turns.now())).append('\n');
+                .append("\tunsettled=").append(ledger.unsettled()).append("\tfresh=").append(negotiator.freshOthers(loop.now())).append('\n');
         for (Negotiator.Stand stand : negotiator.stands()) {
             yardusher.parts.Ledger.Region r = stand.region;
             out.append("region\t").append(String.format(java.util.Locale.ROOT, "s-%08x", r.id)).append("\tnumber=").append(r.number).append("\tshare=").append(r.share)
@@ -354,12 +354,12 @@
     @Override
     public void drain() {
         if (negotiator == null) { return; }
-        negotiator.leave(turns.now());
+        negotiator.leave(loop.now());
         soon();
     }
 
     @Override
-    public boolean isBusy() { return negotiator != null && negotiator.holds(turns.now()); }
+    public boolean isBusy() { return negotiator != null && negotiator.holds(loop.now()); }
 
     @Override
     public void close() {
--- a/src/main/java/yardusher/peers/PeerSocket.java
+++ b/src/main/java/yardusher/peers/PeerSocket.java
@@ -11,7 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import yardusher.core.Neighbours;
-import yardusher.core.Turns;
+import yardusher.core.EventLoop;
 import yardusher.error.WireError;
 import yardusher.net.Sockets;
 
@@ -27,7 +27,7 @@
     private DatagramChannel channel;                 // null while the port is not this process's
     private final List<InetSocketAddress> peers;
     private final Map<SocketAddress, Integer> numbers = new HashMap<>();
-    private final Turns turns;
+    private final EventLoop loop;
     private final ByteBuffer out = ByteBuffer.allocateDirect(MOST_BYTES);
 
     /** What is done with a datagram of the ingress of that number, in a turn. */
@@ -36,10 +36,10 @@
     }
 
     /** Neither speaks nor listens until it is opened. */
-    public PeerSocket(InetSocketAddress listen, List<InetSocketAddress> peers, Turns turns) {
+    public PeerSocket(InetSocketAddress listen, List<InetSocketAddress> peers, EventLoop loop) {
         this.listen = listen;
         this.peers = peers;
-        this.turns = turns;
+        this.loop = loop;
         for (InetSocketAddress peer : peers) { numbers.put(peer, numbers.size()); }
     }
 
@@ -72,7 +72,7 @@
                 byte[] bytes = new byte[in.flip().remaining()];
                 in.get(bytes);
                 String body = new String(bytes, StandardCharsets.UTF_8);
-                turns.turn(() -> hearer.heard(number, body));
+                loop.turn(() -> hearer.heard(number, body));
             } catch (IOException e) {
                 if (!from.isOpen()) { return; }      // else one refused datagram: the next may be fine
             }
--- a/src/main/java/yardusher/servers/Allowance.java
+++ b/src/main/java/yardusher/servers/Allowance.java
@@ -1,20 +1,20 @@
 package yardusher.servers;
 
 /**
- * How many connections there may be to each region, and who is told of each. A connection counts from before it is dialled
- * until the region has closed its side too: a close of ours alone does not prove that the region has taken note of it. Where
+ * How many connections there may be to each backend, and who is told of each. A connection counts from before it is dialled
+ * until the backend has closed its side too: a close of ours alone does not prove that the backend has taken note of it. Where
  * nobody is asked, there are as many as the descriptors allow, and a close of ours is the end. In turns only.
  */
 public interface Allowance {
     /** A connection is to be dialled; false where none may be. */
-    boolean take(long region);
+    boolean take(long backend);
 
-    /** A connection begins to close, or a dial is given up; its end is told later, however long the region takes. */
-    void leaving(long region);
+    /** A connection begins to close, or a dial is given up; its end is told later, however long the backend takes. */
+    void leaving(long backend);
 
     /** A connection is over at both ends, or a dial has come to nothing. */
-    void ended(long region, boolean wasLeaving);
+    void ended(long backend, boolean wasLeaving);
 
     /** Whether a connection that has just answered is to be closed rather than kept. */
-    boolean isSurplus(long region);
+    boolean isSurplus(long backend);
 }
--- a/src/main/java/yardusher/servers/RegionLink.java
+++ b/src/main/java/yardusher/servers/BackendLink.java
@@ -12,11 +12,11 @@
 import yardusher.resp.Malformed;
 import yardusher.resp.Value;
 
-/** One connection to a region, with at most one attempt on it. */
-final class RegionLink implements Link.Owner {
-    private final RegionPool pool;
-    final RegionPool.Place place;
-    final long region;
+/** One connection to a backend, with at most one attempt on it. */
+final class BackendLink implements Link.Owner {
+    private final BackendPool pool;
+    final BackendPool.Place place;
+    final long backend;
     double idleSince;
     /** An answer that has begun is whole soon after; one that is not has a length that does not fit. */
     private static final double WHOLE_MS = 300;
@@ -29,17 +29,17 @@
     private boolean carried;                         // a part is on its way to the terminal
     private double movedAt;                          // when the last part came or was taken
     private boolean used;
-    private boolean over;                            // closed from this side; the region may not have closed yet
+    private boolean over;                            // closed from this side; the backend may not have closed yet
     private boolean kept;                            // the attempt found it used by one before
 
-    RegionLink(RegionPool pool, RegionPool.Place place, long region) {
+    BackendLink(BackendPool pool, BackendPool.Place place, long backend) {
         this.pool = pool;
         this.place = place;
-        this.region = region;
+        this.backend = backend;
     }
 
     void open(AsynchronousSocketChannel channel) {
-        link = new Link(channel, pool.sockets.turns(), this);
+        link = new Link(channel, pool.sockets.loop(), this);
         link.readMore();
     }
 
@@ -53,19 +53,19 @@
         for (ByteBuffer part : cargo) { link.write(part); }
     }
 
-    /** Ends the connection from this side: to a region that gives the attempt up. */
+    /** Ends the connection from this side: to a backend that gives the attempt up. */
     void close() {
         attempt = null;
         flow = null;
-        pool.sockets.turns().deadlines().cancel(wholeBy);
+        pool.sockets.loop().deadlines().cancel(wholeBy);
         if (over || link.isClosed()) { return; }
         over = true;
-        pool.leaves(place, region, link);
+        pool.leaves(place, backend, link);
     }
 
     /** A connection that nobody waits for any more by the time it is there. */
-    static void drop(RegionPool pool, AsynchronousSocketChannel channel, Runnable then) {
-        new Link(channel, pool.sockets.turns(), new Link.Owner() {
+    static void drop(BackendPool pool, AsynchronousSocketChannel channel, Runnable then) {
+        new Link(channel, pool.sockets.loop(), new Link.Owner() {
             @Override
             public boolean readable(Link from) { return true; }
 
@@ -88,12 +88,12 @@
         if (value == null) {
             // Guards against an answer that never ends: its attempt would hold out till its deadline.
             if (attempt != null && wholeBy == null && !from.decoder().isEmpty()) {
-                Deadlines deadlines = pool.sockets.turns().deadlines();
-                wholeBy = deadlines.at(pool.sockets.turns().now() + WHOLE_MS, this::spoilt);
+                Deadlines deadlines = pool.sockets.loop().deadlines();
+                wholeBy = deadlines.at(pool.sockets.loop().now() + WHOLE_MS, this::spoilt);
             }
             return true;
         }
-        pool.sockets.turns().deadlines().cancel(wholeBy);
+        pool.sockets.loop().deadlines().cancel(wholeBy);
         wholeBy = null;
         Attempt.Result result = attempt == null ? null : result(value);
         if (result == null) {                        // nobody asked, or not what this protocol answers
@@ -120,7 +120,7 @@
 
     /** A value too large to be held: it goes on as it comes. */
     private boolean begins() {
-        Deadlines deadlines = pool.sockets.turns().deadlines();
+        Deadlines deadlines = pool.sockets.loop().deadlines();
         deadlines.cancel(wholeBy);
         left = link.decoder().openLarge();
         flow = pool.begin(attempt, left);
@@ -133,7 +133,7 @@
         return flows();
     }
 
-    private void moved() { movedAt = pool.sockets.turns().now(); }
+    private void moved() { movedAt = pool.sockets.loop().now(); }
 
     /**
      * Guards against a value that never ends, and against a terminal that takes no more of it: where nothing has moved
@@ -141,9 +141,9 @@
      */
     private void watchFlow() {
         if (flow == null) { return; }
-        double now = pool.sockets.turns().now();
+        double now = pool.sockets.loop().now();
         if (now < movedAt + pool.stallMs) {
-            wholeBy = pool.sockets.turns().deadlines().at(movedAt + pool.stallMs, this::watchFlow);
+            wholeBy = pool.sockets.loop().deadlines().at(movedAt + pool.stallMs, this::watchFlow);
             return;
         }
         Attempt ended = attempt;
@@ -168,7 +168,7 @@
             if (rest == null) { return true; }
             if (rest.size() != 2) { throw new Malformed("not an answer"); }
             flow = null;
-            pool.sockets.turns().deadlines().cancel(wholeBy);
+            pool.sockets.loop().deadlines().cancel(wholeBy);
             wholeBy = null;
             served(new Attempt.Result(Api.Outcome.SERVED, null, load(rest.get(1))));
             return true;
@@ -192,9 +192,9 @@
 
     @Override
     public void ended(Link from) {
-        pool.over(place, region, false);
+        pool.over(place, backend, false);
         place.idle.remove(this);
-        pool.sockets.turns().deadlines().cancel(wholeBy);
+        pool.sockets.loop().deadlines().cancel(wholeBy);
         Attempt ended = attempt;
         attempt = null;
         flow = null;
@@ -215,7 +215,7 @@
 
     /**
      * What an answer means, or null for one of no known form. Guards against serving what was not made for the
-     * request, and against taking a spoilt line for a region's word that it never ran.
+     * request, and against taking a spoilt line for a backend's word that it never ran.
      */
     private Attempt.Result result(Value value) {
         if (value instanceof Value.Many many && many.items() != null && many.items().size() == 3
@@ -243,7 +243,7 @@
 
     /**
      * A report such as {@code inflight=7,queue=2,util=0.61}, in the order of the settings; null for one that cannot
-     * be read. Guards against a region that looks idle because a figure is missing or no number.
+     * be read. Guards against a backend that looks idle because a figure is missing or no number.
      */
     private double[] load(String text) {
         List<Api.Metric> wanted = pool.report;
--- a/src/main/java/yardusher/servers/RegionPool.java
+++ b/src/main/java/yardusher/servers/BackendPool.java
@@ -15,16 +15,16 @@
 import yardusher.core.Deadlines;
 import yardusher.core.Flow;
 import yardusher.core.Ingress;
-import yardusher.core.Regions;
+import yardusher.core.Backends;
 import yardusher.net.Link;
 import yardusher.net.Sockets;
 
 /**
- * Connections to all regions. One attempt at a time on each: answers come in order, so a slow one would hold up
+ * Connections to all backends. One attempt at a time on each: answers come in order, so a slow one would hold up
  * those behind it, and giving one up closes the connection. The most recently used is taken first.
  */
-public final class RegionPool implements Regions {
-    private static final double RETIRED_PART = 0.7;  // of the told idle time: never race the region's own close
+public final class BackendPool implements Backends {
+    private static final double RETIRED_PART = 0.7;  // of the told idle time: never race the backend's own close
     private static final double UPKEEP_MS = 1000;
     private static final double SETTLED_MS = 30;     // a connection rests so long before it is used again
     private static final double NOTED = 0.05;        // weight of one attempt in what connections are held to lose
@@ -46,12 +46,12 @@
     private Ingress ingress;
     private Allowance allowance;                     // null where connections are not divided
     int connections;
-    private int leaving;                             // of those, closed from this side and not yet by the region
+    private int leaving;                             // of those, closed from this side and not yet by the backend
 
-    /** A region of the service table and the connections that stand idle there. */
+    /** A backend of the service table and the connections that stand idle there. */
     static final class Place {
         InetSocketAddress address;
-        final ArrayDeque<RegionLink> idle = new ArrayDeque<>();
+        final ArrayDeque<BackendLink> idle = new ArrayDeque<>();
         final Set<Attempt> dialling = new HashSet<>();
         int open;                                    // connections, from before the dial to the end
         int leaving;
@@ -60,7 +60,7 @@
     }
 
     /** {@code stallMs}: a large value of which nothing moves for so long is given up. */
-    public RegionPool(Sockets sockets, Counters counters, List<Api.Metric> report, double dialMs, double idleMs,
+    public BackendPool(Sockets sockets, Counters counters, List<Api.Metric> report, double dialMs, double idleMs,
             double stallMs, int mostConnections) {
         this.stallMs = stallMs;
         this.sockets = sockets;
@@ -69,7 +69,7 @@
         this.dialMs = dialMs;
         this.retireMs = idleMs * RETIRED_PART;
         this.mostConnections = mostConnections;
-        sockets.turns().deadlines().at(sockets.turns().now() + UPKEEP_MS, this::upkeep);
+        sockets.loop().deadlines().at(sockets.loop().now() + UPKEEP_MS, this::upkeep);
     }
 
     /** How many connections are held at the most; idle ones beyond that close. */
@@ -81,25 +81,25 @@
     /** From now on no connection is opened without a word of this; before any is. */
     public void allow(Allowance by) { allowance = by; }
 
-    /** Connections to a region that carry an attempt, or are dialled for one. */
-    public int busy(long region) {
-        Place place = places.get(region);
+    /** Connections to a backend that carry an attempt, or are dialled for one. */
+    public int busy(long backend) {
+        Place place = places.get(backend);
         return place == null ? 0 : place.open - place.leaving - place.idle.size();
     }
 
-    /** Closes so many connections of a region that stand idle, the longest idle first; the result says how many there were. */
-    public int shed(long region, int count) {
-        Place place = places.get(region);
+    /** Closes so many connections of a backend that stand idle, the longest idle first; the result says how many there were. */
+    public int shed(long backend, int count) {
+        Place place = places.get(backend);
         int closed = 0;
-        for (RegionLink link; place != null && closed < count && (link = place.idle.pollFirst()) != null; closed++) { link.close(); }
+        for (BackendLink link; place != null && closed < count && (link = place.idle.pollFirst()) != null; closed++) { link.close(); }
         return closed;
     }
 
     public void serve(Ingress core) { ingress = core; }
 
-    /** The service table names a region, at this address now. */
-    public void place(long region, InetSocketAddress address) {
-        Place place = places.computeIfAbsent(region, r -> new Place(address));
+    /** The service table names a backend, at this address now. */
+    public void place(long backend, InetSocketAddress address) {
+        Place place = places.computeIfAbsent(backend, r -> new Place(address));
         if (!place.address.equals(address)) {
             place.address = address;
             dropIdle(place);
@@ -107,11 +107,11 @@
     }
 
     /**
-     * A region drains or is gone: what stands idle there is closed at once, and what is still being dialled has sent
+     * A backend drains or is gone: what stands idle there is closed at once, and what is still being dialled has sent
      * nothing and goes elsewhere. Guards against a dial that comes up after the grace of a drain, and is then written to.
      */
-    public void leave(long region, boolean forget) {
-        Place place = forget ? places.remove(region) : places.get(region);
+    public void leave(long backend, boolean forget) {
+        Place place = forget ? places.remove(backend) : places.get(backend);
         if (place == null) { return; }
         dropIdle(place);
         dropDialling(place);
@@ -122,36 +122,36 @@
         for (Attempt attempt : Set.copyOf(place.dialling)) {
             attempt.giveUp.run();
             attempt.giveUp = () -> { };
-            sockets.turns().afterwards(() -> end(attempt, Attempt.Result.of(Api.Outcome.CONNECT_FAILED)));
+            sockets.loop().afterwards(() -> end(attempt, Attempt.Result.of(Api.Outcome.CONNECT_FAILED)));
         }
     }
 
     private void dropIdle(Place place) {
-        for (RegionLink link; (link = place.idle.poll()) != null;) { link.close(); }
+        for (BackendLink link; (link = place.idle.poll()) != null;) { link.close(); }
     }
 
     /**
-     * A region is kept out by hand, or no longer. What is out there already ends as in a drain; what is still being
+     * A backend is kept out by hand, or no longer. What is out there already ends as in a drain; what is still being
      * dialled has sent nothing and ends at once.
      */
-    public void ban(long region, boolean out) {
+    public void ban(long backend, boolean out) {
         if (!out) {
-            banned.remove(region);
+            banned.remove(backend);
             return;
         }
-        Place place = places.get(region);
-        if (!banned.add(region) || place == null) { return; }
+        Place place = places.get(backend);
+        if (!banned.add(backend) || place == null) { return; }
         dropIdle(place);
         dropDialling(place);
     }
 
     @Override
-    public boolean knows(long region) { return places.containsKey(region) && !banned.contains(region); }
+    public boolean knows(long backend) { return places.containsKey(backend) && !banned.contains(backend); }
 
     @Override
     public void begin(Attempt attempt, ByteBuffer... cargo) {
-        Place place = places.get(attempt.region);
-        RegionLink link = ++begun % LOOKS == 0 || !keepingLoses() ? settled(place) : null;
+        Place place = places.get(attempt.backend);
+        BackendLink link = ++begun % LOOKS == 0 || !keepingLoses() ? settled(place) : null;
         if (link != null) {
             counters.connectionsReused++;
             link.carry(attempt, cargo);
@@ -159,7 +159,7 @@
         }
         if (connections - leaving >= mostConnections && !closeOneIdle()) {
             // Guards the descriptor limit: past the budget nothing was sent, so the module may go elsewhere.
-            sockets.turns().afterwards(() -> end(attempt, Attempt.Result.of(Api.Outcome.CONNECT_FAILED)));
+            sockets.loop().afterwards(() -> end(attempt, Attempt.Result.of(Api.Outcome.CONNECT_FAILED)));
             return;
         }
         if (allowance != null) {
@@ -170,19 +170,19 @@
         place.open++;
         counters.connectionsOpened++;
         place.dialling.add(attempt);
-        RegionLink fresh = new RegionLink(this, place, attempt.region);
+        BackendLink fresh = new BackendLink(this, place, attempt.backend);
         Runnable giveUp = sockets.connect(place.address, dialMs, channel -> {
             place.dialling.remove(attempt);
             fresh.open(channel);
             fresh.carry(attempt, cargo);
         }, () -> {
-            over(place, attempt.region, false);
+            over(place, attempt.backend, false);
             place.dialling.remove(attempt);
             counters.connectionsFailed++;
             end(attempt, Attempt.Result.of(Api.Outcome.CONNECT_FAILED));
         });
         attempt.giveUp = () -> {
-            over(place, attempt.region, false);
+            over(place, attempt.backend, false);
             place.dialling.remove(attempt);
             giveUp.run();
         };
@@ -190,13 +190,13 @@
 
     /**
      * Dials where each connection counts until its very end. One that has just answered is used rather than none; a dial that is
-     * given up goes on, since a region may have accepted it already, and closes once it is there.
+     * given up goes on, since a backend may have accepted it already, and closes once it is there.
      */
     private void counted(Place place, Attempt attempt, ByteBuffer... cargo) {
-        if (!allowance.take(attempt.region)) {
-            RegionLink resting = place.idle.pollFirst();
+        if (!allowance.take(attempt.backend)) {
+            BackendLink resting = place.idle.pollFirst();
             if (resting == null) {                   // known before the choice, but for what this very turn changed
-                sockets.turns().afterwards(() -> end(attempt, Attempt.Result.of(Api.Outcome.NOT_SENT)));
+                sockets.loop().afterwards(() -> end(attempt, Attempt.Result.of(Api.Outcome.NOT_SENT)));
             } else {
                 counters.connectionsReused++;
                 resting.carry(attempt, cargo);
@@ -211,64 +211,64 @@
         Runnable drop = () -> {
             dropped[0] = true;
             place.dialling.remove(attempt);
-            leaving(place, attempt.region);
+            leaving(place, attempt.backend);
         };
-        Deadlines.Entry limit = sockets.turns().deadlines().at(sockets.turns().now() + dialMs, () -> {
+        Deadlines.Entry limit = sockets.loop().deadlines().at(sockets.loop().now() + dialMs, () -> {
             if (dropped[0]) { return; }
             drop.run();
             counters.connectionsFailed++;
             end(attempt, Attempt.Result.of(Api.Outcome.CONNECT_FAILED));
         });
         sockets.dial(place.address, channel -> {
-            sockets.turns().deadlines().cancel(limit);
+            sockets.loop().deadlines().cancel(limit);
             if (dropped[0]) {
-                RegionLink.drop(this, channel, () -> over(place, attempt.region, true));
+                BackendLink.drop(this, channel, () -> over(place, attempt.backend, true));
                 return;
             }
             place.dialling.remove(attempt);
-            RegionLink fresh = new RegionLink(this, place, attempt.region);
+            BackendLink fresh = new BackendLink(this, place, attempt.backend);
             fresh.open(channel);
             fresh.carry(attempt, cargo);
         }, () -> {
-            sockets.turns().deadlines().cancel(limit);
-            over(place, attempt.region, dropped[0]);
+            sockets.loop().deadlines().cancel(limit);
+            over(place, attempt.backend, dropped[0]);
             if (dropped[0]) { return; }
             place.dialling.remove(attempt);
             counters.connectionsFailed++;
             end(attempt, Attempt.Result.of(Api.Outcome.CONNECT_FAILED));
         });
         attempt.giveUp = () -> {
-            sockets.turns().deadlines().cancel(limit);
+            sockets.loop().deadlines().cancel(limit);
             drop.run();
         };
     }
 
     /** A connection is closed from this side. */
-    void leaves(Place place, long region, Link link) {
+    void leaves(Place place, long backend, Link link) {
         if (allowance == null) {
-            over(place, region, false);
+            over(place, backend, false);
             link.close();
             return;
         }
-        leaving(place, region);
-        link.leave(() -> over(place, region, true));
+        leaving(place, backend);
+        link.leave(() -> over(place, backend, true));
     }
 
-    private void leaving(Place place, long region) {
+    private void leaving(Place place, long backend) {
         place.leaving++;
         leaving++;
-        allowance.leaving(region);
+        allowance.leaving(backend);
     }
 
     /** A connection is over, or a dial came to nothing. */
-    void over(Place place, long region, boolean wasLeaving) {
+    void over(Place place, long backend, boolean wasLeaving) {
         connections--;
         place.open--;
         if (wasLeaving) {
             place.leaving--;
             leaving--;
         }
-        if (allowance != null) { allowance.ended(region, wasLeaving); }
+        if (allowance != null) { allowance.ended(backend, wasLeaving); }
     }
 
     /** How an attempt's connection ended, or that it did not. */
@@ -278,7 +278,7 @@
     }
 
     /**
-     * Guards against regions, or what stands before them, that reset a kept connection at its next request: each
+     * Guards against backends, or what stands before them, that reset a kept connection at its next request: each
      * time it may have run. A new connection costs a handshake, and one that is refused proves that nothing ran.
      */
     private boolean keepingLoses() { return keptLost > newLost + WORSE; }
@@ -287,10 +287,10 @@
      * The most recently used connection that has rested. Guards against a second copy or noise right behind an
      * answer: it would be taken for the answer to what is written next.
      */
-    private RegionLink settled(Place place) {
-        double before = sockets.turns().now() - SETTLED_MS;
-        for (Iterator<RegionLink> all = place.idle.descendingIterator(); all.hasNext();) {
-            RegionLink link = all.next();
+    private BackendLink settled(Place place) {
+        double before = sockets.loop().now() - SETTLED_MS;
+        for (Iterator<BackendLink> all = place.idle.descendingIterator(); all.hasNext();) {
+            BackendLink link = all.next();
             if (link.idleSince <= before) {
                 all.remove();
                 return link;
@@ -301,7 +301,7 @@
 
     private boolean closeOneIdle() {
         for (Place place : places.values()) {
-            RegionLink oldest = place.idle.pollFirst();
+            BackendLink oldest = place.idle.pollFirst();
             if (oldest != null) {
                 oldest.close();
                 return true;
@@ -317,10 +317,10 @@
     void end(Attempt attempt, Attempt.Result result) { ingress.ended(attempt, result); }
 
     /** An attempt ended in order: its connection waits for the next. */
-    void rest(RegionLink link) {
-        link.idleSince = sockets.turns().now();
-        boolean enough = keepingLoses() && !link.place.idle.isEmpty() || allowance != null && allowance.isSurplus(link.region);
-        if (places.get(link.region) == link.place && !enough && !banned.contains(link.region)) {
+    void rest(BackendLink link) {
+        link.idleSince = sockets.loop().now();
+        boolean enough = keepingLoses() && !link.place.idle.isEmpty() || allowance != null && allowance.isSurplus(link.backend);
+        if (places.get(link.backend) == link.place && !enough && !banned.contains(link.backend)) {
             link.place.idle.addLast(link);
         } else {
             link.close();
@@ -328,11 +328,11 @@
     }
 
     private void upkeep() {
-        double now = sockets.turns().now();
-        sockets.turns().deadlines().at(now + UPKEEP_MS, this::upkeep);
+        double now = sockets.loop().now();
+        sockets.loop().deadlines().at(now + UPKEEP_MS, this::upkeep);
         for (Place place : places.values()) {
-            for (Iterator<RegionLink> all = place.idle.iterator(); all.hasNext();) {
-                RegionLink link = all.next();
+            for (Iterator<BackendLink> all = place.idle.iterator(); all.hasNext();) {
+                BackendLink link = all.next();
                 if (now - link.idleSince < retireMs) { break; }
                 all.remove();
                 link.close();
--- a/src/main/java/yardusher/subsystem/Subsystem.java
+++ b/src/main/java/yardusher/subsystem/Subsystem.java
@@ -8,7 +8,7 @@
 /**
  * One part of an ingress that a table of our settings turns on. The program holds them in a list, in the order in which they
  * are made, and knows no more of them than this. Where the table is left out, the part is not made and none of its classes is
- * loaded. All calls but {@link #end} are made in turns.
+ * loaded. All calls but {@link #end} are made in loop.
  */
 public interface Subsystem {
     /** The name of its table. */
@@ -47,6 +47,6 @@
     /** The last turn: sockets close. */
     default void close() { }
 
-    /** Outside turns, once all is over; may wait for a disk for a bounded time. */
+    /** Outside loop, once all is over; may wait for a disk for a bounded time. */
     default void end() { }
 }
--- a/src/main/java/yardusher/units/Asked.java
+++ b/src/main/java/yardusher/units/Asked.java
@@ -8,7 +8,7 @@
 import yardusher.core.Session;
 import yardusher.core.Stay;
 import yardusher.core.Terminal;
-import yardusher.core.Turns;
+import yardusher.core.EventLoop;
 
 /**
  * One request that belongs to a unit, at the ingress that took it: it waits for its home's word, and as a part it then runs
@@ -24,7 +24,7 @@
     final int part;
     final Ticket.Kind kind;
     final double deadline;
-    private final Turns turns;
+    private final EventLoop loop;
     private final Consumer<Asked> settles;           // told whenever it may be over
     private final Consumer<Asked> leaves;            // told when its terminal has left
     Stage stage = Stage.WAITS;
@@ -49,16 +49,16 @@
     boolean mayHaveRun;
     double looseUntil = Double.NEGATIVE_INFINITY;
 
-    Asked(Order order, UnitName unit, long ask, int part, Ticket.Kind kind, Turns turns, Consumer<Asked> settles, Consumer<Asked> leaves) {
+    Asked(Order order, UnitName unit, long ask, int part, Ticket.Kind kind, EventLoop loop, Consumer<Asked> settles, Consumer<Asked> leaves) {
         this.order = order;
         this.unit = unit;
         this.ask = ask;
         this.part = part;
         this.kind = kind;
-        this.turns = turns;
+        this.loop = loop;
         this.settles = settles;
         this.leaves = leaves;
-        this.deadline = turns.now() + order.waitMs();
+        this.deadline = loop.now() + order.waitMs();
     }
 
     @Override
@@ -81,7 +81,7 @@
     private boolean last() {
         boolean first = !answered;
         answered = true;
-        turns.deadlines().cancel(timer);
+        loop.deadlines().cancel(timer);
         return first;
     }
 
@@ -93,9 +93,9 @@
     }
 
     @Override
-    public void shortOnCapacity(long retryAfterMs, boolean may) {
+    public void reject(long retryAfterMs, boolean may) {
         mayHaveRun |= may;
-        if (last()) { order.terminal().shortOnCapacity(retryAfterMs, may); }
+        if (last()) { order.terminal().reject(retryAfterMs, may); }
         settles.accept(this);
     }
 
--- a/src/main/java/yardusher/units/UnitLog.java
+++ b/src/main/java/yardusher/units/UnitLog.java
@@ -8,7 +8,7 @@
 import yardusher.core.Attempt;
 import yardusher.core.Cargo;
 import yardusher.core.OrderLog;
-import yardusher.core.Transaction;
+import yardusher.core.Request;
 
 /**
  * Sees the attempts of parts go out and end, and is the last look before one goes: it has to be granted, its unit not over,
@@ -38,10 +38,10 @@
 
     int runningCount() { return running.size(); }
 
-    private Asked of(Transaction transaction) { return running.isEmpty() ? null : running.get(transaction.order.cargo()); }
+    private Asked of(Request transaction) { return running.isEmpty() ? null : running.get(transaction.order.cargo()); }
 
     @Override
-    public Admission take(Transaction transaction) {
+    public Admission take(Request transaction) {
         Admission admission = inner.take(transaction);
         Asked asked = of(transaction);
         if (asked == null || admission == Admission.REFUSED) { return admission; }
@@ -51,7 +51,7 @@
 
     @Override
     public void intend(Attempt attempt, Consumer<Boolean> then) {
-        Asked asked = of(attempt.transaction);
+        Asked asked = of(attempt.request);
         if (asked == null) {
             inner.intend(attempt, then);
             return;
@@ -59,8 +59,8 @@
         asked.out++;
         asked.letOut = false;
         Consumer<Boolean> look = may -> {
-            int zone = zones.applyAsInt(attempt.region);
-            boolean goes = may && fits(asked, attempt.region, zone);
+            int zone = zones.applyAsInt(attempt.backend);
+            boolean goes = may && fits(asked, attempt.backend, zone);
             asked.outZone = zone;                    // by its end it may be listed no more
             if (may && !goes) { held++; }
             asked.letOut = goes && !attempt.isOver();
@@ -76,13 +76,13 @@
 
     @Override
     public void written(Attempt attempt) {
-        Asked asked = of(attempt.transaction);
+        Asked asked = of(attempt.request);
         if (asked == null || asked.recorded) { inner.written(attempt); }
     }
 
     @Override
     public void ended(Attempt attempt, Api.Outcome outcome) {
-        Asked asked = of(attempt.transaction);
+        Asked asked = of(attempt.request);
         if (asked == null) {
             inner.ended(attempt, outcome);
             return;
@@ -92,7 +92,7 @@
         boolean ran = asked.letOut && !outcome.neverRan();
         if (ran) {
             asked.mayHaveRun |= outcome != Api.Outcome.SERVED;
-            if (asked.toRegion) { asked.server = attempt.region; } else { asked.zone = asked.outZone; }
+            if (asked.toRegion) { asked.server = attempt.backend; } else { asked.zone = asked.outZone; }
             boolean heard = outcome == Api.Outcome.SERVED || outcome == Api.Outcome.SERVER_ERROR;
             if (!heard) { asked.looseUntil = Math.max(asked.looseUntil, attempt.sentAt + attempt.waitMs + settleMs); }
         }
@@ -100,7 +100,7 @@
     }
 
     @Override
-    public void answered(Transaction transaction, Answer answer) {
+    public void answered(Request transaction, Answer answer) {
         Asked asked = of(transaction);
         if (asked == null || asked.recorded) { inner.answered(transaction, answer); }
     }
