--- a/src/main/java/yardusher/units/UnitsIntake.java
+++ b/src/main/java/yardusher/units/UnitsIntake.java
@@ -19,7 +19,7 @@
 import yardusher.core.Order;
 import yardusher.core.Session;
 import yardusher.core.Stay;
-import yardusher.core.Turns;
+import yardusher.core.EventLoop;
 import yardusher.core.UnitWord;
 import yardusher.error.UnitError;
 import yardusher.log.Events;
@@ -40,7 +40,7 @@
     }
 
     /** What it stands in. */
-    record Place(String self, long life, Turns turns, Intake inner, UnitLog log, Regions regions, Mesh mesh, View view, Events events,
+    record Place(String self, long life, EventLoop loop, Intake inner, UnitLog log, Regions regions, Mesh mesh, View view, Events events,
             List<Api.RequestClass> classes, List<String> plans, LongSupplier nonces) { }
 
     private static final int MOST_HOPS = 4;
@@ -58,7 +58,7 @@
     private static final long NOT_NOW_MS = 200;
 
     private final Place at;
-    private final Turns turns;
+    private final EventLoop loop;
     private final UnitTable table;
     private final Post post;
     private UnitSettings settings;
@@ -95,19 +95,19 @@
 
     UnitsIntake(Place place, UnitSettings settings, Tables tables) {
         this.at = place;
-        this.turns = place.turns;
+        this.loop = place.loop;
         settings.check(place.plans);
         this.table = tables.make(place.self, place.life, settings.bounds(), settings.rules(), this);
         this.post = new Post(place.self, place.life, place.nonces, this);
         set(settings);
         place.log.join(zones(), this::settle);
         place.mesh.hear(Mesh.Kind.UNITS, (from, body) -> {
-            post.heard(turns.now(), body);
-            pulseBy(turns.now() + TICK_MS);
+            post.heard(loop.now(), body);
+            pulseBy(loop.now() + TICK_MS);
         });
         place.view.follow(this::changed);
         for (View.Member member : place.view.picture().members()) { greet(member); }
-        pulseBy(turns.now() + SLOW_MS);
+        pulseBy(loop.now() + SLOW_MS);
     }
 
     private ToIntFunction<Long> zones() { return region -> at.regions.zoneOf(region); }
@@ -155,13 +155,13 @@
             unit = begin(session, order);
             if (unit == null) { return refused(order); }
         } else if (unit.state() != Unit.State.OPEN) { // order across a session's units has no counterpart elsewhere: one after another
-            return later(order, (long) Math.max(BUSY_MS, Math.ceil(unit.looseUntil() - turns.now())));
+            return later(order, (long) Math.max(BUSY_MS, Math.ceil(unit.looseUntil() - loop.now())));
         }
         return asks(order, unit.name, 0, Ticket.Kind.PART);
     }
 
     private Unit begin(Session session, Order order) {
-        Unit unit = draining ? null : table.open(turns.now(), order.customer(), Mode.SESSION);
+        Unit unit = draining ? null : table.open(loop.now(), order.customer(), Mode.SESSION);
         if (unit == null) { return null; }
         if (!sessions.containsKey(session)) {
             sessions.put(session, new HashMap<>(2));
@@ -170,15 +170,15 @@
         sessions.get(session).put(order.customer(), unit.name);
         sessionOf.put(unit.name, session);
         trace("unit opened", unit, "mode", "session");
-        pulseBy(turns.now() + SLOW_MS);
+        pulseBy(loop.now() + SLOW_MS);
         return unit;
     }
 
     private void closed(Session session) {
         Map<Long, UnitName> units = sessions.remove(session);
         if (units == null) { return; }
-        for (UnitName name : units.values()) { table.end(turns.now(), name, Unit.Boundary.CLOSED); }
-        pulseBy(turns.now() + TICK_MS);
+        for (UnitName name : units.values()) { table.end(loop.now(), name, Unit.Boundary.CLOSED); }
+        pulseBy(loop.now() + TICK_MS);
     }
 
     private Stay opening(Order order, UnitWord word, Mode mode) {
@@ -192,10 +192,10 @@
         }
         if (draining) { return refused(order); }
         if (unit == null) {
-            unit = then == Translation.Then.NAMES ? begin(session, order) : table.open(turns.now(), order.customer(), Mode.UNIT);
+            unit = then == Translation.Then.NAMES ? begin(session, order) : table.open(loop.now(), order.customer(), Mode.UNIT);
             if (unit == null) { return refused(order); }
             if (then == Translation.Then.OPENS) { trace("unit opened", unit, "mode", "unit"); }
-            pulseBy(turns.now() + SLOW_MS);
+            pulseBy(loop.now() + SLOW_MS);
         }
         return answers(order, unit.name.toString());
     }
@@ -228,7 +228,7 @@
     }
 
     private Stay later(Order order, long afterMs) {
-        order.terminal().shortOnCapacity(afterMs, false);
+        order.terminal().reject(afterMs, false);
         return new Over(order);
     }
 
@@ -250,7 +250,7 @@
     // Asking a home.
 
     private Stay asks(Order order, UnitName name, int part, Ticket.Kind kind) {
-        Asked asked = new Asked(order, name, ++lastAsk, part, kind, turns, this::settle, this::left);
+        Asked asked = new Asked(order, name, ++lastAsk, part, kind, loop, this::settle, this::left);
         asks.put(asked.ask, asked);
         ask(asked);
         return asked;
@@ -268,7 +268,7 @@
     }
 
     private void ask(Asked asked) {
-        double now = turns.now();
+        double now = loop.now();
         asked.due = 0;
         if (asked.hops++ >= MOST_HOPS) {
             end(asked, new UnitError.Holder(asked.unit, String.valueOf(asked.home)), false);
@@ -330,13 +330,13 @@
             found = new ArrayList<>(2);
             searches.put(asked.unit.life(), found);
             byte[] message = new Message.Where(asked.unit.home(), asked.unit.life()).bytes();
-            double until = turns.now() + settings.askMs();
+            double until = loop.now() + settings.askMs();
             for (View.Member member : at.view.picture().members()) {
-                if (!member.name().equals(at.self)) { post.send(turns.now(), member.name(), message, until); }
+                if (!member.name().equals(at.self)) { post.send(loop.now(), member.name(), message, until); }
             }
             long life = asked.unit.life();
-            turns.deadlines().at(turns.now() + settings.askMs() / 2, () -> found(life));
-            pulseBy(turns.now() + TICK_MS);
+            loop.deadlines().at(loop.now() + settings.askMs() / 2, () -> found(life));
+            pulseBy(loop.now() + TICK_MS);
         }
         found.add(asked);
         wait(asked, lastCall(asked));
@@ -354,8 +354,8 @@
     }
 
     private void wait(Asked asked, double until) {
-        turns.deadlines().cancel(asked.timer);
-        asked.timer = turns.deadlines().at(until, () -> tooLate(asked));
+        loop.deadlines().cancel(asked.timer);
+        asked.timer = loop.deadlines().at(until, () -> tooLate(asked));
     }
 
     private void tooLate(Asked asked) {
@@ -373,7 +373,7 @@
     }
 
     private void withdraw(Asked asked) {
-        double now = turns.now();
+        double now = loop.now();
         if (table.find(asked.unit) != null) {
             table.withdraw(now, asked.unit, at.self, at.life, asked.ask);
         } else if (asked.home != null) {
@@ -391,7 +391,7 @@
 
     /** Its terminal left. */
     private void left(Asked asked) {
-        turns.deadlines().cancel(asked.timer);
+        loop.deadlines().cancel(asked.timer);
         if (asked.stage == Asked.Stage.WAITS) {
             asked.stage = Asked.Stage.OVER;
             asks.remove(asked.ask);
@@ -417,14 +417,14 @@
             word(new Message.Done(g.unit(), g.grant(), Unit.Result.NEVER_RAN, 0, -1, -1, "", 0), from);
             return;
         }
-        turns.deadlines().cancel(asked.timer);
+        loop.deadlines().cancel(asked.timer);
         asked.stage = Asked.Stage.RUNS;
         asked.home = from;
         asked.grant = g.grant();
         asked.toRegion = g.toRegion();
         asked.server = g.server();
         asked.zone = g.zone();
-        double left = asked.deadline - turns.now();
+        double left = asked.deadline - loop.now();
         boolean bound = asked.server >= 0 || asked.zone >= 0;
         boolean there = asked.server >= 0 ? at.regions.zoneOf(asked.server) >= 0 : asked.zone < 0 || at.regions.hasZone(asked.zone);
         if (!there || left < 1) {
@@ -450,7 +450,7 @@
         asked.stage = Asked.Stage.OVER;
         asks.remove(asked.ask);
         at.log.over(asked);
-        double now = turns.now();
+        double now = loop.now();
         Unit.Result result = asked.served ? Unit.Result.SERVED : asked.mayHaveRun ? Unit.Result.MAY_HAVE_RUN : Unit.Result.NEVER_RAN;
         double loose = Math.max(0, asked.looseUntil - now);
         if (result == Unit.Result.MAY_HAVE_RUN && asked.looseUntil == Double.NEGATIVE_INFINITY && asked.zone < 0 && asked.server < 0) {
@@ -459,11 +459,11 @@
         trace("part over", null, "unit", asked.unit, "part", asked.part, "grant", asked.grant, "result", result);
         Message.Done done = new Message.Done(asked.unit, asked.grant, result, loose, asked.server, asked.zone, "", 0);
         // After what runs now: the home may let the next part out within it.
-        if (asked.home == null) { turns.afterwards(() -> word(done, null)); } else { word(done, asked.home); }
+        if (asked.home == null) { loop.afterwards(() -> word(done, null)); } else { word(done, asked.home); }
     }
 
     private void word(Message.Done done, String home) {
-        double now = turns.now();
+        double now = loop.now();
         if (table.done(now, done.unit(), at.self, at.life, done.grant(), done.result(), done.looseMs(), done.server(), done.zone())) {
             pulseBy(now + TICK_MS);
             return;
@@ -487,13 +487,13 @@
             if (!r.to().isEmpty()) { remember(gone, r.unit(), r.to()); }
             ask(asked);
         } else if (r.why() == Refusal.UNKNOWN && gone.containsKey(r.unit()) && asked.hops < MOST_HOPS) {
-            turns.deadlines().at(turns.now() + AGAIN_MS, () -> { // it may still be on its way there
+            loop.deadlines().at(loop.now() + AGAIN_MS, () -> { // it may still be on its way there
                 if (asked.stage == Asked.Stage.WAITS && !asked.answered) { ask(asked); }
             });
         } else if (r.why() == Refusal.LATER) {
             asked.stage = Asked.Stage.OVER;
             asks.remove(asked.ask);
-            asked.shortOnCapacity(r.figure(), false);
+            asked.reject(r.figure(), false);
         } else {
             end(asked, r.why().error(r.unit(), r.figure(), asked.part, from == null ? at.self : from), r.why() == Refusal.RAN);
         }
@@ -513,8 +513,8 @@
 
     private void say(Ticket to, Message message) {
         if (post.lifeOf(to.holder()) == to.life()) { // else nobody is left who asked
-            post.send(turns.now(), to.holder(), message.bytes(), to.dueMs() + settings.askMs());
-            pulseBy(turns.now() + TICK_MS);
+            post.send(loop.now(), to.holder(), message.bytes(), to.dueMs() + settings.askMs());
+            pulseBy(loop.now() + TICK_MS);
         }
     }
 
@@ -523,7 +523,7 @@
         Message.Grant message = new Message.Grant(unit.name, ticket.ask(), grant, unit.mode == Mode.SESSION, unit.server(), unit.zone());
         trace("part granted", unit, "part", ticket.part(), "grant", grant, "to", ticket.holder());
         if (isHere(ticket)) {
-            turns.afterwards(() -> granted(message, null));
+            loop.afterwards(() -> granted(message, null));
         } else {
             holders.computeIfAbsent(unit.name, none -> new HashSet<>(2)).add(ticket.holder());
             say(ticket, message);
@@ -534,7 +534,7 @@
     public void refuse(Unit unit, Ticket ticket, Refusal why, long figure) {
         String to = why == Refusal.MOVED ? heir : "";
         if (isHere(ticket)) {
-            turns.afterwards(() -> {
+            loop.afterwards(() -> {
                 Asked asked = asks.get(ticket.ask());
                 if (asked != null) { refused(new Message.Refuse(asked.unit, ticket.ask(), why, figure, to), null); }
             });
@@ -559,7 +559,7 @@
     @Override
     public void told(Unit unit, Ticket ticket) {
         if (isHere(ticket)) {
-            turns.afterwards(() -> told(unit.name, ticket.ask(), unit.state(), unit.served()));
+            loop.afterwards(() -> told(unit.name, ticket.ask(), unit.state(), unit.served()));
         } else {
             say(ticket, new Message.Told(unit.name, ticket.ask(), unit.state(), unit.served()));
         }
@@ -573,7 +573,7 @@
         Set<String> told = holders.remove(unit.name);
         if (told != null) {
             byte[] message = new Message.Ended(unit.name, unit.state()).bytes();
-            for (String holder : told) { post.send(turns.now(), holder, message, turns.now() + settings.idleMs()); }
+            for (String holder : told) { post.send(loop.now(), holder, message, loop.now() + settings.idleMs()); }
         }
         if (unit.state() == Unit.State.UNKNOWN && !settings.trace()) {
             at.events.warn("a unit ended, and nobody knows whether all of it ran", "unit", unit.name, "served", unit.served());
@@ -587,7 +587,7 @@
         int own = unit == null ? 2 : 6;
         Object[] all = new Object[pairs.length + own];
         all[0] = "at";
-        all[1] = String.format(java.util.Locale.ROOT, "%.3f", turns.now());
+        all[1] = String.format(java.util.Locale.ROOT, "%.3f", loop.now());
         if (unit != null) {
             all[2] = "unit";
             all[3] = unit.name;
@@ -611,7 +611,7 @@
 
     @Override
     public void newLife(String name, long life) {
-        double now = turns.now();
+        double now = loop.now();
         table.died(now, name, life);
         for (Asked asked : List.copyOf(asks.values())) {
             if (asked.stage == Asked.Stage.WAITS && name.equals(asked.home) && asked.homeLife != 0 && asked.homeLife != life) { ask(asked); }
@@ -629,7 +629,7 @@
             spoilt++;
             return;
         }
-        double now = turns.now();
+        double now = loop.now();
         if (message instanceof Message.Ask m) {
             asked(from, life, m);
         } else if (message instanceof Message.Grant m) {
@@ -676,7 +676,7 @@
     }
 
     private void asked(String from, long life, Message.Ask m) {
-        double now = turns.now();
+        double now = loop.now();
         Ticket ticket = new Ticket(m.ask(), from, life, m.customer(), m.part(), m.kind(), now + m.waitMs(), m.repeatMs());
         String moved = gone.get(m.unit());
         if (table.find(m.unit()) == null && moved != null) {
@@ -699,7 +699,7 @@
         if (done == null || done.grant() != m.grant()) {
             done = new Message.Done(m.unit(), m.grant(), Unit.Result.MAY_HAVE_RUN, settings.settleMs(), -1, -1, "", 0);
         }
-        post.send(turns.now(), from, done.bytes(), Double.POSITIVE_INFINITY);
+        post.send(loop.now(), from, done.bytes(), Double.POSITIVE_INFINITY);
     }
 
     private void moved(Message.Moved m) {
@@ -719,7 +719,7 @@
     void drain() {
         if (draining) { return; }
         draining = true;
-        double now = turns.now();
+        double now = loop.now();
         heir = heir();
         handBy = now + settings.handOverMs();
         handBytes = settings.handOverBytes();
@@ -776,7 +776,7 @@
     }
 
     private void takeOver(UnitRecord record) {
-        double now = turns.now();
+        double now = loop.now();
         if (!table.takeOver(now, record)) { return; }
         Message.Moved known = moves.get(record.name().life());
         if (known == null || !known.to().equals(at.self)) {
@@ -786,12 +786,12 @@
         trace("unit taken over", table.find(record.name()));
     }
 
-    boolean isBusy() { return !toHand.isEmpty() || !asks.isEmpty() || draining && post.outstanding() > 0 && turns.now() < handBy; }
+    boolean isBusy() { return !toHand.isEmpty() || !asks.isEmpty() || draining && post.outstanding() > 0 && loop.now() < handBy; }
 
     // Time, and who is there.
 
     private void greet(View.Member member) {
-        if (!member.name().equals(at.self)) { post.greet(turns.now(), member.name()); }
+        if (!member.name().equals(at.self)) { post.greet(loop.now(), member.name()); }
     }
 
     private void changed(View.Change change) {
@@ -804,19 +804,19 @@
         for (Asked asked : List.copyOf(asks.values())) {
             if (asked.stage == Asked.Stage.WAITS && asked.home != null && out.contains(asked.home)) { ask(asked); }
         }
-        pulseBy(turns.now() + TICK_MS);
+        pulseBy(loop.now() + TICK_MS);
     }
 
     private void pulseBy(double atMs) {
         if (atMs >= pulseAt) { return; }
-        turns.deadlines().cancel(pulse);
+        loop.deadlines().cancel(pulse);
         pulseAt = atMs;
-        pulse = turns.deadlines().at(atMs, this::pulse);
+        pulse = loop.deadlines().at(atMs, this::pulse);
     }
 
     private void pulse() {
         pulseAt = Double.POSITIVE_INFINITY;
-        double now = turns.now();
+        double now = loop.now();
         table.tick(now, TICK);
         for (Unit unit : table.longOut(now, SILENT_OUT_MS, TICK)) { askAfter(now, unit); }
         if (draining) { handOn(now); }
@@ -853,7 +853,7 @@
         moves.values().stream().limit(50).forEach(move -> text.append("moved life=").append(Long.toHexString(move.life())).append(" of=").append(move.home())
                 .append(" to=").append(move.to()).append('\n'));
         table.all().stream().limit(50).forEach(unit -> text.append("unit name=").append(unit).append(" silent_ms=")
-                .append(Math.round(turns.now() - unit.wordAt())).append('\n'));
+                .append(Math.round(loop.now() - unit.wordAt())).append('\n'));
         return text.toString();
     }
 
--- a/src/main/java/yardusher/units/UnitsSubsystem.java
+++ b/src/main/java/yardusher/units/UnitsSubsystem.java
@@ -5,7 +5,7 @@
 import yardusher.core.Ids;
 import yardusher.core.Intake;
 import yardusher.core.OrderLog;
-import yardusher.list.ServiceTable;
+import yardusher.discovery.DiscoveredBackends;
 import yardusher.settings.Settings;
 import yardusher.subsystem.Site;
 import yardusher.subsystem.Subsystem;
@@ -32,9 +32,9 @@
 
     @Override
     public Intake intake(Site site, Intake inner) throws IOException {
-        Supplier<ServiceTable> table = site::table;
+        Supplier<DiscoveredBackends> table = site::table;
         long life = (ids.next() >>> 64 - LIFE_BITS) | 1;
-        intake = new UnitsIntake(new UnitsIntake.Place(site.name(), life, site.turns(), inner, log, new UnitsIntake.Regions() {
+        intake = new UnitsIntake(new UnitsIntake.Place(site.name(), life, site.loop(), inner, log, new UnitsIntake.Regions() {
             @Override
             public int zoneOf(long region) { return table.get().listed(region) == null ? -1 : table.get().listed(region).zone(); }
 
--- a/src/main/java/yardusher/view/View.java
+++ b/src/main/java/yardusher/view/View.java
@@ -22,7 +22,7 @@
      * All members that are ALIVE or SUSPECT, this one among them, in the order of their names. {@code digest} is the same
      * where names, addresses and processes are (a process that was suspected and said that it is there has a higher incarnation and
      * is the same); {@code stillSinceMs} is when it last changed here, on the clock of the
-     * turns; {@code same} of the {@code asked} members heard of lately hold this digest.
+     * loop; {@code same} of the {@code asked} members heard of lately hold this digest.
      */
     record Picture(List<Member> members, long digest, double stillSinceMs, int same, int asked) { }
 
--- a/src/main/java/yardusher/view/ViewSubsystem.java
+++ b/src/main/java/yardusher/view/ViewSubsystem.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import yardusher.core.Deadlines;
-import yardusher.core.Turns;
+import yardusher.core.EventLoop;
 import yardusher.error.ConfigError;
 import yardusher.error.ViewError;
 import yardusher.log.Events;
@@ -17,7 +17,7 @@
 /** The view in the program: it opens the mesh, gives each datagram and timer a turn, and leaves in order at the end. */
 public final class ViewSubsystem implements Subsystem, View {
     private final ViewSettings settings;
-    private final Turns turns;
+    private final EventLoop loop;
     private final Events events;
     private final DatagramMesh mesh;
     private final Membership membership;
@@ -26,15 +26,15 @@
     private boolean begun;
 
     /** {@code hall}: the name of this ingress's zone, which the settings may override. Loads and opens nothing yet. */
-    public ViewSubsystem(ViewSettings settings, String name, String hall, long seed, Turns turns, Events events) {
+    public ViewSubsystem(ViewSettings settings, String name, String hall, long seed, EventLoop loop, Events events) {
         if (!Wire.isName(name)) { throw new ConfigError.Value(null, "name", "1 to 64 letters, digits, dots, underscores or dashes where the view is on, not " + name); }
         this.settings = settings;
-        this.turns = turns;
+        this.loop = loop;
         this.events = events;
-        mesh = new DatagramMesh(settings.listen(), settings.installation(), turns);
+        mesh = new DatagramMesh(settings.listen(), settings.installation(), loop);
         String stands = settings.hall() != null ? settings.hall() : Wire.isHall(hall) ? hall : "-";
         // Two processes of one configuration have one seed; what they draw has to differ all the same.
-        membership = new Membership(settings, name, stands, settings.listen(), seed ^ System.nanoTime() ^ ProcessHandle.current().pid() << 40, turns.now(), new World());
+        membership = new Membership(settings, name, stands, settings.listen(), seed ^ System.nanoTime() ^ ProcessHandle.current().pid() << 40, loop.now(), new World());
         membership.follow(this::tell);
     }
 
@@ -71,10 +71,10 @@
             throw new ViewError.Listen(settings.listen().getAddress().getHostAddress() + ":" + settings.listen().getPort(), e.getMessage(), e);
         }
         mesh.hear(Mesh.Kind.VIEW, (from, body) -> {
-            membership.heard(turns.now(), body);
+            membership.heard(loop.now(), body);
             arm();
         });
-        membership.start(turns.now(), settings.advertise() != null ? settings.advertise() : mesh.address());
+        membership.start(loop.now(), settings.advertise() != null ? settings.advertise() : mesh.address());
         begun = true;
         arm();
     }
@@ -82,11 +82,11 @@
     private void arm() {
         double at = membership.next();
         if (at == timerAt) { return; }
-        turns.deadlines().cancel(timer);
+        loop.deadlines().cancel(timer);
         timerAt = at;
-        timer = at == Double.POSITIVE_INFINITY ? null : turns.deadlines().at(at, () -> {
+        timer = at == Double.POSITIVE_INFINITY ? null : loop.deadlines().at(at, () -> {
             timerAt = Double.POSITIVE_INFINITY;
-            membership.tick(turns.now());
+            membership.tick(loop.now());
             arm();
         });
     }
@@ -98,13 +98,13 @@
     public String line() { return membership.line() + " " + mesh.line(); }
 
     @Override
-    public String report(String call) { return call.equals("members") ? membership.report(turns.now()) : null; }
+    public String report(String call) { return call.equals("members") ? membership.report(loop.now()) : null; }
 
     /** Until here others may count on it: what it held is handed over before. */
     @Override
     public void close() {
-        if (begun) { membership.leave(turns.now()); }
-        turns.deadlines().cancel(timer);
+        if (begun) { membership.leave(loop.now()); }
+        loop.deadlines().cancel(timer);
         mesh.close();
     }
 
@@ -112,7 +112,7 @@
     public Member self() { return membership.self(); }
 
     @Override
-    public Picture picture() { return membership.picture(turns.now()); }
+    public Picture picture() { return membership.picture(loop.now()); }
 
     @Override
     public Member member(String name) { return membership.member(name); }
--- a/src/test/java/yardusher/admin/FiguresTest.java
+++ b/src/test/java/yardusher/admin/FiguresTest.java
@@ -17,20 +17,20 @@
 import yardusher.core.Ingress;
 import yardusher.core.Order;
 import yardusher.core.OrderLog;
-import yardusher.core.Regions;
+import yardusher.core.Backends;
 import yardusher.core.Terminal;
-import yardusher.core.Transaction;
-import yardusher.core.Turns;
+import yardusher.core.Request;
+import yardusher.core.EventLoop;
 
 /** The figures against what terminals were told and regions were sent, over random orders of events by seed. */
 class FiguresTest {
     private static final int CLASSES = 2;
 
     private double now = 1000;
-    private final Turns turns = new Turns(() -> now, e -> { throw new AssertionError(e); });
+    private final EventLoop loop = new EventLoop(() -> now, e -> { throw new AssertionError(e); });
     private final Counters counters = new Counters();
     private final List<Attempt> out = new ArrayList<>();
-    private final List<Transaction> taken = new ArrayList<>();
+    private final List<Request> taken = new ArrayList<>();
     /** What terminals were told: for each class served, refused, failed. */
     private final long[][] told = new long[CLASSES][3];
     private long left;
@@ -55,7 +55,7 @@
         public void served(byte[] value) { is(0); }
 
         @Override
-        public void shortOnCapacity(long retryAfterMs, boolean mayHaveRun) { is(1); }
+        public void reject(long retryAfterMs, boolean mayHaveRun) { is(1); }
 
         @Override
         public void failed(String why, boolean mayHaveRun) { is(2); }
@@ -92,7 +92,7 @@
             public String key() { return classIndex == 1 ? String.format("%016x", id) : null; }
         };
         Client client = new Client(classIndex);
-        turns.turn(() -> taken.add(ingress.take(new Order(classIndex, random.nextInt(3), random.nextInt(5), 1, 0, 1,
+        loop.turn(() -> taken.add(ingress.take(new Order(classIndex, random.nextInt(3), random.nextInt(5), 1, 0, 1,
                 random.nextInt(3000), cargo, client))));
     }
 
@@ -101,31 +101,31 @@
     void everyRequestStandsOnceHoweverItEnds(long seed) throws Exception {
         Random random = new Random(seed);
         Config config = Config.read("src/test/resources/ingress.json");
-        Regions regions = new Regions() {
+        Backends regions = new Backends() {
             @Override
             public boolean knows(long region) { return true; }
 
             @Override
             public void begin(Attempt attempt, ByteBuffer... cargo) { out.add(attempt); }
         };
-        turns.turn(() -> {
-            ingress = new Ingress(config.settings(), seed, turns, regions, (to, body) -> { }, counters, OrderLog.NONE);
+        loop.turn(() -> {
+            ingress = new Ingress(config.settings(), seed, loop, regions, (to, body) -> { }, counters, OrderLog.NONE);
             ingress.tell(new Api.ServerList(Api.ListKind.FULL, List.of(new Api.Server(7, 0, 0, 1, 0, Api.Readiness.READY),
                     new Api.Server(8, 0, 0, 1, 0, Api.Readiness.READY))));
         });
         for (int step = 0; step < 2000; step++) {
             now += random.nextInt(20);
-            turns.turn(() -> { });
+            loop.turn(() -> { });
             out.removeIf(Attempt::isOver);
             Attempt attempt = out.isEmpty() ? null : out.get(random.nextInt(out.size()));
             switch (random.nextInt(6)) {
                 case 0, 1 -> take(random);
                 case 2 -> {
-                    Transaction gone = taken.isEmpty() ? null : taken.get(random.nextInt(taken.size()));
+                    Request gone = taken.isEmpty() ? null : taken.get(random.nextInt(taken.size()));
                     if (gone != null && random.nextInt(4) == 0) { leave(gone); }
                 }
                 case 3 -> {
-                    if (attempt != null && attempt.written && random.nextInt(3) == 0) { turns.turn(() -> ingress.begin(attempt, 100_000)); }
+                    if (attempt != null && attempt.written && random.nextInt(3) == 0) { loop.turn(() -> ingress.begin(attempt, 100_000)); }
                 }
                 default -> {
                     if (attempt != null) { end(attempt, random); }
@@ -134,20 +134,20 @@
             check();
         }
         now += 100_000;
-        turns.turn(() -> { });
+        loop.turn(() -> { });
         check();
     }
 
-    private void leave(Transaction gone) {
+    private void leave(Request gone) {
         long before = counters.clientsGone;
-        turns.turn(gone::gone);
+        loop.turn(gone::gone);
         left += counters.clientsGone - before;
     }
 
     /** An attempt is written whole, or ends; once each. */
     private void end(Attempt attempt, Random random) {
         if (!attempt.written && random.nextBoolean()) {
-            turns.turn(() -> {
+            loop.turn(() -> {
                 attempt.written = true;
                 written++;
                 ingress.written(attempt);
@@ -159,7 +159,7 @@
                 ? new Api.Outcome[] {Api.Outcome.SERVED, Api.Outcome.SERVER_ERROR, Api.Outcome.REJECTED, Api.Outcome.CONNECTION_LOST}
                 : new Api.Outcome[] {Api.Outcome.CONNECT_FAILED};
         Api.Outcome outcome = outcomes[random.nextInt(outcomes.length)];
-        turns.turn(() -> ingress.ended(attempt, new Attempt.Result(outcome, new byte[0], null)));
+        loop.turn(() -> ingress.ended(attempt, new Attempt.Result(outcome, new byte[0], null)));
     }
 
     private void check() {
--- a/src/test/java/yardusher/list/BackoffTest.java
+++ b/src/test/java/yardusher/discovery/BackoffTest.java
@@ -1,4 +1,4 @@
-package yardusher.list;
+package yardusher.discovery;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/src/test/java/yardusher/list/ServiceTableTest.java
+++ b/src/test/java/yardusher/discovery/DiscoveredBackendsTest.java
@@ -1,4 +1,4 @@
-package yardusher.list;
+package yardusher.discovery;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -6,11 +6,11 @@
 import org.junit.jupiter.api.Test;
 import yardusher.Api;
 import yardusher.core.Counters;
-import yardusher.core.Turns;
+import yardusher.core.EventLoop;
 import yardusher.net.Sockets;
-import yardusher.servers.RegionPool;
+import yardusher.servers.BackendPool;
 
-class ServiceTableTest {
+class DiscoveredBackendsTest {
     private static String news(int revision, boolean complete, String... members) {
         return "{\"revision\":" + revision + ",\"complete\":" + complete + ",\"members\":[" + String.join(",", members) + "]}";
     }
@@ -22,11 +22,11 @@
 
     @Test
     void aNewIdAtAnOldAddressMeansThatTheOldOneIsGone() throws Exception {
-        Turns turns = new Turns(() -> 0, e -> { throw new AssertionError(e); });
-        Sockets sockets = new Sockets(turns);
+        EventLoop loop = new EventLoop(() -> 0, e -> { throw new AssertionError(e); });
+        Sockets sockets = new Sockets(loop);
         try {
-            RegionPool pool = new RegionPool(sockets, new Counters(), List.of(), 250, 30_000, 8000, 10);
-            ServiceTable table = new ServiceTable(List.of("hall-a"), pool);
+            BackendPool pool = new BackendPool(sockets, new Counters(), List.of(), 250, 30_000, 8000, 10);
+            DiscoveredBackends table = new DiscoveredBackends(List.of("hall-a"), pool);
             table.line(news(1, true, member("s-1", 81, "Ready"), member("s-2", 82, "Ready")));
             Api.ServerList told = table.line(news(2, false, member("s-3", 81, "Ready")));
             assertThat(told.servers()).extracting(Api.Server::id, Api.Server::readiness)
@@ -46,11 +46,11 @@
     /** Danger: memory that grows with every region there ever was, over days of releases. */
     @Test
     void regionsThatCameAndWentAreForgotten() throws Exception {
-        Turns turns = new Turns(() -> 0, e -> { throw new AssertionError(e); });
-        Sockets sockets = new Sockets(turns);
+        EventLoop loop = new EventLoop(() -> 0, e -> { throw new AssertionError(e); });
+        Sockets sockets = new Sockets(loop);
         try {
-            RegionPool pool = new RegionPool(sockets, new Counters(), List.of(), 250, 30_000, 8000, 10);
-            ServiceTable table = new ServiceTable(List.of("hall-a"), pool);
+            BackendPool pool = new BackendPool(sockets, new Counters(), List.of(), 250, 30_000, 8000, 10);
+            DiscoveredBackends table = new DiscoveredBackends(List.of("hall-a"), pool);
             for (int i = 1; i <= 10_000; i++) {
                 String id = "s-" + Integer.toHexString(i);
                 table.line(news(2 * i, false, member(id, 1000 + i % 200, "Ready")));
--- a/src/test/java/yardusher/fence/FenceTest.java
+++ b/src/test/java/yardusher/fence/FenceTest.java
@@ -7,7 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.Test;
-import yardusher.core.Turns;
+import yardusher.core.EventLoop;
 import yardusher.error.RegisterError;
 import yardusher.lab.MemoryDisk;
 
@@ -47,11 +47,11 @@
     @Test
     void whatWasSealedAndBegunOutlivesADeath() throws Exception {
         MemoryDisk disk = new MemoryDisk();
-        Turns turns = new Turns(() -> System.nanoTime() / 1e6, Throwable::printStackTrace);
-        Memory memory = Memory.open(disk, "site", "a1", turns);
+        EventLoop loop = new EventLoop(() -> System.nanoTime() / 1e6, Throwable::printStackTrace);
+        Memory memory = Memory.open(disk, "site", "a1", loop);
         CountDownLatch durable = new CountDownLatch(2);
         AtomicReference<Exception> failed = new AtomicReference<>();
-        turns.turn(() -> {
+        loop.turn(() -> {
             memory.seal("roll", 7, why -> durable.countDown());
             memory.started("n0", 4711, 99);
             memory.begin("roll", 7, "5/n0", "restart n0", "1", why -> durable.countDown());
@@ -59,28 +59,28 @@
         assertThat(durable.await(10, TimeUnit.SECONDS)).isTrue();
         assertThat(failed.get()).isNull();
         disk.die(new java.util.Random(1));
-        Memory next = Memory.open(disk, "site", "a1", turns);
+        Memory next = Memory.open(disk, "site", "a1", loop);
         assertThat(next.fence().order("roll", 6, "5/n0")).isEqualTo(new Fence.Refused(7));
         assertThat(next.fence().order("roll", 7, "5/n0")).isEqualTo(new Fence.Unknown("1"));
         assertThat(next.started("n0")).isEqualTo(new Memory.Started(1, 4711, 99));
-        assertThatThrownBy(() -> Memory.open(disk, "site", "a2", turns)).isInstanceOf(RegisterError.class);
+        assertThatThrownBy(() -> Memory.open(disk, "site", "a2", loop)).isInstanceOf(RegisterError.class);
     }
 
     @Test
     void aSealThatFoundNoRoomIsNotCalledSealedUntilItIs() throws Exception {
         MemoryDisk disk = new MemoryDisk();
-        Turns turns = new Turns(() -> System.nanoTime() / 1e6, Throwable::printStackTrace);
-        Memory memory = Memory.open(disk, "site", "a1", turns);
+        EventLoop loop = new EventLoop(() -> System.nanoTime() / 1e6, Throwable::printStackTrace);
+        Memory memory = Memory.open(disk, "site", "a1", loop);
         java.util.concurrent.BlockingQueue<String> told = new java.util.concurrent.LinkedBlockingQueue<>();
         disk.full = true;
         for (int i = 0; i < 2; i++) {
-            turns.turn(() -> memory.seal("roll", 7, why -> told.add(String.valueOf(why == null ? "sealed" : why.getMessage()))));
+            loop.turn(() -> memory.seal("roll", 7, why -> told.add(String.valueOf(why == null ? "sealed" : why.getMessage()))));
             assertThat(told.poll(10, TimeUnit.SECONDS)).contains("No space");
         }
         disk.full = false;
-        turns.turn(() -> memory.seal("roll", 7, why -> told.add(why == null ? "sealed" : why.getMessage())));
+        loop.turn(() -> memory.seal("roll", 7, why -> told.add(why == null ? "sealed" : why.getMessage())));
         assertThat(told.poll(10, TimeUnit.SECONDS)).isEqualTo("sealed");
-        assertThat(Memory.open(disk, "site", "a1", turns).fence().sealed("roll")).isEqualTo(7);
+        assertThat(Memory.open(disk, "site", "a1", loop).fence().sealed("roll")).isEqualTo(7);
     }
 
     @Test
--- a/src/test/java/yardusher/journal/JournalStoryTest.java
+++ b/src/test/java/yardusher/journal/JournalStoryTest.java
@@ -25,10 +25,10 @@
 import yardusher.core.Cargo;
 import yardusher.core.Counters;
 import yardusher.core.Ingress;
-import yardusher.core.Regions;
+import yardusher.core.Backends;
 import yardusher.core.Terminal;
-import yardusher.core.Transaction;
-import yardusher.core.Turns;
+import yardusher.core.Request;
+import yardusher.core.EventLoop;
 import yardusher.error.JournalError;
 import yardusher.log.Events;
 
@@ -40,7 +40,7 @@
     private final BlockingQueue<String> answers = new LinkedBlockingQueue<>();
     private final List<String> told = new ArrayList<>();
     private volatile double now = 1_000_000;
-    private final Turns turns = new Turns(() -> now, e -> { throw new AssertionError(e); });
+    private final EventLoop loop = new EventLoop(() -> now, e -> { throw new AssertionError(e); });
     private Journal journal;
     private Ingress ingress;
     private long ids;
@@ -58,8 +58,8 @@
             public void warn(String text, Object... pairs) { told.add(Events.line("", text, pairs)); }
         };
         journal = Journal.open(disk, CrashTest.settings(durability, 64 * 1024, refuses), "n0", config.settings(), config.classes(),
-                config.plans(), turns, events);
-        Regions regions = new Regions() {
+                config.plans(), loop, events);
+        Backends regions = new Backends() {
             @Override
             public boolean knows(long region) { return true; }
 
@@ -69,8 +69,8 @@
                 begun.add(attempt);
             }
         };
-        turns.turn(() -> {
-            ingress = new Ingress(config.settings(), 1, turns, regions, (to, body) -> { }, new Counters(), journal);
+        loop.turn(() -> {
+            ingress = new Ingress(config.settings(), 1, loop, regions, (to, body) -> { }, new Counters(), journal);
             ingress.tell(new Api.ServerList(Api.ListKind.FULL, List.of(new Api.Server(7, 0, 0, 1, 0, Api.Readiness.READY))));
         });
     }
@@ -81,8 +81,8 @@
         journal.close(5000);
     }
 
-    private Transaction take(int classIndex) {
-        Transaction[] taken = new Transaction[1];
+    private Request take(int classIndex) {
+        Request[] taken = new Request[1];
         long id = ++ids;
         Cargo cargo = new Cargo() {
             @Override
@@ -102,12 +102,12 @@
             public void served(byte[] value) { answers.add(id + " served"); }
 
             @Override
-            public void shortOnCapacity(long retryAfterMs, boolean mayHaveRun) { answers.add(id + " refused"); }
+            public void reject(long retryAfterMs, boolean mayHaveRun) { answers.add(id + " refused"); }
 
             @Override
             public void failed(String why, boolean mayHaveRun) { answers.add(id + " failed"); }
         };
-        turns.turn(() -> taken[0] = ingress.take(new yardusher.core.Order(classIndex, 2, 100 + id, 1, 0, 1, 2000, cargo, terminal)));
+        loop.turn(() -> taken[0] = ingress.take(new yardusher.core.Order(classIndex, 2, 100 + id, 1, 0, 1, 2000, cargo, terminal)));
         return taken[0];
     }
 
@@ -118,7 +118,7 @@
     }
 
     private void end(Attempt attempt, Api.Outcome outcome) {
-        turns.turn(() -> {
+        loop.turn(() -> {
             ingress.written(attempt);
             ingress.ended(attempt, new Attempt.Result(outcome, new byte[0], null));
         });
@@ -126,14 +126,14 @@
 
     private void pass(double ms) {
         now += ms;
-        turns.turn(() -> { });
+        loop.turn(() -> { });
     }
 
-    /** Lets time pass, or none, until the journal is good again; looked at in turns, as all its state. */
+    /** Lets time pass, or none, until the journal is good again; looked at in loop, as all its state. */
     private void awaitGood(double stepMs) {
         for (boolean[] good = new boolean[1]; !good[0];) {
             pass(stepMs);
-            turns.turn(() -> good[0] = journal.health() == Journal.Health.GOOD);
+            loop.turn(() -> good[0] = journal.health() == Journal.Health.GOOD);
         }
     }
 
@@ -154,7 +154,7 @@
         take(ORDER);
         take(ORDER);
         take(0);
-        assertThat(next(begun).transaction.order.classIndex()).isZero();
+        assertThat(next(begun).request.order.classIndex()).isZero();
         assertThat(begun).isEmpty();
         disk.hang.countDown();
         for (int i = 0; i < 2; i++) {
@@ -162,7 +162,7 @@
             try (Scan scan = new Scan(disk.copy(true), Query.ALL, bytes -> { })) { // as a loss of power now would leave it
                 boolean intended = false;
                 for (Order order; (order = scan.next()) != null;) {
-                    intended |= order.number == attempt.transaction.number && order.state() == Order.State.INTENDED;
+                    intended |= order.number == attempt.request.number && order.state() == Order.State.INTENDED;
                 }
                 assertThat(intended).isTrue();
             }
@@ -179,8 +179,8 @@
     void whoLeavesOrRunsOutOfTimeWhileParkedIsNeverSent() throws Exception {
         start(true, JournalSettings.Durability.PROCESS);
         disk.hang = new CountDownLatch(1);
-        Transaction leaves = take(ORDER);
-        turns.turn(() -> leaves.gone());
+        Request leaves = take(ORDER);
+        loop.turn(() -> leaves.gone());
         disk.hang.countDown();
         disk.hang = new CountDownLatch(1);
         take(ORDER);                                 // gathers behind the first batch, or with it
@@ -282,8 +282,8 @@
         start(true, JournalSettings.Durability.PROCESS);
         disk.hang = new CountDownLatch(1);
         for (int i = 0; i < 500; i++) {
-            Transaction t = take(ORDER);
-            turns.turn(() -> t.gone());
+            Request t = take(ORDER);
+            loop.turn(() -> t.gone());
         }
         Thread opens = new Thread(disk.hang::countDown);
         opens.start();
@@ -296,26 +296,26 @@
         Config config = Config.read("src/test/resources/ingress.json");
         JournalSettings settings = new JournalSettings(folder, JournalSettings.Durability.PROCESS, 50, 5, 200, 1 << 20, 1 << 24, 4096, 72, 60, true, 500, false);
         for (String name : new String[] {"n0", "n1"}) {
-            Journal own = Journal.open(settings, name, config.settings(), config.classes(), config.plans(), turns, Events.plain(name));
-            assertThatThrownBy(() -> Journal.open(settings, name, config.settings(), List.of(), List.of(), turns, Events.plain(name)))
+            Journal own = Journal.open(settings, name, config.settings(), config.classes(), config.plans(), loop, Events.plain(name));
+            assertThatThrownBy(() -> Journal.open(settings, name, config.settings(), List.of(), List.of(), loop, Events.plain(name)))
                     .isInstanceOf(JournalError.Held.class).hasMessageContaining("written by another instance");
             disk.hang = null;
             Journal before = journal;
             journal = own;
-            turns.turn(() -> ingress = new Ingress(config.settings(), 1, turns, new Regions() {
+            loop.turn(() -> ingress = new Ingress(config.settings(), 1, loop, new Backends() {
                 @Override
                 public boolean knows(long region) { return true; }
 
                 @Override
                 public void begin(Attempt attempt, java.nio.ByteBuffer... cargo) { begun.add(attempt); }
             }, (to, body) -> { }, new Counters(), own));
-            turns.turn(() -> ingress.tell(new Api.ServerList(Api.ListKind.FULL, List.of(new Api.Server(0xabc, 0, 0, 1, 0, Api.Readiness.READY)))));
+            loop.turn(() -> ingress.tell(new Api.ServerList(Api.ListKind.FULL, List.of(new Api.Server(0xabc, 0, 0, 1, 0, Api.Readiness.READY)))));
             for (int i = 0; i < 3; i++) {
                 take(ORDER);
                 Attempt attempt = next(begun);
                 attempt.written = true;
                 now += 1000;
-                if (i == 0) { end(attempt, Api.Outcome.SERVED); } else { turns.turn(() -> ingress.written(attempt)); }
+                if (i == 0) { end(attempt, Api.Outcome.SERVED); } else { loop.turn(() -> ingress.written(attempt)); }
                 if (i == 1) { pass(3000); }          // past its deadline
             }
             own.close(5000);
--- a/src/test/java/yardusher/journal/KillRun.java
+++ b/src/test/java/yardusher/journal/KillRun.java
@@ -184,8 +184,8 @@
         }
         // One more life closes what the last left open.
         JournalSettings settings = yardusher.settings.Settings.read(own).journal();
-        yardusher.core.Turns turns = new yardusher.core.Turns(System::currentTimeMillis, e -> { });
-        Journal.open(settings, "n0", yardusher.cli.Config.read(config.toString()).settings(), List.of(), List.of(), turns,
+        yardusher.core.EventLoop loop = new yardusher.core.EventLoop(System::currentTimeMillis, e -> { });
+        Journal.open(settings, "n0", yardusher.cli.Config.read(config.toString()).settings(), List.of(), List.of(), loop,
                 yardusher.log.Events.plain("check")).close(5000);
         Map<Order.State, Integer> states = new HashMap<>();
         List<String> leftOpen = new ArrayList<>();
--- a/src/test/java/yardusher/keys/KeysTest.java
+++ b/src/test/java/yardusher/keys/KeysTest.java
@@ -17,7 +17,7 @@
 import yardusher.core.Order;
 import yardusher.core.Stay;
 import yardusher.core.Terminal;
-import yardusher.core.Turns;
+import yardusher.core.EventLoop;
 
 /** Keys at one ingress: the intake over a core that does as it is told, against a plain account of what must hold. */
 class KeysTest {
@@ -25,7 +25,7 @@
     private static final double LIFETIME_MS = 60_000;
 
     private double now = 1_000_000;
-    private Turns turns;
+    private EventLoop loop;
     private final List<Sent> out = new ArrayList<>();
     private final Map<Long, Held> held = new HashMap<>();
     private KeyedIntake intake;
@@ -85,14 +85,14 @@
         public void served(byte[] value) { answers.add("served " + new String(value, StandardCharsets.UTF_8)); }
 
         @Override
-        public void shortOnCapacity(long retryAfterMs, boolean mayHaveRun) { answers.add("refused"); }
+        public void reject(long retryAfterMs, boolean mayHaveRun) { answers.add("refused"); }
 
         @Override
         public void failed(String why, boolean mayHaveRun) { answers.add("failed " + why); }
     }
 
     private void open(int answerBytes, int mostRunning) {
-        turns = new Turns(() -> now, e -> { throw new AssertionError(e); }); // deadlines of an earlier try must not count
+        loop = new EventLoop(() -> now, e -> { throw new AssertionError(e); }); // deadlines of an earlier try must not count
         Intake core = order -> {
             Sent one = new Sent(order);
             for (Sent other : out) { assertThat(key(other.order)).as("a key out twice").isNotEqualTo(key(order)); }
@@ -102,7 +102,7 @@
             return one;
         };
         KeySettings settings = new KeySettings(answerBytes, mostRunning, 8, LIFETIME_MS, Map.of(), 200);
-        intake = new KeyedIntake(core, turns, settings, List.of(new Api.RequestClass(1000, 8000, 1, 0, Api.Effect.DEDUPLICATED, Api.Group.ALL,
+        intake = new KeyedIntake(core, loop, settings, List.of(new Api.RequestClass(1000, 8000, 1, 0, Api.Effect.DEDUPLICATED, Api.Group.ALL,
                 WINDOW_MS, false)), List.of("place-order"));
     }
 
@@ -121,19 +121,19 @@
             @Override
             public long print() { return print; }
         };
-        turns.turn(() -> asked.stay = intake.take(new Order(0, 0, 1, 1, 0, 1, waitMs, cargo, asked)));
+        loop.turn(() -> asked.stay = intake.take(new Order(0, 0, 1, 1, 0, 1, waitMs, cargo, asked)));
         return asked;
     }
 
     /** Ends what the core holds: 0 serves, 1 refuses, 2 fails and it may have run, 3 fails and it never ran. */
     private void end(Sent one, int how) {
         out.remove(one);
-        turns.turn(() -> {
+        loop.turn(() -> {
             String value = "value " + sent;
             over(one, how == 0 ? value : null, how == 2);
             switch (how) {
                 case 0 -> one.order.terminal().served(value.getBytes(StandardCharsets.UTF_8));
-                case 1 -> one.order.terminal().shortOnCapacity(100, false);
+                case 1 -> one.order.terminal().reject(100, false);
                 default -> one.order.terminal().failed("failed", how == 2);
             }
         });
@@ -180,12 +180,12 @@
                     if (!waiting.isEmpty()) {
                         Asked one = waiting.get(random.nextInt(waiting.size()));
                         one.left = true;
-                        turns.turn(() -> one.stay.gone());
+                        loop.turn(() -> one.stay.gone());
                     }
                 }
                 case 4 -> {
                     now += random.nextInt(10) == 0 ? 70_000 : random.nextInt(2500);
-                    turns.turn(() -> { });
+                    loop.turn(() -> { });
                 }
                 default -> {
                     if (!out.isEmpty()) {
@@ -226,16 +226,16 @@
         Asked first = ask(5, 1, 2000);
         Asked second = ask(5, 1, 50);
         Asked third = ask(5, 1, 3000);
-        turns.turn(() -> first.stay.gone());
+        loop.turn(() -> first.stay.gone());
         assertThat(out).hasSize(1);
         now += 60;                                   // the shorter deadline passes
-        turns.turn(() -> { });
+        loop.turn(() -> { });
         assertThat(second.answers).containsExactly("failed deadline passed");
         Sent one = out.get(0);
         out.remove(one);
         over(one, null, false);
-        turns.turn(() -> {
-            one.order.terminal().shortOnCapacity(0, false); // third is to lead after this turn's work
+        loop.turn(() -> {
+            one.order.terminal().reject(0, false); // third is to lead after this turn's work
             third.stay.gone();
         });
         assertThat(out).isEmpty();
--- a/src/test/java/yardusher/mesh/DatagramMeshTest.java
+++ b/src/test/java/yardusher/mesh/DatagramMeshTest.java
@@ -12,17 +12,17 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import yardusher.core.Turns;
+import yardusher.core.EventLoop;
 
 /** Datagrams between ingresses on real sockets: what passes and what is counted and dropped. */
 class DatagramMeshTest {
-    private final Turns turns = new Turns(() -> System.nanoTime() / 1e6, fault -> { throw new AssertionError(fault); });
+    private final EventLoop loop = new EventLoop(() -> System.nanoTime() / 1e6, fault -> { throw new AssertionError(fault); });
     private final LinkedBlockingQueue<byte[]> heard = new LinkedBlockingQueue<>();
     private final DatagramMesh mesh = mesh("site");
 
     private DatagramMesh mesh(String installation) {
-        DatagramMesh made = new DatagramMesh(new InetSocketAddress("127.0.0.1", 0), installation, turns);
-        turns.turn(() -> {
+        DatagramMesh made = new DatagramMesh(new InetSocketAddress("127.0.0.1", 0), installation, loop);
+        loop.turn(() -> {
             try {
                 made.open();
             } catch (java.io.IOException e) {
@@ -34,11 +34,11 @@
     }
 
     @AfterEach
-    void close() { turns.turn(mesh::close); }
+    void close() { loop.turn(mesh::close); }
 
     private String line() {
         String[] line = new String[1];
-        turns.turn(() -> line[0] = mesh.line());
+        loop.turn(() -> line[0] = mesh.line());
         return line[0];
     }
 
@@ -53,23 +53,23 @@
         for (int size : new int[] {0, 1, Mesh.MOST_BODY}) {
             byte[] body = new byte[size];
             new Random(size).nextBytes(body);
-            turns.turn(() -> other.send(mesh.address(), Mesh.Kind.VIEW, body));
+            loop.turn(() -> other.send(mesh.address(), Mesh.Kind.VIEW, body));
             assertThat(heard.poll(5, TimeUnit.SECONDS)).isEqualTo(body);
         }
         assertThatIllegalArgumentException().isThrownBy(() -> other.send(mesh.address(), Mesh.Kind.VIEW, new byte[Mesh.MOST_BODY + 1]));
-        turns.turn(other::close);
+        loop.turn(other::close);
     }
 
     @Test
     void whatIsForeignSpoiltOrForNobodyIsCountedAndDropped() throws Exception {
         DatagramMesh foreign = mesh("elsewhere");
-        turns.turn(() -> foreign.send(mesh.address(), Mesh.Kind.VIEW, new byte[8]));
+        loop.turn(() -> foreign.send(mesh.address(), Mesh.Kind.VIEW, new byte[8]));
         awaitLine("mesh_foreign=1");
         DatagramMesh other = mesh("site");
-        turns.turn(() -> other.send(mesh.address(), Mesh.Kind.UNITS, new byte[8]));
+        loop.turn(() -> other.send(mesh.address(), Mesh.Kind.UNITS, new byte[8]));
         awaitLine("mesh_unheard=1");
         try (DatagramChannel tap = DatagramChannel.open().bind(new InetSocketAddress("127.0.0.1", 0))) {
-            turns.turn(() -> {
+            loop.turn(() -> {
                 try {
                     other.send((InetSocketAddress) tap.getLocalAddress(), Mesh.Kind.VIEW, new byte[100]);
                 } catch (java.io.IOException e) {
@@ -97,7 +97,7 @@
             assertThat(counted).isEqualTo(1 + dropped + 1); // the installation's other, and the oversized one
         }
         assertThat(heard).isEmpty();
-        turns.turn(foreign::close);
-        turns.turn(other::close);
+        loop.turn(foreign::close);
+        loop.turn(other::close);
     }
 }
--- a/src/test/java/yardusher/story/FinalAnswerStoryTest.java
+++ b/src/test/java/yardusher/story/FinalAnswerStoryTest.java
@@ -50,7 +50,7 @@
 
     private void move(double ms) {
         now += ms;
-        serve.turns().turn(() -> { });
+        serve.loop().turn(() -> { });
     }
 
     /**
--- a/src/test/java/yardusher/story/PeersStoryTest.java
+++ b/src/test/java/yardusher/story/PeersStoryTest.java
@@ -15,7 +15,7 @@
 import java.util.function.DoubleSupplier;
 import org.junit.jupiter.api.Test;
 import yardusher.cli.Serve;
-import yardusher.core.Turns;
+import yardusher.core.EventLoop;
 import yardusher.limits.LimitsConfig;
 import yardusher.peers.PeerSocket;
 import yardusher.settings.Settings;
@@ -88,7 +88,7 @@
         try (DatagramSocket peer = new DatagramSocket(0, here)) {
             peer.setSoTimeout(StandIn.PATIENCE_S * 1000);
             PeerSocket socket = new PeerSocket(new InetSocketAddress(here, 0),
-                    List.of(new InetSocketAddress(here, peer.getLocalPort())), new Turns(() -> 0, e -> { }));
+                    List.of(new InetSocketAddress(here, peer.getLocalPort())), new EventLoop(() -> 0, e -> { }));
             socket.open((from, body) -> { });
             socket.tell(0, "x".repeat(257));
             socket.tell(0, "\u00e9".repeat(129));    // short in characters, too long in bytes
--- a/src/test/java/yardusher/story/WatchStoryTest.java
+++ b/src/test/java/yardusher/story/WatchStoryTest.java
@@ -121,7 +121,7 @@
 
     private long count(ToLongFunction<Counters> figure) {
         long[] count = new long[1];
-        serve.turns().turn(() -> count[0] = figure.applyAsLong(serve.ingress().counters()));
+        serve.loop().turn(() -> count[0] = figure.applyAsLong(serve.ingress().counters()));
         return count[0];
     }
 
@@ -148,7 +148,7 @@
         double from = now;
         while (!done.getAsBoolean() && now - from < limitMs) {
             now += STEP_MS;
-            serve.turns().turn(() -> { });
+            serve.loop().turn(() -> { });
             settle();
         }
         return now - from;
