A locality, cell or id of any form is told apart: none passes for another backend's

A keyed class of group zone was then repeated in a zone that never saw its key (Servers.mayRunOn). Likewise an absent cell was cell 0 for all. Ids were the hex digits behind the last dash: web-1 and db-1 were one backend, and only one of them was ever asked. At fault: DiscoveredBackends.zone, id, take. Now the whole name goes first, then the end of just one name, then, only where no zone's name tells a letter, its place; every other word is a zone of its own, the same at each ingress.

--- a/src/main/java/yardusher/discovery/DiscoveredBackends.java
+++ b/src/main/java/yardusher/discovery/DiscoveredBackends.java
@@ -74,17 +74,13 @@
         boolean complete = news.flag("complete");
         List<Api.Server> servers = new ArrayList<>();
         List<InetSocketAddress> addresses = new ArrayList<>();
-        for (Codec.Fields member : news.objects("members")) { // read whole before anything is changed
-            Api.Readiness readiness = switch (member.text("phase")) {
-                case "Ready" -> Api.Readiness.READY;
-                case "Gone" -> Api.Readiness.GONE;
-                default -> Api.Readiness.DRAINING;   // also a phase not known yet: send it nothing new
-            };
-            servers.add(new Api.Server(id(member.text("id")), zone(member), (int) member.number("cell", 0),
-                    member.number("size", 1), member.number("up_since_ms", 0), readiness));
-            addresses.add(readiness == Api.Readiness.GONE ? null : Sockets.address(member.text("host_port")));
+        List<Codec.Fields> members = as == Api.ListKind.CACHED ? news.objectsOrNone("members") : news.objects("members");
+        for (Codec.Fields member : members) {        // read whole before anything is changed
+            Api.Server server = checked(member, zone(member));
+            servers.add(server);
+            addresses.add(server.readiness() == Api.Readiness.GONE ? null : Sockets.address(member.text("host_port")));
         }
-        for (Codec.Fields member : news.objects("members")) {
+        for (Codec.Fields member : members) {
             told.remove(member.text("id"));          // the newest stand last
             told.add(member.text("id"));
             if (told.size() > MOST_TOLD) { told.remove(told.iterator().next()); }
@@ -134,21 +130,69 @@
         pool.leave(id, true);
     }
 
-    /** Ids are the same at every ingress; as numbers they fit the module's messages. */
+    /** An entry that cannot be used is a {@link yardusher.error.YardusherError} that says why. */
+    public static void checked(Codec.Fields member) {
+        if (checked(member, 0).readiness() != Api.Readiness.GONE) { Sockets.address(member.text("host_port")); }
+        if (member.has("locality")) { member.text("locality"); }
+    }
+
+    private static Api.Server checked(Codec.Fields member, int zone) {
+        Api.Readiness readiness = switch (member.text("phase")) {
+            case "Ready" -> Api.Readiness.READY;
+            case "Gone" -> Api.Readiness.GONE;
+            default -> Api.Readiness.DRAINING;       // also a phase not known yet: send it nothing new
+        };
+        long id = id(member.text("id"));
+        // Guards against repeats to a backend that never saw the key: those of which no cell is told share none.
+        int cell = member.has("cell") ? (int) member.number("cell") : alone(id);
+        return new Api.Server(id, zone, cell, member.number("size", 1), member.number("up_since_ms", 0), readiness);
+    }
+
+    /**
+     * Ids are the same at every ingress; as numbers they fit the module's messages. Ids of the platform's form are their
+     * digits. Any other is drawn whole: of {@code web-1} and {@code db-1} each is itself.
+     */
     public static long id(String text) {
-        int dash = text.lastIndexOf('-');
-        try {
-            return Long.parseLong(text.substring(dash + 1), 16) & 0xFFFFFFFFL;
-        } catch (NumberFormatException e) {
-            return text.hashCode() & 0xFFFFFFFFL;
+        if (text.startsWith("s-") && text.length() > 2 && text.length() <= 10) {
+            try {
+                return Long.parseUnsignedLong(text, 2, text.length(), 16);
+            } catch (NumberFormatException e) { /* of another form */ }
         }
+        return drawn(text);
     }
 
+    /** 32 bits that tell one text from another, the same everywhere. */
+    private static long drawn(String text) {
+        long bits = 0xCBF29CE484222325L;             // FNV-1a, mixed at the end
+        for (int i = 0; i < text.length(); i++) { bits = (bits ^ text.charAt(i)) * 0x100000001B3L; }
+        bits = (bits ^ bits >>> 32) * 0xD6E8FEB86659FD93L;
+        return bits >>> 32;
+    }
+
+    /** A zone or cell that no other backend has, far beyond the told ones. */
+    private static int alone(long id) { return 1 << 30 | (int) (id & 0x3FFFFFFF); }
+
+    /**
+     * The number of a backend's zone. A locality is the zone's name, or the end of just one zone's name behind a dash, or,
+     * where no name tells, its letter in the alphabet. One that the settings don't name is a zone of its own, the same at
+     * every ingress; a backend with none is alone in its zone, unless there is only one.
+     */
     private int zone(Codec.Fields member) {
+        if (!member.has("locality")) { return zones.size() <= 1 ? 0 : alone(id(member.text("id"))); }
         String locality = member.text("locality");
+        int named = zones.indexOf(locality), ends = 0, at = -1;
+        if (named >= 0) { return named; }
+        boolean lettered = false;                    // some zone's name tells its letter
         for (int i = 0; i < zones.size(); i++) {
-            if (zones.get(i).equals(locality) || zones.get(i).endsWith("-" + locality)) { return i; }
+            String zone = zones.get(i);
+            if (zone.endsWith("-" + locality)) {
+                ends++;
+                at = i;
+            }
+            lettered |= zone.length() == 1 || zone.length() > 1 && zone.charAt(zone.length() - 2) == '-';
         }
-        return locality.length() == 1 ? locality.charAt(0) - 'a' : 0;
+        if (ends == 1) { return at; }
+        int letter = locality.length() == 1 && !lettered ? locality.charAt(0) - 'a' : -1;
+        return letter >= 0 && letter < zones.size() ? letter : zones.size() + (int) (drawn(locality) >>> 2);
     }
 }
