--- a/src/main/java/yardusher/cli/Config.java
+++ b/src/main/java/yardusher/cli/Config.java
@@ -9,7 +9,9 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import yardusher.Api;
+import yardusher.discovery.DiscoveredBackends;
 import yardusher.error.ConfigError;
 import yardusher.net.Sockets;
 import yardusher.wire.Codec;
@@ -19,6 +21,11 @@
 public record Config(String name, InetSocketAddress listen, InetSocketAddress admin, InetSocketAddress discovery, long seed, int sockets,
         InetSocketAddress peerListen, List<InetSocketAddress> peers, Codec.Fields known, Api.Settings settings,
         List<String> classes, List<String> plans, List<String> zones, double idleMs, double dialMs, List<String> unused) {
+    private static final int LEAST_SOCKETS = 64;     // of which the JVM, the listeners and the watch need half
+    private static final Set<String> KEYS = Set.of("name", "listen", "admin_addr", "discovery", "seed", "limits", "peer_listen", "peers",
+            "peers_all", "counter", "known", "settings");
+    private static final Set<String> MACHINE_KEYS = Set.of("cores", "memory_mb", "sockets");
+
     /** Reads the file; a {@link ConfigError} names it and says in one line what is wrong. */
     public static Config read(String file) {
         try (JsonParser parser = new JsonFactory().createParser(Files.readString(Path.of(file)))) {
@@ -41,20 +48,54 @@
         Codec.Fields settings = json.object("settings");
         Codec.Fields limits = settings.object("limits");
         List<InetSocketAddress> peers = new ArrayList<>();
-        if (json.has("peers")) {
-            for (Object peer : json.list("peers")) { peers.add(Sockets.address(String.valueOf(peer))); }
-        }
-        List<String> zones = new ArrayList<>();
-        for (Object zone : settings.list("zones")) { zones.add(String.valueOf(zone)); }
+        for (String peer : json.texts("peers")) { peers.add(Sockets.address(peer)); }
+        List<String> zones = settings.texts("zones");
         Api.Settings decoded = SettingsNotes.verified(Codec.settings(settings), zones.size());
-        return new Config(json.text("name"), Sockets.address(json.text("listen")),
-                json.has("admin_addr") ? Sockets.address(json.text("admin_addr")) : null,
-                Sockets.address(json.text("discovery")), seed(json.text("seed")),
-                json.has("limits") ? (int) json.object("limits").number("sockets", 1024) : 1024,
-                json.has("peer_listen") ? Sockets.address(json.text("peer_listen")) : null, peers,
-                json.object("known"), decoded, names(settings, "classes"), names(settings, "contracts"), zones,
-                limits.number("conn_idle_ms", 30_000), limits.number("dial_timeout_ms", 250),
-                SettingsNotes.unused(settings));
+        String name = json.text("name");
+        if (name.isEmpty() || SettingsNotes.hasControl(name)) {
+            throw new ConfigError.Value(null, "name", "a text that is not empty, without control characters");
+        }
+        Codec.Fields machine = json.objectOrNone("limits");
+        return new Config(name, address(json, "listen"), json.has("admin_addr") ? address(json, "admin_addr") : null,
+                address(json, "discovery"), seed(json.text("seed")),
+                (int) SettingsNotes.within("limits.sockets", machine.number("sockets", 1024), LEAST_SOCKETS, 1 << 24),
+                json.has("peer_listen") ? address(json, "peer_listen") : null, peers,
+                known(json.objectOrNone("known")), decoded, SettingsNotes.names(settings, "classes"), SettingsNotes.names(settings, "contracts"),
+                zones, SettingsNotes.within("settings.limits.conn_idle_ms", limits.number("conn_idle_ms", 30_000), 1, 86_400_000),
+                SettingsNotes.within("settings.limits.dial_timeout_ms", limits.number("dial_timeout_ms", 250), 1, 600_000), unused(json, settings));
+    }
+
+    /** What of the whole file is not used, in a few words each. */
+    private static List<String> unused(Codec.Fields json, Codec.Fields settings) {
+        List<String> notes = SettingsNotes.unused(settings);
+        int peers = json.has("peers") ? json.list("peers").size() : 0;
+        if (settings.object("limits").flag("peers") && peers != settings.number("peers_total")) {
+            notes.add("peers (" + peers + " addresses for " + (long) settings.number("peers_total") + " ingresses: who has none is not told)");
+        }
+        if (json.has("counter") && !settings.object("domain").flag("counter")) { notes.add("counter (an address, and domain.counter is off)"); }
+        for (String key : json.keys()) {
+            if (!KEYS.contains(key)) { notes.add(key + " (not known here)"); }
+        }
+        for (String key : json.objectOrNone("limits").keys()) {
+            if (!MACHINE_KEYS.contains(key)) { notes.add("limits." + key + " (of the machine; not known here)"); }
+        }
+        return notes;
+    }
+
+    private static InetSocketAddress address(Codec.Fields json, String key) {
+        try {
+            return Sockets.address(json.text(key));
+        } catch (ConfigError.Address e) {
+            throw new ConfigError.Value(null, key, "digits and a port, as 127.0.0.4:19000, not \"" + json.text(key) + "\"");
+        }
+    }
+
+    /** The list as it was last held; where none is told, nothing is known and the watch asks for all there is. */
+    private static Codec.Fields known(Codec.Fields known) {
+        known.number("revision", 0);
+        known.flag("complete");
+        for (Codec.Fields member : known.objectsOrNone("members")) { DiscoveredBackends.checked(member); }
+        return known;
     }
 
     /** Whether all that holds from the start to the end is the same in another reading of the file. */
@@ -65,17 +106,8 @@
                 && zones.equals(next.zones) && idleMs == next.idleMs && dialMs == next.dialMs;
     }
 
-    /** How many regions the configuration knows; an entry that cannot be used is a {@link yardusher.error.YardusherError}. */
-    int members() {
-        int count = 0;
-        for (Codec.Fields member : known.objects("members")) {
-            Sockets.address(member.text("host_port"));
-            member.text("id");
-            member.text("phase");
-            count++;
-        }
-        return count;
-    }
+    /** How many backends the configuration knows. */
+    int members() { return known.objectsOrNone("members").size(); }
 
     private static long seed(String hex) {
         try {
@@ -84,10 +116,4 @@
             throw new ConfigError.Value(null, "seed", "1 to 16 hex digits");
         }
     }
-
-    private static List<String> names(Codec.Fields settings, String key) {
-        List<String> names = new ArrayList<>();
-        for (Codec.Fields one : settings.objects(key)) { names.add(one.text("name")); }
-        return names;
-    }
 }
--- a/src/main/java/yardusher/cli/Main.java
+++ b/src/main/java/yardusher/cli/Main.java
@@ -132,12 +132,13 @@
     /** Reads a configuration as serve would, and the limits file against it. */
     private static int check(String file, String limitsFile, Path settingsFile) {
         Config config = Config.read(file);
-        config.members();
         Path limits = Path.of(limitsFile == null ? "deploy/limits.toml" : limitsFile);
         boolean there = Files.exists(limits);
         if (limitsFile != null && !there) { throw new ConfigError.Unreadable(limitsFile); }
         if (there) {
-            LimitsFront.check(LimitsConfig.read(limits), config.classes(), config.plans(), config.settings().gateways());
+            LimitsConfig front = LimitsConfig.read(limits);
+            // As serve does: a front that is off need not fit the classes and plans of these settings.
+            if (front.listen() != null) { LimitsFront.check(front, config.settings(), config.classes(), config.plans()); }
         }
         Settings own = Settings.read(settingsFile);
         if (own.units() != null) { own.units().check(config.plans()); }
--- a/src/main/java/yardusher/cli/Serve.java
+++ b/src/main/java/yardusher/cli/Serve.java
@@ -95,7 +95,7 @@
         this.config = config;
         loop = new EventLoop(clock, this::fault);
         sockets = new Sockets(loop);
-        int budget = Math.max(64, config.sockets() - OWN_DESCRIPTORS);
+        int budget = config.sockets() - Math.min(OWN_DESCRIPTORS, config.sockets() / 2); // half of a small table is left to clients and backends
         Api.Settings settings = config.settings();
         longestMs = settings.classes().stream().mapToDouble(Api.RequestClass::deadlineMs).max().orElse(1000);
         pool = new BackendPool(sockets, counters, settings.report(), config.dialMs(), config.idleMs(), longestMs, budget * 2 / 5);
@@ -443,6 +443,7 @@
         }
         System.err.println(config.name() + " serves at " + serve.front.answers().address()
                 + (serve.limitsFront == null ? "" : ", limits at " + serve.limitsFront.answers().address()));
+        if (!config.unused().isEmpty()) { System.err.println(config.name() + " not used: " + String.join(", ", config.unused())); }
         try {
             new CountDownLatch(1).await();
         } catch (InterruptedException e) {
--- a/src/main/java/yardusher/cli/Subsystems.java
+++ b/src/main/java/yardusher/cli/Subsystems.java
@@ -30,7 +30,7 @@
         List<Subsystem> all = new ArrayList<>();
         ViewSubsystem view = null;
         if (own.view() != null) {                    // made first, so closed last: others say their last words over its mesh
-            view = new ViewSubsystem(own.view(), config.name(), config.zones().get(config.settings().zone()), config.seed(), loop,
+            view = new ViewSubsystem(own.view(), config.name(), config.zones().isEmpty() ? "" : config.zones().get(config.settings().zone()), config.seed(), loop,
                     Logs.of(own.log(), config.name()));
             all.add(view);
         }
--- a/src/main/java/yardusher/limits/LimitsConfig.java
+++ b/src/main/java/yardusher/limits/LimitsConfig.java
@@ -38,7 +38,7 @@
         }
         Toml others = toml.table("others");
         if (others != null) { others.only(Set.of("plan", "first", "spread")); }
-        return new LimitsConfig(listen.isEmpty() ? null : Sockets.address(listen), toml.text("class", "lookup"),
+        return new LimitsConfig(listen.isEmpty() ? null : Sockets.address(listen), toml.text("class", ""),
                 toml.whole("wait_ms", 1000, 1, 600_000), toml.whole("queries_per_s", 200, 1, 1_000_000), partners,
                 others == null ? null : partner(others, -1));
     }
--- a/src/main/java/yardusher/limits/LimitsFront.java
+++ b/src/main/java/yardusher/limits/LimitsFront.java
@@ -34,6 +34,7 @@
     private final LimitsConfig config;
     private final List<String> plans;
     private final int classIndex;
+    private final String className;
     private final Sockets sockets;
     private final Ids ids = new Ids();               // order nodes drop repeats by id: none may come twice
     private final Answers answers;
@@ -47,22 +48,35 @@
         this.ingress = ingress;
         this.config = config;
         this.plans = planNames;
-        this.classIndex = classNames.indexOf(config.className());
-        check(config, classNames, planNames, ingress.settings().gateways());
+        this.classIndex = classIndex(config, ingress.settings(), classNames);
+        this.className = classNames.get(classIndex);
+        check(config, ingress.settings(), classNames, planNames);
         this.queries = config.queriesPerS();
         this.queriesAt = sockets.loop().now();
         this.answers = new Answers(sockets, config.listen(), true, MOST_TERMINALS, new Budget(0), this);
     }
 
     /** Whether the file fits the settings: classes, plans and sets that exist. */
-    public static void check(LimitsConfig config, List<String> classNames, List<String> planNames, int ingresses) {
-        if (!classNames.contains(config.className())) {
-            throw new ConfigError.UnknownName("limits", "class", "unknown class " + config.className());
-        }
+    public static void check(LimitsConfig config, Api.Settings settings, List<String> classNames, List<String> planNames) {
+        int ingresses = settings.gateways();
+        classIndex(config, settings, classNames);
         config.partners().forEach((key, partner) -> check(key, partner, planNames, ingresses));
         if (config.others() != null) { check("others", config.others(), planNames, ingresses); }
     }
 
+    /** The class named, or where none is the first that is safe to repeat. */
+    private static int classIndex(LimitsConfig config, Api.Settings settings, List<String> classNames) {
+        int index = classNames.indexOf(config.className());
+        for (int i = 0; config.className().isEmpty() && index < 0 && i < classNames.size(); i++) {
+            if (settings.classes().get(i).effect() == Api.Effect.IDEMPOTENT) { index = i; }
+        }
+        if (index < 0) {
+            throw new ConfigError.UnknownName("limits", "class", config.className().isEmpty() ? "class must be named: none of these is safe to repeat"
+                    : "unknown class " + config.className());
+        }
+        return index;
+    }
+
     private static void check(String key, LimitsConfig.Partner partner, List<String> planNames, int ingresses) {
         if (!planNames.contains(partner.plan())) {
             throw new ConfigError.UnknownName("limits", key + ".plan", key + " has the unknown plan " + partner.plan());
@@ -133,7 +147,7 @@
 
     private void use(Throttle asked, LimitsConfig.Partner partner, int plan, Answers.Slot slot) {
         double most = ingress.settings().mostUnits();
-        if (asked.quantity() > most) {
+        if (most > 0 && asked.quantity() > most) { // 0: not bounded
             throw new CommandError.Argument("quantity is at most " + (long) most);
         }
         if (open >= MOST_OPEN) {
@@ -142,12 +156,12 @@
         }
         Api.Effect effect = ingress.settings().classes().get(classIndex).effect();
         boolean safe = effect == Api.Effect.IDEMPOTENT;
-        String list = "c=" + config.className() + ",t=" + partner.plan() + ",d=" + config.waitMs()
+        String list = "c=" + className + ",t=" + partner.plan() + ",d=" + config.waitMs()
                 + (effect == Api.Effect.DEDUPLICATED ? ",k=" + id() : "") + ",units=" + asked.quantity() + ",spread=" + partner.spread() + ",first="
                 + partner.first();
         byte[] customer = ascii(String.format("%016x", partner.customer()));
-        Call call = Call.of(safe ? new byte[][] {ascii("CALL.GET"), customer, ascii(id()), ascii(list)}
-                : new byte[][] {ascii("CALL.POST"), customer, ascii(id()), ascii(list), new byte[0]});
+        Call call = Call.of(safe ? new byte[][] {ascii("CALL.GET"), customer, ascii(id()), list.getBytes(StandardCharsets.UTF_8)}
+                : new byte[][] {ascii("CALL.POST"), customer, ascii(id()), list.getBytes(StandardCharsets.UTF_8), new byte[0]});
         open++;
         slot.stay = ingress.take(new Order(classIndex, plan, partner.customer(), asked.quantity(),
                 partner.first(), partner.spread(), config.waitMs(), call, new Reply(slot, partner, plan, asked.quantity())));
--- a/src/main/java/yardusher/resp/Call.java
+++ b/src/main/java/yardusher/resp/Call.java
@@ -18,6 +18,7 @@
 
     private static final byte[] END = {'\r', '\n'};
     private static final int MOST_LIST = 512;
+    private static final long MOST_WAIT_MS = 86_400_000; // as the settings allow it for a class
 
     private final byte[][] words;
     private final String list;
@@ -82,16 +83,16 @@
             int is = list.indexOf('=', from);
             if (is < 0 || is >= to - 1) { throw new CommandError.Argument("bad list"); }
             String name = list.substring(from, is);
-            String value = visible(list.substring(is + 1, to));
+            String value = list.substring(is + 1, to);
             int bit = 1 << NAMES.indexOf(name);
             if (!NAMES.contains(name)) { throw new CommandError.Argument("unknown name in list"); }
             if ((seen & bit) != 0) { throw new CommandError.Argument("a name stands twice in the list"); }
             seen |= bit;
             switch (name) {
-                case "c" -> c = value;
-                case "t" -> t = value;
-                case "k" -> k = value;
-                case "d" -> d = whole(value, 600_000);
+                case "c" -> c = name(value);
+                case "t" -> t = name(value);
+                case "k" -> k = visible(value);
+                case "d" -> d = whole(value, MOST_WAIT_MS);
                 case "units" -> units = units(value);
                 case "spread" -> spread = (int) whole(value, 10_000);
                 case "first" -> first = (int) whole(value, 10_000);
@@ -164,6 +165,19 @@
         return value;
     }
 
+    /**
+     * A name of the settings, as UTF-8 gives it; the settings decide whether there is such a one, so any character may stand
+     * in it but those of control.
+     */
+    private static String name(String value) {
+        boolean ascii = true;
+        for (int i = 0; i < value.length(); i++) {
+            if (value.charAt(i) < ' ' || value.charAt(i) == 127) { throw new CommandError.Argument("bad list"); }
+            ascii &= value.charAt(i) < 128;
+        }
+        return ascii ? value : new String(value.getBytes(StandardCharsets.ISO_8859_1), StandardCharsets.UTF_8);
+    }
+
     private static double units(String value) {
         if (value.length() > 12 || !value.matches("[0-9]+(\\.[0-9]+)?")) { throw new CommandError.Argument("bad units"); }
         return Double.parseDouble(value);
--- a/src/main/java/yardusher/wire/Codec.java
+++ b/src/main/java/yardusher/wire/Codec.java
@@ -8,75 +8,128 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import yardusher.Api;
 import yardusher.error.WireError;
 
 /** Translates between the wire's messages and the types of {@link Api}. Unknown keys are skipped. */
 public final class Codec {
+    private static final double MOST_WHOLE = 0x1p63; // a whole number up to here fits a long
+
     private Codec() { }
 
-    /** A JSON object with typed access; a needed value that is absent is a {@link WireError.Malformed}. */
+    /**
+     * A JSON object with typed access; a needed value that is absent, and any value of another type, is a
+     * {@link WireError.Malformed} that names the key with all that it stands in. A null counts as absent.
+     */
     public static final class Fields {
         private final Map<String, Object> values = new HashMap<>();
+        private Fields in;                           // where this was asked for, null at the top
+        private String as;
+        private int at = -1;                         // its place in the array there, -1 where it stands alone
+
+        private WireError.Malformed needs(String what, String key) {
+            return new WireError.Malformed(null, "needs " + what + " in \"" + path() + key + "\"");
+        }
+
+        private WireError.Malformed unknown(String key, String allowed) {
+            return new WireError.Malformed(null, "unknown " + key + " \"" + text(key) + "\" in \"" + path() + key + "\", allowed are " + allowed);
+        }
+
+        private String path() { return in == null ? "" : in.path() + as + (at < 0 ? "." : "[" + at + "]."); }
+
+        private Fields asked(Fields from, String key, int index) {
+            in = from;
+            as = key;
+            at = index;
+            return this;
+        }
 
         public double number(String key) {
             if (values.get(key) instanceof Number number) {
                 return number.doubleValue();
             }
-            throw new WireError.Malformed(null, "needs a number in \"" + key + "\"");
+            throw needs("a number", key);
         }
 
         public double number(String key, double absent) {
             return values.get(key) == null ? absent : number(key);
         }
 
+        /** Guards against a figure that is cut to a whole one, or wraps round, and then means something else. */
         public long whole(String key) {
-            if (values.get(key) instanceof Number number) {
-                return number.longValue();
+            if (values.get(key) instanceof Integer || values.get(key) instanceof Long) {
+                return ((Number) values.get(key)).longValue();
             }
-            throw new WireError.Malformed(null, "needs a whole number in \"" + key + "\"");
+            double number = values.get(key) instanceof Number given ? given.doubleValue() : Double.NaN;
+            if (number != Math.rint(number) || Math.abs(number) >= MOST_WHOLE) { throw needs("a whole number", key); }
+            return (long) number;
         }
 
         int small(String key) {
-            return (int) whole(key);
+            long number = whole(key);
+            if (number != (int) number) { throw needs("a whole number below 2^31", key); }
+            return (int) number;
         }
 
+        int small(String key, int absent) { return values.get(key) == null ? absent : small(key); }
+
         public boolean has(String key) { return values.get(key) != null; }
 
+        /** All keys that have a value, null or not. */
+        public Set<String> keys() { return values.keySet(); }
+
+        /** Absent is false. */
         public boolean flag(String key) {
-            return Boolean.TRUE.equals(values.get(key));
+            Object value = values.get(key);
+            if (value == null || value instanceof Boolean) { return Boolean.TRUE.equals(value); }
+            throw needs("true or false", key);
         }
 
         public String text(String key) {
             if (values.get(key) instanceof String text) {
                 return text;
             }
-            throw new WireError.Malformed(null, "needs a text in \"" + key + "\"");
+            throw needs("a text", key);
         }
 
         public Fields object(String key) {
             if (values.get(key) instanceof Fields fields) {
-                return fields;
+                return fields.asked(this, key, -1);
             }
-            throw new WireError.Malformed(null, "needs an object in \"" + key + "\"");
+            throw needs("an object", key);
         }
 
+        /** The same, with nothing in it where the key is absent. */
+        public Fields objectOrNone(String key) { return has(key) ? object(key) : new Fields().asked(this, key, -1); }
+
         public List<Fields> objects(String key) {
             List<Fields> found = new ArrayList<>();
             for (Object item : list(key)) {
-                if (!(item instanceof Fields fields)) {
-                    throw new WireError.Malformed(null, "needs objects in \"" + key + "\"");
-                }
-                found.add(fields);
+                if (!(item instanceof Fields fields)) { throw needs("objects", key); }
+                found.add(fields.asked(this, key, found.size()));
             }
             return found;
         }
 
+        /** The same, none where the key is absent. */
+        public List<Fields> objectsOrNone(String key) { return has(key) ? objects(key) : List.of(); }
+
         public List<?> list(String key) {
             if (values.get(key) instanceof List<?> list) {
                 return list;
             }
-            throw new WireError.Malformed(null, "needs an array in \"" + key + "\"");
+            throw needs("an array", key);
+        }
+
+        /** Texts of an array; none where the key is absent. */
+        public List<String> texts(String key) {
+            List<String> texts = new ArrayList<>();
+            for (Object item : has(key) ? list(key) : List.of()) {
+                if (!(item instanceof String text)) { throw needs("texts", key); }
+                texts.add(text);
+            }
+            return texts;
         }
 
         double[] numbers(String key) {
@@ -132,13 +185,13 @@
                 case "idempotent" -> Api.Effect.IDEMPOTENT;
                 case "deduplicated" -> Api.Effect.DEDUPLICATED;
                 case "at_most_once" -> Api.Effect.AT_MOST_ONCE;
-                default -> throw new WireError.Malformed(null, "unknown effect \"" + c.text("effect") + "\"");
+                default -> throw c.unknown("effect", "idempotent, deduplicated and at_most_once");
             };
             Api.Group group = effect != Api.Effect.DEDUPLICATED ? Api.Group.ALL : switch (c.text("group")) {
                 case "all" -> Api.Group.ALL;
                 case "zone" -> Api.Group.ZONE;
                 case "cell" -> Api.Group.CELL;
-                default -> throw new WireError.Malformed(null, "unknown group \"" + c.text("group") + "\"");
+                default -> throw c.unknown("group", "all, zone and cell");
             };
             classes.add(new Api.RequestClass(c.number("aim_ms"), c.number("hard_limit_ms"),
                     c.number("worth", 1), c.number("late_value", 0), effect, group,
@@ -147,17 +200,17 @@
         List<Api.Plan> plans = new ArrayList<>();
         for (Fields p : config.objects("contracts")) {
             plans.add(new Api.Plan(p.number("units_per_s", 0), p.number("peak_units", 0),
-                    (int) p.number("at_once", 0), p.number("value_factor", 1), p.number("ceiling_rate", 0),
+                    p.small("at_once", 0), p.number("value_factor", 1), p.number("ceiling_rate", 0),
                     p.number("hard_burst", 0), p.number("ceiling_slack", 0),
                     p.number("beyond_costs", 1)));
         }
         Fields limits = config.object("limits");
         Fields rules = config.object("rules");
         Fields domain = config.object("domain");
-        Fields report = config.object("report");
+        Fields prices = config.objectOrNone("prices");
         List<Api.Metric> metrics = new ArrayList<>();
-        for (Object name : report.list("names")) {
-            metrics.add(switch (String.valueOf(name)) {
+        for (String name : config.objectOrNone("report").texts("names")) {
+            metrics.add(switch (name) {
                 case "busy_reqs" -> Api.Metric.IN_FLIGHT;
                 case "pending" -> Api.Metric.QUEUE;
                 case "cpu_share" -> Api.Metric.CPU;
@@ -169,15 +222,14 @@
         }
         return new Api.Settings(config.small("me"), config.small("peers_total"), config.small("zone"),
                 config.number("resolution_ms", 0), classes, plans,
-                new Api.Limits((int) limits.number("max_attempts"), limits.flag("may_cancel"),
+                new Api.Limits(limits.small("max_attempts"), limits.flag("may_cancel"),
                         limits.flag("peers"),
                         limits.number("max_retry_after_ms", 0)),
                 new Api.Rules(rules.number("cold_from"), rules.number("warm_after_ms"),
                         rules.number("overload_factor"), rules.number("overload_for_ms"),
                         rules.number("must_ask_in_ms", 0)),
-                metrics, config.text("membership_mode").equals("ask"), domain.number("peer_in_per_s", 0),
-                domain.number("most_units", 1), config.object("prices").number("cross_zone", 0),
-                config.object("prices").number("peer", 0));
+                metrics, config.has("membership_mode") && config.text("membership_mode").equals("ask"), domain.number("peer_in_per_s", 0),
+                domain.number("most_units", 1), prices.number("cross_zone", 0), prices.number("peer", 0));
     }
 
     /** Translates one event; null for a kind that the module has no use for. */
