Known red tests: a file of three lines at most is passed over, printed and checked

KNOWN-RED.txt at the root (none now): 'test, cause, issue' a line. KnownRedTest fails on a fourth line, a malformed one and one that names no test; such a file passes over nothing, and the check cannot name itself.

--- /dev/null
+++ b/src/test/java/yardusher/KnownRed.java
@@ -0,0 +1,86 @@
+package yardusher;
+
+import java.io.IOException;
+import java.lang.reflect.Method;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.platform.commons.annotation.Testable;
+import org.junit.platform.commons.support.AnnotationSupport;
+
+/**
+ * The tests that are known to fail: {@code KNOWN-RED.txt} at the root, which is there only when it is needed. Each line is
+ * {@code test, cause, issue}, three at the most; a test is a class, or a class and a method as {@code yardusher.SomeTest#method}.
+ */
+final class KnownRed {
+    static final Path FILE = Path.of("KNOWN-RED.txt");
+    private static final int MOST = 3;
+
+    /** One line of the file; {@code method} is null where the whole class is named. */
+    record Line(String type, String method, String cause, String issue) {
+        boolean names(Class<?> of, String called) { return type.equals(of.getName()) && (method == null || method.equals(called)); }
+
+        @Override
+        public String toString() { return type + (method == null ? "" : "#" + method) + ", " + cause + ", " + issue; }
+    }
+
+    private KnownRed() { }
+
+    /** No file is no line. An {@link IllegalArgumentException} in one line for one too many, a malformed one, or one that names no test. */
+    static List<Line> read(Path file) throws IOException { return Files.exists(file) ? of(Files.readString(file)) : List.of(); }
+
+    static List<Line> of(String text) {
+        List<Line> lines = new ArrayList<>();
+        for (String line : text.lines().toList()) {
+            if (lines.size() == MOST) { throw new IllegalArgumentException("more than " + MOST + " lines: " + line); }
+            lines.add(line(line));
+        }
+        return lines;
+    }
+
+    private static Line line(String line) {
+        List<String> parts = Arrays.stream(line.split(",", -1)).map(String::strip).toList();
+        if (parts.size() != 3 || parts.contains("")) { throw new IllegalArgumentException("not 'test, cause, issue': " + line); }
+        String[] name = parts.get(0).split("#", -1);
+        if (name.length > 2 || !isTest(name[0], name.length == 2 ? name[1] : null)) {
+            throw new IllegalArgumentException("names no test: " + line);
+        }
+        return new Line(name[0], name.length == 2 ? name[1] : null, parts.get(1), parts.get(2));
+    }
+
+    private static boolean isTest(String type, String method) {
+        // Guards the check of this file against being passed over by the file.
+        if (type.equals(KnownRedTest.class.getName())) { return false; }
+        try {
+            for (Method one : Class.forName(type, false, KnownRed.class.getClassLoader()).getDeclaredMethods()) {
+                if (AnnotationSupport.isAnnotated(one, Testable.class) && (method == null || method.equals(one.getName()))) { return true; }
+            }
+        } catch (ClassNotFoundException | LinkageError e) { /* names nothing */ }
+        return false;
+    }
+
+    /** The line that names it, or null. A file that cannot be read passes over nothing: {@link KnownRedTest} says what is wrong with it. */
+    static Line naming(Class<?> type, String method) {
+        for (Line line : Read.LINES) {
+            if (line.names(type, method)) { return line; }
+        }
+        return null;
+    }
+
+    /** Read once, and told once. */
+    private static final class Read {
+        static final List<Line> LINES = lines();
+
+        private static List<Line> lines() {
+            try {
+                List<Line> lines = read(FILE);
+                for (Line line : lines) { System.out.println("known red, passed over: " + line); }
+                return lines;
+            } catch (IOException | IllegalArgumentException e) {
+                return List.of();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/yardusher/KnownRedTest.java
@@ -0,0 +1,61 @@
+package yardusher;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+
+/** {@code KNOWN-RED.txt} and how it is read. */
+class KnownRedTest {
+    private static final String GOOD = "yardusher.PolicyTest, falls late, #1\n";
+
+    /** The check of the file itself: a fourth line, a malformed one or one that names no test fails here. */
+    @Test
+    void theFileAtTheRootIsGood() throws Exception {
+        assertThat(KnownRed.read(KnownRed.FILE)).hasSizeLessThanOrEqualTo(3);
+    }
+
+    @Test
+    void noFileAndNoLineAreFine() throws Exception {
+        assertThat(KnownRed.read(Path.of("no such file"))).isEmpty();
+        assertThat(KnownRed.of("")).isEmpty();
+    }
+
+    @Test
+    void aClassOrAMethodOfEitherEngineIsNamed() {
+        assertThat(KnownRed.of(GOOD)).singleElement().satisfies(line -> {
+            assertThat(line.names(PolicyTest.class, "any")).isTrue();
+            assertThat(line.names(KnownRedTest.class, "any")).isFalse();
+            assertThat(line.toString()).isEqualTo(GOOD.strip());
+        });
+        KnownRed.Line one = KnownRed.of("yardusher.KnownRedExamples#aProperty, falls, #2").get(0);
+        assertThat(one.names(KnownRedExamples.class, "aProperty")).isTrue();
+        assertThat(one.names(KnownRedExamples.class, "aTest")).isFalse();
+        assertThat(one.names(KnownRedExamples.class, null)).as("the class as a whole").isFalse();
+        assertThat(KnownRed.of("yardusher.KnownRedExamples#aTest, falls, #2")).hasSize(1);
+    }
+
+    @Test
+    void aFourthLineIsRefused() {
+        assertThat(KnownRed.of(GOOD.repeat(3))).hasSize(3);
+        assertThatThrownBy(() -> KnownRed.of(GOOD.repeat(4))).isInstanceOf(IllegalArgumentException.class).hasMessageContaining("more than 3");
+    }
+
+    @Test
+    void aMalformedLineIsRefused() {
+        for (String bad : new String[] {"\n", "yardusher.PolicyTest", "yardusher.PolicyTest, falls", "yardusher.PolicyTest, , #1",
+            "yardusher.PolicyTest, falls, #1, more", ", falls, #1", "# a remark"}) {
+            assertThatThrownBy(() -> KnownRed.of(bad)).as(bad).isInstanceOf(IllegalArgumentException.class).hasMessageContaining("not 'test");
+        }
+    }
+
+    @Test
+    void aLineThatNamesNoTestIsRefused() {
+        for (String bad : new String[] {"yardusher.NoSuchTest", "yardusher.PolicyTest#noSuchMethod", "yardusher.KnownRed", "yardusher.KnownRed#of",
+            "yardusher.PolicyTest#", "yardusher.PolicyTest#a#b", "yardusher.KnownRedTest#theFileAtTheRootIsGood"}) {
+            assertThatThrownBy(() -> KnownRed.of(bad + ", falls, #1")).as(bad).isInstanceOf(IllegalArgumentException.class)
+                    .hasMessageContaining("names no test");
+        }
+    }
+}
