Client connections read on within a bound, so that a client's end is always seen

Seen: with 64 commands open, after nonsense, or 0.6 s after SIGTERM behind an open request nothing more was read, so neither a FIN nor a reset was noticed and what was open ran to its time-out. A request with the FIN right behind it was sent on. Link now keeps a read outstanding (small landing buffer; 128 KiB held at most) and looks once more before it tells its owner of bytes: a read that comes back at once with the end means that nothing of what was asked begins. Held at the bound for 100 ms behind an open request, the connection is a flood: told, counted under invalid, the rest dropped, what is open answered.

--- a/src/main/java/yardusher/clients/PlatformFront.java
+++ b/src/main/java/yardusher/clients/PlatformFront.java
@@ -75,6 +75,9 @@
         slot.stay.gone();
     }
 
+    @Override
+    public void spoilt() { ingress.counters().invalid++; }
+
     /** From now on KEYS.SHOW and KEYS.STATS are answered, to callers on this machine. */
     public void answerKeys(LongFunction<String> shown, Supplier<String> line) {
         keyShown = shown;
@@ -111,7 +114,6 @@
             plan = index(plans, call.plan);
             check(call, classIndex);
         } catch (YardusherError e) {
-            ingress.counters().invalid++;
             slot.reject(e.getMessage());
             return;
         }
--- a/src/main/java/yardusher/limits/LimitsFront.java
+++ b/src/main/java/yardusher/limits/LimitsFront.java
@@ -97,11 +97,13 @@
                 use(asked, partner, plan, slot);
             }
         } catch (CommandError e) {
-            ingress.counters().invalid++;
             slot.reject(e.getMessage());
         }
     }
 
+    @Override
+    public void spoilt() { ingress.counters().invalid++; }
+
     @Override
     public void gone(Answers.Slot slot) {
         if (slot.stay != null) {
--- a/src/main/java/yardusher/net/Answers.java
+++ b/src/main/java/yardusher/net/Answers.java
@@ -24,9 +24,13 @@
 
         /** The terminal left with this command unanswered. */
         void gone(Slot slot);
+
+        /** A command that means nothing was turned away, or the rest of what came on a connection is lost. */
+        default void spoilt() { }
     }
 
     private static final byte[] CRLF = {'\r', '\n'};
+    private static final byte[] FAILED = new Encoder(16).failure("ERR failed").toBytes();
     private static final double AGAIN_MS = 10;
     private static final double UPKEEP_MS = 100;
     private static final double QUIET_MS = 30;
@@ -65,7 +69,8 @@
 
     public void open() { door.open(); }
 
-    public int terminalCount() { return crowd.size(); }
+    /** Connections that may still ask, and those whose last bytes the system has not taken. */
+    public int terminalCount() { return crowd.size() + crowd.unsent(); }
 
     /**
      * Whether one more terminal finds room. Guards the usual clients against connections that are kept and not
@@ -85,7 +90,7 @@
             }
             return false;
         }
-        longest.drop();
+        longest.finish();
         return true;
     }
 
@@ -95,6 +100,7 @@
         loop.deadlines().at(now + UPKEEP_MS, this::upkeep);
         crowd.reap(now);
         sendAway(now);
+        if (closing && departure.hasRead(now)) { closeIdle(); }
         if (!closing) { door.open(); }
     }
 
@@ -140,12 +146,12 @@
         for (ClientConnection terminal : crowd.all()) {
             if (!terminal.owesNothing()) { continue; } // closes behind its answer
             if (last) {
-                terminal.drop();
+                terminal.finish();
             } else if (departure.letsGo(now, terminal.quietSince())) {
                 terminal.closeIfIdle();
             }
         }
-        if (last) { crowd.closeLeaving(); }
+        if (last) { crowd.closeLeaving(now); }
     }
 
     /**
@@ -157,6 +163,10 @@
         closing = true;
         departure.close(loop.now());
         door.close();
+        closeIdle();
+    }
+
+    private void closeIdle() {
         for (ClientConnection terminal : crowd.all()) { terminal.closeIfIdle(); }
     }
 
@@ -230,7 +240,17 @@
                 public void end() { put(CRLF); }
 
                 @Override
-                public void broken() { terminal.abort(); }
+                public void broken() {
+                    if (head == null) {
+                        terminal.abort();
+                        return;
+                    }
+                    // Guards the answers before it on its connection: nothing of this one has gone out yet.
+                    head = null;
+                    part = null;
+                    taken = null;
+                    put(FAILED);
+                }
             };
         }
 
--- a/src/main/java/yardusher/net/Crowd.java
+++ b/src/main/java/yardusher/net/Crowd.java
@@ -1,8 +1,10 @@
 package yardusher.net;
 
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 /**
@@ -17,14 +19,17 @@
     private static final double CALM_IDLE_MS = 10_000; // and is, where there is room for others
     private static final double SILENT_WAY_MS = 30; // where no room is left, these give way to a newcomer:
     private static final double IDLE_WAY_MS = 250; // who connected and said nothing, then who is idle
+    private static final double LAST_MS = 300;     // to take the last bytes, where all connections are to end
     private static final double SHORT_IDLE_MS = 100; // where many are idle, the longest so is closed after this
 
     private final Set<ClientConnection> terminals = new LinkedHashSet<>();
     /** Terminals with nothing open, the longest so first: those that never ended a command, and the others. */
     private final Set<ClientConnection> silent = new LinkedHashSet<>();
     private final Set<ClientConnection> idle = new LinkedHashSet<>();
-    /** Connections that get their last bytes. They still hold descriptors, so they have a bound too. */
-    private final Set<Link> leaving = new LinkedHashSet<>();
+    /** Terminals with nothing open whose last answers the system has not taken. */
+    private final Set<ClientConnection> taking = new LinkedHashSet<>();
+    /** Connections that get their last bytes, and since when, in ms. They still hold descriptors, so they have a bound too. */
+    private final Map<Link, Double> leaving = new LinkedHashMap<>();
     private int mostTerminals;
     private int mostLeaving;
     private int mostIdle;
@@ -78,15 +83,23 @@
     void isBusy(ClientConnection terminal) {
         silent.remove(terminal);
         idle.remove(terminal);
+        taking.remove(terminal);
+    }
+
+    /** It has nothing open any more, but the system has not taken its last answers: it gives way to nobody. */
+    void isTaking(ClientConnection terminal) {
+        isBusy(terminal);
+        taking.add(terminal);
     }
 
     /** It has nothing open any more. */
     void isIdle(ClientConnection terminal, double now) {
+        taking.remove(terminal);
         idle.add(terminal);
         // Guards clients that use a new connection for each request and keep the old one: what they hold
         // idle is out of what they may hold at all, and they would find none left for their requests.
         ClientConnection longest = idle.size() > mostIdle ? first(idle, SHORT_IDLE_MS, now) : null;
-        if (longest != null) { longest.drop(); }
+        if (longest != null) { longest.finish(); }
     }
 
     /** It is none of the terminals any more; true where one more has room for that. */
@@ -96,18 +109,42 @@
     }
 
     /** Ends a connection once its last bytes are taken. {@code many}: all may do so at once. */
-    void finishes(Link link, boolean many) {
-        leaving.add(link);
+    void finishes(Link link, double now, boolean many) {
+        leaving.put(link, now);
         link.finish(() -> leaving.remove(link));
-        if (leaving.size() > (many ? mostTerminals : mostLeaving)) { leaving.iterator().next().close(); }
+        if (leaving.size() > (many ? mostTerminals : mostLeaving)) { mostDone().close(); }
     }
 
-    void closeLeaving() { new ArrayList<>(leaving).forEach(Link::close); }
+    /** The longest leaving that the system has taken all bytes of, or the longest of all. */
+    private Link mostDone() {
+        for (Link link : leaving.keySet()) {
+            if (link.queued() == 0) { return link; }
+        }
+        return leaving.keySet().iterator().next();
+    }
+
+    /** How many that leave have bytes that the system has not taken. */
+    int unsent() {
+        int count = 0;
+        for (Link link : leaving.keySet()) { count += link.queued() > 0 ? 1 : 0; }
+        return count;
+    }
+
+    /** Closes those that have had their last bytes and a moment to take them. */
+    void closeLeaving(double now) {
+        for (Map.Entry<Link, Double> one : new ArrayList<>(leaving.entrySet())) {
+            if (one.getKey().queued() == 0 && now - one.getValue() >= LAST_MS) { one.getKey().close(); }
+        }
+    }
 
     /** Closes what has been silent or idle too long, and what never ends a command it has begun. */
     void reap(double now) {
         boolean crowded = terminals.size() > mostTerminals / 2;
         reap(silent, now - SILENT_MS, now - SILENT_MS);
+        // Guards the places against who asks and takes no answer: it is not idle, and would be held for ever.
+        for (ClientConnection terminal : new ArrayList<>(taking)) {
+            if (terminal.takesNothing(CALM_IDLE_MS, now)) { terminal.finish(); }
+        }
         reap(idle, now - (crowded ? IDLE_MS : CALM_IDLE_MS), now - SILENT_MS);
     }
 
@@ -118,7 +155,7 @@
             if (terminal.begunAt() < begunBefore || begun && of == silent && terminal.quietSince() < quietBefore) {
                 terminal.lose("command not ended");
             } else if (!begun && terminal.quietSince() < quietBefore) {
-                terminal.drop();
+                terminal.finish();
             }
         }
     }
--- a/src/main/java/yardusher/net/Link.java
+++ b/src/main/java/yardusher/net/Link.java
@@ -17,9 +17,18 @@
 public final class Link {
     /** What the owner of a connection is told, each within a turn. */
     public interface Owner {
-        /** More bytes stand in the decoder. False stops reading until {@link Link#readMore}. */
+        /**
+         * More bytes stand in the decoder. False stops reading until {@link Link#readMore}; on a connection that reads ahead
+         * it changes nothing.
+         */
         boolean readable(Link link);
 
+        /** Whether what comes on a connection that reads ahead is kept; once it is not, it never is again, and is dropped. */
+        default boolean keeps(Link link) { return true; }
+
+        /** A connection that reads ahead holds all it may; told each time that it would read on. */
+        default void full(Link link) { }
+
         /** All that was queued has been written. */
         default void written(Link link) { }
 
@@ -35,6 +44,12 @@
     /** What drained bytes go into: nobody looks at them, so all connections share it, without a copy. */
     private static final ByteBuffer SCRATCH = ByteBuffer.allocateDirect(64 * 1024);
 
+    /**
+     * OPEN, then either FINISHING (the last bytes go out) or LEAVING (the write under way goes out, the rest is dropped), then
+     * DRAINING (the sending has ended, what comes is dropped) and CLOSED; from each of them CLOSED.
+     */
+    private enum Stage { OPEN, FINISHING, LEAVING, DRAINING, CLOSED }
+
     private final AsynchronousSocketChannel channel;
     private final EventLoop loop;
     private final Owner owner;
@@ -44,29 +59,53 @@
     private boolean writing;
     private boolean sliced;
     private boolean reading;
-    private boolean finishing;
-    private boolean draining;
-    private boolean leaving;
-    private long drained;
+    private Stage stage = Stage.OPEN;
+    private boolean patient;                         // drains for as long as the peer takes
+    private long dropped;
     private Deadlines.Entry drainEnd;
     private Runnable whenClosed = () -> { };
-    private boolean closed;
     private boolean writeFailed;
+    private final int ahead;                         // bytes held at the most by reading on; 0 reads only what the owner asks for
+    private byte[] landing;                          // what a connection that reads ahead waits with, null for none
+    private boolean landed;                          // the read under way goes there
+    private boolean wasted;                          // the read under way is for nobody
+    private boolean more;                            // the last read was filled, so more has likely come
+    private int asked;                               // the size of the read under way
+    private long reads;
 
     /** A connection that carries RESP. */
     public Link(AsynchronousSocketChannel channel, EventLoop loop, Owner owner) { this(channel, loop, owner, new Decoder()); }
 
     public Link(AsynchronousSocketChannel channel, EventLoop loop, Owner owner, Inbound inbound) {
+        this(channel, loop, owner, inbound, 0);
+    }
+
+    private Link(AsynchronousSocketChannel channel, EventLoop loop, Owner owner, Inbound inbound, int ahead) {
         this.inbound = inbound;
         this.channel = channel;
         this.loop = loop;
         this.owner = owner;
+        this.ahead = ahead;
+    }
+
+    /**
+     * A connection that carries RESP and goes on reading while its owner takes nothing, up to so many bytes held, so that the
+     * peer's end is seen; what came is told once nothing more is to be had at once, and not at all where the end has come behind it.
+     */
+    static Link ahead(AsynchronousSocketChannel channel, EventLoop loop, Owner owner, int most) {
+        return new Link(channel, loop, owner, new Decoder(), most);
     }
 
     /** Of a connection that carries RESP. */
     public Decoder decoder() { return (Decoder) inbound; }
 
-    public boolean isClosed() { return closed; }
+    public boolean isClosed() { return stage == Stage.CLOSED; }
+
+    /** Reads done so far: one that is full and stays at its number has come no further. */
+    long reads() { return reads; }
+
+    /** Whether it holds all it may of what it read ahead. */
+    boolean isFull() { return ahead > 0 && decoder().held() >= ahead; }
 
     /** Whether it ended in a write: then the last byte was never written. */
     public boolean writeFailed() { return writeFailed; }
@@ -75,8 +114,22 @@
     public int queued() { return queued; }
 
     public void readMore() {
-        if (reading || closed || draining) { return; }
-        read(inbound.room());
+        if (reading || stage != Stage.OPEN) { return; }
+        if (ahead == 0) {
+            read(inbound.room());
+            return;
+        }
+        wasted = !owner.keeps(this);
+        if (!wasted && isFull()) {
+            owner.full(this);
+            return;
+        }
+        landed = !wasted && !more;
+        // A wait of its own small size: one in the decoder's room would keep all of that while nothing comes.
+        if (landed && landing == null) { landing = new byte[Decoder.ROOM]; }
+        ByteBuffer room = wasted ? SCRATCH.duplicate() : landed ? ByteBuffer.wrap(landing) : inbound.room();
+        asked = room.remaining();
+        read(room);
     }
 
     private void read(ByteBuffer room) {
@@ -92,7 +145,7 @@
 
     /** Queues what is left in it; the bytes have to stay as they are until the owner is told that all is written. */
     public void write(ByteBuffer bytes) {
-        if (closed || finishing) { return; }
+        if (stage != Stage.OPEN) { return; }
         queue.add(bytes);
         queued += bytes.remaining();
         // Guards against a terminal that asks and never reads: answers would fill the heap.
@@ -110,34 +163,40 @@
      * and a peer that never ends is cut off after a time and a number of bytes. The owner is told nothing more.
      */
     public void finish(Runnable then) {
-        if (closed) {
+        if (isClosed()) {
             then.run();
             return;
         }
         whenClosed = then;
-        finishing = true;
-        drainEnd = loop.deadlines().at(loop.now() + DRAIN_MS, this::close);
+        stage = Stage.FINISHING;
+        limitDrain();
         if (!writing && queue.isEmpty()) { drain(); }
     }
 
+    private void limitDrain() {
+        loop.deadlines().cancel(drainEnd);
+        drainEnd = loop.deadlines().at(loop.now() + DRAIN_MS, this::close);
+    }
+
     /**
      * Ends the sending and waits, for as long as it takes, until the peer has closed its side too; {@code then} runs once
      * it has. What still waits to be written is dropped, and so is what comes. The owner is told nothing more.
      */
     public void leave(Runnable then) {
-        if (closed) {
+        if (isClosed()) {
             then.run();
             return;
         }
         whenClosed = then;
-        finishing = true;
-        leaving = true;
+        patient = true;
+        stage = Stage.LEAVING;
         if (!writing) { drain(); }                   // else what is under way ends first
     }
 
     private void drain() {
         queue.clear();
-        draining = true;
+        queued = 0;
+        stage = Stage.DRAINING;
         try {
             channel.shutdownOutput();
         } catch (IOException e) {
@@ -148,8 +207,8 @@
     }
 
     private void drained(int count) {
-        drained += Math.max(0, count);
-        if (count < 0 || drained > MOST_DRAINED && !leaving) {
+        dropped += Math.max(0, count);
+        if (count < 0 || dropped > MOST_DRAINED && !patient) {
             close();
         } else {
             read(SCRATCH.duplicate());
@@ -157,9 +216,10 @@
     }
 
     public void close() {
-        if (closed) { return; }
-        closed = true;
+        if (isClosed()) { return; }
+        stage = Stage.CLOSED;
         queue.clear();
+        queued = 0;
         loop.deadlines().cancel(drainEnd);
         loop.afterwards(whenClosed);
         try {
@@ -168,15 +228,14 @@
     }
 
     private void end() {
-        if (closed) { return; }
-        boolean owned = !finishing;
+        boolean owned = stage == Stage.OPEN;
         close();
         if (owned) { owner.ended(this); }
     }
 
     private void flush() {
-        if (closed) { return; }
-        if (leaving) {
+        if (isClosed()) { return; }
+        if (stage == Stage.LEAVING) {
             writing = false;
             drain();
             return;
@@ -202,23 +261,58 @@
 
     private void read(int count) {
         reading = false;
-        if (closed) { return; }
-        if (draining) {
+        if (isClosed()) { return; }
+        if (stage == Stage.DRAINING) {
             drained(count);
             return;
         }
+        if (stage != Stage.OPEN) { return; }         // it is read again once the last bytes have gone out
         if (count < 0) {
-            if (!finishing) { end(); }
+            end();
+            return;
+        }
+        reads++;
+        if (ahead > 0) {
+            readAhead(count);
             return;
         }
         inbound.filled(count);
-        if (finishing) { return; }
-        if (owner.readable(this) && !closed) { readMore(); }
+        if (owner.readable(this)) { readMore(); }
+    }
+
+    private void readAhead(int count) {
+        more = count == asked;
+        if (wasted || !owner.keeps(this)) {
+            dropped += count;
+            if (dropped > MOST_DRAINED) {
+                end();
+                return;
+            }
+        } else if (landed) {
+            decoder().add(landing, count);
+        } else {
+            inbound.filled(count);
+        }
+        // Guards against what a client asks and takes back by its end right behind it: that may lie in the system already, and then
+        // this read comes back at once, before the owner is told.
+        readMore();
+        long last = reads;
+        loop.afterwards(() -> {
+            if (last == reads) { tell(); }
+        });
+    }
+
+    private void tell() {
+        if (stage != Stage.OPEN) { return; }
+        owner.readable(this);
+        if (stage != Stage.OPEN) { return; }
+        if (!reading || landed || wasted) { decoder().shrink(); }
+        readMore();
     }
 
     private void wrote(int count) {
-        if (closed) { return; }
-        if (leaving) {
+        if (isClosed()) { return; }
+        if (stage == Stage.LEAVING) {
             writing = false;
             drain();
             return;
@@ -226,12 +320,13 @@
         queued -= count;
         if (sliced) { queue.peek().position(queue.peek().position() + count); }
         if (!queue.peek().hasRemaining()) { queue.poll(); }
+        if (stage == Stage.FINISHING) { limitDrain(); } // a slow peer that takes its last answer has its time for each piece
         if (!queue.isEmpty()) {
             flush();
             return;
         }
         writing = false;
-        if (finishing) {
+        if (stage == Stage.FINISHING) {
             drain();
         } else {
             owner.written(this);
--- a/src/main/java/yardusher/net/Sockets.java
+++ b/src/main/java/yardusher/net/Sockets.java
@@ -19,6 +19,14 @@
 
 /** Opens connections and listens, on one channel group with one thread of its own. */
 public final class Sockets {
+    static {
+        // Guards the look ahead of {@link Link}: past so many completions at once (16 if not said) the platform leaves what is
+        // there to the next poll. None of them runs on the stack of another, since a turn puts off what comes within it.
+        if (System.getProperty("sun.nio.ch.maxCompletionHandlersOnStack") == null) {
+            System.setProperty("sun.nio.ch.maxCompletionHandlersOnStack", "64");
+        }
+    }
+
     private final AsynchronousChannelGroup group;
     private final EventLoop loop;
 
--- a/src/main/java/yardusher/resp/Decoder.java
+++ b/src/main/java/yardusher/resp/Decoder.java
@@ -18,6 +18,8 @@
     private static final int MOST_DEPTH = 4;
     private static final int MOST_LINE = 512;
     private static final int SMALL = 1024;
+    /** What {@link #add} takes at once, at the most. */
+    public static final int ROOM = SMALL;
     /** A value that comes in parts holds no more. */
     public static final long MOST_LARGE = 4 << 20;
     private static final int BODY = 4;               // the place of a platform command's body
@@ -33,39 +35,75 @@
     private byte[][] bodied;                         // a command whose last word is a large body still to come
     private long bodyLength;                         // the body's bytes; 0 for no such command
     private int bodyFilled;
+    private boolean intoBody;                        // the room last given lies in that body
     private int largeItems;                          // what follows it in its array
 
     @Override
     public ByteBuffer room() {
         byte[] body = bodied == null ? null : bodied[bodied.length - 1];
-        if (body != null && bodyFilled < body.length) {
-            return ByteBuffer.wrap(body, bodyFilled, Math.min(PART, body.length - bodyFilled));
-        }
-        if (start == end) {
-            start = end = 0;
-            if (bytes.length > PART || bytes.length > SMALL && large == 0 && shrinks) { bytes = new byte[SMALL]; } // one large value keeps no memory
-            shrinks = false;
-        }
-        if (bytes.length - end < SMALL / 4) {
-            if (start > 0) {
-                System.arraycopy(bytes, start, bytes, 0, end - start);
-                end -= start;
-                start = 0;
-            }
-            if (bytes.length - end < SMALL / 4) { bytes = Arrays.copyOf(bytes, bytes.length * 2); }
-        }
+        intoBody = body != null && bodyFilled < body.length;
+        if (intoBody) { return ByteBuffer.wrap(body, bodyFilled, Math.min(PART, body.length - bodyFilled)); }
+        shrink();
+        fits(SMALL / 4);
         return ByteBuffer.wrap(bytes, end, bytes.length - end);
     }
 
+    private void fits(int count) {
+        if (bytes.length - end >= count) { return; }
+        if (start > 0) {
+            System.arraycopy(bytes, start, bytes, 0, end - start);
+            end -= start;
+            start = 0;
+        }
+        if (bytes.length - end < count) { bytes = Arrays.copyOf(bytes, bytes.length * 2); }
+    }
+
+    /** Where nothing is held, gives back what a large value took. Not while a read into {@link #room} is under way. */
+    public void shrink() {
+        if (start != end) { return; }
+        start = end = 0;
+        if (bytes.length > PART || bytes.length > SMALL && large == 0 && shrinks) { bytes = new byte[SMALL]; } // one large value keeps no memory
+        shrinks = false;
+    }
+
     @Override
     public void filled(int count) {
-        if (bodied != null && bodied[bodied.length - 1] != null && bodyFilled < bodied[bodied.length - 1].length) {
+        if (intoBody) {
             bodyFilled += count;
         } else {
             end += count;
+            soak();
         }
     }
 
+    /** Takes so many bytes, no more than {@link #ROOM}, from the front of an array instead of the room. */
+    public void add(byte[] from, int count) {
+        shrink();
+        fits(ROOM);
+        System.arraycopy(from, 0, bytes, end, count);
+        end += count;
+        soak();
+    }
+
+    /** What was read before a body had its room goes there. */
+    private void soak() {
+        byte[] body = bodied == null ? null : bodied[bodied.length - 1];
+        if (body == null) { return; }
+        int count = Math.min(body.length - bodyFilled, end - start);
+        System.arraycopy(bytes, start, body, bodyFilled, count);
+        start += count;
+        bodyFilled += count;
+    }
+
+    /** Bytes that were read and not taken out, a large body's apart. */
+    public int held() { return end - start; }
+
+    /** Nothing of what was read is wanted any more. */
+    public void discard() {
+        start = end;
+        bodied = null;
+    }
+
     public boolean isEmpty() { return start == end && bodied == null; }
 
     /**
@@ -76,11 +114,9 @@
 
     /** Room for the large body is there: its bytes are read into place. */
     public void openBody() {
-        byte[] body = new byte[(int) bodyLength];
-        bodyFilled = Math.min(body.length, end - start);
-        System.arraycopy(bytes, start, body, 0, bodyFilled);
-        start += bodyFilled;
-        bodied[bodied.length - 1] = body;
+        bodied[bodied.length - 1] = new byte[(int) bodyLength];
+        bodyFilled = 0;
+        soak();
     }
 
     private byte[][] bodied() throws Malformed {
@@ -120,6 +156,7 @@
             words[i] = bulk(length);
             if (words[i] == null) { return incomplete(); }
         }
+        if (at - start > MOST_VALUE) { throw new Malformed("value too large"); } // however much of it came at once
         start = at;
         return words;
     }
--- a/src/test/java/yardusher/resp/DecoderTest.java
+++ b/src/test/java/yardusher/resp/DecoderTest.java
@@ -4,6 +4,13 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
 
 class DecoderTest {
@@ -56,4 +63,88 @@
             assertThat(new String(call.encoded(7)[0].array(), StandardCharsets.US_ASCII)).contains("\r\n" + list.replace("d=480", "d=7") + "\r\n");
         }
     }
+
+    /** Pieces that commands are made of, whole and spoilt. */
+    private static final String[] PIECES = {"*", "$", "\r\n", "\n", "-1", "0", "1", "2", "5", "64", "65", "4194304", "70000", "99999999999999999999",
+        "*1\r\n$4\r\nPING\r\n", "*5\r\n$9\r\nCALL.POST\r\n$1\r\na\r\n$1\r\na\r\n$1\r\na\r\n", "$70000\r\n", "\0", "PING\r\n", "+OK\r\n", ":1\r\n"};
+
+    /** Whatever comes and however it is cut: commands, an end or a plain error, and no more held than the bound. */
+    @Property(tries = 3000)
+    void anyBytesCutAnywhereGiveCommandsOrAPlainError(@ForAll @Size(max = 40) List<@IntRange(min = -2, max = 20) Integer> pieces,
+            @ForAll Random random, @ForAll boolean adds) {
+        java.io.ByteArrayOutputStream all = new java.io.ByteArrayOutputStream();
+        for (int piece : pieces) {
+            byte[] noise = new byte[random.nextInt(piece == -2 ? 40_000 : 20)];
+            random.nextBytes(noise);
+            all.writeBytes(piece < 0 ? noise : PIECES[piece].getBytes(StandardCharsets.ISO_8859_1));
+        }
+        byte[] bytes = all.toByteArray();
+        Decoder decoder = new Decoder();
+        try {
+            for (int at = 0; at < bytes.length;) {
+                int count = Math.min(bytes.length - at, 1 + random.nextInt(random.nextBoolean() ? 3 : 5000));
+                if (adds && random.nextBoolean()) {
+                    count = Math.min(count, Decoder.ROOM);
+                    decoder.add(Arrays.copyOfRange(bytes, at, at + count), count);
+                } else {
+                    var room = decoder.room();
+                    count = Math.min(room.remaining(), count);
+                    room.put(bytes, at, count);
+                    decoder.filled(count);
+                }
+                at += count;
+                for (byte[][] words; (words = decoder.command()) != null;) {
+                    assertThat(words.length).isBetween(1, 64);
+                    for (byte[] word : words) { assertThat(word).isNotNull(); }
+                }
+                if (decoder.bodyLength() > 0 && random.nextBoolean()) { decoder.openBody(); }
+                assertThat(decoder.held()).isLessThanOrEqualTo(72 * 1024 + 5000);
+            }
+        } catch (Malformed e) {
+            assertThat(e.getMessage()).isNotEmpty();
+        }
+    }
+
+    /** Read ahead or not, before its room is there or after: a large body is the same. */
+    @Property(tries = 300)
+    void aLargeBodyCutAnywhereIsTheSame(@ForAll Random random) throws Exception {
+        byte[] body = new byte[65_537 + random.nextInt(200_000)];
+        random.nextBytes(body);
+        byte[] bytes = new Encoder(body.length + 256).array(5).bulk("CALL.POST").bulk("0000000000000001").bulk("0000000000000001").bulk("c=x").bulk(body)
+                .array(1).bulk("PING").toBytes();
+        Decoder decoder = new Decoder();
+        int roomAt = random.nextInt(100_000);
+        boolean opened = false;
+        byte[][] call = null;
+        byte[][] ping = null;
+        for (int at = 0; at < bytes.length;) {
+            int count = Math.min(bytes.length - at, 1 + random.nextInt(20_000));
+            boolean adds = random.nextBoolean();
+            java.nio.ByteBuffer room = adds ? null : decoder.room();
+            // Room may come while a read is under way.
+            if (!opened && decoder.bodyLength() > 0 && at > roomAt) {
+                decoder.openBody();
+                opened = true;
+            }
+            if (adds) {
+                count = Math.min(count, Decoder.ROOM);
+                decoder.add(Arrays.copyOfRange(bytes, at, at + count), count);
+            } else {
+                count = Math.min(room.remaining(), count);
+                room.put(bytes, at, count);
+                decoder.filled(count);
+            }
+            at += count;
+            byte[][] words = call == null ? decoder.command() : null;
+            if (words != null) { call = words; }
+        }
+        if (!opened) {
+            decoder.openBody();
+            call = decoder.command();
+        }
+        ping = decoder.command();
+        assertThat(call[4]).isEqualTo(body);
+        assertThat(ping[0]).isEqualTo("PING".getBytes(StandardCharsets.US_ASCII));
+        assertThat(decoder.isEmpty()).isTrue();
+    }
 }
--- a/src/test/java/yardusher/story/BulkStoryTest.java
+++ b/src/test/java/yardusher/story/BulkStoryTest.java
@@ -249,6 +249,22 @@
         }
     }
 
+    /** Danger: the end of a value of which nothing had gone out yet took all else on its connection along. */
+    @Test
+    void aValueThatBreaksOffBeforeItsFirstByteLeavesItsConnectionOpen() throws Exception {
+        Bulk region = new Bulk((id, out, guest) -> {
+            head(out, 80_000);
+            guest.close();
+        });
+        Serve serve = ingress(region);
+        try (Client client = new Client(serve.front().answers().address())) {
+            ask(client, 1);
+            client.send("PING");
+            assertThat(client.told()).isEqualTo("-ERR failed");
+            assertThat(client.told()).isEqualTo("+PONG");
+        }
+    }
+
     @Test
     void aTerminalThatLeavesInMidValueTakesItsAttemptAlong() throws Exception {
         Bulk region = new Bulk((id, out, guest) -> {
--- a/src/test/java/yardusher/story/ConnectionStoryTest.java
+++ b/src/test/java/yardusher/story/ConnectionStoryTest.java
@@ -5,11 +5,16 @@
 import static yardusher.story.StandIn.member;
 import static yardusher.story.StandIn.next;
 
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -91,6 +96,75 @@
         }
     }
 
+    /** What crosses the end of an idle connection is not read, and the end is no reset, which would take answers with it. */
+    @Test
+    void whatCrossesTheEndOfAnIdleConnectionIsNotSentOn() throws Exception {
+        start(256);
+        List<Client> kept = new ArrayList<>();
+        try {
+            do {
+                Client client = new Client(serve.front().answers().address());
+                kept.add(client);
+                client.ask("PING");
+            } while (serve.front().answers().terminalCount() == kept.size());
+            Client first = kept.get(0);
+            first.sendLookup(1, 2000);
+            first.sendLookup(2, 2000);
+            assertThat(first.socket.getInputStream().read()).isEqualTo(-1);
+            assertThat(kept.get(kept.size() - 1).ask("PING")).isEqualTo("+PONG");
+            first.sendLookup(3, 2000);               // a closed connection would have been reset by now
+            first.sendLookup(4, 2000);
+            assertThat(first.socket.getInputStream().read()).isEqualTo(-1);
+            assertThat(region.seen).isEmpty();
+        } finally {
+            for (Client client : kept) { client.close(); }
+        }
+    }
+
+    /** Danger: who owes nothing but bytes that the system has not taken counted as idle, and lost them to the next newcomer. */
+    @Test
+    void whoTakesItsAnswersSlowlyGivesWayToNobody() throws Exception {
+        start(256);
+        List<Client> kept = new ArrayList<>();
+        byte[] word = new byte[60_000];
+        byte[] ping = new yardusher.resp.Encoder(word.length + 64).array(2).bulk("PING").bulk(word).toBytes();
+        int answer = new yardusher.resp.Encoder(word.length + 64).bulk(word).toBytes().length;
+        try (Socket slow = new Socket()) {
+            slow.setReceiveBufferSize(4096);
+            slow.connect(serve.front().answers().address(), StandIn.PATIENCE_S * 1000);
+            slow.setSoTimeout(StandIn.PATIENCE_S * 1000);
+            AtomicInteger written = new AtomicInteger();
+            int all = 300;
+            Thread writer = new Thread(() -> {
+                try {
+                    for (int i = 0; i < all; i++) {
+                        slow.getOutputStream().write(ping);
+                        written.incrementAndGet();
+                    }
+                    slow.getOutputStream().write("*1\r\n$4\r\nPING\r\n".getBytes(StandardCharsets.US_ASCII));
+                } catch (IOException e) { /* closed */ }
+            });
+            writer.setDaemon(true);
+            writer.start();
+            int[] before = {-1, 0};
+            StandIn.patiently().pollInterval(Duration.ofMillis(300)).until(() -> {
+                before[1] = before[0];
+                return (before[0] = written.get()) > 10 && before[0] == before[1];
+            });
+            assertThat(written.get()).isLessThan(all);
+            for (int i = 0; i < 200; i++) {          // far more than find room at once
+                Client client = new Client(serve.front().answers().address());
+                kept.add(client);
+                assertThat(client.ask("PING")).isEqualTo("+PONG");
+            }
+            InputStream in = slow.getInputStream();
+            for (int i = 0; i < all; i++) { assertThat(in.readNBytes(answer)).hasSize(answer); }
+            assertThat(new String(in.readNBytes(7), StandardCharsets.US_ASCII)).isEqualTo("+PONG\r\n");
+        } finally {
+            for (Client client : kept) { client.close(); }
+        }
+    }
+
     @Test
     void whoSaysNothingOrHalfACommandIsClosedOnBothFronts() throws Exception {
         start(1024);
