A request's course is one state machine, and a repeat is held against its window when sent

Seen: the window of a deduplicated repeat was looked at when its backend was chosen. A dial of up to the settings' time, an intent parked for its record or a rested connection came after that, and nothing looked again: a repeat whose dial came up behind the window was written. "Ended" was five flags with several owners (answered, gone, over, begun, written), and carry() itself set `written`.

Now Course (no I/O, no clock) owns where a request stands with its attempts. Attempt.hand is asked in the instant in which the bytes go to the socket; past the deadline, the window, the answer or the client's leave nothing is sent, and the attempt ends as never sent. One transition gives the final answer; a second one is counted (answers_second) and never sent.

Ruled out: the module's own check (Servers.mayRunOn) is right at its instant; a failed write still proves that the last byte was not taken, since a partial write completes with its count and the rest is written by the next one.

Red without the check in Course.hand: the repeat reaches the second backend 45 ms behind a window of 40 ms.

--- a/lab/src/yardusher/units/UnitsWorld.java
+++ b/lab/src/yardusher/units/UnitsWorld.java
@@ -333,7 +333,10 @@
                     onNode(index, life, () -> core.ended(attempt, Attempt.Result.of(Api.Outcome.CONNECT_FAILED)));
                     return;
                 }
-                attempt.written = true;
+                if (!attempt.hand(now)) {
+                    onNode(index, life, () -> core.ended(attempt, Attempt.Result.of(Api.Outcome.NOT_SENT)));
+                    return;
+                }
                 onNode(index, life, () -> core.written(attempt));
                 run[0] = new RunAt(region, id, now);
                 allRuns.add(run[0]);
--- a/src/main/java/yardusher/core/Attempt.java
+++ b/src/main/java/yardusher/core/Attempt.java
@@ -14,13 +14,10 @@
     Deadlines.Entry timeOut;
     /** How long its answer's first byte took, in milliseconds; negative where it is measured at its end. */
     double beganMs = -1;
-    boolean over;
-    /** Whether it has left for the backends' side; till then it is parked, and never ran. */
-    boolean begun;
     /** Set by the backend's connection: gives the attempt up. */
     public Runnable giveUp = () -> { };
-    /** Set by the backend's connection once the last byte is written: from there on it may have run. */
-    public boolean written;
+    /** Whether its bytes were handed to a socket; outlives its end, for the record. */
+    private boolean handed;
     /** Whether it stands in the count of those written whole. */
     boolean forwarded;
 
@@ -32,10 +29,27 @@
         this.waitMs = waitMs;
     }
 
-    public boolean isOver() { return over; }
+    public boolean isOver() { return !request.course.isOut(number); }
 
     /** Whether bytes of it may have gone out. */
-    public boolean mayHaveGone() { return begun && written; }
+    public boolean mayHaveGone() { return handed; }
+
+    /**
+     * Asked by the backend's connection in the instant in which it hands the bytes to the socket; from then on it may have run.
+     * False where nothing of it may be sent any more, or twice: it is over, its request is answered, gone or past its deadline, or
+     * a repeat would begin outside its window. {@code now} in milliseconds of the loop's clock.
+     */
+    public boolean hand(double now) {
+        boolean may = request.course.hand(number, now);
+        handed |= may;
+        return may;
+    }
+
+    /** The write failed: the system never took its last byte. */
+    public void unwritten() {
+        request.course.unwritten(number);
+        handed = false;
+    }
 
     /** How an attempt ended; the value is there when it was served. */
     public record Result(Api.Outcome outcome, byte[] value, double[] load) {
--- a/src/main/java/yardusher/core/Book.java
+++ b/src/main/java/yardusher/core/Book.java
@@ -16,9 +16,8 @@
         this.counters = counters;
     }
 
+    /** An attempt that has just ended. */
     void attempt(Attempt attempt, Attempt.Result result) {
-        attempt.over = true;
-        attempt.request.mayHaveRun |= !result.outcome().neverRan();
         counters.outcomes[result.outcome().ordinal()]++;
         loop.deadlines().cancel(attempt.timeOut);
         if (attempt.request.recorded) { log.ended(attempt, result.outcome()); }
--- a/src/main/java/yardusher/core/Counters.java
+++ b/src/main/java/yardusher/core/Counters.java
@@ -33,6 +33,8 @@
     public long connectionsFailed;
     public long reloads;
     public long faults;
+    /** Final answers after a request's first one: never sent. */
+    public long answersSecond;
     /** What else the line tells; empty for nothing. */
     public java.util.function.Supplier<String> more = () -> "";
     /** Short-on-capacity replies of the module, by reason. */
@@ -70,7 +72,7 @@
                 .append(" list_whole=").append(listWhole).append(" list_bad=").append(listBad)
                 .append(" list_changes=").append(listChanges)
                 .append(" large=").append(large).append(" large_open=").append(largeOpen).append(" large_most=").append(largeMost)
-                .append(" reloads=").append(reloads)
+                .append(" reloads=").append(reloads).append(" answers_second=").append(answersSecond)
                 .append(" faults=").append(faults).append(more.get()).toString();
     }
 }
--- a/src/main/java/yardusher/core/Dispatch.java
+++ b/src/main/java/yardusher/core/Dispatch.java
@@ -28,6 +28,7 @@
         double now = loop.now();
         double wait = Math.max(1, Math.min(timeoutMs > 0 ? timeoutMs : Double.MAX_VALUE, t.deadline - now));
         Attempt attempt = new Attempt(t, t.attempts++, backend, now, (long) Math.ceil(wait));
+        if (!t.course.park(attempt.number)) { return; }
         t.attempt = attempt;
         counters.attempts++;
         counters.further += attempt.number > 0 ? 1 : 0;
@@ -37,7 +38,7 @@
             return;
         }
         log.intend(attempt, may -> {
-            if (attempt.over) { return; }            // given up while it was parked
+            if (attempt.isOver()) { return; }        // given up while it was parked
             if (!may) {
                 unrecorded.accept(t);
             } else if (!backends.knows(backend)) {     // left the service table while it was parked
@@ -49,14 +50,17 @@
     }
 
     private void begin(Attempt attempt, long waitMs) {
-        attempt.begun = true;
+        if (!attempt.request.course.begin(attempt.number)) { // nothing of it begins after the request's end
+            ended.accept(attempt, Attempt.Result.of(Api.Outcome.NOT_SENT));
+            return;
+        }
         backends.begin(attempt, attempt.request.order.cargo().encoded(waitMs));
     }
 
     private void expire(Attempt attempt) {
-        if (attempt.over) { return; }
+        if (attempt.isOver()) { return; }
         // What was never written whole cannot have run, so it may be refused or go elsewhere.
-        Api.Outcome outcome = attempt.written ? Api.Outcome.TIMED_OUT : Api.Outcome.CONNECT_FAILED;
+        Api.Outcome outcome = attempt.mayHaveGone() ? Api.Outcome.TIMED_OUT : Api.Outcome.CONNECT_FAILED;
         attempt.giveUp.run();
         ended.accept(attempt, Attempt.Result.of(outcome));
     }
--- a/src/main/java/yardusher/core/Ingress.java
+++ b/src/main/java/yardusher/core/Ingress.java
@@ -39,7 +39,7 @@
         this.counters = counters;
         counters.classes(settings.classes().size());
         module = new Policy(settings, seed, loop.now(), actions::add);
-        takeIn = new TakeIn(loop, open, counters, this::gone);
+        takeIn = new TakeIn(loop, settings.classes(), open, counters, this::gone);
         admit = new Admit(loop, module);
         route = new Route(backends, settings.limits().maxAttempts());
         dispatch = new Dispatch(loop, backends, counters, log, this::unrecorded, this::ended);
@@ -92,8 +92,7 @@
 
     /** The terminal left: nothing more is owed. */
     private void gone(Request t) {
-        if (t.answered || t.gone) { return; }
-        t.gone = true;
+        if (!t.course.leave()) { return; }
         counters.clientsGone++;
         if (t.recorded) { log.answered(t, OrderLog.Answer.GONE); }
         release(t);
@@ -101,16 +100,16 @@
 
     /** An attempt ended, as the backends' side saw it. */
     public void ended(Attempt attempt, Attempt.Result result) {
-        if (attempt.over) { return; }
+        if (!attempt.request.course.end(attempt.number, result.outcome())) { return; }
         // An answer proves that it was written whole, also where it is read before the write's own end is told.
         boolean answered = result.outcome() == Api.Outcome.SERVED || result.outcome() == Api.Outcome.SERVER_ERROR;
         counters.largeOpen -= attempt.beganMs >= 0 ? 1 : 0;
-        if (answered && attempt.written || result.outcome() == Api.Outcome.REJECTED) { forwarded(attempt); }
+        if (answered && attempt.mayHaveGone() || result.outcome() == Api.Outcome.REJECTED) { forwarded(attempt); }
         book.attempt(attempt, result);
         Request t = attempt.request;
         if (result.outcome() == Api.Outcome.SERVED) { relay.served(t, result.value()); }
-        if (t.flow != null) { relay.broken(t); }     // nothing where it was served; no other attempt may follow a part
-        boolean finished = t.answered || t.gone;
+        if (t.course.stage() == Course.Stage.PASSING) { relay.broken(t); } // no other attempt may follow a part
+        boolean finished = t.course.isOver();
         if (finished) { book.close(t); }
         admit.tell(new Api.AttemptDone(t.number, attempt.number, attempt.backend, result.outcome(),
                 attempt.beganMs >= 0 ? attempt.beganMs : loop.now() - attempt.sentAt, finished, 0, result.load()));
@@ -123,9 +122,10 @@
      */
     public Flow begin(Attempt attempt, long length) {
         Request t = attempt.request;
-        if (attempt.over || attempt.beganMs >= 0 || t.answered || t.gone) { return null; }
+        if (t.course.stage() != Course.Stage.OPEN || !t.course.isHanded(attempt.number)) { return null; }
         Flow flow = t.order.terminal().begin(length);
         if (flow == null) { return null; }
+        t.course.pass(attempt.number);
         t.flow = flow;
         counters.large++;
         counters.largeMost = Math.max(counters.largeMost, ++counters.largeOpen);
@@ -140,7 +140,7 @@
     /** The socket has taken an attempt's last byte. */
     public void written(Attempt attempt) {
         forwarded(attempt);
-        if (attempt.request.recorded && !attempt.over) { log.written(attempt); }
+        if (attempt.request.recorded && !attempt.isOver()) { log.written(attempt); }
     }
 
     private void forwarded(Attempt attempt) {
@@ -150,7 +150,7 @@
 
     /** An intent could not be recorded: what is not recorded is not sent, and is given up at once. */
     private void unrecorded(Request t) {
-        if (t.mayHaveRun) {
+        if (t.course.mayHaveRunBefore()) {
             relay.failed(t, "no record can be made");
         } else {
             relay.reject(t, Math.min(log.retryAfterMs(), settings.limits().maxRetryAfterMs()));
@@ -165,7 +165,7 @@
     }
 
     private void overdue(Request t) {
-        if (t.answered || t.gone) { return; }
+        if (t.course.isOver()) { return; }
         relay.failed(t, "deadline passed");
         release(t);
     }
@@ -175,7 +175,7 @@
         book.close(t);
         admit.tell(new Api.ClientGone(t.number));
         act();
-        if (t.attempt != null && !t.attempt.over) { cancel(t, t.attempt.number); }
+        if (t.attempt != null && !t.attempt.isOver()) { cancel(t, t.attempt.number); }
     }
 
     /** Actions run after the module has returned, in the order in which it gave them. */
@@ -225,13 +225,13 @@
         }
         int number = t.attempts++;
         counters.outcomes[Api.Outcome.NOT_SENT.ordinal()]++;
-        admit.tell(new Api.AttemptDone(t.number, number, a.server(), Api.Outcome.NOT_SENT, 0, t.answered || t.gone, 0,
+        admit.tell(new Api.AttemptDone(t.number, number, a.server(), Api.Outcome.NOT_SENT, 0, t.course.isOver(), 0,
                 null));
     }
 
     private void cancel(Request t, int number) {
         Attempt attempt = t.attempt;
-        if (attempt == null || attempt.over || attempt.number != number) { return; }
+        if (attempt == null || attempt.isOver() || attempt.number != number) { return; }
         attempt.giveUp.run();
         loop.afterwards(() -> ended(attempt, Attempt.Result.of(Api.Outcome.CANCELLED)));
     }
--- a/src/main/java/yardusher/core/Relay.java
+++ b/src/main/java/yardusher/core/Relay.java
@@ -28,7 +28,7 @@
     void reject(Request t, double retryAfterMs) {
         if (first(t, OrderLog.Answer.REJECTED)) {
             counters.refused[t.order.classIndex()]++;
-            t.order.terminal().reject((long) Math.ceil(retryAfterMs), t.mayHaveRun);
+            t.order.terminal().reject((long) Math.ceil(retryAfterMs), t.course.mayHaveRunBefore());
         }
     }
 
@@ -41,8 +41,8 @@
 
     /** Guards against a second final answer, and one to a terminal that has left. */
     private boolean first(Request t, OrderLog.Answer answer) {
-        boolean first = !t.answered && !t.gone;
-        t.answered = true;
+        boolean first = t.course.answer();
+        counters.answersSecond += !first && t.course.stage() == Course.Stage.ANSWERED ? 1 : 0;
         if (first && t.recorded) { log.answered(t, answer); }
         return first;
     }
--- a/src/main/java/yardusher/core/Route.java
+++ b/src/main/java/yardusher/core/Route.java
@@ -12,7 +12,7 @@
 
     boolean open(Request t, long backend, double now) {
         // Guards against a second copy: never two attempts of a request out at once.
-        boolean alone = t.attempt == null || t.attempt.over;
-        return alone && !t.answered && !t.gone && t.attempts < maxAttempts && now < t.deadline && backends.knows(backend);
+        boolean alone = !t.course.isOut();
+        return alone && t.course.stage() == Course.Stage.OPEN && t.attempts < maxAttempts && now < t.deadline && backends.knows(backend);
     }
 }
--- a/src/main/java/yardusher/core/TakeIn.java
+++ b/src/main/java/yardusher/core/TakeIn.java
@@ -1,7 +1,9 @@
 package yardusher.core;
 
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import yardusher.Api;
 
 /** First stage: an order becomes a request with a deadline, held until its one final answer. */
 final class TakeIn {
@@ -9,9 +11,11 @@
     private final Map<Long, Request> open;
     private final Counters counters;
     private final Consumer<Request> leaves;
+    private final List<Api.RequestClass> classes;
     private long last;
 
-    TakeIn(EventLoop loop, Map<Long, Request> open, Counters counters, Consumer<Request> leaves) {
+    TakeIn(EventLoop loop, List<Api.RequestClass> classes, Map<Long, Request> open, Counters counters, Consumer<Request> leaves) {
+        this.classes = classes;
         this.leaves = leaves;
         this.loop = loop;
         this.open = open;
@@ -19,7 +23,7 @@
     }
 
     Request take(Order order, Runnable atDeadline, double graceMs) {
-        Request request = new Request(++last, order, loop.now(), leaves);
+        Request request = new Request(++last, order, classes.get(order.classIndex()), loop.now(), leaves);
         open.put(request.number, request);
         counters.takenIn++;
         request.lastCall = loop.deadlines().at(request.deadline + graceMs, atDeadline);
--- a/src/main/java/yardusher/servers/BackendLink.java
+++ b/src/main/java/yardusher/servers/BackendLink.java
@@ -43,12 +43,11 @@
         link.readMore();
     }
 
+    /** Carries an attempt that was handed over: from here on it may have run, until its write fails. */
     void carry(Attempt next, ByteBuffer... cargo) {
         attempt = next;
         kept = used;
         used = true;
-        // From here on it may have run. A write that fails takes this back; a break in between does not.
-        next.written = true;
         next.giveUp = this::close;
         for (ByteBuffer part : cargo) { link.write(part); }
     }
@@ -200,8 +199,8 @@
         flow = null;
         if (ended != null) {
             pool.noteLost(kept, true);
-            ended.written = !from.writeFailed();
-            pool.end(ended, Attempt.Result.of(ended.written ? Api.Outcome.CONNECTION_LOST : Api.Outcome.CONNECT_FAILED));
+            if (from.writeFailed()) { ended.unwritten(); }
+            pool.end(ended, Attempt.Result.of(from.writeFailed() ? Api.Outcome.CONNECT_FAILED : Api.Outcome.CONNECTION_LOST));
         }
     }
 
--- a/src/main/java/yardusher/servers/BackendPool.java
+++ b/src/main/java/yardusher/servers/BackendPool.java
@@ -154,7 +154,7 @@
         BackendLink link = ++begun % LOOKS == 0 || !keepingLoses() ? settled(place) : null;
         if (link != null) {
             counters.connectionsReused++;
-            link.carry(attempt, cargo);
+            if (!carries(link, attempt, cargo)) { link.close(); }
             return;
         }
         if (connections - leaving >= mostConnections && !closeOneIdle()) {
@@ -174,7 +174,7 @@
         Runnable giveUp = sockets.connect(place.address, dialMs, channel -> {
             place.dialling.remove(attempt);
             fresh.open(channel);
-            fresh.carry(attempt, cargo);
+            if (!carries(fresh, attempt, cargo)) { rest(fresh); }
         }, () -> {
             over(place, attempt.backend, false);
             place.dialling.remove(attempt);
@@ -188,6 +188,16 @@
         };
     }
 
+    /** Hands an attempt to a connection; false where nothing of it may be sent any more, and it ends as never sent. */
+    private boolean carries(BackendLink link, Attempt attempt, ByteBuffer... cargo) {
+        if (attempt.hand(sockets.loop().now())) {
+            link.carry(attempt, cargo);
+            return true;
+        }
+        sockets.loop().afterwards(() -> end(attempt, Attempt.Result.of(Api.Outcome.NOT_SENT)));
+        return false;
+    }
+
     /**
      * Dials where each connection counts until its very end. One that has just answered is used rather than none; a dial that is
      * given up goes on, since a backend may have accepted it already, and closes once it is there.
@@ -199,7 +209,7 @@
                 sockets.loop().afterwards(() -> end(attempt, Attempt.Result.of(Api.Outcome.NOT_SENT)));
             } else {
                 counters.connectionsReused++;
-                resting.carry(attempt, cargo);
+                if (!carries(resting, attempt, cargo)) { resting.close(); }
             }
             return;
         }
@@ -228,7 +238,7 @@
             place.dialling.remove(attempt);
             BackendLink fresh = new BackendLink(this, place, attempt.backend);
             fresh.open(channel);
-            fresh.carry(attempt, cargo);
+            if (!carries(fresh, attempt, cargo)) { rest(fresh); }
         }, () -> {
             sockets.loop().deadlines().cancel(limit);
             over(place, attempt.backend, dropped[0]);
--- a/src/test/java/yardusher/admin/FiguresTest.java
+++ b/src/test/java/yardusher/admin/FiguresTest.java
@@ -125,7 +125,7 @@
                     if (gone != null && random.nextInt(4) == 0) { leave(gone); }
                 }
                 case 3 -> {
-                    if (attempt != null && attempt.written && random.nextInt(3) == 0) { loop.turn(() -> ingress.begin(attempt, 100_000)); }
+                    if (attempt != null && attempt.mayHaveGone() && random.nextInt(3) == 0) { loop.turn(() -> ingress.begin(attempt, 100_000)); }
                 }
                 default -> {
                     if (attempt != null) { end(attempt, random); }
@@ -146,16 +146,16 @@
 
     /** An attempt is written whole, or ends; once each. */
     private void end(Attempt attempt, Random random) {
-        if (!attempt.written && random.nextBoolean()) {
+        if (!attempt.mayHaveGone() && random.nextBoolean()) {
             loop.turn(() -> {
-                attempt.written = true;
+                if (!attempt.hand(now)) { return; }
                 written++;
                 ingress.written(attempt);
                 ingress.written(attempt);            // told twice, it counts once
             });
             return;
         }
-        Api.Outcome[] outcomes = attempt.written
+        Api.Outcome[] outcomes = attempt.mayHaveGone()
                 ? new Api.Outcome[] {Api.Outcome.SERVED, Api.Outcome.SERVER_ERROR, Api.Outcome.REJECTED, Api.Outcome.CONNECTION_LOST}
                 : new Api.Outcome[] {Api.Outcome.CONNECT_FAILED};
         Api.Outcome outcome = outcomes[random.nextInt(outcomes.length)];
--- a/src/test/java/yardusher/journal/JournalStoryTest.java
+++ b/src/test/java/yardusher/journal/JournalStoryTest.java
@@ -65,7 +65,7 @@
 
             @Override
             public void begin(Attempt attempt, java.nio.ByteBuffer... cargo) {
-                attempt.written = true;
+                attempt.hand(now);
                 begun.add(attempt);
             }
         };
@@ -313,7 +313,7 @@
             for (int i = 0; i < 3; i++) {
                 take(ORDER);
                 Attempt attempt = next(begun);
-                attempt.written = true;
+                attempt.hand(now);
                 now += 1000;
                 if (i == 0) { end(attempt, Api.Outcome.SERVED); } else { loop.turn(() -> ingress.written(attempt)); }
                 if (i == 1) { pass(3000); }          // past its deadline
--- /dev/null
+++ b/src/test/java/yardusher/story/BackendEndsStoryTest.java
@@ -0,0 +1,142 @@
+package yardusher.story;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static yardusher.story.StandIn.list;
+import static yardusher.story.StandIn.member;
+import static yardusher.story.StandIn.next;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.function.UnaryOperator;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import yardusher.cli.Serve;
+import yardusher.settings.Settings;
+import yardusher.story.StandIn.Client;
+import yardusher.story.StandIn.Discovery;
+import yardusher.story.StandIn.Region;
+
+/** What a backend or the way to it ends, and when: a real ingress on a scripted clock. */
+class BackendEndsStoryTest {
+    private final List<AutoCloseable> all = new CopyOnWriteArrayList<>();
+    private volatile double now = 1.7e12;
+    private Discovery discovery;
+    private Serve serve;
+
+    @AfterEach
+    void close() throws Exception {
+        for (AutoCloseable one : all) { one.close(); }
+        if (serve != null) { serve.close(); }
+    }
+
+    /** A backend whose connections come up only once {@link #comesUp} was called: its queue of unaccepted ones is full. */
+    private final class Late implements AutoCloseable {
+        final ServerSocket door = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+        final List<Socket> fillers = new ArrayList<>();
+        final BlockingQueue<Socket> guests = new LinkedBlockingQueue<>();
+
+        Late() throws IOException {
+            all.add(this);
+            for (int i = 0; i < 2; i++) { fillers.add(new Socket("127.0.0.1", door.getLocalPort())); }
+        }
+
+        String address() { return "127.0.0.1:" + door.getLocalPort(); }
+
+        void comesUp() throws IOException {
+            for (Socket filler : fillers) {
+                door.accept().close();
+                filler.close();
+            }
+            Thread accepts = new Thread(() -> {
+                try {
+                    for (;;) { guests.add(door.accept()); }
+                } catch (IOException e) { /* closed */ }
+            });
+            accepts.setDaemon(true);
+            accepts.start();
+        }
+
+        @Override
+        public void close() throws IOException { door.close(); }
+    }
+
+    private Client start(UnaryOperator<String> edit, String... members) throws Exception {
+        discovery = new Discovery();
+        all.add(discovery);
+        serve = StandIn.ingress(edit, config -> new Serve(config, null, Settings.OFF, () -> now), discovery.address(), members);
+        return client();
+    }
+
+    private Client client() throws Exception {
+        Client client = new Client((InetSocketAddress) serve.front().answers().address());
+        all.add(client);
+        return client;
+    }
+
+    private Region region() throws Exception {
+        Region region = new Region();
+        all.add(region);
+        return region;
+    }
+
+    private void move(double ms) {
+        now += ms;
+        serve.loop().turn(() -> { });
+    }
+
+    private void awaits(String counter) { StandIn.patiently().until(() -> serve.countersLine().contains(counter)); }
+
+    private static void order(Client client, int id, String body) throws IOException {
+        client.send("CALL.POST", "0000000000000007", String.format("%016x", id),
+                "c=place-order,t=basis,d=7000,k=" + String.format("%016x", id) + ",units=1,spread=1,first=0", body);
+    }
+
+    private static void reset(Socket socket) throws IOException {
+        socket.setSoLinger(true, 0);
+        socket.close();
+    }
+
+    /** All there is until the other side ends, which it has to within so many ms. */
+    private static String rest(Socket socket, int patienceMs) throws IOException {
+        socket.setSoTimeout(patienceMs);
+        StringBuilder seen = new StringBuilder();
+        try {
+            byte[] piece = new byte[8192];
+            InputStream in = socket.getInputStream();
+            for (int count; (count = in.read(piece)) >= 0;) { seen.append(new String(piece, 0, count, StandardCharsets.ISO_8859_1)); }
+        } catch (java.net.SocketException e) { /* reset: it has ended */ }
+        return seen.toString();
+    }
+
+    /** The repeat was chosen inside the window; its dial comes up behind it, and before the dial's own limit. */
+    @Test
+    void aRepeatWhoseDialComesUpBehindItsWindowIsNotSent() throws Exception {
+        Region first = region();
+        first.script = command -> null;
+        Late second = new Late();
+        Client client = start(json -> json.replace("\"window_ms\": 5000.0", "\"window_ms\": 40.0"), member("s-1", first.address(), "Ready"));
+        awaits("list_changes=1");                    // that nothing has changed since
+        order(client, 1, "body");
+        next(first.seen);
+        discovery.tell(list(42, false, member("s-2", second.address(), "Ready")));
+        awaits("list_changes=2");
+        reset(first.last);
+        awaits("attempts_further=1");
+        move(45);
+        second.comesUp();
+        assertThat(client.told()).as("may have run, and may not be repeated").startsWith("-");
+        assertThat(serve.countersLine()).contains("attempts_not_sent=1").contains("open=0");
+        serve.close();
+        assertThat(rest(next(second.guests), 20_000)).as("what was written there").isEmpty();
+    }
+}
