An attempt parked for its record does not begin at a backend that drains meanwhile

Seen: BackendPool.knows was true for a draining backend, since only one that is gone leaves the table. An intent that was parked for its record while the drain was told was let go to it; a connection whose attempt ended after the drain was told rested there; and a dial to an address that the list had changed since went on, and was written to.

Now the pool knows that a backend drains: nothing begins there, nothing rests there, and what is being dialled when the address changes ends as could not connect. Told ready again, it is open again.

Ruled out: dials under way at a drain or a ban were dropped already (dropDialling). Red without the mend: DrainTest (knows is true, and a connection is dialled).

--- a/src/main/java/yardusher/servers/BackendPool.java
+++ b/src/main/java/yardusher/servers/BackendPool.java
@@ -51,6 +51,7 @@
     /** A backend of the service table and the connections that stand idle there. */
     static final class Place {
         InetSocketAddress address;
+        boolean draining;
         final ArrayDeque<BackendLink> idle = new ArrayDeque<>();
         final Set<Attempt> dialling = new HashSet<>();
         int open;                                    // connections, from before the dial to the end
@@ -100,9 +101,11 @@
     /** The service table names a backend, at this address now. */
     public void place(long backend, InetSocketAddress address) {
         Place place = places.computeIfAbsent(backend, r -> new Place(address));
+        place.draining = false;
         if (!place.address.equals(address)) {
             place.address = address;
             dropIdle(place);
+            dropDialling(place);
         }
     }
 
@@ -113,6 +116,7 @@
     public void leave(long backend, boolean forget) {
         Place place = forget ? places.remove(backend) : places.get(backend);
         if (place == null) { return; }
+        place.draining = true;
         dropIdle(place);
         dropDialling(place);
     }
@@ -146,7 +150,12 @@
     }
 
     @Override
-    public boolean knows(long backend) { return places.containsKey(backend) && !banned.contains(backend); }
+    public boolean knows(long backend) { return isOpen(places.get(backend), backend); }
+
+    /** Whether attempts may begin there: it is listed, does not drain, and is not out by hand. */
+    private boolean isOpen(Place place, long backend) {
+        return place != null && places.get(backend) == place && !place.draining && !banned.contains(backend);
+    }
 
     @Override
     public void begin(Attempt attempt, ByteBuffer... cargo) {
@@ -330,7 +339,7 @@
     void rest(BackendLink link) {
         link.idleSince = sockets.loop().now();
         boolean enough = keepingLoses() && !link.place.idle.isEmpty() || allowance != null && allowance.isSurplus(link.backend);
-        if (places.get(link.backend) == link.place && !enough && !banned.contains(link.backend)) {
+        if (isOpen(link.place, link.backend) && !enough) {
             link.place.idle.addLast(link);
         } else {
             link.close();
--- /dev/null
+++ b/src/test/java/yardusher/servers/DrainTest.java
@@ -0,0 +1,107 @@
+package yardusher.servers;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+import yardusher.Api;
+import yardusher.core.Attempt;
+import yardusher.core.Cargo;
+import yardusher.core.Counters;
+import yardusher.core.EventLoop;
+import yardusher.core.Ingress;
+import yardusher.core.Order;
+import yardusher.core.OrderLog;
+import yardusher.core.Request;
+import yardusher.core.Terminal;
+import yardusher.net.Sockets;
+
+/** A backend that is on its way out gets nothing new, also nothing that was chosen before that was told. */
+class DrainTest {
+    private final List<String> answers = new ArrayList<>();
+    private final List<Consumer<Boolean>> parked = new ArrayList<>();
+
+    private final class Parks implements OrderLog {
+        @Override
+        public Admission take(Request request) { return Admission.RECORDED; }
+
+        @Override
+        public void intend(Attempt attempt, Consumer<Boolean> then) { parked.add(then); }
+
+        @Override
+        public void written(Attempt attempt) { }
+
+        @Override
+        public void ended(Attempt attempt, Api.Outcome outcome) { }
+
+        @Override
+        public void answered(Request request, Answer answer) { }
+
+        @Override
+        public double retryAfterMs() { return 0; }
+    }
+
+    private Order order() {
+        return new Order(0, 0, 7, 1, 0, 1, 2000, new Cargo() {
+            @Override
+            public ByteBuffer[] encoded(long waitMs) { return new ByteBuffer[] {ByteBuffer.wrap(new byte[] {'x'})}; }
+
+            @Override
+            public long id() { return 1; }
+
+            @Override
+            public String key() { return null; }
+
+            @Override
+            public long print() { return 1; }
+        }, new Terminal() {
+            @Override
+            public void served(byte[] value) { answers.add("served"); }
+
+            @Override
+            public void reject(long retryAfterMs, boolean mayHaveRun) { answers.add(mayHaveRun ? "refused, may have run" : "refused"); }
+
+            @Override
+            public void failed(String why, boolean mayHaveRun) { answers.add("failed"); }
+        });
+    }
+
+    @Test
+    void anAttemptParkedForItsRecordDoesNotBeginAtABackendThatDrainsMeanwhile() throws Exception {
+        EventLoop loop = new EventLoop(() -> 1_000_000, e -> { throw new AssertionError(e); });
+        Sockets sockets = new Sockets(loop);
+        Counters counters = new Counters();
+        Api.RequestClass of = new Api.RequestClass(1900, 2000, 5, 0.1, Api.Effect.AT_MOST_ONCE, Api.Group.ALL, 0, false);
+        Api.Settings settings = new Api.Settings(0, 1, 0, 4, List.of(of), List.of(new Api.Plan(1000, 1000, 0, 1, 0, 0, 0)),
+                new Api.Limits(6, true, false, 2000), new Api.Rules(0.2, 1000, 3, 3000, 10_000), List.of(), false, 100, 2, 0, 0);
+        try (ServerSocket door = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
+            InetSocketAddress at = new InetSocketAddress("127.0.0.1", door.getLocalPort());
+            loop.turn(() -> {
+                BackendPool pool = new BackendPool(sockets, counters, List.of(), 250, 30_000, 8000, 10);
+                Ingress ingress = new Ingress(settings, 1, loop, pool, (to, body) -> { }, counters, new Parks());
+                pool.serve(ingress);
+                pool.place(5, at);
+                ingress.tell(new Api.ServerList(Api.ListKind.FULL, List.of(new Api.Server(5, 0, 0, 1, 0, Api.Readiness.READY))));
+                ingress.take(order());
+                assertThat(parked).hasSize(1);
+                pool.leave(5, false);
+                assertThat(pool.knows(5)).as("drains").isFalse();
+                ingress.tell(new Api.ServerList(Api.ListKind.DELTA, List.of(new Api.Server(5, 0, 0, 1, 0, Api.Readiness.DRAINING))));
+                parked.remove(0).accept(true);
+                assertThat(counters.connectionsOpened).as("dials").isZero();
+                pool.place(5, at);
+                assertThat(pool.knows(5)).as("ready again").isTrue();
+            });
+            assertThat(answers).containsExactly("refused");
+            assertThat(counters.outcomes[Api.Outcome.NOT_SENT.ordinal()]).isEqualTo(1);
+        } finally {
+            sockets.shutdown();
+        }
+    }
+}
