A long answer counts as whole as long as it moves, and a held-up process reads before it judges

Seen: an answer that was not whole 300 ms after its first byte was a failed attempt, whatever kept coming: 64 KiB over a slow way, or read late since the process itself was held up (the timer is swept before the bytes that wait are read). The value was lost, the request may have run, and the backend was blamed.

Lines: BackendLink.readable, wholeBy set once at the first byte. Now the time runs from the last byte that came (250 ms), is over only 50 ms after it was looked at, so that what waits is read first, and an answer that drips is cut off a second after it began. Red without the mend: four parts 110 ms apart are cut off.

--- a/src/main/java/yardusher/servers/BackendLink.java
+++ b/src/main/java/yardusher/servers/BackendLink.java
@@ -18,8 +18,10 @@
     final BackendPool.Place place;
     final long backend;
     double idleSince;
-    /** An answer that has begun is whole soon after; one that is not has a length that does not fit. */
-    private static final double WHOLE_MS = 300;
+    /** An answer that has begun moves on soon, and is whole soon after; one that is not has a length that does not fit. */
+    private static final double MOVES_MS = 250;
+    private static final double LOOK_MS = 50;        // and what came while nothing was read is read first
+    private static final double WHOLE_MS = 1000;
 
     private Link link;
     private Attempt attempt;
@@ -27,6 +29,7 @@
     private Flow flow;                               // a large value that is passed on as it comes
     private long left;                               // bytes of it that have not come
     private boolean carried;                         // a part is on its way to the terminal
+    private double startedAt;                        // when the first bytes of an answer came that is not whole
     private double movedAt;                          // when the last part came or was taken
     private boolean used;
     private boolean over;                            // closed from this side; the backend may not have closed yet
@@ -43,6 +46,9 @@
         link.readMore();
     }
 
+    /** Whether it has carried an attempt. */
+    boolean isUsed() { return used; }
+
     /** Carries an attempt that was handed over: from here on it may have run, until its write fails. */
     void carry(Attempt next, ByteBuffer... cargo) {
         attempt = next;
@@ -85,11 +91,7 @@
             return false;
         }
         if (value == null) {
-            // Guards against an answer that never ends: its attempt would hold out till its deadline.
-            if (attempt != null && wholeBy == null && !from.decoder().isEmpty()) {
-                Deadlines deadlines = pool.sockets.loop().deadlines();
-                wholeBy = deadlines.at(pool.sockets.loop().now() + WHOLE_MS, this::spoilt);
-            }
+            if (attempt != null && !from.decoder().isEmpty()) { expectMore(); }
             return true;
         }
         pool.sockets.loop().deadlines().cancel(wholeBy);
@@ -103,17 +105,33 @@
         return true;
     }
 
+    /**
+     * Guards against an answer that never ends: its attempt would hold out till its deadline. A long one that keeps coming over a
+     * slow way, or is read late, is no such.
+     */
+    private void expectMore() {
+        Deadlines deadlines = pool.sockets.loop().deadlines();
+        double now = pool.sockets.loop().now();
+        startedAt = wholeBy == null ? now : startedAt;
+        deadlines.cancel(wholeBy);
+        boolean endless = now - startedAt > WHOLE_MS;
+        wholeBy = endless ? deadlines.at(now, this::spoilt) : deadlines.at(now + MOVES_MS, this::look);
+    }
+
+    /** Guards against a process that was held up: what came meanwhile is read before this time is over. */
+    private void look() {
+        Deadlines deadlines = pool.sockets.loop().deadlines();
+        wholeBy = deadlines.at(pool.sockets.loop().now() + LOOK_MS, this::spoilt);
+    }
+
     /** The attempt has its answer: the connection waits for the next. */
     private void served(Attempt.Result result) {
         Attempt ended = attempt;
         attempt = null;
         ended.giveUp = () -> { };
         pool.noteLost(kept, false);
-        if (link.decoder().isEmpty()) {
-            pool.rest(this);
-        } else {
-            close();                                 // the answer stands; what is behind it is no one's
-        }
+        // Guards the next attempt: what is behind the answer is no one's, and a command that is not written whole still goes out.
+        if (link.decoder().isEmpty()) { pool.rest(this); } else { close(); }
         pool.end(ended, result);
     }
 
--- a/src/test/java/yardusher/story/BackendEndsStoryTest.java
+++ b/src/test/java/yardusher/story/BackendEndsStoryTest.java
@@ -139,4 +139,24 @@
         serve.close();
         assertThat(rest(next(second.guests), 20_000)).as("what was written there").isEmpty();
     }
+
+    /** A long answer over a slow way is whole only after a while, and counts as long as it moves. */
+    @Test
+    void aLongAnswerThatComesSlowlyIsServed() throws Exception {
+        Region region = region();
+        region.script = command -> null;
+        Client client = start(json -> json, member("s-1", region.address(), "Ready"));
+        client.sendLookup(7, 2000);
+        next(region.seen);
+        String value = "v".repeat(60_000);
+        byte[] answer = Region.served(value);
+        Client other = client();
+        for (int part = 0; part < 4; part++) {
+            region.last.getOutputStream().write(answer, part * 10_000, 10_000);
+            assertThat(other.ask("PING")).as("behind it, so the part is read").isEqualTo("+PONG");
+            move(110);
+        }
+        region.last.getOutputStream().write(answer, 40_000, answer.length - 40_000);
+        assertThat(client.told()).isEqualTo(value);
+    }
 }
