A connection that is answered before its command was written whole carries no other

Seen: an answer or -BUSY that came while the command was still being written ended the attempt and put the connection to rest. The rest of that command went out on it for as long as the backend read: the next attempt stood behind it, and the end of the old write was noted as the next one's (BackendLink.written).

Lines: BackendLink.served looked at what was read, not at what was still to be written. Now it closes. Red without the mend: a backend that answers after 100 bytes of 4 MiB sees its connection go on and never end.

--- a/src/main/java/yardusher/servers/BackendLink.java
+++ b/src/main/java/yardusher/servers/BackendLink.java
@@ -131,7 +131,7 @@
         ended.giveUp = () -> { };
         pool.noteLost(kept, false);
         // Guards the next attempt: what is behind the answer is no one's, and a command that is not written whole still goes out.
-        if (link.decoder().isEmpty()) { pool.rest(this); } else { close(); }
+        if (link.decoder().isEmpty() && link.queued() == 0) { pool.rest(this); } else { close(); }
         pool.end(ended, result);
     }
 
--- a/src/test/java/yardusher/story/BackendEndsStoryTest.java
+++ b/src/test/java/yardusher/story/BackendEndsStoryTest.java
@@ -159,4 +159,31 @@
         region.last.getOutputStream().write(answer, 40_000, answer.length - 40_000);
         assertThat(client.told()).isEqualTo(value);
     }
+
+    /** An answer that comes before its command is written whole: what is left of that must not stand before the next command. */
+    @Test
+    void aConnectionAnsweredBeforeItsCommandWasWrittenCarriesNoOther() throws Exception {
+        ServerSocket door = new ServerSocket();
+        door.setReceiveBufferSize(4096);
+        door.bind(new InetSocketAddress("127.0.0.1", 0));
+        all.add(door);
+        BlockingQueue<Socket> guests = new LinkedBlockingQueue<>();
+        Thread accepts = new Thread(() -> {
+            try {
+                for (Socket guest;;) {
+                    guest = door.accept();
+                    guest.getInputStream().readNBytes(100);
+                    guest.getOutputStream().write(Region.served("too soon"));
+                    guests.add(guest);
+                }
+            } catch (IOException e) { /* closed */ }
+        });
+        accepts.setDaemon(true);
+        accepts.start();
+        Client client = start(json -> json, member("s-1", "127.0.0.1:" + door.getLocalPort(), "Ready"));
+        String body = "x".repeat(4 << 20);
+        order(client, 1, body);
+        assertThat(client.told()).isEqualTo("too soon");
+        assertThat(rest(next(guests), 20_000).length()).as("it ends, and not all was written").isLessThan(body.length());
+    }
 }
