A dial that comes up late is kept for the next attempt, and one that hangs gets a second beside it

Seen: a dial that had not come up in the settings' time was closed, its attempt ended as could not connect, and the module held the backend to be down in every class, for half a second and more each time. The next attempt paid a new dial. Where a third of the dials come up late, most backends were out by turns.

Now an attempt waits for any connection of its backend: its own dial, another's, or one that has rested meanwhile. After a fifth of the time a second dial is begun beside the first, where there is room. A dial that nobody waits for goes on for 2 s and its connection rests for the next attempt; at each backend two such dials at the most, counted within the connections, and the first to give way where those run out. A client that left, a drain, a ban: nothing is written, as before. Red without the mend: the two stories on dials (the connection is closed; no second dial).

--- a/src/main/java/yardusher/servers/BackendPool.java
+++ b/src/main/java/yardusher/servers/BackendPool.java
@@ -27,6 +27,9 @@
     private static final double RETIRED_PART = 0.7;  // of the told idle time: never race the backend's own close
     private static final double UPKEEP_MS = 1000;
     private static final double SETTLED_MS = 30;     // a connection rests so long before it is used again
+    private static final double LATE_MS = 2000;      // a dial that nobody waits for any more may come up so long after it began
+    private static final int MOST_LATE = 2;          // such dials, and connections kept from them, at each backend
+    private static final double SECOND_PART = 0.2;   // of the dial's time: then a second one is begun beside it
     private static final double NOTED = 0.05;        // weight of one attempt in what connections are held to lose
     private static final double WORSE = 0.05;        // kept ones may lose so much more than new ones
     private static final int LOOKS = 8;              // else one in so many attempts tries a kept one all the same
@@ -48,18 +51,42 @@
     int connections;
     private int leaving;                             // of those, closed from this side and not yet by the backend
 
-    /** A backend of the service table and the connections that stand idle there. */
+    /** A backend of the service table, the connections that stand idle there, and the attempts that wait for one. */
     static final class Place {
         InetSocketAddress address;
         boolean draining;
         final ArrayDeque<BackendLink> idle = new ArrayDeque<>();
-        final Set<Attempt> dialling = new HashSet<>();
+        final Set<Attempt> dialling = new HashSet<>(); // where connections are divided
+        final ArrayDeque<Wait> waiting = new ArrayDeque<>(); // the longest first
+        final ArrayDeque<Dial> dials = new ArrayDeque<>(); // the oldest first
         int open;                                    // connections, from before the dial to the end
         int leaving;
 
         Place(InetSocketAddress address) { this.address = address; }
     }
 
+    /** An attempt that waits for a connection of its backend, whichever comes first. */
+    private static final class Wait {
+        final Attempt attempt;
+        final ByteBuffer[] cargo;
+        Deadlines.Entry limit;
+        Deadlines.Entry second;
+        boolean over;
+
+        Wait(Attempt attempt, ByteBuffer... cargo) {
+            this.attempt = attempt;
+            this.cargo = cargo;
+        }
+    }
+
+    /** A connection on its way, for the attempt that asked for it, or whoever waits when it comes up. */
+    private static final class Dial {
+        final Wait owner;
+        Runnable drop;
+
+        Dial(Wait owner) { this.owner = owner; }
+    }
+
     /** {@code stallMs}: a large value of which nothing moves for so long is given up. */
     public BackendPool(Sockets sockets, Counters counters, List<Api.Metric> report, double dialMs, double idleMs,
             double stallMs, int mostConnections) {
@@ -128,6 +155,12 @@
             attempt.giveUp = () -> { };
             sockets.loop().afterwards(() -> end(attempt, Attempt.Result.of(Api.Outcome.CONNECT_FAILED)));
         }
+        for (Wait wait; (wait = place.waiting.peek()) != null;) {
+            Attempt attempt = wait.attempt;
+            stop(place, wait);
+            sockets.loop().afterwards(() -> end(attempt, Attempt.Result.of(Api.Outcome.CONNECT_FAILED)));
+        }
+        for (Dial dial; (dial = place.dials.peek()) != null;) { dial.drop.run(); }
     }
 
     private void dropIdle(Place place) {
@@ -175,26 +208,17 @@
             counted(place, attempt, cargo);
             return;
         }
-        connections++;
-        place.open++;
-        counters.connectionsOpened++;
-        place.dialling.add(attempt);
-        BackendLink fresh = new BackendLink(this, place, attempt.backend);
-        Runnable giveUp = sockets.connect(place.address, dialMs, channel -> {
-            place.dialling.remove(attempt);
-            fresh.open(channel);
-            if (!carries(fresh, attempt, cargo)) { rest(fresh); }
-        }, () -> {
-            over(place, attempt.backend, false);
-            place.dialling.remove(attempt);
-            counters.connectionsFailed++;
-            end(attempt, Attempt.Result.of(Api.Outcome.CONNECT_FAILED));
+        Deadlines deadlines = sockets.loop().deadlines();
+        double now = sockets.loop().now();
+        Wait wait = new Wait(attempt, cargo);
+        place.waiting.addLast(wait);
+        attempt.giveUp = () -> stop(place, wait);
+        wait.limit = deadlines.at(now + dialMs, () -> fails(place, wait));
+        // A dial that does not come up is often lost alone: a second one beside it comes up sooner than the first would fail.
+        wait.second = deadlines.at(now + dialMs * SECOND_PART, () -> {
+            if (!wait.over && connections < mostConnections) { dial(place, wait); }
         });
-        attempt.giveUp = () -> {
-            over(place, attempt.backend, false);
-            place.dialling.remove(attempt);
-            giveUp.run();
-        };
+        dial(place, wait);
     }
 
     /** Hands an attempt to a connection; false where nothing of it may be sent any more, and it ends as never sent. */
@@ -207,6 +231,72 @@
         return false;
     }
 
+    private void dial(Place place, Wait owner) {
+        long backend = owner.attempt.backend;
+        Dial dial = new Dial(owner);
+        connections++;
+        place.open++;
+        counters.connectionsOpened++;
+        place.dials.addLast(dial);
+        Runnable giveUp = sockets.connect(place.address, Math.max(dialMs, LATE_MS), channel -> {
+            place.dials.remove(dial);
+            BackendLink fresh = new BackendLink(this, place, backend);
+            fresh.open(channel);
+            cameUp(fresh, dial.owner);
+        }, () -> {
+            over(place, backend, false);
+            place.dials.remove(dial);
+            if (!dial.owner.over) { fails(place, dial.owner); }
+        });
+        dial.drop = () -> {
+            over(place, backend, false);
+            place.dials.remove(dial);
+            giveUp.run();
+        };
+    }
+
+    /** A new connection goes to who asked for it, else to who has waited for longest, else it is kept: it has cost its dial. */
+    private void cameUp(BackendLink link, Wait owner) {
+        Place place = link.place;
+        for (Wait next = owner.over ? place.waiting.peek() : owner; next != null; next = place.waiting.peek()) {
+            stop(place, next);
+            if (carries(link, next.attempt, next.cargo)) { return; }
+        }
+        if (isOpen(place, link.backend) && place.idle.size() < MOST_LATE && !link.isUsed()) {
+            link.idleSince = sockets.loop().now();
+            place.idle.addLast(link);
+        } else {
+            link.close();
+        }
+    }
+
+    /** An attempt waits no more; dials that nobody waits for may still come up, as many as are of use. */
+    private void stop(Place place, Wait wait) {
+        wait.over = true;
+        sockets.loop().deadlines().cancel(wait.limit);
+        sockets.loop().deadlines().cancel(wait.second);
+        place.waiting.remove(wait);
+        long late = place.dials.stream().filter(dial -> dial.owner.over).count();
+        for (Dial dial : late > MOST_LATE ? List.copyOf(place.dials) : List.<Dial>of()) {
+            if (dial.owner.over && late-- > MOST_LATE) { dial.drop.run(); }
+        }
+    }
+
+    private void fails(Place place, Wait wait) {
+        stop(place, wait);
+        counters.connectionsFailed++;
+        end(wait.attempt, Attempt.Result.of(Api.Outcome.CONNECT_FAILED));
+    }
+
+    /** A connection has rested: who waits for a dial has it instead. */
+    private void serveWaiting(Place place) {
+        if (place.waiting.isEmpty() || keepingLoses()) { return; }
+        BackendLink link = settled(place);
+        if (link == null) { return; }
+        counters.connectionsReused++;
+        cameUp(link, place.waiting.peek());
+    }
+
     /**
      * Dials where each connection counts until its very end. One that has just answered is used rather than none; a dial that is
      * given up goes on, since a backend may have accepted it already, and closes once it is there.
@@ -319,6 +409,13 @@
     }
 
     private boolean closeOneIdle() {
+        for (Place place : places.values()) {        // a dial that may never come up gives way first
+            Dial oldest = place.dials.peek();
+            if (oldest != null && oldest.owner.over && place.waiting.isEmpty()) {
+                oldest.drop.run();
+                return true;
+            }
+        }
         for (Place place : places.values()) {
             BackendLink oldest = place.idle.pollFirst();
             if (oldest != null) {
@@ -341,6 +438,9 @@
         boolean enough = keepingLoses() && !link.place.idle.isEmpty() || allowance != null && allowance.isSurplus(link.backend);
         if (isOpen(link.place, link.backend) && !enough) {
             link.place.idle.addLast(link);
+            if (!link.place.waiting.isEmpty()) {
+                sockets.loop().deadlines().at(link.idleSince + SETTLED_MS, () -> serveWaiting(link.place));
+            }
         } else {
             link.close();
         }
--- a/src/test/java/yardusher/story/BackendEndsStoryTest.java
+++ b/src/test/java/yardusher/story/BackendEndsStoryTest.java
@@ -140,24 +140,46 @@
         assertThat(rest(next(second.guests), 20_000)).as("what was written there").isEmpty();
     }
 
-    /** A long answer over a slow way is whole only after a while, and counts as long as it moves. */
+    /** The client leaves while its attempt is dialled: what comes up is kept, carries nothing of it, and serves the next. */
     @Test
-    void aLongAnswerThatComesSlowlyIsServed() throws Exception {
-        Region region = region();
-        region.script = command -> null;
-        Client client = start(json -> json, member("s-1", region.address(), "Ready"));
+    void aDialThatComesUpLateCarriesNothingOfWhoHasLeftAndServesTheNext() throws Exception {
+        Late late = new Late();
+        Client leaves = start(json -> json, member("s-1", late.address(), "Ready"));
+        leaves.sendLookup(7, 2000);
+        awaits("attempts=1 ");
+        leaves.close();
+        awaits("gone=1 ");
+        int timers = deadlines();                    // the dial's own among them, until it comes up
+        late.comesUp();
+        Socket kept = next(late.guests);
+        StandIn.patiently().until(() -> deadlines() < timers);
+        move(40);
+        Client client = client();
+        client.sendLookup(8, 2000);
+        yardusher.resp.Decoder decoder = new yardusher.resp.Decoder();
+        kept.setSoTimeout(20_000);
+        byte[][] words;
+        while ((words = decoder.command()) == null) { StandIn.fill(decoder, kept.getInputStream()); }
+        assertThat(new String(words[1], StandardCharsets.US_ASCII)).as("the next one's customer").isEqualTo("0000000000000008");
+        kept.getOutputStream().write(Region.served("made here"));
+        assertThat(client.told()).isEqualTo("made here");
+        assertThat(serve.countersLine()).contains("connections=1 ").contains("connections_reused=1 ");
+    }
+
+    /** A dial that does not come up gets a second one beside it, long before its time is over. */
+    @Test
+    void aDialThatHangsGetsASecondBesideIt() throws Exception {
+        Late late = new Late();
+        Client client = start(json -> json, member("s-1", late.address(), "Ready"));
         client.sendLookup(7, 2000);
-        next(region.seen);
-        String value = "v".repeat(60_000);
-        byte[] answer = Region.served(value);
-        Client other = client();
-        for (int part = 0; part < 4; part++) {
-            region.last.getOutputStream().write(answer, part * 10_000, 10_000);
-            assertThat(other.ask("PING")).as("behind it, so the part is read").isEqualTo("+PONG");
-            move(110);
-        }
-        region.last.getOutputStream().write(answer, 40_000, answer.length - 40_000);
-        assertThat(client.told()).isEqualTo(value);
+        awaits("connections=1 ");
+        move(49);
+        assertThat(serve.countersLine()).contains("connections=1 ");
+        move(2);
+        assertThat(serve.countersLine()).contains("connections=2 ").contains("attempts=1 ");
+        move(250);
+        assertThat(client.told()).as("neither came up").startsWith("-BUSY");
+        assertThat(serve.countersLine()).contains("forwards=0").contains("open=0");
     }
 
     /** An answer that comes before its command is written whole: what is left of that must not stand before the next command. */
@@ -186,4 +208,30 @@
         assertThat(client.told()).isEqualTo("too soon");
         assertThat(rest(next(guests), 20_000).length()).as("it ends, and not all was written").isLessThan(body.length());
     }
+
+    /** A long answer over a slow way is whole only after a while, and counts as long as it moves. */
+    @Test
+    void aLongAnswerThatComesSlowlyIsServed() throws Exception {
+        Region region = region();
+        region.script = command -> null;
+        Client client = start(json -> json, member("s-1", region.address(), "Ready"));
+        client.sendLookup(7, 2000);
+        next(region.seen);
+        String value = "v".repeat(60_000);
+        byte[] answer = Region.served(value);
+        Client other = client();
+        for (int part = 0; part < 4; part++) {
+            region.last.getOutputStream().write(answer, part * 10_000, 10_000);
+            assertThat(other.ask("PING")).as("behind it, so the part is read").isEqualTo("+PONG");
+            move(110);
+        }
+        region.last.getOutputStream().write(answer, 40_000, answer.length - 40_000);
+        assertThat(client.told()).isEqualTo(value);
+    }
+
+    private int deadlines() {
+        int[] size = new int[1];
+        serve.loop().turn(() -> size[0] = serve.loop().deadlines().size());
+        return size[0];
+    }
 }
