--- a/src/main/java/yardusher/net/ClientConnection.java
+++ b/src/main/java/yardusher/net/ClientConnection.java
@@ -290,6 +290,7 @@
         // Guards an answer against the close of an idle connection: it is one only once the system has taken all bytes.
         if (life == Life.OVER || !slots.isEmpty() || owesBytes()) { return; }
         quietSince = loop.now();
+        if (hasBegun()) { begunAt = quietSince; }    // till now it may have been held up from here
         crowd.isIdle(this, quietSince);
     }
 
--- a/src/test/java/yardusher/net/EndingsTest.java
+++ b/src/test/java/yardusher/net/EndingsTest.java
@@ -312,6 +312,50 @@
         }
     }
 
+    /** What was begun when the shutdown came has a moment to end, and is answered; later it is dropped, and the end is no reset. */
+    @Test
+    void halfACommandAtTheShutdownIsAnsweredIfTheRestComesAtOnce() throws IOException {
+        for (double wait : new double[] {0, 250}) {
+            try (World world = new World()) {
+                world.channel.comes("*1\r\n$3\r\n".getBytes(StandardCharsets.US_ASCII));
+                world.happens(Event.SHUTDOWN);
+                assertThat(world.channel.shut).isZero();
+                world.time(wait);
+                world.channel.comes("ASK\r\n".getBytes(StandardCharsets.US_ASCII));
+                assertThat(world.followed).isEqualTo(wait > 0 ? 0 : 1);
+                if (wait == 0) {
+                    assertThat(world.channel.shut).isZero();
+                    world.happens(Event.ANSWER);
+                    assertThat(world.channel.taken.toString(StandardCharsets.US_ASCII)).isEqualTo("$8\r\nanswer 1\r\n");
+                }
+                assertThat(world.channel.shut).isEqualTo(1);
+                assertThat(world.channel.closed).as("drained first").isZero();
+                world.ends();
+            }
+        }
+    }
+
+    /** Pipelined commands that came before the last moments are answered, however long those before them take; what comes then is not. */
+    @Test
+    void whatCameBeforeTheLastMomentsIsAnsweredBehindWhatIsOpen() throws IOException {
+        try (World world = new World()) {
+            for (int i = 0; i < 100; i++) { world.happens(Event.ASKS); }
+            world.time(200);                         // past its share of a turn
+            assertThat(world.followed).isEqualTo(64);
+            world.happens(Event.SHUTDOWN);
+            world.time(200);
+            world.happens(Event.ASKS);
+            for (int i = 0; i < 100; i++) {
+                world.happens(Event.ANSWER);
+                world.time(50);
+            }
+            assertThat(world.answered).isEqualTo(100);
+            assertThat(world.followed).isEqualTo(100);
+            assertThat(world.channel.shut).isEqualTo(1);
+            world.ends();
+        }
+    }
+
     @Property(tries = 300)
     void longOrdersToo(@ForAll Writes writes, @ForAll @Size(max = 12) List<Event> events) throws IOException {
         play(writes, List.of(), events);
