Event loop: an Error in a turn or deadline takes nothing else with it

Seen by reading: EventLoop.run caught RuntimeException and StackOverflowError alone. Any other Error left the rest of the turn's queue for some later turn, and thrown out of EventLoop.keepTime it ended the thread of the deadlines: a process that stands open and in which no time limit falls due. A fault that could not be told (no memory to print with) did the same. Now everything thrown is counted and told, and what cannot be told is dropped.

--- a/src/main/java/yardusher/core/EventLoop.java
+++ b/src/main/java/yardusher/core/EventLoop.java
@@ -58,12 +58,19 @@
         for (Runnable next = work; next != null; next = later.poll()) {
             try {
                 next.run();
-            } catch (RuntimeException | StackOverflowError e) {
-                faults.accept(e); // one broken message must not take the ingress down
+            } catch (Throwable e) {
+                tell(e);                             // one broken message must not take the ingress down
             }
         }
     }
 
+    /** Guards the work that follows, and the thread of the deadlines, against a word that cannot be said, as where no memory is left. */
+    private void tell(Throwable e) {
+        try {
+            faults.accept(e);
+        } catch (Throwable unsaid) { /* whoever is told has counted it or cannot */ }
+    }
+
     /** Starts the thread that gives a turn to deadlines when nothing else happens. */
     public Thread startTimer() {
         Thread thread = new Thread(this::keepTime, "deadlines");
--- /dev/null
+++ b/src/test/java/yardusher/core/EventLoopTest.java
@@ -0,0 +1,59 @@
+package yardusher.core;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** What is thrown in a turn takes nothing else with it. */
+class EventLoopTest {
+    private final List<Throwable> faults = new ArrayList<>();
+    private final EventLoop loop = new EventLoop(() -> System.nanoTime() / 1e6, faults::add);
+
+    @AfterEach
+    void stop() { loop.stop(); }
+
+    @Test
+    void anErrorInATurnLeavesWhatFollowsIt() {
+        List<String> done = new ArrayList<>();
+        loop.turn(() -> {
+            loop.afterwards(() -> { throw new OutOfMemoryError("made up"); });
+            loop.afterwards(() -> done.add("follows"));
+            loop.turn(() -> done.add("a completion that came at once"));
+            throw new AssertionError("made up");
+        });
+        assertThat(done).containsExactly("follows", "a completion that came at once");
+        assertThat(faults).hasSize(2);
+    }
+
+    /** Danger: without the thread that keeps the time, a process stands open and nothing in it ever ends. */
+    @Test
+    void theTimeIsKeptBehindAnErrorInADeadline() throws Exception {
+        BlockingQueue<String> done = new LinkedBlockingQueue<>();
+        Thread timer = loop.startTimer();
+        loop.turn(() -> {
+            loop.deadlines().at(loop.now(), () -> { throw new NoClassDefFoundError("made up"); });
+            loop.deadlines().at(loop.now() + 5, () -> { throw new StackOverflowError("made up"); });
+            loop.deadlines().at(loop.now() + 10, () -> done.add("later"));
+        });
+        assertThat(done.poll(20, TimeUnit.SECONDS)).isEqualTo("later");
+        assertThat(timer.isAlive()).isTrue();
+    }
+
+    /** As where no memory is left to print with. */
+    @Test
+    void aFaultThatCannotBeToldIsNoFaultMore() {
+        List<String> done = new ArrayList<>();
+        EventLoop mute = new EventLoop(() -> 0, fault -> { throw new OutOfMemoryError("made up"); });
+        mute.turn(() -> {
+            mute.afterwards(() -> done.add("follows"));
+            throw new IllegalStateException("made up");
+        });
+        assertThat(done).containsExactly("follows");
+    }
+}
