SIGTERM ends nothing before its time; SIGHUP holds from the first moment, in order

Now the door closes once nobody comes, with half of what the backends leave for those who wait (all of it is wrong: what is let in needs a backend; this was seen as -BUSY); - a command half read when the door closed was cut; now it has the 0.1 s for which open connections are read on; - SIGHUP before Serve was made ended the process (the signal's default); now it is the first thing taken over, and waits; - of two reloads at once the older reading could be applied last; now one follows the other. A file too deep or too long is told in one line as well, and what parts say at the end cannot change the exit. Ruled out: two SIGTERMs, SIGHUP within the drain, malformed and missing files: right before, now held by a test.

--- a/src/main/java/yardusher/cli/Serve.java
+++ b/src/main/java/yardusher/cli/Serve.java
@@ -11,6 +11,8 @@
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.DoubleSupplier;
 import sun.misc.Signal;
 import yardusher.Api;
@@ -47,6 +49,10 @@
 /** One real ingress: all parts put together, from the start to an orderly end. */
 public final class Serve {
     private static final double ACCEPT_ON_MS = 500;  // after SIGTERM connections keep coming 0.2 to 0.4 s
+    private static final double READ_ON_MS = 100;    // then what is on its way on those that are open is still taken
+    private static final double LEAST_END_MS = 3000; // a kill comes at the longest deadline, or this, and 0.7 s
+    private static final double LAST_MS = 50;        // after the last deadline, for its answer
+    private static final long HELD_UP_MS = 10_000;   // so much longer by the machine's own clock, where turns do not come
     private static final long START_MS = 6000;       // a new version is due to take clients by then
     private static final int OWN_DESCRIPTORS = 64;   // of the JVM, the listeners and the watch
 
@@ -318,14 +324,16 @@
     public String reload(String file) { return reload(file, null); }
 
     /** The same, with the file of our own settings, null for none. What each subsystem cannot take over it says itself. */
-    public String reload(String file, Path settingsFile) {
+    public synchronized String reload(String file, Path settingsFile) { // one by one: an older reading must not come last
         Config next;
         Settings own;
         try {
             next = Config.read(file);
             own = parts.all().isEmpty() ? Settings.OFF : Settings.read(settingsFile);
-        } catch (ConfigError e) {
+        } catch (YardusherError e) {
             return "keeps its configuration: " + e.getMessage();
+        } catch (StackOverflowError | OutOfMemoryError e) {
+            return "keeps its configuration: " + file + ": too deep or too long";
         }
         String[] done = new String[1];
         loop.turn(() -> {
@@ -339,31 +347,45 @@
         return done[0];
     }
 
-    /** Accepts for a while, answers all that was taken, and returns well before the platform would kill it. */
+    /**
+     * Accepts for a while, answers all that was taken, and returns just before the platform would kill it: at the latest when
+     * the last request that can have been taken has had its whole time.
+     */
     public void drain() throws InterruptedException {
+        double mostMs = ACCEPT_ON_MS + READ_ON_MS + Math.max(longestMs, LEAST_END_MS) + LAST_MS;
         loop.turn(() -> {
-            parts.drain();
+            loop.deadlines().at(loop.now() + ACCEPT_ON_MS, () -> {
+                if (handover.hasHeir()) { serving = false; } else { closeFronts(); }
+                loop.deadlines().at(loop.now() + READ_ON_MS, () -> {
+                    if (!handover.hasHeir()) { closeFronts(); } // whoever came at the last moment and has said nothing
+                    waitForOpen();
+                });
+            });
+            loop.deadlines().at(loop.now() + mostMs, drained::countDown);
             if (handover.hasHeir()) {
                 front.answers().leave();
                 if (limitsFront != null) { limitsFront.answers().leave(); }
             }
-            loop.deadlines().at(loop.now() + ACCEPT_ON_MS, () -> {
-                if (handover.hasHeir()) { serving = false; } else { closeFronts(); }
-                waitForOpen();
-            });
+            parts.drain();
         });
-        drained.await((long) (ACCEPT_ON_MS + longestMs), TimeUnit.MILLISECONDS);
+        drained.await((long) mostMs + HELD_UP_MS, TimeUnit.MILLISECONDS);
     }
 
     private void closeFronts() {
         serving = false;
+        // Guards who waits at the door of a full process: they are let in before it closes, with half of what the backends leave.
+        int spare = Math.max(0, budget * 2 / 5 - pool.held()) / 2;
+        pool.limit(budget * 2 / 5 - spare);
+        front.answers().limit(budget * 3 / 5 + spare - (limitsFront == null ? 0 : LimitsFront.MOST_TERMINALS));
         front.answers().close();
         if (limitsFront != null) { limitsFront.answers().close(); }
     }
 
     private void waitForOpen() {
-        if (ingress.openCount() == 0 && !parts.isBusy() && front.answers().terminalCount() == 0
-                && (limitsFront == null || limitsFront.answers().terminalCount() == 0)) {
+        // Guards answers that the system has not taken, or that a close over unread bytes would destroy: a connection is over
+        // once its client has ended it too, or has had its time for that.
+        if (ingress.openCount() == 0 && !parts.isBusy() && front.answers().heldCount() == 0
+                && (limitsFront == null || limitsFront.answers().heldCount() == 0)) {
             drained.countDown();
         } else {
             loop.deadlines().at(loop.now() + 20, this::waitForOpen);
@@ -410,8 +432,20 @@
                 && Files.readString(limitsFile).lines().anyMatch(line -> line.strip().startsWith("listen"));
     }
 
+    /** Each asking is followed by a reading that began after it; the line says what became of it. */
+    private static void reloadIfAsked(Serve serve, AtomicBoolean asked, String file, Path settingsFile) {
+        if (serve != null && asked.getAndSet(false)) { System.err.println(serve.config.name() + " " + serve.reload(file, settingsFile)); }
+    }
+
     /** The sub-command: serves until SIGTERM, then drains and exits 0. */
     static int run(String file, Path limitsFile, Path settingsFile) throws IOException {
+        // First of all: the default of this signal would end the process. One that comes before there is anything to reload waits.
+        AtomicReference<Serve> reloads = new AtomicReference<>();
+        AtomicBoolean asked = new AtomicBoolean();
+        Signal.handle(new Signal("HUP"), hup -> {
+            asked.set(true);
+            reloadIfAsked(reloads.get(), asked, file, settingsFile);
+        });
         Config config = Config.read(file);
         String adminAt = System.getenv("RELAY_ADMIN_ADDR"); // goes before the file's: it is this very process's
         Serve serve = new Serve(config, adminAt == null || adminAt.isEmpty() ? config.admin() : address(adminAt), notes(), listens(limitsFile) ? LimitsConfig.read(limitsFile) : null, Settings.read(settingsFile),
@@ -420,18 +454,21 @@
             try {
                 serve.drain();
             } catch (InterruptedException e) { /* the process ends all the same */ }
-            serve.loop.turn(() -> {
-                serve.handover.end();
-                serve.parts.close();
-            });
-            serve.parts.end();
-            System.err.println(config.name() + " ends: " + serve.countersLine());
-            System.err.flush();
-            Runtime.getRuntime().halt(0);
+            try {
+                serve.loop.turn(() -> {
+                    serve.handover.end();
+                    serve.parts.close();
+                });
+                serve.parts.end();
+                System.err.println(config.name() + " ends: " + serve.countersLine());
+                System.err.flush();
+            } finally {
+                Runtime.getRuntime().halt(0);        // whatever a part says at its end: all that was taken is answered
+            }
         }, "drain");
         Runtime.getRuntime().addShutdownHook(end);
-        // Before the first PING is answered: the default of this signal would end the process.
-        Signal.handle(new Signal("HUP"), hup -> System.err.println(config.name() + " " + serve.reload(file, settingsFile)));
+        reloads.set(serve);
+        reloadIfAsked(serve, asked, file, settingsFile);
         if (Hangup.isIgnored()) { System.err.println(config.name() + " " + Hangup.TOLD); }
         try {
             serve.start();
--- a/src/main/java/yardusher/net/Answers.java
+++ b/src/main/java/yardusher/net/Answers.java
@@ -67,6 +67,9 @@
 
     public int terminalCount() { return crowd.size(); }
 
+    /** Connections that are not over, also those that only get their last bytes. */
+    public int heldCount() { return crowd.held(); }
+
     /**
      * Whether one more terminal finds room. Guards the usual clients against connections that are kept and not
      * used: the one that said nothing for longest gives way, instead of a shut door for all.
@@ -76,7 +79,7 @@
         if (crowd.hasRoom(departure.isForGood())) { return true; }
         ClientConnection longest = crowd.givesWay(loop.now());
         if (longest == null) {
-            if (!looksAgain && !closing) {
+            if (!looksAgain) {
                 looksAgain = true;
                 loop.deadlines().at(loop.now() + AGAIN_MS, () -> {
                     looksAgain = false;
@@ -95,7 +98,7 @@
         loop.deadlines().at(now + UPKEEP_MS, this::upkeep);
         crowd.reap(now);
         sendAway(now);
-        if (!closing) { door.open(); }
+        door.open();                                 // a closed one stays closed
     }
 
     /** Whether terminals are being sent away. */
@@ -131,7 +134,7 @@
 
     /** One more terminal finds room. */
     void hasRoomAgain() {
-        if (!closing) { door.open(); }
+        door.open();
     }
 
     private void sendAway(double now) {
@@ -149,14 +152,18 @@
     }
 
     /**
-     * Accepts no more; connections are closed as soon as all they asked is answered. Guards against a terminal whose requests
+     * Accepts who waits at the door, and then no more; connections are closed as soon as all they asked is answered. Guards against a terminal whose requests
      * overlap on one connection, which would stay open up to the kill with the last of them unanswered: a little later no more is
      * read behind what is open there.
      */
     public void close() {
-        closing = true;
-        departure.close(loop.now());
-        door.close();
+        double now = loop.now();
+        if (!closing) {
+            closing = true;
+            // Guards who waits to be accepted, with a request written already: whoever is there when it closes is reset.
+            door.closeWhenQuiet(QUIET_MS, departure.close(now));
+            door.open();
+        }
         for (ClientConnection terminal : crowd.all()) { terminal.closeIfIdle(); }
     }
 
--- a/src/main/java/yardusher/net/ClientConnection.java
+++ b/src/main/java/yardusher/net/ClientConnection.java
@@ -216,7 +216,8 @@
 
     void closeIfIdle() {
         // Who has begun a command ends it and has its answer; who never ends it is cut off as ever.
-        if (slots.isEmpty() && (front.isClosing() || link.decoder().isEmpty())) { finish(); }
+        boolean cut = front.isClosing() && front.departure().hasRead(loop.now());
+        if (slots.isEmpty() && (cut || link.decoder().isEmpty())) { finish(); }
     }
 
     /** A value cannot be finished: the connection ends, so that the terminal sees that it is not whole. */
--- a/src/main/java/yardusher/net/Crowd.java
+++ b/src/main/java/yardusher/net/Crowd.java
@@ -41,6 +41,9 @@
 
     int size() { return terminals.size(); }
 
+    /** Also those that get their last bytes. */
+    int held() { return terminals.size() + leaving.size(); }
+
     List<ClientConnection> all() { return new ArrayList<>(terminals); }
 
     /** {@code twice}: twice as many may be here. */
--- a/src/main/java/yardusher/net/Departure.java
+++ b/src/main/java/yardusher/net/Departure.java
@@ -36,8 +36,11 @@
         return leaveBy;
     }
 
-    /** The door has closed at the end of this process: a little later no more is read behind what is open. */
-    void close(double now) { leaveBy = Math.min(leaveBy, now + CLOSED_READ_MS); }
+    /** The door closes at the end of this process: a little later no more is read behind what is open. Gives that time. */
+    double close(double now) {
+        leaveBy = Math.min(leaveBy, now + CLOSED_READ_MS);
+        return leaveBy;
+    }
 
     /** Whether connections close behind their answers. */
     boolean isUnderWay(double now) { return now >= leaveFrom; }
--- a/src/main/java/yardusher/servers/BackendPool.java
+++ b/src/main/java/yardusher/servers/BackendPool.java
@@ -78,6 +78,9 @@
         while (connections - leaving > mostConnections && closeOneIdle()) { /* one by one */ }
     }
 
+    /** Connections held, also those on their way up or down. */
+    public int held() { return connections; }
+
     /** From now on no connection is opened without a word of this; before any is. */
     public void allow(Allowance by) { allowance = by; }
 
--- a/src/test/java/yardusher/story/HangupStoryTest.java
+++ b/src/test/java/yardusher/story/HangupStoryTest.java
@@ -4,13 +4,17 @@
 
 import java.io.BufferedReader;
 import java.io.File;
+import java.io.FileOutputStream;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.nio.file.attribute.PosixFilePermissions;
 import java.util.ArrayList;
 import java.util.List;
@@ -22,7 +26,10 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import yardusher.cli.Serve;
 import yardusher.story.StandIn.Client;
+import yardusher.story.StandIn.Discovery;
+import yardusher.story.StandIn.Region;
 
 /** Real processes, started with SIGHUP ignored as {@code nohup} and some schedulers start them: a new configuration is read all the same. */
 class HangupStoryTest {
@@ -139,4 +146,93 @@
             for (ProcessHandle one : instances) { one.destroyForcibly(); }
         }
     }
+
+    private Program plain(Path config) throws IOException {
+        return new Program("exec env --default-signal=HUP '" + JAVA + "' -Xmx48m -Xss256k -cp \"$CLASSES\" yardusher.cli.Main serve --limits none"
+                + " --settings none '" + config + "'", "CLASSES", CLASSES, "TMPDIR", folder.toString());
+    }
+
+    private Path pipe(String name) throws Exception {
+        Path pipe = folder.resolve(name);
+        assertThat(new ProcessBuilder("mkfifo", pipe.toString()).inheritIO().start().waitFor()).isZero();
+        return pipe;
+    }
+
+    private static String at(int discovery) throws IOException {
+        return Files.readString(Path.of("src/test/resources/ingress.json")).replace("127.0.0.1:9\"", "127.0.0.1:" + discovery + "\"");
+    }
+
+    /** Danger: up to where the signal is taken over its default ends the process; the file is read long after. */
+    @Test
+    void aProcessThatIsToldToReloadWhileItStartsReloadsOnceItCan() throws Exception {
+        Path config = pipe("config.json");
+        Program program = plain(config);
+        try (OutputStream out = new FileOutputStream(config.toFile())) { // opens once the process reads
+            program.hangUp();
+            program.hangUp();
+            Path newer = folder.resolve("newer.json");
+            Files.writeString(newer, at(13));
+            Files.move(newer, config, StandardCopyOption.REPLACE_EXISTING);
+            out.write(at(11).getBytes(StandardCharsets.UTF_8));
+        }
+        assertThat(program.await(" reloaded: ")).contains("127.0.0.1:13");
+        program.await(" serves at ");
+    }
+
+    @Test
+    void whatCannotBeUsedIsToldInOneLineEachAndTheEndIsInOrderWhateverSignalsCome() throws Exception {
+        Path config = folder.resolve("config.json");
+        Files.writeString(config, at(11));
+        Program program = plain(config);
+        program.await(" serves at ");
+        for (String bad : List.of("", "{", "[]", "{\"name\":".repeat(100_000), "[".repeat(2_000_000), "\0\0\0", at(11).replace("127.0.0.1:11", "nowhere"))) {
+            Files.writeString(config, bad);
+            program.hangUp();
+            program.await(" keeps its configuration: ");
+        }
+        Files.delete(config);
+        program.hangUp();
+        program.await(" keeps its configuration: ");
+        Files.writeString(config, at(11));
+        program.hangUp();
+        program.await(" reloaded: ");
+        assertThat(program.heard.subList(program.heard.size() - 9, program.heard.size())).as("a line each")
+                .allMatch(line -> line.startsWith("n0 keeps its configuration: ") || line.startsWith("n0 reloaded: "));
+        for (String signal : List.of("HUP", "TERM", "HUP", "TERM", "HUP")) {
+            new ProcessBuilder("kill", "-" + signal, Long.toString(program.process.pid())).start().waitFor();
+        }
+        assertThat(program.process.waitFor(StandIn.PATIENCE_S, TimeUnit.SECONDS)).isTrue();
+        assertThat(program.process.exitValue()).isZero();
+        program.await(" ends: ");
+        assertThat(program.heard).noneMatch(line -> line.contains("Exception") || line.contains("Error"));
+    }
+
+    /** Danger: the first of two readings takes long, and is applied behind the second: discovery is asked where it was. */
+    @Test
+    void ofTwoReadingsAtOnceTheOneThatBeganLastHolds() throws Exception {
+        Path config = pipe("n0.json");
+        Serve serve = StandIn.ingress("127.0.0.1:9", null);
+        try (Discovery before = new Discovery(); Discovery after = new Discovery(); Region region = new Region();
+                Client client = new Client((InetSocketAddress) serve.front().answers().address())) {
+            Thread first = new Thread(() -> serve.reload(config.toString()));
+            first.start();
+            try (OutputStream out = new FileOutputStream(config.toFile())) {
+                Path newer = folder.resolve("newer.json");
+                Files.writeString(newer, at(after.door.getLocalPort()));
+                Files.move(newer, config, StandardCopyOption.REPLACE_EXISTING);
+                Thread second = new Thread(() -> serve.reload(config.toString()));
+                second.start();
+                StandIn.patiently().until(second::getState, state -> state == Thread.State.BLOCKED || state == Thread.State.TERMINATED);
+                out.write(at(before.door.getLocalPort()).getBytes(StandardCharsets.UTF_8));
+                out.close();
+                first.join(StandIn.PATIENCE_S * 1000);
+                second.join(StandIn.PATIENCE_S * 1000);
+            }
+            StandIn.next(after.asked);
+            after.tell(StandIn.list(50, true, StandIn.member("s-1", region.address(), "Ready")));
+            StandIn.patiently().until(() -> client.lookup(1, 2000), "made here"::equals);
+        } finally {
+            serve.close();
+        }
+    }
 }
--- a/src/test/java/yardusher/story/StandIn.java
+++ b/src/test/java/yardusher/story/StandIn.java
@@ -53,8 +53,10 @@
         final ServerSocket door;
         private final List<Socket> guests = new ArrayList<>();
 
-        Listener() throws IOException {
-            door = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        Listener() throws IOException { this(0); }
+
+        Listener(int port) throws IOException {
+            door = new ServerSocket(port, 50, InetAddress.getByName("127.0.0.1"));
             Thread thread = new Thread(() -> {
                 try {
                     for (;;) {
@@ -147,6 +149,9 @@
 
         Discovery() throws IOException { }
 
+        /** At a port where there was none so far. */
+        Discovery(int port) throws IOException { super(port); }
+
         /** Sends a line in two chunks: it ends where it ends, not where a chunk does. */
         void tell(String text) throws IOException {
             byte[] line = (text + "\n").getBytes(StandardCharsets.UTF_8);
@@ -185,7 +190,11 @@
         final Socket socket = new Socket();
         private final Decoder decoder = new Decoder();
 
-        Client(InetSocketAddress to) throws IOException {
+        Client(InetSocketAddress to) throws IOException { this(to, 0); }
+
+        /** With room for so many bytes that it has not read; 0 for what the system gives. */
+        Client(InetSocketAddress to, int room) throws IOException {
+            if (room > 0) { socket.setReceiveBufferSize(room); }
             socket.connect(to, PATIENCE_S * 1000);
             socket.setSoTimeout(PATIENCE_S * 1000);
         }
