--- a/src/test/java/yardusher/story/OtherSettingsStoryTest.java
+++ b/src/test/java/yardusher/story/OtherSettingsStoryTest.java
@@ -235,6 +235,14 @@
         }
     }
 
+    @Test
+    void whoWaitsForHoursIsTakenWhereTheClassAllowsIt() throws Exception {
+        try (Client client = start(json -> json.replace("\"hard_limit_ms\": 2500.0", "\"hard_limit_ms\": 7200000"))) {
+            assertThat(client.lookup(1, 7_200_000)).isEqualTo("made here");
+            assertThat(client.lookup(2, 86_400_001)).startsWith("-ERR");
+        }
+    }
+
     @Test
     void threeHundredClassesAndPlansAreServed() throws Exception {
         String classes = IntStream.range(0, 299).mapToObj(i -> "{\"aim_ms\":500,\"effect\":\"idempotent\",\"hard_limit_ms\":900,\"name\":\"c" + i + "\"},")
