--- a/src/main/java/yardusher/wire/SettingsNotes.java
+++ b/src/main/java/yardusher/wire/SettingsNotes.java
@@ -154,6 +154,7 @@
         }
         if (rules.number("drain_grace_ms", 0) > 0) { notes.add("rules.drain_grace_ms (a backend that drains gets nothing new at once)"); }
         if (rules.number("answer_slack_ms", 0) > 0) { notes.add("rules.answer_slack_ms (answers are due before the deadline)"); }
+        if (config.number("resolution_ms", 0) > 0) { notes.add("resolution_ms (what comes on sockets is answered as it comes)"); }
         positive("prices.", prices, List.of("cross_zone", "peer"), notes, "not weighed");
         positive("goal.", goal, List.of(), notes, "not weighed");
         for (Codec.Fields c : config.objects("classes")) {
--- a/src/test/java/yardusher/story/OtherSettingsStoryTest.java
+++ b/src/test/java/yardusher/story/OtherSettingsStoryTest.java
@@ -71,6 +71,7 @@
         "\"peers\": \\[[^]]*]                 | \"peers\": []",
         "\"peers\": \\[[^]]*]                 | \"peers\": null",
         "\"peer_listen\": \"127.0.0.1:0\",    | `` ",
+        "\"peers_total\": 3                   | \"peers_total\": 1",
         "\"peers\": true                      | \"peers\": false",
         "\"sockets\": 1024                    | \"sockets\": 64",
         "\"sockets\": 1024                    | \"sockets\": 100",
