--- a/src/test/java/yardusher/story/OtherSettingsStoryTest.java
+++ b/src/test/java/yardusher/story/OtherSettingsStoryTest.java
@@ -71,6 +71,7 @@
         "\"peers\": \\[[^]]*]                 | \"peers\": []",
         "\"peers\": \\[[^]]*]                 | \"peers\": null",
         "\"peer_listen\": \"127.0.0.1:0\",    | `` ",
+        "\"peers_total\": 3                   | \"peers_total\": 1",
         "\"peers\": true                      | \"peers\": false",
         "\"sockets\": 1024                    | \"sockets\": 64",
         "\"sockets\": 1024                    | \"sockets\": 100",
@@ -235,6 +236,14 @@
         }
     }
 
+    @Test
+    void whoWaitsForHoursIsTakenWhereTheClassAllowsIt() throws Exception {
+        try (Client client = start(json -> json.replace("\"hard_limit_ms\": 2500.0", "\"hard_limit_ms\": 7200000"))) {
+            assertThat(client.lookup(1, 7_200_000)).isEqualTo("made here");
+            assertThat(client.lookup(2, 86_400_001)).startsWith("-ERR");
+        }
+    }
+
     @Test
     void threeHundredClassesAndPlansAreServed() throws Exception {
         String classes = IntStream.range(0, 299).mapToObj(i -> "{\"aim_ms\":500,\"effect\":\"idempotent\",\"hard_limit_ms\":900,\"name\":\"c" + i + "\"},")
