--- a/src/main/java/yardusher/cli/Serve.java
+++ b/src/main/java/yardusher/cli/Serve.java
@@ -48,6 +48,8 @@
 public final class Serve {
     private static final double ACCEPT_ON_MS = 500;  // after SIGTERM connections keep coming 0.2 to 0.4 s
     private static final long START_MS = 6000;       // a new version is due to take clients by then
+    // Two dials of the watch (0.9 s), 0.35 s where this process itself was held up, and the reading of a list at a part of a core.
+    private static final double FIRST_LIST_MS = 1500;
     private static final int OWN_DESCRIPTORS = 64;   // of the JVM, the listeners and the watch
 
     private static final int BODIES_PART = 8;        // of the heap, for large bodies, but one always fits
@@ -77,6 +79,8 @@
     private final double longestMs;
     private Config config;                           // as it was last read
     private boolean serving;                         // clients are taken
+    private boolean ending;                          // and none will be any more
+    private double firstListMs;                      // waited at the most for discovery's first word
 
     /** Takes the limits front's file, or null where it is off. */
     public Serve(Config config, LimitsConfig limits) throws IOException { this(config, limits, Settings.OFF, clock()); }
@@ -225,18 +229,31 @@
         }
 
         @Override
-        public void takeClients() throws IOException {
-            front.answers().bind();
-            if (limitsFront != null) {
-                limitsFront.answers().bind();
-                limitsFront.answers().open();
-            }
-            front.answers().open();                  // last: a PING is answered once all else is ready
-            serving = true;
-            ready.countDown();
+        public void takeClients(Runnable then) {
+            // Guards the first requests: what the agent has counts as told from the first moment, also against the known list.
+            watch.whenTold(firstListMs, () -> {
+                if (ending) { return; }
+                try {
+                    openFronts();
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+                ready.countDown();
+                then.run();
+            });
         }
     }
 
+    private void openFronts() throws IOException {
+        front.answers().bind();
+        if (limitsFront != null) {
+            limitsFront.answers().bind();
+            limitsFront.answers().open();
+        }
+        front.answers().open();                      // last: a PING is answered once all else is ready
+        serving = true;
+    }
+
     private void banHere(String region, boolean out) {
         long id = DiscoveredBackends.id(region);
         if (out) { banned.add(region); } else { banned.remove(region); }
@@ -287,9 +304,13 @@
     }
 
     /** Takes clients before it returns; an {@link IOException} where an address cannot be listened at. */
-    public void start() throws IOException {
+    public void start() throws IOException { start(FIRST_LIST_MS); }
+
+    /** The same, with the time in milliseconds that the first word of discovery is waited for at the most, 0 for not at all. */
+    public void start(double waitMs) throws IOException {
         loop.startTimer();
         loop.turn(() -> {
+            firstListMs = waitMs;
             watch.start();
             if (admin != null) { admin.open(); }
             try {
@@ -302,7 +323,9 @@
             }
         });
         try {
-            if (!ready.await(START_MS, TimeUnit.MILLISECONDS) || unready != null) {
+            // Guards a start that is short of processor time: what it waits for in time it goes without.
+            if (!ready.await(START_MS, TimeUnit.MILLISECONDS)) { loop.turn(watch::awaitNoLonger); }
+            if (ready.getCount() > 0 || unready != null) {
                 if (unready instanceof YardusherError why) { throw why; }
                 throw unready instanceof IOException why ? why : new IOException("no clients could be taken");
             }
@@ -357,6 +380,7 @@
 
     private void closeFronts() {
         serving = false;
+        ending = true;
         front.answers().close();
         if (limitsFront != null) { limitsFront.answers().close(); }
     }
--- a/src/main/java/yardusher/discovery/ChunkedLines.java
+++ b/src/main/java/yardusher/discovery/ChunkedLines.java
@@ -7,6 +7,7 @@
 import java.nio.channels.WritableByteChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.config.Http1Config;
@@ -18,19 +19,25 @@
 import org.apache.hc.core5.util.CharArrayBuffer;
 
 /**
- * Reads the lines of a chunked HTTP/1.1 answer as its bytes come. Heads and chunks are read by HttpCore's parsers, which need
- * no transport of theirs: the bytes are those of our own reads. Bounded: 64 lines of 8 KiB of a head, 4 MiB of a line of the list.
- * What is not such an answer is an {@link IOException}; after one, nothing more is fed.
+ * Reads the lines of an HTTP/1.x answer as its bytes come: of a chunked one, of one with a length, and of one without any, which
+ * lasts until its connection ends. Heads and chunks are read by HttpCore's parsers, which need no transport of theirs: the bytes
+ * are those of our own reads. Bounded: 64 lines of 8 KiB of a head, 8 interim heads (1xx) before the answer's, 4 MiB of a line of
+ * the list. What is not such an answer, or not of code 200, is an {@link IOException}; after one, nothing more is fed.
  */
 final class ChunkedLines {
     private static final int MOST_HEAD_LINE = 8 * 1024;
     private static final int MOST_FED = 8 * 1024;    // bytes at a time; more is fed in parts
     private static final int MOST_LINE = 4 << 20;
+    private static final int MOST_INTERIM = 8;
+    private static final long UNSTATED = Long.MAX_VALUE;
     private static final Http1Config LIMITS = Http1Config.custom().setMaxLineLength(MOST_HEAD_LINE).setMaxHeaderCount(64).build();
 
     private final Bytes bytes = new Bytes();
     private final DefaultHttpResponseParser<HttpResponse> head = new DefaultHttpResponseParser<>(DefaultHttpResponseFactory.INSTANCE, LIMITS);
-    private ChunkDecoder chunks;                     // null until the head is whole
+    private int interim;                             // heads before the answer's own
+    private boolean begun;                           // the head is whole
+    private ChunkDecoder chunks;                     // null where the body is not chunked
+    private long left;                               // bytes of a body that is not chunked, UNSTATED up to its connection's end
     private final ByteBuffer part = ByteBuffer.allocate(4096);
     private final ByteArrayOutputStream line = new ByteArrayOutputStream(4096);
     private final ArrayDeque<String> lines = new ArrayDeque<>();
@@ -39,9 +46,9 @@
         for (int from = 0; from < count; from += MOST_FED) {
             bytes.add(fed, from, Math.min(MOST_FED, count - from));
             try {
-                if (chunks == null) { head(); }
-                if (chunks != null) { chunks(); }
-            } catch (HttpException | IndexOutOfBoundsException e) { // the latter of a chunk's size below nothing
+                if (!begun) { head(); }
+                if (begun) { body(); }
+            } catch (HttpException | RuntimeException e) { // the latter of a chunk's size below nothing
                 throw new IOException("no answer of HTTP/1.1: " + e.getMessage(), e);
             }
         }
@@ -49,19 +56,48 @@
 
     private void head() throws IOException, HttpException {
         HttpResponse answer = head.parse(bytes, false);
+        while (answer != null && answer.getCode() >= 100 && answer.getCode() < 200 && answer.getCode() != 101) {
+            if (++interim > MOST_INTERIM) { throw new IOException("answered " + answer.getCode() + " over and over"); }
+            head.reset();
+            answer = head.parse(bytes, false);
+        }
         if (answer == null) { return; }
         if (answer.getCode() != 200) { throw new IOException("answered " + answer.getCode() + " " + answer.getReasonPhrase()); }
-        if (answer.getHeader("Transfer-Encoding") == null || !answer.getHeader("Transfer-Encoding").getValue().equalsIgnoreCase("chunked")) {
-            throw new IOException("answer is not chunked");
+        begun = true;
+        String coding = answer.containsHeader("Transfer-Encoding") ? header(answer, "Transfer-Encoding") : "identity";
+        if (coding.equalsIgnoreCase("chunked")) {
+            chunks = new ChunkDecoder(bytes, bytes, LIMITS, new BasicHttpTransportMetrics());
+        } else if (!coding.equalsIgnoreCase("identity")) {
+            throw new IOException("answer is coded as " + coding);
+        } else if (answer.containsHeader("Content-Length")) {
+            String length = header(answer, "Content-Length");
+            if (!length.matches("[0-9]{1,18}")) { throw new IOException("answer has the length " + length); }
+            left = Long.parseLong(length);
+        } else {
+            left = UNSTATED;
         }
-        chunks = new ChunkDecoder(bytes, bytes, LIMITS, new BasicHttpTransportMetrics());
     }
 
-    private void chunks() throws IOException {
-        while (!chunks.isCompleted()) {
+    /** A header's one value, without its parameters; the same one twice is one. */
+    private static String header(HttpResponse answer, String name) throws IOException {
+        String value = null;
+        for (Header header : answer.getHeaders(name)) {
+            for (String one : header.getValue().split(",", -1)) {
+                String next = one.split(";", 2)[0].strip();
+                if (value != null && !value.equalsIgnoreCase(next)) { throw new IOException("answer has two of " + name); }
+                value = next;
+            }
+        }
+        return value;
+    }
+
+    private void body() throws IOException {
+        while (!ended()) {
             part.clear();
-            if (chunks.read(part) <= 0) { return; }
+            if (chunks == null) { part.limit((int) Math.min(part.limit(), left)); }
+            if ((chunks == null ? bytes.read(part) : chunks.read(part)) <= 0) { return; }
             part.flip();
+            if (chunks == null && left != UNSTATED) { left -= part.remaining(); }
             while (part.hasRemaining()) { data(part.get()); }
         }
     }
@@ -78,7 +114,16 @@
 
     String next() { return lines.poll(); }
 
-    boolean ended() { return chunks != null && chunks.isCompleted(); }
+    /** Whether the answer is whole. One of no stated length never is by itself. */
+    boolean ended() { return begun && (chunks != null ? chunks.isCompleted() : left == 0); }
+
+    /** Takes what stands without a line's end, once no more will come; null for nothing. */
+    String rest() {
+        if (line.size() == 0) { return null; }
+        String rest = line.toString(StandardCharsets.UTF_8);
+        line.reset();
+        return rest;
+    }
 
     /** What was fed and not yet read: never more than a line of a head or of a chunk's size, and one feed. It is filled by us alone. */
     private static final class Bytes implements SessionInputBuffer, ReadableByteChannel {
--- a/src/main/java/yardusher/discovery/ObjectLines.java
+++ b/src/main/java/yardusher/discovery/ObjectLines.java
@@ -4,10 +4,11 @@
 
 /**
  * Puts the lines of a watch together to whole JSON objects: a list may come on one line or indented over several. An empty
- * line between objects says that nothing has changed. Holds one object at the most, of 4 MiB at the most.
+ * line between objects says that nothing has changed. Holds one object at the most, of 4 MiB and 64 levels at the most.
  */
 final class ObjectLines {
     private static final int MOST_OBJECT = 4 << 20;
+    private static final int MOST_DEPTH = 64;        // a list has three
 
     private final StringBuilder part = new StringBuilder();
     private int depth;
@@ -23,7 +24,7 @@
             } else if (c == '"') {
                 inText = true;
             } else if (c == '{' || c == '[') {
-                depth++;
+                if (++depth > MOST_DEPTH) { throw new IOException("object too deep"); } // guards the stack of who reads it
             } else if (c == '}' || c == ']') {
                 depth--;
             }
--- a/src/main/java/yardusher/discovery/Watch.java
+++ b/src/main/java/yardusher/discovery/Watch.java
@@ -7,13 +7,16 @@
 import java.nio.channels.CompletionHandler;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import yardusher.Api;
 import yardusher.core.Counters;
 import yardusher.core.Deadlines;
 import yardusher.core.Ingress;
 import yardusher.core.EventLoop;
 import yardusher.net.Sockets;
+import yardusher.wire.Codec;
 
 /**
  * The watch on discovery: one HTTP answer that stays open. When it ends or falls silent, or discovery is to be found
@@ -34,6 +37,9 @@
     private final Map<Integer, Stream> streams = new HashMap<>(); // three at the most
     private Deadlines.Entry pending;                 // the clock's next look
     private double pendingAt = Double.POSITIVE_INFINITY;
+    private Runnable awaits;                         // the first news, or null
+    private boolean spoken;                          // discovery has told something
+    private boolean stopped;
 
     public Watch(Sockets sockets, InetSocketAddress address, DiscoveredBackends table, Ingress ingress, long seed) {
         this.sockets = sockets;
@@ -67,7 +73,28 @@
         look();
     }
 
+    /**
+     * Runs that once: when discovery has first told of its backends, and the module knows, or after so many milliseconds at the
+     * latest. Not at all once the watch has stopped. One waits at a time.
+     */
+    public void whenTold(double withinMs, Runnable then) {
+        if (spoken || withinMs <= 0) {
+            then.run();
+            return;
+        }
+        awaits = then;
+        loop.deadlines().at(loop.now() + withinMs, this::awaitNoLonger);
+    }
+
+    /** Runs what waits for the first news, without them. */
+    public void awaitNoLonger() {
+        Runnable then = awaits;
+        awaits = null;
+        if (then != null && !stopped) { then.run(); }
+    }
+
     public void stop() {
+        stopped = true;
         clock.stop();
         look();
     }
@@ -91,21 +118,31 @@
         private final ChunkedLines lines = new ChunkedLines();
         private final ObjectLines objects = new ObjectLines();
         private final ByteBuffer in = ByteBuffer.allocate(8192);
-        private final Runnable dial;                 // gives up the connection under way
+        private Runnable dial = () -> { };           // gives up the connection under way
         private AsynchronousSocketChannel channel;
+        private long knew;                           // the version known when it was asked
+        private long asked;                          // the version asked from, 0 for all there is
+        private final Set<Long> newer = new HashSet<>(); // who was told of since it was dialled, at most what is told in LIFE_MS
         private boolean closed;
 
         Stream(int number) {
             this.number = number;
-            dial = sockets.connect(address, WatchClock.LIFE_MS, made -> {
-                channel = made;
-                ask();
-            }, this::fail);
+            try {
+                dial = sockets.connect(address, WatchClock.LIFE_MS, made -> {
+                    channel = made;
+                    ask();
+                }, this::fail);
+            } catch (RuntimeException e) {
+                // Guards the clock's next look: an address that the system cannot even try is one that refuses.
+                loop.afterwards(this::fail);
+            }
         }
 
         private void ask() {
             counters.listAsks++;
-            String request = "GET /v1/servers?follow=1&since=" + (clock.asksWhole() ? 0 : table.revision()) + " HTTP/1.1\r\nHost: "
+            knew = table.revision();
+            asked = clock.asksWhole() ? 0 : knew;
+            String request = "GET /v1/servers?follow=1&since=" + asked + " HTTP/1.1\r\nHost: "
                     + address.getHostString() + ":" + address.getPort() + "\r\nAccept: application/json\r\n\r\n";
             write(ByteBuffer.wrap(request.getBytes(StandardCharsets.US_ASCII)));
         }
@@ -132,40 +169,93 @@
                 public void completed(Integer count, Void none) { loop.turn(() -> got(count)); }
 
                 @Override
-                public void failed(Throwable why, Void none) { loop.turn(Stream.this::fail); }
+                public void failed(Throwable why, Void none) { loop.turn(Stream.this::end); }
             });
         }
 
         private void got(int count) {
             if (closed) { return; }
             if (count < 0) {
-                fail();
+                end();
                 return;
             }
             try {
                 lines.feed(in.array(), count);
-                for (String line; !closed && (line = lines.next()) != null;) {
-                    String object = objects.add(line);
-                    if (object == null) { continue; }
-                    if (object.isBlank()) { clock.empty(number, loop.now()); } else { news(object); }
-                    look();
-                }
             } catch (IOException e) {
-                counters.listBad++;
-                System.err.println("service table: " + e.getMessage());
+                bad(e);
                 fail();
                 return;
             }
+            for (String line; !closed && (line = lines.next()) != null;) { line(line); }
             if (closed) { return; }
-            if (lines.ended()) { fail(); } else { read(); }
+            if (lines.ended()) { end(); } else { read(); }
+        }
+
+        /** The answer is over, or broken off: an object that is whole without its line's end counts, half a one does not. */
+        private void end() {
+            if (closed) { return; }
+            String rest = lines.rest();
+            if (rest != null && !rest.isBlank()) { line(rest); }
+            fail();
+        }
+
+        private void line(String line) {
+            try {
+                String object = objects.add(line);
+                if (object == null) { return; }
+                if (object.isBlank()) { clock.empty(number, loop.now()); } else { news(object); }
+                look();
+            } catch (IOException e) {
+                bad(e);
+                spoilt();
+            } catch (RuntimeException e) {
+                fail();                              // guards against a watch that stays open and is read no more
+                throw e;
+            }
+        }
+
+        private void bad(IOException why) {
+            counters.listBad++;
+            System.err.println("service table: " + String.valueOf(why.getMessage()).lines().findFirst().orElse(""));
         }
 
         private void news(String object) throws IOException {
-            Api.ServerList news = table.line(object);
+            Codec.Fields fields = DiscoveredBackends.read(object);
+            boolean first = clock.isHeir(number);
+            long version = table.revision(fields);
+            // Guards against an answer that was written before what the old watch has told meanwhile, and would undo it. The
+            // versions of another address say nothing.
+            boolean late = first && !clock.isMoved() && version >= knew && version < table.revision();
+            Api.ServerList news = late ? table.takeBut(fields, newer) : table.take(fields);
+            for (Stream other : streams.values()) {
+                if (!clock.isHeir(other.number)) { continue; }
+                for (Api.Server server : news.servers()) { other.newer.add(server.id()); }
+            }
             counters.listChanges++;
             counters.listWhole += news.kind() == Api.ListKind.FULL ? 1 : 0;
-            clock.object(number, loop.now());
             ingress.tell(news);
+            spoken = true;
+            if (table.unread() > 0) {
+                counters.listBad += table.unread();
+                System.err.println("service table: " + table.unread() + " entries cannot be read");
+            }
+            if (table.unread() > 0 && !(first && asked == 0)) {
+                spoilt();                            // what could not be read is asked for again, up to all there is
+            } else if (first && news.kind() != Api.ListKind.FULL && version < asked) {
+                clock.empty(number, loop.now());     // changes after a version of another count: some are missing
+            } else {
+                clock.object(number, loop.now());
+                newer.clear();
+            }
+            awaitNoLonger();
+        }
+
+        private void spoilt() {
+            if (closed) { return; }
+            close();
+            streams.remove(number);
+            clock.spoilt(number, loop.now());
+            look();
         }
 
         private void fail() {
--- a/src/main/java/yardusher/discovery/WatchClock.java
+++ b/src/main/java/yardusher/discovery/WatchClock.java
@@ -17,6 +17,7 @@
     static final double SILENT_SPREAD_MS = 300;
     static final double PATIENCE_MS = 750;           // what an agent has is there at once
     static final double LIFE_MS = 3000;              // of a watch that has not spoken
+    static final double STEADY_MS = 1000;            // of a watch whose end is one by itself
     static final double LATE_MS = 100;               // a look this late says more about this process than about discovery
     static final double GRACE_MS = 250;
     private static final double NEVER = Double.POSITIVE_INFINITY;
@@ -52,7 +53,7 @@
     private double believedAt;                       // since when it is that one
     private boolean doubted;                         // it has fallen silent
     private boolean moved;                           // nothing has been told by the present address yet
-    private boolean unclear;                         // an heir has said an empty line and no object
+    private boolean unclear;                         // an heir has said an empty line and no object, or one that cannot be read
     private Heir first;                              // the elder of two
     private Heir second;
     private double dialAt = NEVER;
@@ -63,6 +64,12 @@
         this.backoff = backoff;
     }
 
+    /** Whether nothing has been told by the present address yet. */
+    boolean isMoved() { return moved; }
+
+    /** Whether this watch is asked, and its news are not the ones that hold. */
+    boolean isHeir(int watch) { return first != null && first.watch == watch || second != null && second.watch == watch; }
+
     /** Whether a watch asks for all there is: another service's versions mean nothing, and all there is always begins with an object. */
     boolean asksWhole() { return moved || unclear; }
 
@@ -122,7 +129,13 @@
         look(now);
     }
 
-    /** It was refused, never came up, ended, or said what cannot be read. */
+    /** It said news that cannot be read, and is given up; of one that was just asked, all there is may be told better. */
+    void spoilt(int watch, double now) {
+        unclear = unclear || isHeir(watch);
+        ended(watch, now);
+    }
+
+    /** It was refused, never came up, or ended. */
     void ended(int watch, double now) {
         if (watch == told) {
             told = 0;
@@ -176,11 +189,9 @@
 
     private Heir newest() { return second != null ? second : first; }
 
-    private boolean isHeir(int watch) { return first != null && first.watch == watch || second != null && second.watch == watch; }
-
     /** Guards discovery against a watch that speaks and ends at once, over and over: only one that lasted ends the backing off. */
     private void steady(double now) {
-        if (now - believedAt >= SILENT_MS) { backoff.reset(); }
+        if (now - believedAt >= STEADY_MS) { backoff.reset(); }
     }
 
     private void dropHeirs() {
--- a/src/main/java/yardusher/handover/Handover.java
+++ b/src/main/java/yardusher/handover/Handover.java
@@ -48,8 +48,8 @@
         /** Sends by the port. */
         void send(int to, String body);
 
-        /** Listens for clients and takes them; an {@link IOException} where it cannot. */
-        void takeClients() throws IOException;
+        /** Listens for clients and takes them, now or in a later turn, and then runs that; an {@link java.io.UncheckedIOException} where it cannot. */
+        void takeClients(Runnable then);
     }
 
     // To all that the process before has to tell, which may be short of processor time: what it does not tell in time is
@@ -138,12 +138,17 @@
         try {
             program.takePort();
             program.shares(other != null, true);
-            program.takeClients();
-            if (own != null) { own.write(folder, name); }
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
-        if (other != null) { other.say(new Word.Serving()); }
+        program.takeClients(() -> {
+            try {
+                if (own != null) { own.write(folder, name); }
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+            if (other != null) { other.say(new Word.Serving()); }
+        });
     }
 
     /** This process ends: it is not to be found any more. */
--- a/src/test/java/yardusher/discovery/ChunkedLinesTest.java
+++ b/src/test/java/yardusher/discovery/ChunkedLinesTest.java
@@ -64,18 +64,43 @@
 
     @ParameterizedTest
     @ValueSource(strings = {"HTTP/1.1 200 OK\r\ntransfer-encoding:chunked\r\n\r\n", "HTTP/1.1 200 \r\nTransfer-Encoding:   Chunked  \r\n\r\n",
-        "HTTP/1.1 200 OK\r\nServer: a\r\n b\r\nTransfer-Encoding: chunked\r\n\r\n"})
+        "HTTP/1.1 200 OK\r\nServer: a\r\n b\r\nTransfer-Encoding: chunked\r\n\r\n", "HTTP/1.0 200 OK\r\nTransfer-Encoding: CHUNKED;a=b\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nX: y\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 9\r\n\r\n"})
     void aHeadInAnyLegalWritingIsTaken(String head) throws IOException {
         assertThat(all(fed(head + "2;name=value\r\na\n\r\n"))).containsExactly("a");
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"HTTP/1.1 503 Busy\r\nTransfer-Encoding: chunked\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", "+PONG\r\n+PONG\r\n",
+    @ValueSource(strings = {"HTTP/1.1 503 Busy\r\nTransfer-Encoding: chunked\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: -3\r\n\r\nabc", "+PONG\r\n+PONG\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabc", "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+        "HTTP/1.1 302 Found\r\nLocation: http://127.0.0.1:1/\r\n\r\n", "HTTP/1.1 204 No Content\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: a\r\n\r\nabc",
         HEAD + "zz\r\n", HEAD + "2\r\nabcd", HEAD + "-5\r\n"})
     void whatIsNoSuchAnswerIsAnError(String text) {
         assertThatThrownBy(() -> fed(text + "\r\n".repeat(20))).as(text).isInstanceOf(IOException.class);
     }
 
+    /** What stands without a line's end is given once nothing more can come, of an answer of any length. */
+    @Property(tries = 200)
+    void anAnswerWithALengthOrWithoutAnyIsReadWhereverItIsCut(@ForAll @Size(min = 1, max = 8) List<@IntRange(min = 1, max = 20_000) Integer> sizes,
+            @ForAll boolean counted, @ForAll boolean old) throws IOException {
+        String large = "x".repeat(30_000);
+        String text = "{\"a\":\n1}\r\n\n" + large + "\nlast";
+        String head = "HTTP/1." + (old ? 0 : 1) + " 200 OK\r\nserver: a\r\n" + (counted ? "content-length: " + text.length() + "\r\n" : "") + "\r\n";
+        ChunkedLines lines = fed((head + text).getBytes(StandardCharsets.US_ASCII), sizes);
+        assertThat(all(lines)).containsExactly("{\"a\":", "1}\r", "", large);
+        assertThat(lines.ended()).as("without a length it lasts as long as its connection").isEqualTo(counted);
+        assertThat(lines.rest()).isEqualTo("last");
+        assertThat(lines.rest()).isNull();
+    }
+
+    @Test
+    void anAnswerOfNoLengthAtAllEndsAtOnceAndOneWithoutItsHeadNever() throws IOException {
+        assertThat(fed("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").ended()).isTrue();
+        assertThat(fed("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n").ended()).isFalse();
+        assertThat(fed("HTTP/1.1 200 OK\r\n").rest()).isNull();
+        assertThatThrownBy(() -> fed("HTTP/1.1 100 Continue\r\n\r\n".repeat(20))).isInstanceOf(IOException.class);
+    }
+
     @Test
     void nothingGrowsWithoutABound() throws IOException {
         assertThatThrownBy(() -> fed("HTTP/1.1 200 OK\r\nX: " + "y".repeat(20_000))).isInstanceOf(IOException.class);
--- a/src/test/java/yardusher/discovery/DiscoveredBackendsTest.java
+++ b/src/test/java/yardusher/discovery/DiscoveredBackendsTest.java
@@ -1,9 +1,14 @@
 package yardusher.discovery;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+import static org.assertj.core.api.Assertions.tuple;
 
+import java.io.IOException;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import yardusher.Api;
 import yardusher.core.Counters;
 import yardusher.core.EventLoop;
@@ -65,4 +70,112 @@
             sockets.shutdown();
         }
     }
+
+    /** A table with nothing behind it. */
+    private interface Told {
+        void with(DiscoveredBackends table, BackendPool pool) throws Exception;
+    }
+
+    private static void table(Told told) throws Exception {
+        EventLoop loop = new EventLoop(() -> 0, e -> { throw new AssertionError(e); });
+        Sockets sockets = new Sockets(loop);
+        try {
+            BackendPool pool = new BackendPool(sockets, new Counters(), List.of(), 250, 30_000, 8000, 10);
+            told.with(new DiscoveredBackends(List.of("hall-a"), pool), pool);
+        } finally {
+            sockets.shutdown();
+        }
+    }
+
+    /** News of which nothing can be used change nothing: no backend, no version, nothing of what the module was told. */
+    @ParameterizedTest
+    @ValueSource(strings = {"{}", "[]", "1", "null", "\"a\"", "{\"revision\":9,\"complete\":true,\"members\":\"s-1\"}", "{\"revision\":9,\"complete\":true}",
+        "{\"revision\":9,\"complete\":true,\"members\":[]}", "{\"revision\":9,\"complete\":true,\"members\":[1,null,\"a\",[]]}",
+        "{\"revision\":9,\"complete\":true,\"members\":[{\"id\":\"s-1\"}]}", "{\"revision\":9,\"complete\":true,\"members\":[{\"id\":7,\"phase\":\"Ready\"}]}",
+        "{\"revision\":\"9\",\"complete\":false,\"members\":[GONE]}", "{\"revision\":-1,\"complete\":false,\"members\":[GONE]}",
+        "{\"revision\":1e300,\"complete\":false,\"members\":[GONE]}", "{\"revision\":99999999999999999999999999,\"complete\":false,\"members\":[GONE]}",
+        "{\"revision\":9,\"complete\":false,\"members\":[GONE", "{\"members\":[[[[[[", "{\"error\":\"not ready\"}"})
+    void spoiltNewsChangeNothing(String text) throws Exception {
+        table((table, pool) -> {
+            table.line(news(1, true, member("s-1", 81, "Ready"), member("s-2", 82, "Ready")));
+            assertThatThrownBy(() -> table.line(text.replace("GONE", member("s-1", 81, "Gone")))).isInstanceOf(IOException.class);
+            assertThat(table.revision()).isEqualTo(1);
+            assertThat(table.size()).isEqualTo(2);
+            assertThat(pool.knows(1)).isTrue();
+            assertThat(table.listed()).hasSize(2);
+        });
+    }
+
+    @Test
+    void anEmptyListIsBelievedWhereNothingIsKnown() throws Exception {
+        table((table, pool) -> {
+            assertThat(table.line(news(1, true)).servers()).isEmpty();
+            assertThat(table.revision()).isEqualTo(1);
+        });
+    }
+
+    /** The entries that can be read count; nobody is forgotten, and one known by an entry that cannot be read gets nothing new. */
+    @Test
+    void oneSpoiltEntryAmongOthersTakesNothingElseWithIt() throws Exception {
+        for (String bad : List.of(member("s-3", 83, "Ready").replace("127.0.0.1:83", "nowhere"), member("s-3", 83, "Ready").replace("\"Ready\"", "7"),
+                member("s-3", 83, "Ready").replace("1.0", "\"much\""), "{\"id\":\"s-3\"}", member("s-3", 83, "Ready").replace(":83", ":99999"))) {
+            table((table, pool) -> {
+                table.line(news(1, true, member("s-1", 81, "Ready"), member("s-2", 82, "Ready"), member("s-3", 83, "Ready")));
+                Api.ServerList told = table.line(news(5, true, "7", member("s-1", 81, "Terminating"), bad, member("s-4", 84, "Ready")));
+                assertThat(table.unread()).isEqualTo(2);
+                assertThat(table.revision()).as("what could not be read is told again").isEqualTo(1);
+                assertThat(told.kind()).isEqualTo(Api.ListKind.DELTA);
+                assertThat(told.servers()).extracting(Api.Server::id, Api.Server::readiness).containsExactlyInAnyOrder(
+                        tuple(1L, Api.Readiness.DRAINING), tuple(4L, Api.Readiness.READY), tuple(3L, Api.Readiness.DRAINING));
+                assertThat(table.size()).isEqualTo(4);
+                assertThat(pool.knows(2)).isTrue();
+                table.line(news(6, true, member("s-3", 83, "Ready")));
+                assertThat(table.unread()).isZero();
+                assertThat(table.size()).isEqualTo(1);
+            });
+        }
+    }
+
+    @Test
+    void oddEntriesAreTakenAsTheyCan() throws Exception {
+        table((table, pool) -> {
+            Api.ServerList told = table.line(news(1, true, member("s-1", 81, "Ready"), member("s-1", 81, "Terminating"), member("s-2", 82, "Resting"),
+                    member("no hex", 83, "Ready"), member("", 84, "Ready"), member("s-5", 85, "Ready").replace("\"locality\":\"a\",", ""),
+                    member("s-6", 86, "Ready").replace("\"size\":1.0", "\"size\":-1e308"), member("s-7", 81, "Ready")));
+            assertThat(table.listed(1).readiness()).as("the last word of two").isEqualTo(Api.Readiness.DRAINING);
+            assertThat(table.listed(2).readiness()).as("a phase that is not known").isEqualTo(Api.Readiness.DRAINING);
+            assertThat(told.servers()).hasSize(8);
+            assertThat(table.size()).isEqualTo(7);
+            table.line(news(2, false, member("s-5", 99, "Ready")));
+            assertThat(table.size()).isEqualTo(7);
+            assertThat(table.everListed("no hex")).isTrue();
+        });
+    }
+
+    /** A version that no double can tell from its neighbours is asked from as it was told. */
+    @Test
+    void aLongVersionIsKeptToItsLastDigit() throws Exception {
+        table((table, pool) -> {
+            table.line(news(1, false).replace("\"revision\":1", "\"revision\":1733106404123456789"));
+            assertThat(table.revision()).isEqualTo(1_733_106_404_123_456_789L);
+        });
+    }
+
+    /** A list of 10,000 is read, joined by as many more, and ended. */
+    @Test
+    void aListOfTenThousandIsRead() throws Exception {
+        table((table, pool) -> {
+            String[] first = new String[10_000];
+            String[] second = new String[10_000];
+            for (int i = 0; i < first.length; i++) {
+                first[i] = member("s-" + Integer.toHexString(i), 1000 + i, "Ready");
+                second[i] = member("s-" + Integer.toHexString(20_000 + i), 30_000 + i, "Ready");
+            }
+            table.line(news(1, false, first));
+            table.line(news(2, false, second));
+            assertThat(table.size()).isEqualTo(20_000);
+            assertThat(table.line(news(3, true, member("s-1", 1001, "Ready"))).servers()).hasSize(1);
+            assertThat(table.size()).isEqualTo(1);
+        });
+    }
 }
--- a/src/test/java/yardusher/discovery/ObjectLinesTest.java
+++ b/src/test/java/yardusher/discovery/ObjectLinesTest.java
@@ -76,4 +76,9 @@
             for (int i = 0; i < 5; i++) { large.add(line); }
         }).isInstanceOf(IOException.class).hasMessageContaining("too long");
     }
+
+    @Test
+    void whatIsNestedDeeplyIsNotReadOn() {
+        assertThatThrownBy(() -> new ObjectLines().add("{\"a\":" + "[".repeat(100_000))).isInstanceOf(IOException.class).hasMessageContaining("deep");
+    }
 }
--- a/src/test/java/yardusher/discovery/WatchClockTest.java
+++ b/src/test/java/yardusher/discovery/WatchClockTest.java
@@ -17,7 +17,10 @@
 /** When discovery is asked, on scripted time: orders of accept, silence, refusal, close, hanging, move, and a process held up. */
 class WatchClockTest {
     /** How a dial goes. Only PROMPT tells the list. */
-    enum Dial { PROMPT, REFUSED, HANGS, SILENT, EMPTY_LINES, CLOSED_SOON, CLOSED_LATE }
+    enum Dial { PROMPT, REFUSED, HANGS, SILENT, EMPTY_LINES, CLOSED_SOON, CLOSED_LATE, RUBBISH }
+
+    /** What becomes of a watch that has told the list, apart from what it misses. */
+    enum Fate { GOES_ON, ENDS_AT_ONCE, ENDS_SOON, SPOILT, FALLS_SILENT }
 
     private static final double ANSWER_MS = 5;
 
@@ -89,6 +92,10 @@
                     emptyLines(watch, false);
                 });
                 case REFUSED -> after(1, watch, () -> end(watch));
+                case RUBBISH -> after(ANSWER_MS, watch, () -> {
+                    open.remove(watch);
+                    clock.spoilt(watch, now);
+                });
                 case CLOSED_SOON -> after(20, watch, () -> end(watch));
                 case CLOSED_LATE -> after(700, watch, () -> end(watch));
                 case EMPTY_LINES -> {
@@ -191,6 +198,93 @@
         assertThat(world.whole.subList(1, world.whole.size())).as("its versions are its own").containsOnly(true);
     }
 
+    /**
+     * The worst order. Before a change is there, dials go by any script, watches that have told end, are spoilt or fall silent, all of them
+     * are reset at some moments, and discovery moves. From the change on what stood before says nothing of it and ends when it likes, while
+     * each new dial is answered with it at once, but for one. The last line may have come in the very moment of the change.
+     */
+    @Property(tries = 5000)
+    void aChangeIsToldInTimeWhateverCameBefore(@ForAll @Size(max = 20) List<Dial> history, @ForAll @Size(min = 1, max = 6) List<Fate> fates,
+            @ForAll @Size(max = 1) List<Dial> bad, @ForAll @DoubleRange(max = 20_000) double change,
+            @ForAll @Size(max = 6) List<@DoubleRange(max = 26_000) Double> resets, @ForAll @Size(max = 3) List<@DoubleRange(max = 20_000) Double> moves,
+            @ForAll long seed) {
+        double[] took = changeTold(history, fates, bad, change, resets, moves, seed);
+        assertThat(took[0]).as("with each dial answered").isLessThanOrEqualTo(bad.isEmpty() ? 3450 + 2 * ANSWER_MS : 4750 + 2 * ANSWER_MS);
+    }
+
+    /** A check of the check: with three bad dials after the change the time is broken. */
+    @Test
+    void theTimeOfAChangeIsOneThatCanBeBroken() {
+        double[] took = changeTold(List.of(), List.of(Fate.GOES_ON), List.of(Dial.SILENT, Dial.SILENT, Dial.SILENT), 4001, List.of(), List.of(), 7);
+        assertThat(took[0]).isGreaterThan(6000);
+    }
+
+    private static double[] changeTold(List<Dial> history, List<Fate> fates, List<Dial> bad, double change, List<Double> resets, List<Double> moves,
+            long seed) {
+        World world = new World(seed);
+        double[] toldAt = {Double.POSITIVE_INFINITY};
+        int[] after = new int[1];
+        int[] before = new int[1];                   // the last one dialled before the change
+        Runnable[] resetAll = {() -> {
+            for (int watch : List.copyOf(world.open.keySet())) {
+                if (watch <= before[0] && world.open.containsKey(watch)) { world.end(watch); }
+            }
+        }};
+        world.script = watch -> {
+            if (world.now >= change) {
+                Dial how = after[0] < bad.size() ? bad.get(after[0]) : Dial.PROMPT;
+                after[0]++;
+                if (how != Dial.PROMPT) {
+                    world.answer(watch, how);
+                    return;
+                }
+                world.after(ANSWER_MS, watch, () -> {
+                    toldAt[0] = Math.min(toldAt[0], world.now);
+                    world.object(watch);
+                });
+                return;
+            }
+            before[0] = watch;
+            Dial how = history.isEmpty() ? Dial.PROMPT : history.get((watch - 1) % history.size());
+            if (how != Dial.PROMPT) {
+                world.answer(watch, how);
+                return;
+            }
+            world.after(ANSWER_MS, watch, () -> {
+                if (world.now > change) { return; }  // else it would have told the change
+                world.object(watch);
+                switch (fates.get((watch - 1) % fates.size())) {
+                    case GOES_ON -> emptyUpTo(world, watch, change);
+                    case ENDS_AT_ONCE -> world.end(watch);
+                    case ENDS_SOON -> world.after(700, watch, () -> world.end(watch));
+                    case SPOILT -> world.after(300, watch, () -> {
+                        world.open.remove(watch);
+                        world.clock.spoilt(watch, world.now);
+                    });
+                    default -> { }
+                }
+            });
+        };
+        for (double reset : resets) { world.at(reset, resetAll[0]); }
+        for (double move : moves) {
+            if (move < change) { world.at(move, () -> world.clock.move(world.now)); }
+        }
+        world.clock.start(0);
+        world.run(change + 40_000);
+        assertThat(world.mostOpen).isLessThanOrEqualTo(3);
+        return new double[] {toldAt[0] - change};
+    }
+
+    /** Its empty lines, the last of them in the moment of the change. */
+    private static void emptyUpTo(World world, int watch, double change) {
+        double next = Math.min(world.now + 2000, change);
+        if (next <= world.now) { return; }
+        world.after(next - world.now, watch, () -> {
+            world.clock.empty(watch, world.now);
+            emptyUpTo(world, watch, change);
+        });
+    }
+
     @Test
     void emptyLinesAloneAreNotBelievedAndTheNextAsksForAllThereIs() {
         World world = healthy(3);
--- a/src/test/java/yardusher/story/StandIn.java
+++ b/src/test/java/yardusher/story/StandIn.java
@@ -269,6 +269,11 @@
     }
 
     static Serve ingress(UnaryOperator<String> edit, Maker maker, String discovery, String... members) throws Exception {
+        return ingress(edit, maker, 0, discovery, members);
+    }
+
+    /** One that waits so long for discovery's first word, in milliseconds, before it takes clients. */
+    static Serve ingress(UnaryOperator<String> edit, Maker maker, double waitMs, String discovery, String... members) throws Exception {
         String json = edit.apply(Files.readString(Path.of("src/test/resources/ingress.json")))
                 .replace("127.0.0.1:9\"", discovery + "\"")
                 .replace("\"members\": []", "\"members\": [" + String.join(",", members) + "]");
@@ -276,7 +281,7 @@
         try {
             Files.writeString(file, json);
             Serve serve = maker.make(Config.read(file.toString()));
-            serve.start();
+            serve.start(waitMs);
             return serve;
         } finally {
             Files.delete(file);
--- a/src/test/java/yardusher/story/WatchStoryTest.java
+++ b/src/test/java/yardusher/story/WatchStoryTest.java
@@ -14,13 +14,16 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.FutureTask;
 import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.function.IntFunction;
 import java.util.function.ToLongFunction;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import yardusher.cli.Config;
 import yardusher.cli.Serve;
 import yardusher.core.Counters;
 import yardusher.settings.Settings;
@@ -35,7 +38,7 @@
 class WatchStoryTest {
     private static final double STEP_MS = 25;
 
-    private enum Word { LIST, HEAD, NOTHING, EMPTY_LINES, INDENTED, HALF, END }
+    private enum Word { LIST, HEAD, NOTHING, EMPTY_LINES, INDENTED, HALF, END, PLAIN }
 
     /** Discovery's agent. */
     private static final class Agent extends Listener {
@@ -60,7 +63,8 @@
                 head.setLength(0);
                 Word word = script.apply(asks.size());
                 open.add(guest);
-                if (word != Word.NOTHING && word != Word.END) {
+                if (word == Word.PLAIN) { write(guest, "HTTP/1.1 200 OK\r\n\r\n"); }
+                if (word != Word.NOTHING && word != Word.END && word != Word.PLAIN) {
                     write(guest, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
                 }
                 String news = list(100 + asks.size(), false, members);
@@ -69,6 +73,10 @@
                 switch (word) {
                     case LIST -> tell(guest, news);
                     case INDENTED -> tell(guest, indented(news));
+                    case PLAIN -> {
+                        write(guest, news + "\n");
+                        told.incrementAndGet();
+                    }
                     case HALF -> chunk(guest, news.substring(0, news.length() / 2) + "\n");
                     case EMPTY_LINES -> chunk(guest, "\n");
                     case END -> guest.close();
@@ -245,6 +253,191 @@
         }
     }
 
+    /** An answer may have no length at all and be reset on the way: what came whole counts, and half an object does not. */
+    @Test
+    void anAnswerWithoutALengthIsReadUpToItsEndAndHalfAnObjectIsNone() throws Exception {
+        try (Region first = new Region(); Region second = new Region(); Region third = new Region()) {
+            second.script = command -> Region.served("elsewhere");
+            third.script = command -> Region.served("third");
+            agent.members = new String[] {member("s-1", first.address(), "Gone"), member("s-2", second.address(), "Ready")};
+            agent.script = ask -> Word.PLAIN;
+            start(member("s-1", first.address(), "Ready"));
+            assertThat(client.lookup(1, 2000)).isEqualTo("elsewhere");
+            String change = list(200, false, member("s-2", second.address(), "Gone"), member("s-3", third.address(), "Ready"));
+            agent.members = new String[] {};
+            Agent.write(agent.open.get(0), change.substring(0, change.length() - 1));
+            agent.open.get(0).setSoLinger(true, 0);
+            agent.open.get(0).close();
+            assertThat(untilTold(9000)).as("asked anew at once").isLessThan(150 + 2 * STEP_MS);
+            assertThat(client.lookup(2, 2000)).isEqualTo("elsewhere");
+            assertThat(agent.asks.get(1)).contains("since=101 ");
+            Agent.write(agent.open.get(1), change);      // whole, with no line's end behind it
+            agent.open.get(1).close();
+            await(() -> count(counters -> counters.listChanges) == 3);
+            assertThat(client.lookup(3, 2000)).isEqualTo("third");
+            assertThat(count(counters -> counters.listBad)).isZero();
+        }
+    }
+
+    /** What the agent has counts from a process's first moment on: the door stays shut until it has been read. */
+    @Test
+    void theDoorOpensOnlyOnceTheFirstListIsKnown() throws Exception {
+        try (Region first = new Region(); Region second = new Region()) {
+            second.script = command -> Region.served("elsewhere");
+            agent.members = new String[] {member("s-1", first.address(), "Terminating"), member("s-2", second.address(), "Ready")};
+            Serve[] made = new Serve[1];
+            List<Boolean> shut = new CopyOnWriteArrayList<>();
+            agent.script = ask -> {
+                try {
+                    shut.add(made[0].front().answers().address() == null);
+                } catch (IOException e) {
+                    throw new java.io.UncheckedIOException(e);
+                }
+                return Word.LIST;
+            };
+            serve = StandIn.ingress(json -> json, config -> made[0] = new Serve(config, null, Settings.OFF, () -> now), 1500, agent.address(),
+                    member("s-1", first.address(), "Ready"));
+            client = new Client((InetSocketAddress) serve.front().answers().address());
+            assertThat(shut).as("when it was asked for").containsExactly(true);
+            for (int i = 0; i < 20; i++) { assertThat(client.lookup(i, 2000)).isEqualTo("elsewhere"); }
+            assertThat(first.seen).isEmpty();
+        }
+    }
+
+    /** A mute agent, one that refuses, and one whose words mean nothing hold the door shut for a bounded time; asked again, it may speak within it. */
+    @Test
+    void theDoorWaitsForTheFirstListNoLongerThanItsTime() throws Exception {
+        try (Region region = new Region()) {
+            for (List<Word> words : List.of(List.of(Word.NOTHING), List.of(Word.HEAD), List.of(Word.EMPTY_LINES), List.of(Word.HALF), List.of(Word.END),
+                    List.of(Word.NOTHING, Word.LIST))) {
+                agent.script = ask -> words.get(Math.min(ask, words.size()) - 1);
+                double took = openedAfter(agent.address(), region);
+                if (words.contains(Word.LIST)) { assertThat(took).as(words.toString()).isBetween(800.0, 900 + 4 * STEP_MS); }
+                else { assertThat(took).as(words.toString()).isBetween(1500.0, 1500 + 4 * STEP_MS); }
+                assertThat(client.lookup(1, 2000)).isEqualTo("made here");
+                again();
+            }
+            assertThat(openedAfter("127.0.0.1:9", region)).as("refused").isBetween(1500.0, 1500 + 4 * STEP_MS);
+            assertThat(client.lookup(1, 2000)).isEqualTo("made here");
+        }
+    }
+
+    /** Starts one while the clock moves on; gives the milliseconds until it takes clients. */
+    private double openedAfter(String discovery, Region region) throws Exception {
+        double from = now;
+        Serve[] made = new Serve[1];
+        FutureTask<Serve> start = new FutureTask<>(() -> StandIn.ingress(json -> json,
+                config -> made[0] = new Serve(config, null, Settings.OFF, () -> now), 1500, discovery, member("s-1", region.address(), "Ready")));
+        new Thread(start).start();
+        await(() -> made[0] != null);
+        serve = made[0];
+        await(() -> count(counters -> counters.listAsks) > 0 || !discovery.equals(agent.address()));
+        while (!start.isDone() && now - from < 5000) {
+            long asks = count(counters -> counters.listAsks);
+            await(() -> discovery.equals("127.0.0.1:9") || agent.seen.get() >= asks);
+            await(() -> count(counters -> counters.listChanges) >= agent.told.get());
+            if (serve.front().answers().address() != null) { break; }
+            now += STEP_MS;
+            serve.loop().turn(() -> { });
+        }
+        double took = now - from;
+        serve = start.get(20, TimeUnit.SECONDS);
+        client = new Client((InetSocketAddress) serve.front().answers().address());
+        return took;
+    }
+
+    /** Danger: an answer that was written before what the old watch has told since, read after it, and undoing it. */
+    @Test
+    void anAnswerOlderThanWhatIsKnownUndoesNothingAndTellsTheRest() throws Exception {
+        try (Region first = new Region(); Region second = new Region(); Region third = new Region()) {
+            second.script = command -> Region.served("elsewhere");
+            third.script = command -> Region.served("third");
+            start(member("s-1", first.address(), "Ready"), member("s-2", second.address(), "Ready"));
+            agent.script = ask -> Word.HEAD;
+            until(4000, () -> agent.asks.size() > 1);
+            agent.tell(agent.open.get(0), list(150, false, member("s-1", first.address(), "Gone"), member("s-3", third.address(), "Ready")));
+            await(() -> count(counters -> counters.listChanges) == 2);
+            agent.tell(agent.open.get(1), list(120, false, member("s-1", first.address(), "Ready"), member("s-2", second.address(), "Terminating"),
+                    member("s-3", third.address(), "Terminating")));
+            await(() -> count(counters -> counters.listChanges) == 3);
+            for (int i = 0; i < 10; i++) { assertThat(client.lookup(i, 2000)).isEqualTo("third"); }
+        }
+    }
+
+    /** After discovery has begun to count anew, changes since a version of the old count leave something out: all there is is asked for. */
+    @Test
+    void changesOfAnotherCountAreNotEnough() throws Exception {
+        start();
+        agent.script = ask -> ask == 2 ? Word.HEAD : Word.LIST;
+        agent.open.get(0).close();
+        until(1000, () -> agent.asks.size() > 1);
+        assertThat(agent.asks.get(1)).contains("since=101 ");
+        agent.tell(agent.open.get(1), list(5, false));
+        until(3000, () -> agent.asks.size() > 2);
+        assertThat(agent.asks.get(2)).contains("since=0 ");
+    }
+
+    /** News that cannot be read are counted, nothing known is forgotten, and they are asked for again, the next time with all there is. */
+    @Test
+    void afterRubbishTheListIsAskedForAnewAndNothingIsForgotten() throws Exception {
+        try (Region region = new Region()) {
+            for (String rubbish : List.of("rubbish", "{\"a\":\"", "{\"revision\":7,\"complete\":true,\"members\":[]}", "[[", "{\"members\":7}",
+                    list(9, true, "7", member("s-1", region.address(), "Ready")), list(9, true, member("s-1", "nowhere", "Ready")))) {
+                start(member("s-1", region.address(), "Ready"));
+                Agent.chunk(agent.open.get(0), rubbish + "\n");
+                await(() -> count(counters -> counters.listBad) == 1);
+                agent.script = ask -> ask == 2 ? Word.HEAD : Word.LIST;
+                until(1000, () -> agent.asks.size() > 1);
+                assertThat(agent.asks.get(1)).as(rubbish).contains("since=101 ");
+                Agent.chunk(agent.open.get(1), rubbish + "\n");
+                await(() -> count(counters -> counters.listBad) == 2);
+                assertThat(untilTold(9000)).as(rubbish).isLessThan(300 + 2 * STEP_MS);
+                assertThat(agent.asks.get(2)).as(rubbish).contains("since=0 ");
+                assertThat(client.lookup(1, 2000)).as(rubbish).isEqualTo("made here");
+                again();
+            }
+        }
+    }
+
+    /** Bytes without end are no sign of life: an object that never ends and a line that never ends are silence. */
+    @Test
+    void whatTricklesWithoutEndIsSilent() throws Exception {
+        for (String bit : List.of("{\"a\":[\n", "x", "\r")) {
+            start();
+            agent.script = ask -> Word.LIST;
+            Socket told = agent.open.get(0);
+            double from = now;
+            while (agent.asks.size() < 2 && now - from < 9000) {
+                Agent.chunk(told, bit);
+                until(100, () -> agent.asks.size() > 1);
+            }
+            assertThat(now - from).as(bit).isLessThan(3450 + 100 + 4 * STEP_MS);
+            again();
+        }
+    }
+
+    /** An address that the system cannot even try ends neither the start nor the watch. */
+    @Test
+    void anAddressThatCannotBeTriedIsOneThatRefuses() throws Exception {
+        serve = StandIn.ingress(json -> json, config -> new Serve(elsewhere(config), null, Settings.OFF, () -> now), agent.address());
+        client = new Client((InetSocketAddress) serve.front().answers().address());
+        until(2000, () -> false);
+        Path file = Files.createTempFile("ingress", ".json");
+        try {
+            Files.writeString(file, Files.readString(Path.of("src/test/resources/ingress.json")).replace("127.0.0.1:9\"", newer.address() + "\""));
+            serve.reload(file.toString());
+        } finally {
+            Files.delete(file);
+        }
+        assertThat(until(4000, () -> newer.told.get() > 0)).isLessThan(2 * STEP_MS);
+    }
+
+    private static Config elsewhere(Config config) {
+        return new Config(config.name(), config.listen(), config.admin(), InetSocketAddress.createUnresolved("nowhere", 1), config.seed(),
+                config.sockets(), config.peerListen(), config.peers(), config.known(), config.settings(), config.classes(), config.plans(),
+                config.zones(), config.idleMs(), config.dialMs(), config.unused());
+    }
+
     private void again() {
         client = close(client);
         serve.close();
