Watch tests: an outage's return is told on any open watch, and one is open in every moment

Looked for a gap in which discovery could speak at its return and find no connection. None: the property holds through mute watches and those of empty lines, with and without a watch that told, and over moves (1,000 draws); the story has the agent speak on the oldest and on the newest of the open connections with the clock standing still. Nothing in the program was changed for it.

--- a/src/test/java/yardusher/discovery/WatchClockTest.java
+++ b/src/test/java/yardusher/discovery/WatchClockTest.java
@@ -38,6 +38,7 @@
         double now;
         private long order;
         int mostOpen;
+        int leastOpen = Integer.MAX_VALUE;
         int believed;
         boolean keepsAlive = true;                   // whether the watch that is believed says its empty lines
         Consumer<Integer> script = watch -> answer(watch, Dial.PROMPT);
@@ -114,6 +115,7 @@
                 if (Math.min(look, event) > until) { break; }
                 now = Math.max(now, Math.min(look, event));
                 if (event <= look) { events.poll().what.run(); } else { clock.look(now); }
+                leastOpen = Math.min(leastOpen, open.size());
             }
             now = until;
         }
@@ -285,6 +287,20 @@
         });
     }
 
+    /** Through an outage in which dials come up and nothing is told, there is always a watch open on which discovery can speak at its return. */
+    @Property(tries = 1000)
+    void inNoMomentOfAnOutageIsThereNoWatchToSpeakOn(@ForAll @Size(min = 1, max = 10) List<Boolean> empty, @ForAll boolean told, @ForAll long seed,
+            @ForAll @Size(max = 3) List<@DoubleRange(max = 30_000) Double> moves) {
+        World world = told ? healthy(seed) : new World(seed);
+        world.keepsAlive = false;
+        world.script = watch -> world.answer(watch, empty.get(watch % empty.size()) ? Dial.EMPTY_LINES : Dial.SILENT);
+        for (double move : moves) { world.at(world.now + move, () -> world.clock.move(world.now)); }
+        if (!told) { world.clock.start(0); }
+        world.leastOpen = Integer.MAX_VALUE;
+        world.run(world.now + 40_000);
+        assertThat(world.leastOpen).isPositive();
+    }
+
     @Test
     void emptyLinesAloneAreNotBelievedAndTheNextAsksForAllThereIs() {
         World world = healthy(3);
--- a/src/test/java/yardusher/story/WatchStoryTest.java
+++ b/src/test/java/yardusher/story/WatchStoryTest.java
@@ -475,6 +475,24 @@
                 config.zones(), config.idleMs(), config.dialMs(), config.unused());
     }
 
+    /** At an outage's return the agent speaks on any one watch that is open, the one that told last or one that was asked meanwhile: told in that moment. */
+    @Test
+    void atTheReturnOfAnOutageAnyOpenWatchTellsAtOnce() throws Exception {
+        try (Region first = new Region(); Region second = new Region()) {
+            second.script = command -> Region.served("elsewhere");
+            for (boolean old : List.of(true, false)) {
+                start(member("s-1", first.address(), "Ready"));
+                agent.script = ask -> Word.HEAD;
+                until(10_000, () -> false);
+                Socket speaks = agent.open.get(old ? 0 : agent.open.size() - 1);
+                agent.tell(speaks, list(300, false, member("s-1", first.address(), "Gone"), member("s-2", second.address(), "Ready")));
+                await(() -> count(counters -> counters.listChanges) == 2);
+                assertThat(client.lookup(1, 2000)).isEqualTo("elsewhere");
+                again();
+            }
+        }
+    }
+
     private void again() {
         client = close(client);
         serve.close();
