Attempts given up count as late ones, so that a fleet in overload sheds until it recovers

Cause: cancelled work goes on at these backends, so what is given up is still worked off. Servers.fleetPart, by which a gateway of a hundred sheds, was fed by answers alone (Servers.took, from Attempts.judge at SERVED): the few that came were quick, so nothing was shed. Ruled out: too many backends held to be out. Now an attempt that is given up counts as late as it is by then, but for twice the mean at the most, so that a quarter of heavy requests still sheds nothing (HeavyRequestsTest was red with the plain mean).

--- a/src/main/java/yardusher/Attempts.java
+++ b/src/main/java/yardusher/Attempts.java
@@ -40,8 +40,7 @@
         Host host = why == null ? servers.choose(held) : null;
         if (host == null) {
             told.accept(c, false);
-            Reason told = why == null ? Reason.NO_SERVER : why;
-            out.accept(new Refuse(q.id(), advice(c, q), told));
+            out.accept(new Refuse(q.id(), advice(c, q), why == null ? Reason.NO_SERVER : why));
             return;
         }
         c.count(q.units());
@@ -55,8 +54,7 @@
      * used to be none, since clients told to wait come back after their aim; measured, the two are alike.
      */
     private double advice(Customer c, Request q) {
-        double most = settings.limits().maxRetryAfterMs();
-        if (most <= 0) { return 0; }
+        double most = settings.limits().maxRetryAfterMs(); if (most <= 0) { return 0; }
         double wait = standings.of(q.customer(), q.plan(), q.units(), c.first, c.spread).retryAfterMs();
         return Math.min(most, Math.max(1, wait > 0 ? wait : Clock.SWEEP_MS));
     }
@@ -96,10 +94,10 @@
                 || held.last.quietSince > held.sentAt && !(hanging > 0.02 && alone(held) && rerunMayPay())
                 || held.last.open < 2 && waited < 3 * servers.classMs[k]
                         && clock.now >= held.last.outUntil[k]
-                || retryTokens < 1 || held.attempts >= settings.limits().maxAttempts()) {
+                || retryTokens < 1 || !settings.limits().mayCancel()
+                || held.attempts >= settings.limits().maxAttempts()) {
             return;
         }
-        if (!settings.limits().mayCancel()) { return; }
         if (alone(held)) { held.lone = held.attempts; held.waited = waited; }
         out.accept(new Cancel(id, held.attempts - 1));
     }
@@ -149,6 +147,7 @@
             // refuses the next connection too, at no risk; so a lost one is a failure like any other.
             case CONNECTION_LOST -> servers.failed(host, k, false);
             case TIMED_OUT, CANCELLED -> {
+                if (!held.gone) { servers.gaveUp((clock.now - held.sentAt) / held.of.aimMs()); }
                 if (host.quietSince <= held.sentAt) { servers.failed(host, k, false); }
                 host.ghosts += alone(held) ? 0 : 1;
                 hanging += alone(held) ? 0.01 * (1 - hanging) : 0;
--- a/src/main/java/yardusher/Pressure.java
+++ b/src/main/java/yardusher/Pressure.java
@@ -34,8 +34,7 @@
         if (Math.abs(worth - shedBelow) > 1e-9) { return worth < shedBelow; }
         shedDue += shedAt;
         boolean refused = shedDue >= 1;
-        shedDue -= refused ? 1 : 0;
-        return refused;
+        shedDue -= refused ? 1 : 0; return refused;
     }
 
     void sweep() {
--- a/src/main/java/yardusher/Servers.java
+++ b/src/main/java/yardusher/Servers.java
@@ -191,8 +191,7 @@
         hosts.values().removeIf(host -> host.gone && host.open == 0); // new ones have new numbers
         Arrays.fill(outCount, 0);
         for (Host host : ready) {
-            boolean old = clock.now - host.sampledAt > 5 * Clock.SWEEP_MS;
-            host.ratio += old ? 0.05 * (1 - host.ratio) : 0;
+            if (clock.now - host.sampledAt > 5 * Clock.SWEEP_MS) { host.ratio += 0.05 * (1 - host.ratio); }
             host.ghosts *= Math.max(0, 1 - Clock.SWEEP_MS / ghostMs);
             for (int k = 0; k < outCount.length; k++) { outCount[k] += host.outs(k) ? 1 : 0; }
         }
@@ -200,10 +199,15 @@
 
     /** An answer tells what a class usually takes, and what part of their aims all answers take. */
     void took(int k, double tookMs, double aimMs) {
-        classMs[k] += 0.03 * (tookMs - classMs[k]);
-        typicalMs += 0.03 * (tookMs - typicalMs);
+        classMs[k] += 0.03 * (tookMs - classMs[k]); typicalMs += 0.03 * (tookMs - typicalMs);
+        fleetTook(tookMs / aimMs);
+    }
+
+    /** Danger: few quick answers, most given up; or a few heavy: each counts for twice the mean at most. */
+    void gaveUp(double part) { fleetTook(Math.max(fleetPart, Math.min(2 * fleetPart, part))); }
+
+    private void fleetTook(double part) {
         double pooled = Math.max(0.03, Math.min(0.2, (clock.now - fleetAt) / BLAME_MS)); // few weigh more
-        fleetPart += pooled * (Math.min(2, tookMs / aimMs) - fleetPart);
-        fleetAt = clock.now;
+        fleetPart += pooled * (Math.min(2, part) - fleetPart); fleetAt = clock.now;
     }
 }
