Endings of a client connection: a request and its client's end in one, and a command answered at once, in all orders

EndingsTest is red without Link's look ahead, with an idle connection that has unsent bytes, with a shutdown that cuts off half a command, and with a close in place of the drain.

--- a/src/test/java/yardusher/net/EndingsTest.java
+++ b/src/test/java/yardusher/net/EndingsTest.java
@@ -28,12 +28,15 @@
 /** One client connection on a scripted channel and clock: whatever ends it, in whatever order, each command has one end. */
 class EndingsTest {
     /** What happens, each to its end before the next. */
-    enum Event { ASKS, ASKS_HALF, MALFORMED, ANSWER, LAST_ANSWER, CLOSES, RESETS, SHUTDOWN, EVICTION, WRITE_FAILS, TAKES, TIME }
+    enum Event { ASKS, ASKS_HALF, ASKS_AND_CLOSES, ASKS_AND_RESETS, MALFORMED, ANSWER, LAST_ANSWER, CLOSES, RESETS, SHUTDOWN, EVICTION, WRITE_FAILS, TAKES, TIME }
 
     /** What the system does with bytes that are written. */
     enum Writes { TAKEN, HELD, FAILING }
 
     private static final byte[] ASKED = new Encoder(16).array(1).bulk("ASK").toBytes();
+    /** One that is answered at once, with one behind it, cut in two. */
+    private static final byte[][] HALVES = {"*1\r\n$3\r".getBytes(StandardCharsets.US_ASCII),
+        "\nNOW\r\n*1\r\n$3\r\nASK\r\n".getBytes(StandardCharsets.US_ASCII)};
 
     /** A channel whose reads and writes end as told, at once where they can, as on the thread that polls. */
     private static final class Scripted extends AsynchronousSocketChannel {
@@ -174,6 +177,7 @@
         private final ClientConnection connection;
         private final List<Answers.Slot> open = new ArrayList<>();
         private final ByteArrayOutputStream owed = new ByteArrayOutputStream();
+        private int halves;
         private int followed;
         private int answered;
         private int gone;
@@ -197,6 +201,7 @@
             assertThat(channel.hasEnded && !channel.come.hasRemaining()).as("nothing is followed of who has gone").isFalse();
             followed++;
             open.add(slot);
+            if (words[0][0] == 'N') { answer(open.size() - 1); }
         }
 
         @Override
@@ -214,7 +219,13 @@
         void happens(Event event) {
             switch (event) {
                 case ASKS -> channel.comes(ASKED);
-                case ASKS_HALF -> channel.comes(new byte[] {'*', '1', '\r'});
+                case ASKS_HALF -> channel.comes(HALVES[halves++ % 2]);
+                case ASKS_AND_CLOSES, ASKS_AND_RESETS -> {
+                    channel.hasEnded = true;         // before anybody looks
+                    channel.isReset |= event == Event.ASKS_AND_RESETS;
+                    channel.comes(ASKED);
+                    channel.ends(channel.isReset);
+                }
                 case MALFORMED -> channel.comes("?\r\n".getBytes(StandardCharsets.US_ASCII));
                 case ANSWER -> loop.turn(() -> { if (!open.isEmpty()) { answer(0); } });
                 case LAST_ANSWER -> loop.turn(() -> { if (!open.isEmpty()) { answer(open.size() - 1); } });
