What client connections read ahead is bounded together: a sixteenth of the heap, 4 MiB at the least

Each may hold 128 KiB, so 838 that send much at once held some 100 MB in a heap of 512. Past the common bound a connection that is held back holds 4 KiB. EndingsTest.whatManyHoldTogetherIsBounded is red without the common bound.

--- a/src/main/java/yardusher/net/Answers.java
+++ b/src/main/java/yardusher/net/Answers.java
@@ -31,6 +31,7 @@
 
     private static final byte[] CRLF = {'\r', '\n'};
     private static final byte[] FAILED = new Encoder(16).failure("ERR failed").toBytes();
+    private static final int AHEAD_PART = 16;        // of the heap, for commands that are not followed yet
     private static final double AGAIN_MS = 10;
     private static final double UPKEEP_MS = 100;
     private static final double QUIET_MS = 30;
@@ -41,6 +42,7 @@
     private final Crowd crowd = new Crowd();
     private final Departure departure = new Departure();
     private final Budget bodies;
+    private final Link.Ahead ahead = new Link.Ahead(Math.max(4 << 20, Runtime.getRuntime().maxMemory() / AHEAD_PART));
     private boolean looksAgain;
     private boolean closing;
 
@@ -128,6 +130,8 @@
 
     Budget bodies() { return bodies; }
 
+    Link.Ahead ahead() { return ahead; }
+
     Departure departure() { return departure; }
 
     boolean isClosing() { return closing; }
--- a/src/main/java/yardusher/net/ClientConnection.java
+++ b/src/main/java/yardusher/net/ClientConnection.java
@@ -59,7 +59,7 @@
         this.crowd = crowd;
         this.loop = loop;
         quietSince = loop.now();
-        link = Link.ahead(channel, loop, this, MOST_AHEAD);
+        link = Link.ahead(channel, loop, this, MOST_AHEAD, front.ahead());
         fromHere = isFromHere(channel);
         crowd.joins(this);
         link.readMore();
@@ -185,6 +185,9 @@
         };
     }
 
+    @Override
+    public boolean holdsBack(Link from) { return !mayFollow(); }
+
     @Override
     public void full(Link from) {
         if (watched) { return; }
@@ -192,7 +195,11 @@
         long reads = link.reads();
         loop.deadlines().at(loop.now() + FLOOD_MS, () -> {
             watched = false;
-            if (life != Life.READING || link.isClosed() || !link.isFull()) { return; }
+            if (life == Life.OVER || link.isClosed()) { return; }
+            if (life != Life.READING || !link.isFull()) {
+                link.readMore();
+                return;
+            }
             // Guards against a terminal that sends much at once and goes: its end lies behind what is not read.
             if (reads == link.reads() && !slots.isEmpty() && (body == null || bodyOpen)) {
                 lose("too many commands at once");
--- a/src/main/java/yardusher/net/Link.java
+++ b/src/main/java/yardusher/net/Link.java
@@ -26,6 +26,9 @@
         /** Whether what comes on a connection that reads ahead is kept; once it is not, it never is again, and is dropped. */
         default boolean keeps(Link link) { return true; }
 
+        /** Whether the owner of a connection that reads ahead takes nothing out of the decoder for now. */
+        default boolean holdsBack(Link link) { return false; }
+
         /** A connection that reads ahead holds all it may; told each time that it would read on. */
         default void full(Link link) { }
 
@@ -41,6 +44,7 @@
     private static final int MERGED = 128 * 1024;    // what is queued in one turn goes out together up to here
     private static final long MOST_DRAINED = 96L << 20;
     private static final double DRAIN_MS = 3000;
+    private static final int LITTLE = 4 * 1024;
     /** What drained bytes go into: nobody looks at them, so all connections share it, without a copy. */
     private static final ByteBuffer SCRATCH = ByteBuffer.allocateDirect(64 * 1024);
 
@@ -65,6 +69,8 @@
     private Deadlines.Entry drainEnd;
     private Runnable whenClosed = () -> { };
     private boolean writeFailed;
+    private final Ahead all;                         // null for one that does not read ahead
+    private int counted;                             // what stands in there for this connection
     private final int ahead;                         // bytes held at the most by reading on; 0 reads only what the owner asks for
     private byte[] landing;                          // what a connection that reads ahead waits with, null for none
     private boolean landed;                          // the read under way goes there
@@ -77,10 +83,11 @@
     public Link(AsynchronousSocketChannel channel, EventLoop loop, Owner owner) { this(channel, loop, owner, new Decoder()); }
 
     public Link(AsynchronousSocketChannel channel, EventLoop loop, Owner owner, Inbound inbound) {
-        this(channel, loop, owner, inbound, 0);
+        this(channel, loop, owner, inbound, 0, null);
     }
 
-    private Link(AsynchronousSocketChannel channel, EventLoop loop, Owner owner, Inbound inbound, int ahead) {
+    private Link(AsynchronousSocketChannel channel, EventLoop loop, Owner owner, Inbound inbound, int ahead, Ahead all) {
+        this.all = all;
         this.inbound = inbound;
         this.channel = channel;
         this.loop = loop;
@@ -92,8 +99,24 @@
      * A connection that carries RESP and goes on reading while its owner takes nothing, up to so many bytes held, so that the
      * peer's end is seen; what came is told once nothing more is to be had at once, and not at all where the end has come behind it.
      */
-    static Link ahead(AsynchronousSocketChannel channel, EventLoop loop, Owner owner, int most) {
-        return new Link(channel, loop, owner, new Decoder(), most);
+    static Link ahead(AsynchronousSocketChannel channel, EventLoop loop, Owner owner, int most, Ahead all) {
+        return new Link(channel, loop, owner, new Decoder(), most, all);
+    }
+
+    /** Bytes that connections hold of what they read ahead, together, and the most of them. In turns only. */
+    static final class Ahead {
+        private final long most;
+        private long held;
+
+        Ahead(long most) { this.most = most; }
+
+        long held() { return held; }
+    }
+
+    private void count(int held) {
+        if (all == null) { return; }
+        all.held += held - counted;
+        counted = held;
     }
 
     /** Of a connection that carries RESP. */
@@ -105,7 +128,12 @@
     long reads() { return reads; }
 
     /** Whether it holds all it may of what it read ahead. */
-    boolean isFull() { return ahead > 0 && decoder().held() >= ahead; }
+    boolean isFull() {
+        if (ahead == 0) { return false; }
+        count(decoder().held());
+        // Guards the heap against many that send much at once: then each holds little, but for the command that it is in.
+        return counted >= ahead || counted >= LITTLE && all.held >= all.most && owner.holdsBack(this);
+    }
 
     /** Whether it ended in a write: then the last byte was never written. */
     public boolean writeFailed() { return writeFailed; }
@@ -119,6 +147,7 @@
             read(inbound.room());
             return;
         }
+        count(decoder().held());
         wasted = !owner.keeps(this);
         if (!wasted && isFull()) {
             owner.full(this);
@@ -197,6 +226,7 @@
         queue.clear();
         queued = 0;
         stage = Stage.DRAINING;
+        count(0);
         try {
             channel.shutdownOutput();
         } catch (IOException e) {
@@ -218,6 +248,7 @@
     public void close() {
         if (isClosed()) { return; }
         stage = Stage.CLOSED;
+        count(0);
         queue.clear();
         queued = 0;
         loop.deadlines().cancel(drainEnd);
@@ -306,6 +337,7 @@
         if (stage != Stage.OPEN) { return; }
         owner.readable(this);
         if (stage != Stage.OPEN) { return; }
+        count(decoder().held());
         if (!reading || landed || wasted) { decoder().shrink(); }
         readMore();
     }
--- a/src/test/java/yardusher/net/EndingsTest.java
+++ b/src/test/java/yardusher/net/EndingsTest.java
@@ -276,6 +276,7 @@
             assertThat(ended).as("told once that it has ended").isEqualTo(1);
             assertThat(channel.closed).as("closed once").isEqualTo(1);
             assertThat(channel.shut).isLessThanOrEqualTo(1);
+            assertThat(answers.ahead().held()).as("held for nobody").isZero();
             String got = channel.taken.toString(StandardCharsets.US_ASCII);
             if (!fails && gone == 0) {
                 assertThat(got.split("\\$\\d+\r\nanswer \\d+\r\n", -1)).as("answers that were taken whole").hasSize(answered + 1);
@@ -367,6 +368,32 @@
         }
     }
 
+    /** Many that send much at once: together they hold no more than their part of the heap, and each has its one end. */
+    @Test
+    void whatManyHoldTogetherIsBounded() throws IOException {
+        try (World world = new World()) {
+            byte[] much = new byte[ASKED.length * 20_000];
+            for (int i = 0; i < much.length; i++) { much[i] = ASKED[i % ASKED.length]; }
+            List<Scripted> channels = new ArrayList<>();
+            long most = Math.max(4 << 20, Runtime.getRuntime().maxMemory() / 16);
+            for (int i = 0; i < most / 40_000; i++) {
+                Scripted channel = new Scripted();
+                channels.add(channel);
+                world.loop.turn(() -> new ClientConnection(channel, world.answers, world.crowd, world.loop));
+                channel.comes(much);
+                world.now += 2;                      // past its share of a turn, so that 64 are open
+                world.loop.turn(() -> { });
+            }
+            assertThat(world.answers.ahead().held()).isLessThan(most + 128 * 1024 + 1024);
+            assertThat(world.faults).isEmpty();
+            for (Scripted channel : channels) { channel.ends(true); }
+            world.time(300);
+            for (Scripted channel : channels) { assertThat(channel.closed).isEqualTo(1); }
+            assertThat(world.answers.ahead().held()).isZero();
+            assertThat(world.gone).isEqualTo(world.followed);
+        }
+    }
+
     @Property(tries = 300)
     void longOrdersToo(@ForAll Writes writes, @ForAll @Size(max = 12) List<Event> events) throws IOException {
         play(writes, List.of(), events);
