Few descriptors: clients and backends are promised no more than the process leaves

Seen: Serve took max(64, sockets - 64) for clients and backends, so with 64 descriptors all of them. A serving JVM holds 12 itself (counted in /proc: modules, jar, epoll, its pipes, listeners, the peers' port, preclose), and 3 watches, 16 callers at the second address, the next version, a file that is read and a guest at each door may come: 40 at the most. The budget now leaves these; from 128 descriptors on nothing changes.

--- a/src/main/java/yardusher/cli/Serve.java
+++ b/src/main/java/yardusher/cli/Serve.java
@@ -54,7 +54,11 @@
     private static final double LAST_MS = 50;        // after the last deadline, for its answer
     private static final long HELD_UP_MS = 10_000;   // so much longer by the machine's own clock, where turns do not come
     private static final long START_MS = 6000;       // a new version is due to take clients by then
-    private static final int OWN_DESCRIPTORS = 64;   // of the JVM, the listeners and the watch
+    private static final int OWN_DESCRIPTORS = 64;   // of the JVM, the listeners, the watch and the second address
+    // Measured: 12 of a JVM that serves with a second address and peers; 3 watches, 16 callers there, the next version, a file
+    // that is read, a guest at each door. Where there are few in all, clients and backends get no more than is left by these.
+    private static final int OWN_LEAST = 40;
+    private static final int LEAST_BUDGET = 8;
 
     private static final int BODIES_PART = 8;        // of the heap, for large bodies, but one always fits
 
@@ -101,7 +105,7 @@
         this.config = config;
         loop = new EventLoop(clock, this::fault);
         sockets = new Sockets(loop);
-        int budget = Math.max(64, config.sockets() - OWN_DESCRIPTORS);
+        int budget = budget(config.sockets());
         Api.Settings settings = config.settings();
         longestMs = settings.classes().stream().mapToDouble(Api.RequestClass::deadlineMs).max().orElse(1000);
         pool = new BackendPool(sockets, counters, settings.report(), config.dialMs(), config.idleMs(), longestMs, budget * 2 / 5);
@@ -255,6 +259,9 @@
         if (limitsFront != null) { limitsFront.answers().away(away); }
     }
 
+    /** How many of so many descriptors are for clients and backends. */
+    static int budget(int sockets) { return Math.max(Math.max(LEAST_BUDGET, Math.min(64, sockets - OWN_LEAST)), sockets - OWN_DESCRIPTORS); }
+
     /** Takes the descriptors, or the half of them that the other process of this ingress leaves. */
     private void share(boolean other) {
         int mine = other ? budget / 2 : budget;
