What waited for its record till its time is held against no backend

Seen: an attempt that was parked for its record until its time-out ended as could not connect, and the module held its backend to be down in every class: a disk that hangs for the length of a request put all backends out, and what came next was refused.

Lines: Dispatch.expire asked only whether it was written. What is still parked now ends as never sent. Red without the mend: CourseTest.whatWaitedForItsRecordTillItsTimeIsHeldAgainstNoBackend.

--- a/src/main/java/yardusher/core/Course.java
+++ b/src/main/java/yardusher/core/Course.java
@@ -41,6 +41,8 @@
 
     boolean isOut(int attempt) { return out != Out.NONE && attempt == number; }
 
+    boolean isParked(int attempt) { return out == Out.PARKED && attempt == number; }
+
     boolean isHanded(int attempt) { return out == Out.HANDED && attempt == number; }
 
     /** Whether an attempt may have run, or is out so that it may yet. */
--- a/src/main/java/yardusher/core/Dispatch.java
+++ b/src/main/java/yardusher/core/Dispatch.java
@@ -59,8 +59,9 @@
 
     private void expire(Attempt attempt) {
         if (attempt.isOver()) { return; }
-        // What was never written whole cannot have run, so it may be refused or go elsewhere.
-        Api.Outcome outcome = attempt.mayHaveGone() ? Api.Outcome.TIMED_OUT : Api.Outcome.CONNECT_FAILED;
+        // What was never handed to a socket cannot have run. Guards a backend against blame for what waited for its record here.
+        Api.Outcome never = attempt.request.course.isParked(attempt.number) ? Api.Outcome.NOT_SENT : Api.Outcome.CONNECT_FAILED;
+        Api.Outcome outcome = attempt.mayHaveGone() ? Api.Outcome.TIMED_OUT : never;
         attempt.giveUp.run();
         ended.accept(attempt, Attempt.Result.of(outcome));
     }
--- a/src/test/java/yardusher/core/CourseTest.java
+++ b/src/test/java/yardusher/core/CourseTest.java
@@ -312,4 +312,14 @@
         assertThat(world.counters.answersSecond).isEqualTo(2);
         assertThat(world.counters.line(0)).contains(" answers_second=2 ");
     }
+
+    @Example
+    void whatWaitedForItsRecordTillItsTimeIsHeldAgainstNoBackend() {
+        World world = new World(Api.Effect.AT_MOST_ONCE, true);
+        world.play(End.DEADLINE, 0);
+        assertThat(world.answers).isEqualTo(1);
+        assertThat(world.begun).isEmpty();
+        assertThat(world.counters.outcomes[Api.Outcome.NOT_SENT.ordinal()]).isEqualTo(1);
+        assertThat(world.counters.outcomes[Api.Outcome.CONNECT_FAILED.ordinal()]).as("a backend would be held to be down").isZero();
+    }
 }
