Repeats keep the place of their first attempt; nothing is given up that none may follow

Two faults, found by reading the paths of a repeat. Servers.mayRunOn held a deduplicated repeat against the zone and cell that the list says now of the backend on which it may have run: where a list moves that backend meanwhile, the repeat went to a group that the first attempt was never in. Held keeps the place as it was at the send. And Attempts.check gave a deduplicated attempt up at half of its aim also where its window was over by then, or no other backend of its group was there: what might still have been answered was failed. It is given up only where another may get it (Servers.elsewhere).

--- a/src/main/java/yardusher/Attempts.java
+++ b/src/main/java/yardusher/Attempts.java
@@ -40,8 +40,7 @@
         Host host = why == null ? servers.choose(held) : null;
         if (host == null) {
             told.accept(c, false);
-            Reason told = why == null ? Reason.NO_SERVER : why;
-            out.accept(new Refuse(q.id(), advice(c, q), told));
+            out.accept(new Refuse(q.id(), advice(c, q), why == null ? Reason.NO_SERVER : why));
             return;
         }
         c.count(q.units());
@@ -70,7 +69,7 @@
         if (held.of.lateValue() == 0 && !held.of.streamed() && settings.limits().mayCancel()) {
             until = Math.min(until, aimAt); // worth nothing later: the server is free for others
         }
-        held.attempts++; held.last = host; held.sentAt = clock.now; servers.outstanding++;
+        held.sent(host, clock.now); servers.outstanding++;
         if (host.open++ == 0) { host.quietSince = clock.now; }
         held.customer.mine.open++;
         told.accept(held.customer, true);
@@ -96,10 +95,10 @@
                 || held.last.quietSince > held.sentAt && !(hanging > 0.02 && alone(held) && rerunMayPay())
                 || held.last.open < 2 && waited < 3 * servers.classMs[k]
                         && clock.now >= held.last.outUntil[k]
-                || retryTokens < 1 || held.attempts >= settings.limits().maxAttempts()) {
+                || retryTokens < 1 || held.attempts >= settings.limits().maxAttempts()
+                || !settings.limits().mayCancel() || !servers.elsewhere(held)) {
             return;
         }
-        if (!settings.limits().mayCancel()) { return; }
         if (alone(held)) { held.lone = held.attempts; held.waited = waited; }
         out.accept(new Cancel(id, held.attempts - 1));
     }
@@ -125,7 +124,7 @@
         judge(held, host, e);
         if (e.billed() > 0) { held.customer.count(e.billed() - held.request.units()); }
         if (e.finished() || held.gone) { requests.remove(e.id()); return; }
-        if (!e.outcome().neverRan() && held.ranOn == null) { held.ranOn = host; held.ranAt = held.sentAt; }
+        held.ran |= !e.outcome().neverRan();
         retryOrEnd(held, e.outcome());
     }
 
@@ -190,7 +189,7 @@
             if (host != null) { retryTokens -= cheap ? 0 : 1; send(held, host); return; }
         }
         requests.remove(q.id());
-        boolean harmless = held.ranOn == null || held.of.effect() == Effect.IDEMPOTENT
+        boolean harmless = !held.ran || held.of.effect() == Effect.IDEMPOTENT
                 || held.of.effect() == Effect.DEDUPLICATED && held.of.group() == Group.ALL;
         boolean refused = harmless && clock.now < q.dueMs();
         out.accept(!refused ? new Fail(q.id())
--- a/src/main/java/yardusher/Held.java
+++ b/src/main/java/yardusher/Held.java
@@ -9,8 +9,10 @@
     final Customer customer;
     final double arrivedAt;
     int attempts;
-    Host last, ranOn;                                // ranOn: first server on which it may have run
-    double sentAt, ranAt;
+    Host last;
+    double sentAt, ranAt;                            // ranAt, ranZone, ranCell: of the first attempt that may
+    int ranZone, ranCell;                            // have run, also while it is out
+    boolean ran;                                     // whether one that has ended may have
     int lone;                                        // attempts when one that hung by itself was given up
     double waited;                                   // for that one
     boolean gone, begun;                             // begun: a streamed answer, its own deadline
@@ -19,6 +21,12 @@
         this.request = request; this.of = of; this.customer = customer; this.arrivedAt = arrivedAt;
     }
 
+    /** Notes the next attempt. Guards repeats against a list that moves a server meanwhile: the place is kept. */
+    void sent(Host host, double at) {
+        attempts++; last = host; sentAt = at;
+        if (!ran) { ranAt = at; ranZone = host.zone; ranCell = host.cell; }
+    }
+
     Held begin(double at) { begun = true; last.quietSince = at; return this; }
 
     boolean boundElsewhere(Host host) { return request.only() != null && !request.only().allows(host); }
--- a/src/main/java/yardusher/Host.java
+++ b/src/main/java/yardusher/Host.java
@@ -55,7 +55,10 @@
         part = Math.max(LEAST_PART, Math.min(2, next));
     }
 
-    void place(Api.Server told) { zone = told.zone(); cell = told.cell(); size = told.size() > 0 ? told.size() : 1; }
+    void place(Api.Server told) {
+        zone = told.zone(); cell = told.cell(); size = told.size() > 0 ? told.size() : 1;
+        ready = told.readiness() == Api.Readiness.READY; gone = told.readiness() == Api.Readiness.GONE;
+    }
 
     Host bound(int attempts) { most = attempts; return this; }
 
@@ -68,6 +71,13 @@
         }
     }
 
+    /** What part of its work a server can do by now, at the least: 1 for a warm one. */
+    double warmth() {
+        Api.Rules rules = settings.rules();
+        double age = (clock.now - coldSince) / Math.max(1, rules.warmAfterMs());
+        return Math.min(1, rules.coldFrom() + (1 - rules.coldFrom()) * Math.max(0, age));
+    }
+
     double load() { return open + ghosts; }
 
     boolean full() { return load() >= limit || open >= most; }
--- a/src/main/java/yardusher/Pressure.java
+++ b/src/main/java/yardusher/Pressure.java
@@ -42,7 +42,7 @@
         double load = 0, room = 0;
         for (Host host : servers.ready) {
             if (host.down || host.banned) { continue; }
-            load += host.load(); room += host.limit * servers.warmth(host);
+            load += host.load(); room += host.limit * host.warmth();
         }
         double pressure = room > 0 ? load / room : 0;
         // A gateway of hundreds never fills its part of the limits: it goes by the answers of all servers.
--- a/src/main/java/yardusher/Servers.java
+++ b/src/main/java/yardusher/Servers.java
@@ -61,8 +61,6 @@
             Host host = hosts.computeIfAbsent(server.id(),
                     id -> new Host(id, bans.containsKey(id), settings, clock));
             host.place(server);
-            host.ready = server.readiness() == Readiness.READY;
-            host.gone = server.readiness() == Readiness.GONE;
             if (host.ready && server.startedAtMs() > host.startedAt) {
                 host.startedAt = server.startedAtMs();
                 host.coldSince = Math.max(host.coldSince, server.startedAtMs());
@@ -73,12 +71,6 @@
         ready.removeIf(host -> !host.ready);
     }
 
-    double warmth(Host host) {
-        Rules rules = settings.rules();
-        double age = (clock.now - host.coldSince) / Math.max(1, rules.warmAfterMs());
-        return Math.min(1, rules.coldFrom() + (1 - rules.coldFrom()) * Math.max(0, age));
-    }
-
     private double cost(Host host) {
         double load = 1 + host.load();
         if (clock.now - host.reportedAt < 1000) {
@@ -108,11 +100,11 @@
             boolean out = clock.now < host.outUntil[k] && (host.down || !common);
             boolean tried = host.failures[k] > 0 && host.outUntil[k] > 0 && !common && host.open > 0;
             if (host.banned || out || tried || host.full() || held.boundElsewhere(host)
-                    || !mayRunOn(held, host) || held.last == host && ready.size() > 1) {
+                    || !mayRunOn(held, host, held.ran) || held.last == host && ready.size() > 1) {
                 continue;
             }
             drawn++;
-            double warmth = warmth(host), mean = outstanding / (double) ready.size();
+            double warmth = host.warmth(), mean = outstanding / (double) ready.size();
             double most = Math.min(warmth * (1 + mean), Math.max(0.99, warmth * host.limit - 1));
             if (warmth < 1 && (host.load() > most || random.nextDouble() >= warmth)) { continue; }
             double cost = cost(host) * (0.9 + 0.2 * random.nextDouble());
@@ -121,13 +113,19 @@
         return best;
     }
 
-    /** Whether a request that may have run elsewhere may be sent to this server too. */
-    private boolean mayRunOn(Held held, Host host) {
+    /** Whether one that holds a request would leave it another, if it may have run there. */
+    boolean elsewhere(Held held) {
+        return ready.stream().anyMatch(host -> (host != held.last || ready.size() == 1) && !host.banned
+                && !host.full() && !held.boundElsewhere(host) && mayRunOn(held, host, true));
+    }
+
+    /** Whether a request may be sent to this server where it has run elsewhere, or may have. */
+    private boolean mayRunOn(Held held, Host host, boolean ran) {
         RequestClass of = held.of;
-        if (held.ranOn == null || of.effect() == Effect.IDEMPOTENT) { return true; }
+        if (!ran || of.effect() == Effect.IDEMPOTENT) { return true; }
         return of.effect() == Effect.DEDUPLICATED && clock.now - held.ranAt < of.windowMs()
-                && (of.group() == Group.ALL || host.zone == held.ranOn.zone)
-                && (of.group() != Group.CELL || host.cell == held.ranOn.cell);
+                && (of.group() == Group.ALL || host.zone == held.ranZone)
+                && (of.group() != Group.CELL || host.cell == held.ranCell);
     }
 
     void failed(Host host, int k, boolean down) {
@@ -180,8 +178,7 @@
     }
 
     void answered(Host host, int k) {
-        if (host.down) { host.coldSince = clock.now; } // back before the list says so: as cold as any other
-        if (host.down) { Arrays.fill(host.failures, 0); }
+        if (host.down) { host.coldSince = clock.now; Arrays.fill(host.failures, 0); } // back, none told yet
         host.down = false; host.failures[k] = 0; host.failing[k] *= 1 - FAILING;
         host.outUntil[k] = 0;
     }
