A file that is no configuration is not read whole, and nothing may follow the object

Seen: a file of 30 MB ended check with an OutOfMemoryError and its trace; at a reload the running process shares that heap. Half of a new file over an old one was read as its first object (Config.read).

--- a/src/main/java/yardusher/cli/Config.java
+++ b/src/main/java/yardusher/cli/Config.java
@@ -21,6 +21,7 @@
 public record Config(String name, InetSocketAddress listen, InetSocketAddress admin, InetSocketAddress discovery, long seed, int sockets,
         InetSocketAddress peerListen, List<InetSocketAddress> peers, Codec.Fields known, Api.Settings settings,
         List<String> classes, List<String> plans, List<String> zones, double idleMs, double dialMs, List<String> unused) {
+    private static final long MOST_BYTES = 4 << 20;  // 10,000 backends and as many peers fit
     private static final int LEAST_SOCKETS = 64;     // of which the JVM, the listeners and the watch need half
     private static final Set<String> KEYS = Set.of("name", "listen", "admin_addr", "discovery", "seed", "limits", "peer_listen", "peers",
             "peers_all", "counter", "known", "settings");
@@ -28,10 +29,12 @@
 
     /** Reads the file; a {@link ConfigError} names it and says in one line what is wrong. */
     public static Config read(String file) {
-        try (JsonParser parser = new JsonFactory().createParser(Files.readString(Path.of(file)))) {
+        try (JsonParser parser = new JsonFactory().createParser(text(Path.of(file)))) {
             if (parser.nextToken() == null || !(Codec.read(parser) instanceof Codec.Fields json)) {
                 throw new ConfigError.Syntax(file, "not a JSON object");
             }
+            // Guards against half of a new file over an old one: what would be read is not what was meant.
+            if (parser.nextToken() != null) { throw new ConfigError.Syntax(file, "not one JSON object: more follows it"); }
             return of(json);
         } catch (JsonProcessingException e) {
             throw new ConfigError.Syntax(file, "not JSON: " + e.getOriginalMessage(), e);
@@ -44,6 +47,12 @@
         }
     }
 
+    /** Guards a small heap, also a running ingress's: a file that is no configuration at all must not end it. */
+    private static String text(Path file) throws IOException {
+        if (Files.size(file) > MOST_BYTES) { throw new ConfigError.Syntax(null, "larger than " + MOST_BYTES / (1 << 20) + " MB: not a configuration"); }
+        return Files.readString(file);
+    }
+
     static Config of(Codec.Fields json) {
         Codec.Fields settings = json.object("settings");
         Codec.Fields limits = settings.object("limits");
