A fault while room is made for a guest no longer shuts the door for good

Found by reading: Sockets.Door.open set 'accepting' before room.test; thrown there, the door stood as if it were accepting and nobody was let in any more.

--- a/src/main/java/yardusher/net/Sockets.java
+++ b/src/main/java/yardusher/net/Sockets.java
@@ -93,9 +93,14 @@
         public void open() {
             // Guards against running out of descriptors: who finds no room waits in the backlog.
             if (accepting || !bound || !channel.isOpen()) { return; }
+            boolean fits = false;
             accepting = true;                        // also while room is made, which may open the door again
-            accepting = room.test(null);
-            if (!accepting) { return; }
+            try {
+                fits = room.test(null);
+            } finally {
+                accepting = fits;                    // guards the door against a fault while room is made: it may be opened again
+            }
+            if (!fits) { return; }
             channel.accept(this, new CompletionHandler<AsynchronousSocketChannel, Door>() {
                 @Override
                 public void completed(AsynchronousSocketChannel guest, Door door) {
