--- a/src/test/java/yardusher/story/BackendEndsStoryTest.java
+++ b/src/test/java/yardusher/story/BackendEndsStoryTest.java
@@ -166,6 +166,22 @@
         assertThat(serve.countersLine()).contains("connections=1 ").contains("connections_reused=1 ");
     }
 
+    /** What is out when a drain is told ends in order, and its connection does not rest behind it. */
+    @Test
+    void aConnectionWhoseAttemptEndsBehindADrainCloses() throws Exception {
+        Region region = region();
+        region.script = command -> null;
+        Client client = start(json -> json, member("s-1", region.address(), "Ready"));
+        awaits("list_changes=1");                    // that nothing has changed since
+        client.sendLookup(7, 2000);
+        next(region.seen);
+        discovery.tell(list(42, false, member("s-1", region.address(), "Terminating")));
+        awaits("list_changes=2");
+        region.last.getOutputStream().write(Region.served("made here"));
+        assertThat(client.told()).isEqualTo("made here");
+        assertThat(next(region.ends)).isEqualTo("left");
+    }
+
     /** A dial that does not come up gets a second one beside it, long before its time is over. */
     @Test
     void aDialThatHangsGetsASecondBesideIt() throws Exception {
