--- a/src/test/java/yardusher/core/CourseTest.java
+++ b/src/test/java/yardusher/core/CourseTest.java
@@ -20,7 +20,8 @@
 /** One final answer, and nothing after it: all orders of endings against a real core on a scripted clock. */
 class CourseTest {
     /** What ends an attempt or a request, or what an end crosses. */
-    enum End { DEADLINE, TIME_OUT, GONE, ANSWER, BUSY, ERROR, RESET, DRAIN, DIAL_UP, DIAL_FAILED, WRITE_FAILED, PART, RECORDED, UNRECORDED, NO_DISK, PAST_WINDOW }
+    enum End { DEADLINE, TIME_OUT, GONE, ANSWER, BUSY, ERROR, RESET, DRAIN, DIAL_UP, DIAL_FAILED, WRITE_FAILED, PART, RECORDED,
+        UNRECORDED, NO_DISK, PAST_WINDOW }
 
     private static final double WAIT_MS = 2000;
     private static final double WINDOW_MS = 300;
@@ -221,7 +222,8 @@
 
     @Provide
     Arbitrary<List<Step>> steps() {
-        Arbitrary<Step> step = net.jqwik.api.Combinators.combine(Arbitraries.of(End.class), Arbitraries.integers().between(0, 5)).as(Step::new);
+        Arbitrary<Step> step = net.jqwik.api.Combinators.combine(Arbitraries.of(End.class), Arbitraries.integers().between(0, 5))
+                .as(Step::new);
         return step.list().ofMinSize(1).ofMaxSize(9);
     }
 
@@ -247,7 +249,8 @@
     /** All orders of three endings, behind an attempt that is dialled or out, alone or as a repeat. */
     @Example
     void allOrdersOfTwoAndThreeEndings() {
-        List<List<End>> before = List.of(List.of(), List.of(End.DIAL_UP), List.of(End.DIAL_UP, End.RESET), List.of(End.DIAL_UP, End.RESET, End.DIAL_UP),
+        List<List<End>> before = List.of(List.of(), List.of(End.DIAL_UP), List.of(End.DIAL_UP, End.RESET),
+                List.of(End.DIAL_UP, End.RESET, End.DIAL_UP),
                 List.of(End.DIAL_FAILED, End.DIAL_UP), List.of(End.DIAL_UP, End.PART));
         int played = 0;
         for (Api.Effect effect : Api.Effect.values()) {
--- a/src/test/java/yardusher/story/BackendEndsStoryTest.java
+++ b/src/test/java/yardusher/story/BackendEndsStoryTest.java
@@ -124,7 +124,8 @@
         Region first = region();
         first.script = command -> null;
         Late second = new Late();
-        Client client = start(json -> json.replace("\"window_ms\": 5000.0", "\"window_ms\": 40.0"), member("s-1", first.address(), "Ready"));
+        Client client = start(json -> json.replace("\"window_ms\": 5000.0", "\"window_ms\": 40.0"),
+                member("s-1", first.address(), "Ready"));
         awaits("list_changes=1");                    // that nothing has changed since
         order(client, 1, "body");
         next(first.seen);
