--- a/src/main/java/yardusher/net/ClientConnection.java
+++ b/src/main/java/yardusher/net/ClientConnection.java
@@ -196,17 +196,11 @@
         loop.deadlines().at(loop.now() + FLOOD_MS, () -> {
             watched = false;
             if (life == Life.OVER || link.isClosed()) { return; }
-            if (life != Life.READING || !link.isFull()) {
-                link.readMore();
-                return;
-            }
             // Guards against a terminal that sends much at once and goes: its end lies behind what is not read.
-            if (reads == link.reads() && !slots.isEmpty() && (body == null || bodyOpen)) {
+            if (reads == link.reads() && !link.isReading() && !slots.isEmpty() && (body == null || bodyOpen)) {
                 lose("too many commands at once");
-                link.readMore();
-            } else {
-                full(link);
             }
+            link.readMore();                         // or is told anew that it is full
         });
     }
 
--- a/src/main/java/yardusher/net/Link.java
+++ b/src/main/java/yardusher/net/Link.java
@@ -76,6 +76,7 @@
     private boolean landed;                          // the read under way goes there
     private boolean wasted;                          // the read under way is for nobody
     private boolean more;                            // the last read was filled, so more has likely come
+    private boolean untold;                          // the owner has not been told of the last bytes yet
     private int asked;                               // the size of the read under way
     private long reads;
 
@@ -127,12 +128,15 @@
     /** Reads done so far: one that is full and stays at its number has come no further. */
     long reads() { return reads; }
 
+    /** Whether a read is under way: then the peer's end is seen. */
+    boolean isReading() { return reading; }
+
     /** Whether it holds all it may of what it read ahead. */
     boolean isFull() {
         if (ahead == 0) { return false; }
         count(decoder().held());
         // Guards the heap against many that send much at once: then each holds little, but for the command that it is in.
-        return counted >= ahead || counted >= LITTLE && all.held >= all.most && owner.holdsBack(this);
+        return counted >= ahead || counted >= LITTLE && all.held >= all.most && (untold || owner.holdsBack(this));
     }
 
     /** Whether it ended in a write: then the last byte was never written. */
@@ -326,6 +330,7 @@
         }
         // Guards against what a client asks and takes back by its end right behind it: that may lie in the system already, and then
         // this read comes back at once, before the owner is told.
+        untold = true;
         readMore();
         long last = reads;
         loop.afterwards(() -> {
@@ -334,6 +339,7 @@
     }
 
     private void tell() {
+        untold = false;
         if (stage != Stage.OPEN) { return; }
         owner.readable(this);
         if (stage != Stage.OPEN) { return; }
