--- a/src/main/java/yardusher/cli/Config.java
+++ b/src/main/java/yardusher/cli/Config.java
@@ -22,7 +22,7 @@
         InetSocketAddress peerListen, List<InetSocketAddress> peers, Codec.Fields known, Api.Settings settings,
         List<String> classes, List<String> plans, List<String> zones, double idleMs, double dialMs, List<String> unused) {
     private static final long MOST_BYTES = 4 << 20;  // 10,000 backends and as many peers fit
-    private static final int LEAST_SOCKETS = 64;     // of which the JVM, the listeners and the watch need half
+    private static final int LEAST_SOCKETS = 32;     // of which the JVM, the listeners and the watch need half
     private static final Set<String> KEYS = Set.of("name", "listen", "admin_addr", "discovery", "seed", "limits", "peer_listen", "peers",
             "peers_all", "counter", "known", "settings");
     private static final Set<String> MACHINE_KEYS = Set.of("cores", "memory_mb", "sockets");
