--- a/src/main/java/yardusher/Servers.java
+++ b/src/main/java/yardusher/Servers.java
@@ -14,6 +14,8 @@
     private static final double EJECT_MOST_MS = 8000;
     private static final int BLAMED = 3;             // failures in a row, or of all gateways in BLAME_MS
     private static final double COMMON = 0.75;       // part of the servers that fail by no fault of their own
+    private static final double SPENT = 0.65;        // of what makes a cold one fall; the rest is for chance
+    private static final double ALL_COLD = 0.5;      // least chance in a draw where none is warm
     static final double BLAME_MS = 2000;
     static final double FAILING = 0.2;               // weight of one answer in how a server fares
     static final double LATE = 0.35;                 // part of the aim that answers take when they are late
@@ -68,8 +70,7 @@
                 if (host.down) { Arrays.fill(host.outUntil, clock.now); } // a new process since
             }
         }
-        ready = new ArrayList<>(hosts.values());
-        ready.removeIf(host -> !host.ready);
+        ready = new ArrayList<>(hosts.values().stream().filter(host -> host.ready).toList());
     }
 
     private double cost(Host host) {
@@ -107,8 +108,8 @@
             drawn++;
             double warmth = host.warmth(), mean = outstanding / (double) ready.size();
             double most = Math.min(warmth * (1 + mean), Math.max(0.99, warmth * host.limit - 1));
-            boolean kept = spent || host.load() > most;
-            if (warmth < 1 && (kept || random.nextDouble() >= usual.chance(warmth))) { continue; }
+            double part = usual.allCold() ? Math.max(ALL_COLD, warmth) : warmth;
+            if (warmth < 1 && (spent || host.load() > most || random.nextDouble() >= part)) { continue; }
             double cost = cost(host) * (0.9 + 0.2 * random.nextDouble());
             if (best == null || cost < bestCost) { best = host; bestCost = cost; }
         }
@@ -195,7 +196,7 @@
             host.ghosts *= Math.max(0, 1 - Clock.SWEEP_MS / ghostMs);
             for (int k = 0; k < outCount.length; k++) { outCount[k] += host.outs(k) ? 1 : 0; }
         }
-        usual.look(ready, settings.rules().overloadFactor());
+        usual.look(ready, SPENT * Math.max(1, settings.rules().overloadFactor()));
     }
 
     /** An answer tells what a class usually takes, and what part of their aims all answers take. */
--- a/src/main/java/yardusher/WarmRate.java
+++ b/src/main/java/yardusher/WarmRate.java
@@ -9,19 +9,14 @@
  */
 final class WarmRate {
     private static final double LEAST = 0.1;         // weight of a look once there were many
-    private static final double ALL_COLD = 0.5;      // least chance in a draw where there is none to spare
-    private static final double SPENT = 0.65;        // of what makes one fall; the rest is for chance
     private static final double MOST = 2;            // attempts saved up
     private double answers, looks, warm, perMs, coldPerMs, left = MOST, leftAt;
 
     /** A warm server answered. */
     void answered() { answers++; }
 
-    /**
-     * The part of the draws into which a server of this warmth is let. Where none is warm and their rate was known, what
-     * each may get bounds their load already, and a lesser part of the draws would refuse more than that.
-     */
-    double chance(double warmth) { return perMs > 0 && warm == 0 ? Math.max(ALL_COLD, warmth) : warmth; }
+    /** Whether none is warm now, and what a warm one answers is known from before. */
+    boolean allCold() { return perMs > 0 && warm == 0; }
 
     /** Whether a cold server may be sent an attempt now. */
     boolean due(double now) {
@@ -33,8 +28,8 @@
     /** A cold server is sent an attempt. */
     void spend() { left = Math.max(0, left - 1); }
 
-    /** Ends the time since the last look, which was {@link Clock#SWEEP_MS}. Cold ones may get this multiple of what they can do. */
-    void look(List<Host> ready, double multiple) {
+    /** Ends the time since the last look, which was {@link Clock#SWEEP_MS}. Cold ones get this part of what they can do, as it is told. */
+    void look(List<Host> ready, double part) {
         double cold = 0;
         warm = 0;
         for (Host host : ready) {
@@ -43,6 +38,6 @@
         }
         if (warm > 0) { perMs += Math.max(LEAST, 1 / ++looks) * (answers / warm / Clock.SWEEP_MS - perMs); }
         answers = 0;
-        coldPerMs = SPENT * Math.max(1, multiple) * cold * perMs;
+        coldPerMs = part * cold * perMs;
     }
 }
