--- a/src/main/java/yardusher/Attempts.java
+++ b/src/main/java/yardusher/Attempts.java
@@ -65,7 +65,7 @@
     private void send(Held held, Host host) {
         double until = held.request.dueMs();
         if (held.of.lateValue() == 0 && !held.of.streamed() && settings.limits().mayCancel()) {
-            until = Math.min(until, held.arrivedAt + held.of.aimMs()); // worth nothing later: free for others
+            until = Math.min(until, held.aimAt()); // worth nothing later: free for others
         }
         held.sent(host, clock.now); servers.outstanding++;
         if (host.open++ == 0) { host.quietSince = clock.now; }
@@ -178,7 +178,7 @@
 
     private void retryOrEnd(Held held, Outcome outcome) {
         Request q = held.request;
-        double until = held.of.lateValue() == 0 ? Math.min(q.dueMs(), held.arrivedAt + held.of.aimMs()) : q.dueMs();
+        double until = held.of.lateValue() == 0 ? Math.min(q.dueMs(), held.aimAt()) : q.dueMs();
         boolean cheap = outcome == Outcome.CONNECT_FAILED;
         if (outcome != Outcome.NOT_SENT && held.attempts < settings.limits().maxAttempts()
                 && clock.now + servers.classMs[q.classIndex()] / 2 < until
--- a/src/main/java/yardusher/Held.java
+++ b/src/main/java/yardusher/Held.java
@@ -29,5 +29,8 @@
 
     Held begin(double at) { begun = true; last.quietSince = at; return this; }
 
+    /** By when its answer is worth all. */
+    double aimAt() { return arrivedAt + of.aimMs(); }
+
     boolean boundElsewhere(Host host) { return request.only() != null && !request.only().allows(host); }
 }
