A row of very many units fits one message: it grew by its units and was never told

Seen by driving the module with settings at the ends of what may be told: it did not come back within a minute; the stack stood in RowText.put. A row writes a character for each eleven units, so a request of 1e9 units (allowed by the settings) wrote 91 MB inside a turn of the event loop; and from about 2,600 units in a window a row fitted no message, was put back, and was never told at all. Counts now take 230 bytes of a row at most, the newest first; what is smaller is written as before. Ruled out: the clock, timers and windows of such plans.

LargeCountsTest, without the mend: six messages of four bytes, no row. With it the row is told within 256 bytes.

--- a/src/main/java/yardusher/RowText.java
+++ b/src/main/java/yardusher/RowText.java
@@ -7,6 +7,7 @@
     static final int OWN = 0, SUM = 1, FAULT = 2, OUT = 3, KINDS = 4; // what a tag tells, besides the plan
     private static final double ASKED_STEP = 0.1;    // asked units go as a logarithm: floods are far above
     static final int MOST_BYTES = 256;               // of one message
+    private static final int COUNT_BYTES = 230;      // of a row at most, so that it fits a message
     private static final int MOST = 11;              // units of one digit; more take several
 
     private static int numbered(Settings settings) { return settings.gateways() < Digits.BASE ? 1 : 2; }
@@ -23,8 +24,10 @@
         long steps = (long) Math.ceil(Math.log1p(asked) / ASKED_STEP);
         Digits.put(body, Math.min(Digits.BASE - 1, steps), 1);
         Digits.put(body, Math.min(Digits.BASE - 1, open), capped(settings, tag / KINDS) ? 1 : 0);
+        int room = COUNT_BYTES;
         for (int age = 0; age < counts.length; age++) {
-            for (long left = counts[age]; left > 0; left -= MOST) {
+            // Guards against a row without end, and one that fits no message and so is never told: the newest go first.
+            for (long left = counts[age]; left > 0 && room-- > 0; left -= MOST) {
                 Digits.put(body, (MOST + 1) * age + Math.min(MOST, left), 1);
             }
         }
