The bound on cold backends is measured and owed: the share by warm answers is taken back

ColdSumTest keeps all 36 cases: 20 hold and run; 16 (1.01 to 1.89 of what makes one fall) are the known red line, mended first next time.

--- a/src/main/java/yardusher/Servers.java
+++ b/src/main/java/yardusher/Servers.java
@@ -14,8 +14,6 @@
     private static final double EJECT_MOST_MS = 8000;
     private static final int BLAMED = 3;             // failures in a row, or of all gateways in BLAME_MS
     private static final double COMMON = 0.75;       // part of the servers that fail by no fault of their own
-    private static final double SPENT = 0.65;        // of what makes a cold one fall; the rest is for chance
-    private static final double ALL_COLD = 0.5;      // least chance in a draw where none is warm
     static final double BLAME_MS = 2000;
     static final double FAILING = 0.2;               // weight of one answer in how a server fares
     static final double LATE = 0.35;                 // part of the aim that answers take when they are late
@@ -31,7 +29,6 @@
     private final Map<Long, Double> bans = new HashMap<>(); // by hand, and since when; outlive the list
     int outstanding;
     private double fleetAt, askAt = Double.POSITIVE_INFINITY; // when to ask for the list again
-    private final WarmRate usual = new WarmRate();   // what a warm server answers here
 
     Servers(Settings settings, Clock clock, SplittableRandom random, Consumer<Action> out, Teller teller) {
         this.settings = settings; this.clock = clock; this.random = random; this.out = out;
@@ -87,15 +84,15 @@
 
     /**
      * The cheapest of some servers drawn at random, or null: as many as own attempts tell apart. Danger: a
-     * cold one pushed over by hundreds of gateways, or a few whose warm ones have much to do, or all cold.
-     * Each lets it into a draw, and to hold and get what others hold and answer here, by its warmth.
+     * cold server pushed over by hundreds of gateways, or by a few whose warm ones all have much to do. Each
+     * lets it into a draw by its warmth, and to hold that part of what others hold here; else it is refused.
      */
     Host choose(Held held) {
         Host best = null;
         double bestCost = 0;
         int k = held.request.classIndex();
         boolean common = outCount[k] > COMMON * ready.size(); // most of them fail: no server's own fault
-        int drawn = 0; boolean spent = !usual.due(clock.now);
+        int drawn = 0;
         for (int i = 0; i < ready.size() && drawn < 3 + outstanding; i++) {
             int at = i + random.nextInt(ready.size() - i);
             Host host = ready.set(at, ready.get(i)); ready.set(i, host);
@@ -108,12 +105,10 @@
             drawn++;
             double warmth = host.warmth(), mean = outstanding / (double) ready.size();
             double most = Math.min(warmth * (1 + mean), Math.max(0.99, warmth * host.limit - 1));
-            double part = usual.allCold() ? Math.max(ALL_COLD, warmth) : warmth;
-            if (warmth < 1 && (spent || host.load() > most || random.nextDouble() >= part)) { continue; }
+            if (warmth < 1 && (host.load() > most || random.nextDouble() >= warmth)) { continue; }
             double cost = cost(host) * (0.9 + 0.2 * random.nextDouble());
             if (best == null || cost < bestCost) { best = host; bestCost = cost; }
         }
-        if (best != null && best.warmth() < 1) { usual.spend(); }
         return best;
     }
 
@@ -184,7 +179,7 @@
     void answered(Host host, int k) {
         if (host.down) { host.coldSince = clock.now; Arrays.fill(host.failures, 0); } // back, none told yet
         host.down = false; host.failures[k] = 0; host.failing[k] *= 1 - FAILING;
-        host.outUntil[k] = 0; if (host.warmth() >= 1) { usual.answered(); }
+        host.outUntil[k] = 0;
     }
 
     void sweep() {
@@ -196,7 +191,6 @@
             host.ghosts *= Math.max(0, 1 - Clock.SWEEP_MS / ghostMs);
             for (int k = 0; k < outCount.length; k++) { outCount[k] += host.outs(k) ? 1 : 0; }
         }
-        usual.look(ready, SPENT * Math.max(1, settings.rules().overloadFactor()));
     }
 
     /** An answer tells what a class usually takes, and what part of their aims all answers take. */
--- /dev/null
+++ b/src/test/java/yardusher/ColdSumTest.java
@@ -0,0 +1,107 @@
+package yardusher;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import yardusher.Api.Rules;
+import yardusher.ColdRun.Case;
+import yardusher.ColdRun.Pace;
+
+/**
+ * The fall of a cold backend, as operators count it: the sum over all ingresses, two thirds of it from such as had been told
+ * of its start, against N + 2 x root of N + 2 requests in any span of the settings' time, N being what the settings allow
+ * it at its warmth when the span begins. With the figures of two sites; 4 cores and 80 ms a request.
+ */
+class ColdSumTest {
+    private static final Rules LIERBEEK = new Rules(0.16, 18_000, 3, 3000, 10_000), STARFATORG = new Rules(0.16, 15_000, 3, 1500, 10_000),
+            QUICKLY_WARM = new Rules(0.46, 7600, 3, 1500, 10_000), DOUBLE = new Rules(0.17, 17_000, 2, 2000, 10_000);
+
+    static List<Case> cases() {
+        List<Case> all = new ArrayList<>();
+        for (Rules rules : List.of(LIERBEEK, STARFATORG)) {
+            for (int gateways : new int[] {3, 20, 30, 100}) {
+                int servers = gateways == 100 || gateways == 3 ? 40 : 10;
+                all.add(new Case(gateways, servers, 1, rules, 0.65, 1));
+                all.add(new Case(gateways, servers, servers * 6 / 10, rules, 0.65, 2).uneven(1.1, 0));
+                all.add(new Case(gateways, servers, servers, rules, 0.65, 3));
+            }
+        }
+        all.add(new Case(20, 10, 10, LIERBEEK, 0.9, 1));         // all cold at once, in overload
+        all.add(new Case(30, 10, 6, LIERBEEK, 0.9, 1));
+        all.add(new Case(100, 40, 40, LIERBEEK, 0.9, 1));
+        all.add(new Case(100, 40, 24, LIERBEEK, 0.9, 1).paced(Pace.BY_WARMTH));
+        all.add(new Case(3, 40, 1, LIERBEEK, 0.5, 1).uneven(0.4, 0.25)); // a hot customer through one ingress
+        all.add(new Case(30, 10, 6, STARFATORG, 0.5, 1).uneven(0.4, 0.5));
+        all.add(new Case(3, 40, 40, LIERBEEK, 0.5, 1).restarted(3000)); // under the same ids, told over 3 s
+        all.add(new Case(20, 3, 3, STARFATORG, 0.9, 1).restarted(3000));
+        all.add(new Case(30, 10, 6, LIERBEEK, 0.65, 1).told(3000));
+        all.add(new Case(20, 10, 10, QUICKLY_WARM, 0.9, 1));
+        all.add(new Case(20, 10, 10, DOUBLE, 0.9, 1));
+        all.add(new Case(1, 2, 2, DOUBLE, 0.5, 1));
+        return all;
+    }
+
+    /** Places in {@link #cases} where the bound does not hold yet. */
+    private static final Set<Integer> OWED = Set.of(2, 3, 6, 9, 12, 14, 15, 21, 24, 25, 26, 27, 28, 29, 31, 35);
+
+    private static List<Case> cases(boolean owed) {
+        List<Case> all = cases(), some = new ArrayList<>();
+        for (int i = 0; i < all.size(); i++) {
+            if (OWED.contains(i + 1) == owed) { some.add(all.get(i)); }
+        }
+        return some;
+    }
+
+    static List<Case> held() { return cases(false); }
+
+    static List<Case> owed() { return cases(true); }
+
+    @ParameterizedTest
+    @MethodSource("held")
+    void noColdBackendFallsUnderTheSumOfAllIngressesAndAllServe(Case of) { falls(of); }
+
+    /** Where all are cold at once, or most with few ingresses or in overload, or one with a hot customer: 1.01 to 1.89 of what makes one fall. */
+    @ParameterizedTest
+    @MethodSource("owed")
+    void norWhereManyAreColdAtOnce(Case of) { falls(of); }
+
+    private static void falls(Case of) {
+        ColdRun run = new ColdRun(of).run(2 * of.rules().overloadForMs());
+        System.out.println(said(of, run));
+        assertThat(run.worst()).as("of what makes one fall").isLessThan(1);
+        assertThat(run.sent()[0]).as("the least that a cold one got").isPositive();
+        int least = of.replaced() == 1 ? 95 : of.pace() == Pace.BY_WARMTH || of.rules() == DOUBLE ? 15 : of.replaced() < of.servers() && of.load() < 0.9 ? 55 : 35;
+        assertThat(run.served).as("served of " + run.asked).isGreaterThan(run.asked * least / 100);
+    }
+
+    private static String said(Case of, ColdRun run) {
+        return String.format("cold: %d ingresses, %d of %d replaced, asked %.2f, multiple %.0f in %.0f ms, skew %.1f, hot %.2f, %s%s told over %.0f ms: "
+                + "at most %.2f of what makes one fall; each sent %d to %d, %d of %d served", of.gateways(), of.replaced(), of.servers(), of.load(),
+                of.rules().overloadFactor(), of.rules().overloadForMs(), of.skew(), of.hot(), of.pace(), of.restart() ? ", same ids," : ",",
+                of.toldOverMs(), run.worst(), run.sent()[0], run.sent()[1], run.served, run.asked);
+    }
+
+    /** A check of the check. */
+    @Test
+    void aBurstAtAColdBackendIsSeen() {
+        double allowed = ColdRun.allowed(LIERBEEK, 0.05, 0.16);
+        assertThat(allowed).as("three times 0.16 of 150 requests").isBetween(71.99, 72.01);
+        assertThat(ColdRun.bound(allowed)).isBetween(90.9, 91.0);
+    }
+
+    /** Arguments: first seed, how many. All cases by other seeds. */
+    public static void main(String[] args) {
+        for (long seed = Long.parseLong(args[0]), last = seed + Long.parseLong(args[1]); seed < last; seed++) {
+            for (Case of : cases()) {
+                Case other = new Case(of.gateways(), of.servers(), of.replaced(), of.rules(), of.cores(), of.load(), of.skew(), of.hot(), of.pace(),
+                        of.restart(), of.toldOverMs(), of.comeAgain(), seed);
+                System.out.println("seed " + seed + " " + said(other, new ColdRun(other).run(2 * of.rules().overloadForMs())));
+            }
+        }
+    }
+}
