What connections read ahead together is 16 MiB at the most, whatever the heap

The common bound was a sixteenth of the heap without a top; in a test process with 8 GB it is 512 MB and 13,000 connections. On the platform's 64 MB nothing changes (4 MiB).

--- a/src/main/java/yardusher/net/Answers.java
+++ b/src/main/java/yardusher/net/Answers.java
@@ -32,6 +32,8 @@
     private static final byte[] CRLF = {'\r', '\n'};
     private static final byte[] FAILED = new Encoder(16).failure("ERR failed").toBytes();
     private static final int AHEAD_PART = 16;        // of the heap, for commands that are not followed yet
+    /** Bytes that all connections read ahead together: a part of the heap, 4 MiB at the least and 16 at the most. */
+    static final long MOST_AHEAD = Math.max(4 << 20, Math.min(16 << 20, Runtime.getRuntime().maxMemory() / AHEAD_PART));
     private static final double AGAIN_MS = 10;
     private static final double UPKEEP_MS = 100;
     private static final double QUIET_MS = 30;
@@ -42,7 +44,7 @@
     private final Crowd crowd = new Crowd();
     private final Departure departure = new Departure();
     private final Budget bodies;
-    private final Link.Ahead ahead = new Link.Ahead(Math.max(4 << 20, Runtime.getRuntime().maxMemory() / AHEAD_PART));
+    private final Link.Ahead ahead = new Link.Ahead(MOST_AHEAD);
     private boolean looksAgain;
     private boolean closing;
 
