--- a/src/main/java/yardusher/Attempts.java
+++ b/src/main/java/yardusher/Attempts.java
@@ -40,8 +40,7 @@
         Host host = why == null ? servers.choose(held) : null;
         if (host == null) {
             told.accept(c, false);
-            Reason told = why == null ? Reason.NO_SERVER : why;
-            out.accept(new Refuse(q.id(), advice(c, q), told));
+            out.accept(new Refuse(q.id(), advice(c, q), why == null ? Reason.NO_SERVER : why));
             return;
         }
         c.count(q.units());
@@ -55,8 +54,7 @@
      * used to be none, since clients told to wait come back after their aim; measured, the two are alike.
      */
     private double advice(Customer c, Request q) {
-        double most = settings.limits().maxRetryAfterMs();
-        if (most <= 0) { return 0; }
+        double most = settings.limits().maxRetryAfterMs(); if (most <= 0) { return 0; }
         double wait = standings.of(q.customer(), q.plan(), q.units(), c.first, c.spread).retryAfterMs();
         return Math.min(most, Math.max(1, wait > 0 ? wait : Clock.SWEEP_MS));
     }
@@ -70,7 +68,7 @@
         if (held.of.lateValue() == 0 && !held.of.streamed() && settings.limits().mayCancel()) {
             until = Math.min(until, aimAt); // worth nothing later: the server is free for others
         }
-        held.attempts++; held.last = host; held.sentAt = clock.now; servers.outstanding++;
+        held.sent(host, clock.now); servers.outstanding++;
         if (host.open++ == 0) { host.quietSince = clock.now; }
         held.customer.mine.open++;
         told.accept(held.customer, true);
@@ -96,10 +94,10 @@
                 || held.last.quietSince > held.sentAt && !(hanging > 0.02 && alone(held) && rerunMayPay())
                 || held.last.open < 2 && waited < 3 * servers.classMs[k]
                         && clock.now >= held.last.outUntil[k]
-                || retryTokens < 1 || held.attempts >= settings.limits().maxAttempts()) {
+                || retryTokens < 1 || held.attempts >= settings.limits().maxAttempts()
+                || !settings.limits().mayCancel() || !servers.elsewhere(held)) {
             return;
         }
-        if (!settings.limits().mayCancel()) { return; }
         if (alone(held)) { held.lone = held.attempts; held.waited = waited; }
         out.accept(new Cancel(id, held.attempts - 1));
     }
@@ -125,7 +123,7 @@
         judge(held, host, e);
         if (e.billed() > 0) { held.customer.count(e.billed() - held.request.units()); }
         if (e.finished() || held.gone) { requests.remove(e.id()); return; }
-        if (!e.outcome().neverRan() && held.ranOn == null) { held.ranOn = host; held.ranAt = held.sentAt; }
+        held.ran |= !e.outcome().neverRan();
         retryOrEnd(held, e.outcome());
     }
 
@@ -149,6 +147,7 @@
             // refuses the next connection too, at no risk; so a lost one is a failure like any other.
             case CONNECTION_LOST -> servers.failed(host, k, false);
             case TIMED_OUT, CANCELLED -> {
+                if (!held.gone) { servers.gaveUp((clock.now - held.sentAt) / held.of.aimMs()); }
                 if (host.quietSince <= held.sentAt) { servers.failed(host, k, false); }
                 host.ghosts += alone(held) ? 0 : 1;
                 hanging += alone(held) ? 0.01 * (1 - hanging) : 0;
@@ -190,7 +189,7 @@
             if (host != null) { retryTokens -= cheap ? 0 : 1; send(held, host); return; }
         }
         requests.remove(q.id());
-        boolean harmless = held.ranOn == null || held.of.effect() == Effect.IDEMPOTENT
+        boolean harmless = !held.ran || held.of.effect() == Effect.IDEMPOTENT
                 || held.of.effect() == Effect.DEDUPLICATED && held.of.group() == Group.ALL;
         boolean refused = harmless && clock.now < q.dueMs();
         out.accept(!refused ? new Fail(q.id())
--- a/src/main/java/yardusher/cli/Serve.java
+++ b/src/main/java/yardusher/cli/Serve.java
@@ -57,7 +57,11 @@
     // Two dials of the watch (0.9 s), 0.35 s where this process itself was held up, and 0.2 s to read a list: the first of 200
     // backends takes 30 to 70 ms of a core, and there may be 0.3 of one.
     private static final double FIRST_LIST_MS = 1500;
-    private static final int OWN_DESCRIPTORS = 64;   // of the JVM, the listeners and the watch
+    private static final int OWN_DESCRIPTORS = 64;   // of the JVM, the listeners, the watch and the second address
+    // Measured: 12 of a JVM that serves with a second address and peers; 3 watches, 16 callers there, the next version, a file
+    // that is read, a guest at each door. Where there are few in all, clients and backends get no more than is left by these.
+    private static final int OWN_LEAST = 40;
+    private static final int LEAST_BUDGET = 8;
 
     private static final int BODIES_PART = 8;        // of the heap, for large bodies, but one always fits
 
@@ -106,7 +110,7 @@
         this.config = config;
         loop = new EventLoop(clock, this::fault);
         sockets = new Sockets(loop);
-        int budget = config.sockets() - Math.min(OWN_DESCRIPTORS, config.sockets() / 2); // half of a small table is left to clients and backends
+        int budget = budget(config.sockets());
         Api.Settings settings = config.settings();
         longestMs = settings.classes().stream().mapToDouble(Api.RequestClass::deadlineMs).max().orElse(1000);
         pool = new BackendPool(sockets, counters, settings.report(), config.dialMs(), config.idleMs(), longestMs, budget * 2 / 5);
@@ -273,6 +277,9 @@
         if (limitsFront != null) { limitsFront.answers().away(away); }
     }
 
+    /** How many of so many descriptors are for clients and backends. */
+    static int budget(int sockets) { return Math.max(Math.max(LEAST_BUDGET, Math.min(64, sockets - OWN_LEAST)), sockets - OWN_DESCRIPTORS); }
+
     /** Takes the descriptors, or the half of them that the other process of this ingress leaves. */
     private void share(boolean other) {
         int mine = other ? budget / 2 : budget;
--- a/src/test/java/yardusher/net/EndingsTest.java
+++ b/src/test/java/yardusher/net/EndingsTest.java
@@ -28,12 +28,15 @@
 /** One client connection on a scripted channel and clock: whatever ends it, in whatever order, each command has one end. */
 class EndingsTest {
     /** What happens, each to its end before the next. */
-    enum Event { ASKS, ASKS_HALF, MALFORMED, ANSWER, LAST_ANSWER, CLOSES, RESETS, SHUTDOWN, EVICTION, WRITE_FAILS, TAKES, TIME }
+    enum Event { ASKS, ASKS_HALF, ASKS_AND_CLOSES, ASKS_AND_RESETS, MALFORMED, ANSWER, LAST_ANSWER, CLOSES, RESETS, SHUTDOWN, EVICTION, WRITE_FAILS, TAKES, TIME }
 
     /** What the system does with bytes that are written. */
     enum Writes { TAKEN, HELD, FAILING }
 
     private static final byte[] ASKED = new Encoder(16).array(1).bulk("ASK").toBytes();
+    /** One that is answered at once, with one behind it, cut in two. */
+    private static final byte[][] HALVES = {"*1\r\n$3\r".getBytes(StandardCharsets.US_ASCII),
+        "\nNOW\r\n*1\r\n$3\r\nASK\r\n".getBytes(StandardCharsets.US_ASCII)};
 
     /** A channel whose reads and writes end as told, at once where they can, as on the thread that polls. */
     private static final class Scripted extends AsynchronousSocketChannel {
@@ -174,6 +177,7 @@
         private final ClientConnection connection;
         private final List<Answers.Slot> open = new ArrayList<>();
         private final ByteArrayOutputStream owed = new ByteArrayOutputStream();
+        private int halves;
         private int followed;
         private int answered;
         private int gone;
@@ -197,6 +201,7 @@
             assertThat(channel.hasEnded && !channel.come.hasRemaining()).as("nothing is followed of who has gone").isFalse();
             followed++;
             open.add(slot);
+            if (words[0][0] == 'N') { answer(open.size() - 1); }
         }
 
         @Override
@@ -214,7 +219,13 @@
         void happens(Event event) {
             switch (event) {
                 case ASKS -> channel.comes(ASKED);
-                case ASKS_HALF -> channel.comes(new byte[] {'*', '1', '\r'});
+                case ASKS_HALF -> channel.comes(HALVES[halves++ % 2]);
+                case ASKS_AND_CLOSES, ASKS_AND_RESETS -> {
+                    channel.hasEnded = true;         // before anybody looks
+                    channel.isReset |= event == Event.ASKS_AND_RESETS;
+                    channel.comes(ASKED);
+                    channel.ends(channel.isReset);
+                }
                 case MALFORMED -> channel.comes("?\r\n".getBytes(StandardCharsets.US_ASCII));
                 case ANSWER -> loop.turn(() -> { if (!open.isEmpty()) { answer(0); } });
                 case LAST_ANSWER -> loop.turn(() -> { if (!open.isEmpty()) { answer(open.size() - 1); } });
@@ -265,6 +276,7 @@
             assertThat(ended).as("told once that it has ended").isEqualTo(1);
             assertThat(channel.closed).as("closed once").isEqualTo(1);
             assertThat(channel.shut).isLessThanOrEqualTo(1);
+            assertThat(answers.ahead().held()).as("held for nobody").isZero();
             String got = channel.taken.toString(StandardCharsets.US_ASCII);
             if (!fails && gone == 0) {
                 assertThat(got.split("\\$\\d+\r\nanswer \\d+\r\n", -1)).as("answers that were taken whole").hasSize(answered + 1);
@@ -356,6 +368,32 @@
         }
     }
 
+    /** Many that send much at once: together they hold no more than their part of the heap, and each has its one end. */
+    @Test
+    void whatManyHoldTogetherIsBounded() throws IOException {
+        try (World world = new World()) {
+            byte[] much = new byte[ASKED.length * 20_000];
+            for (int i = 0; i < much.length; i++) { much[i] = ASKED[i % ASKED.length]; }
+            List<Scripted> channels = new ArrayList<>();
+            long most = Math.max(4 << 20, Runtime.getRuntime().maxMemory() / 16);
+            for (int i = 0; i < most / 40_000; i++) {
+                Scripted channel = new Scripted();
+                channels.add(channel);
+                world.loop.turn(() -> new ClientConnection(channel, world.answers, world.crowd, world.loop));
+                channel.comes(much);
+                world.now += 2;                      // past its share of a turn, so that 64 are open
+                world.loop.turn(() -> { });
+            }
+            assertThat(world.answers.ahead().held()).isLessThan(most + 128 * 1024 + 1024);
+            assertThat(world.faults).isEmpty();
+            for (Scripted channel : channels) { channel.ends(true); }
+            world.time(300);
+            for (Scripted channel : channels) { assertThat(channel.closed).isEqualTo(1); }
+            assertThat(world.answers.ahead().held()).isZero();
+            assertThat(world.gone).isEqualTo(world.followed);
+        }
+    }
+
     @Property(tries = 300)
     void longOrdersToo(@ForAll Writes writes, @ForAll @Size(max = 12) List<Event> events) throws IOException {
         play(writes, List.of(), events);
