Ceilings: shares that add up and are lent, in place of an overdraft by belief

Cause: Ceilings.share() took two shares for one while the ingress had heard anybody within a window and believed that less than the quota was asked. After a calm time all ingresses of a set believe that at once, and counts come 50 ms late and more, so a burst is let in up to twice over (docs/CAPACITY.md itself said 2.05). Besides, a new life forgave up to half of the slack that its former life owed. Class: a hard limit kept by an estimate of what others do. Change: every ingress holds a portion of rate, burst and slack, begins empty and spends no more than it has. What it doesn't need it lends by leases (docs/design/ceilings.md): tokens move with room for them, the borrower counts from its request, the lender from its answer and longer, a new life recalls what the one before lent, the process that is replaced in an upgrade shrinks as the other earns. Messages ride behind the gossip's; older versions read up to there. The slack is used in full.

Seven seeded flaws are seen (CeilingFlawsTest).

--- a/src/main/java/yardusher/Api.java
+++ b/src/main/java/yardusher/Api.java
@@ -22,6 +22,9 @@
 public final class Api {
     private Api() { }
 
+    /** How long after its {@link Send} an attempt under a ceiling may still be written, in milliseconds. */
+    public static final double WRITTEN_WITHIN_MS = 260;
+
     /** What a class of requests allows after an attempt that may have run. */
     public enum Effect { IDEMPOTENT, DEDUPLICATED, AT_MOST_ONCE }
 
@@ -88,7 +91,7 @@
             Readiness readiness) { }
 
     /** What a gateway is told. */
-    public sealed interface Event permits ServerList, Request, FirstByte, AttemptDone, ClientGone,
+    public sealed interface Event permits ServerList, Request, FirstByte, AttemptDelayed, AttemptWritten, AttemptDone, ClientGone,
             TimerFired, PeerMessage, Ban, Twin, Room, Wide, Asked { }
 
     /** News of the servers. */
@@ -116,6 +119,15 @@
         }
     }
 
+    /**
+     * An attempt waits for a connection, or for room in one. Said right after its {@link Send}; where it is not, the attempt counts as
+     * written at once. Under a ceiling it may be written within {@link #WRITTEN_WITHIN_MS} of its send, and not later.
+     */
+    public record AttemptDelayed(long id, int attempt) implements Event { }
+
+    /** The last byte of an attempt that was delayed has been written. */
+    public record AttemptWritten(long id, int attempt) implements Event { }
+
     /** A streamed answer began; the attempt is now the client's. */
     public record FirstByte(long id, int attempt, long server) implements Event { }
 
--- a/src/main/java/yardusher/Attempts.java
+++ b/src/main/java/yardusher/Attempts.java
@@ -13,6 +13,7 @@
     private static final double LEAST = 0.2;         // least limit of a server: one attempt, then a pause
     private final Settings settings; private final Clock clock; private final SplittableRandom random;
     private final Consumer<Action> out; private final Quotas quotas; private final Standings standings;
+    private final Ceilings ceilings; private final CeilingLoans loans;
     private final Servers servers; private final Pressure pressure;
     private final BiConsumer<Customer, Boolean> told; // own row changed: by its counts, or by mere asking
     final Map<Long, Held> requests = new HashMap<>();  // looked up by id only, never walked
@@ -21,7 +22,9 @@
     private double rerunPays = 1;                    // part of those that come quickly when sent again
 
     Attempts(Settings settings, Clock clock, SplittableRandom random, Consumer<Action> out, Quotas quotas,
-            Standings standings, Servers servers, Pressure pressure, BiConsumer<Customer, Boolean> told) {
+            Ceilings ceilings, CeilingLoans loans, Standings standings, Servers servers, Pressure pressure,
+            BiConsumer<Customer, Boolean> told) {
+        this.ceilings = ceilings; this.loans = loans;
         this.settings = settings; this.clock = clock; this.random = random; this.out = out;
         this.quotas = quotas; this.standings = standings; this.servers = servers;
         this.pressure = pressure; this.told = told;
@@ -41,12 +44,14 @@
         if (host == null) {
             told.accept(c, false);
             out.accept(new Refuse(q.id(), advice(c, q), why == null ? Reason.NO_SERVER : why));
+            loans.look(c);
             return;
         }
         c.count(q.units());
-        c.level -= q.units(); retryTokens = Math.min(RETRY_MOST, retryTokens + RETRY_PART);
+        held.share = ceilings.spend(c, q.units()); retryTokens = Math.min(RETRY_MOST, retryTokens + RETRY_PART);
         requests.put(q.id(), held);
         send(held, host);
+        loans.look(c);
     }
 
     /** Honest advice with a refusal: when the quota has room again, or else the next look at the pressure. */
--- a/src/main/java/yardusher/Ceilings.java
+++ b/src/main/java/yardusher/Ceilings.java
@@ -1,38 +1,115 @@
 package yardusher;
 
+import yardusher.Api.Plan;
+import yardusher.Api.Settings;
 
 /**
- * Ceilings: shares held in escrow.
- * Danger: partitioned or restarted gateways each pass the whole quota and break the ceiling. Each owns
- * 1/spread of it and starts with nothing: together they never exceed it, whatever is heard. In a direct
- * set, while peers are heard and less than the quota is asked, a busy one may overdraw; not
- * at once after its start, when it has heard little: a release of all would open every ceiling.
+ * Holds the ceilings of customers: each ingress of a customer's set owns an equal share of the ceiling's rate, burst and slack, begins
+ * with an empty one and spends no more than it holds. So the sum stays within the ceiling with no word between ingresses.
  */
-record Ceilings(Clock clock, Peers peers) {
-    private static final double OVERDRAWN = 1;       // shares of a ceiling that may be overdrawn in calm
+final class Ceilings {
+    private final Settings settings;
+    private final Clock clock;
+    private final Peers peers;
+    private double earnsSince;
+    private double lentUntil;
 
-    boolean holds(Customer c, double units) {
-        if (c.plan.ceilingRate() <= 0) { return true; }
-        double share = share(c);
-        c.level = level(c, share);
-        c.levelAt = clock.now; c.lastShare = share;
-        return c.level - units >= least(c, share);
+    /** {@code bornMs} is when this process began: a former life of the ingress had ended by then. */
+    Ceilings(Settings settings, Clock clock, Peers peers, double bornMs) {
+        this.settings = settings;
+        this.clock = clock;
+        this.peers = peers;
+        beginsAnew(bornMs);
+    }
+
+    /** A former life of this ingress, or another process of it, may have spent all it had and lent what it could up to this time. */
+    private void beginsAnew(double since) {
+        earnsSince = since;
+        lentUntil = since + CeilingShare.LEASE_MS + CeilingShare.MARGIN_MS;
     }
 
-    double share(Customer c) {
-        double asked = c.others(-1)[Row.SLOTS + 1] + c.asked(c.mine);
-        boolean heard = c.direct() && clock.now - peers.heardAt < c.windowMs;
-        boolean calm = !peers.twin && heard && asked < c.plan.burst();
-        double grown = Math.min(1, 2 * (clock.now - clock.startedAt) / c.windowMs);
-        return (calm ? 1 + OVERDRAWN * grown : 1.0) / c.spread;
+    /** Nobody holds anything of a former life any more: all is earned again. */
+    void endFormerLoans(Iterable<Customer> customers) {
+        lentUntil = clock.now;
+        for (Customer c : customers) {
+            if (c.ceilingShare != null) { c.ceilingShare.endFormerLoans(clock.now); }
+        }
+    }
+
+    /** Whether a former life may have lent what is not back yet. */
+    boolean mayHaveLentBefore() { return clock.now < lentUntil; }
+
+    /** Whether this process, of the two of an ingress in an upgrade, earns its shares from now on. */
+    void owns(boolean owns, Iterable<Customer> customers) {
+        if (owns == peers.owns) { return; }
+        for (Customer c : customers) {
+            if (owns) { c.ceilingShare = null; }
+            if (c.ceilingShare != null) { c.ceilingShare.retire(clock.now); }
+        }
+        beginsAnew(clock.now);
     }
 
-    double level(Customer c, double share) {
-        double rate = peers.owns ? Math.min(share, c.lastShare) * c.plan.ceilingRate() : 0;
-        return Math.min(c.plan.ceilingBurst() / c.spread, c.level + rate * (clock.now - c.levelAt) / 1000);
+    /** A customer's state is dropped: what it spent or lent since the start is not known any more. */
+    void forget(Customer c) {
+        CeilingShare share = c.ceilingShare;
+        if (share == null) { return; }
+        earnsSince = clock.now;
+        share.advance(clock.now);
+        if (share.hasLeasesOut()) { beginsAnew(clock.now); }
+    }
+
+    /** Whether the customer's share has to be kept: others use a portion of it. */
+    boolean hasLeasesOut(Customer c) {
+        if (c.ceilingShare == null) { return false; }
+        c.ceilingShare.advance(clock.now);
+        return c.ceilingShare.hasLeasesOut();
+    }
+
+    /** The customer's share at the present time. */
+    CeilingShare share(Customer c) {
+        if (c.ceilingShare == null || !isOfSet(c)) {
+            c.ceilingShare = begin(c);
+            c.ceilingSpread = c.spread;
+            c.ceilingFirst = c.first;
+        }
+        c.ceilingShare.advance(clock.now);
+        return c.ceilingShare;
+    }
+
+    /** Another set shares the ceiling otherwise: what was held under the old one is void, and what was lent is with others still. */
+    private CeilingShare begin(Customer c) {
+        boolean setChanged = c.ceilingShare != null;
+        if (setChanged) { return new CeilingShare(c.plan, c.spread, clock.now, clock.now + CeilingShare.LEASE_MS + CeilingShare.MARGIN_MS); }
+        return new CeilingShare(c.plan, c.spread, earnsSince, canLend(c) ? lentUntil : earnsSince);
+    }
+
+    /** Whether shares of the customer's ceiling may move between ingresses. */
+    boolean canLend(Customer c) { return c.spread > 1 && settings.limits().peers() && settings.peerIntakePerS() > 0; }
+
+    boolean holds(Customer c, double units) {
+        if (!hasCeiling(c.plan)) { return true; }
+        return mayHold(c) && share(c).tokens() >= units;
+    }
+
+    /** A process that does not earn has what it earned before, and begins no share. */
+    private boolean mayHold(Customer c) { return peers.owns || c.ceilingShare != null && isOfSet(c); }
+
+    private static boolean isOfSet(Customer c) { return c.ceilingSpread == c.spread && c.ceilingFirst == c.first; }
+
+    static boolean hasCeiling(Plan plan) { return plan.ceilingRate() > 0; }
+
+    /** Takes the units of an admitted request; the result is the share that they came from, null without a ceiling. */
+    CeilingShare spend(Customer c, double units) {
+        if (!hasCeiling(c.plan)) { return null; }
+        CeilingShare share = share(c);
+        share.spend(units);
+        return share;
     }
 
-    double least(Customer c, double share) {
-        return -c.plan.ceilingSlack() / (2 * c.spread) - (share - 1.0 / c.spread) * c.plan.ceilingBurst();
+    /** A copy of the customer's share at the present time: looking changes nothing. */
+    CeilingShare look(Customer c) {
+        CeilingShare share = c.ceilingShare == null ? begin(c) : new CeilingShare(c.ceilingShare);
+        share.advance(clock.now);
+        return share;
     }
 }
--- a/src/main/java/yardusher/Customer.java
+++ b/src/main/java/yardusher/Customer.java
@@ -27,13 +27,16 @@
     boolean fresh, news;                         // own changes, others' changes not yet told
     double base;                                 // the store's level before the ten slots
     double askedPerS, askedAt = Double.NEGATIVE_INFINITY; // of all its gateways, as another part tells
-    double level, levelAt, lastShare;            // the ceiling's escrow
+    CeilingShare ceilingShare;                   // null until it is needed
+    int ceilingFirst, ceilingSpread;             // the set that it is a share of
+    final CeilingLoans.Lenders lenders;          // null where the plan has no ceiling
 
     Customer(long id, int planIndex, Settings settings, Clock clock, Peers peers) {
         this.settings = settings; this.clock = clock; this.peers = peers; this.id = id;
         this.planIndex = planIndex; mine = new Row(settings.self(), peers.life);
-        bornAt = usedAt = levelAt = clock.now;
+        bornAt = usedAt = clock.now;
         plan = settings.plans().get(planIndex);
+        lenders = Ceilings.hasCeiling(plan) ? new CeilingLoans.Lenders() : null;
         windowMs = plan.ratePerS() > 0 ? plan.burst() / plan.ratePerS() * 1000 : 1000; // as the source
         slotMs = windowMs / Row.SLOTS; head = (long) Math.floor(clock.now / slotMs);
         // What was used before a start is not known: as if the store had been empty a window ago.
--- a/src/main/java/yardusher/Gossip.java
+++ b/src/main/java/yardusher/Gossip.java
@@ -1,6 +1,7 @@
 package yardusher;
 
 import java.util.*;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import yardusher.Api.*;
 
@@ -67,6 +68,7 @@
 
     /** Counts are worth nothing after their window: what has the shortest goes first. */
     private double due(Object item) {
+        if (item instanceof CeilingMessage) { return clock.now; }
         Customer c = item instanceof Sums sums ? sums.of() : item instanceof Customer own ? own : null;
         return clock.now + (c == null ? Clock.SWEEP_MS : c.windowMs);
     }
@@ -129,6 +131,9 @@
         }
     }
 
+    /** What is said of a loan goes with the next message to that peer, before others. */
+    void send(int peer, CeilingMessage loan) { enqueue(peer, loan); }
+
     private void tell(int peer, Outbox box) {
         sequence = (sequence + 1) % MessageText.SEQUENCES;
         boolean greets = clock.now - clock.startedAt < Clock.SWEEP_MS; // and asks for what is known
@@ -141,8 +146,8 @@
         out.accept(new Tell(peer, text.toString()));
     }
 
-    /** Takes in a message; what it says of servers goes to the one who judges them. */
-    void receive(PeerMessage message, Consumer<Fault> faults) {
+    /** Takes in a message; what it says of servers goes to the one who judges them, what of loans to the one who lends. */
+    void receive(PeerMessage message, Consumer<Fault> faults, BiConsumer<Integer, CeilingMessage> loans) {
         int from = message.from();
         boolean known = from >= 0 && from < settings.gateways() && (from != settings.self() || peers.twin);
         MessageText.Heard heard = known ? MessageText.read(message.body(), settings) : null;
@@ -152,6 +157,7 @@
         if (heard.greets() && (before == null || before != heard.life())) { handOver(from); }
         for (Object item : heard.items()) {
             if (item instanceof Fault fault) { faults.accept(fault); }
+            if (item instanceof CeilingMessage loan) { loans.accept(from, loan); }
             if (item instanceof RowText row) { receiveRow(row, from, heard.life(), heard.sequence()); }
         }
     }
--- a/src/main/java/yardusher/Held.java
+++ b/src/main/java/yardusher/Held.java
@@ -15,6 +15,9 @@
     boolean ran;                                     // whether one that has ended may have
     int lone;                                        // attempts when one that hung by itself was given up
     double waited;                                   // for that one
+    CeilingShare share;                              // of the ceiling that its units came from; null for none
+    int spentAt;                                     // the attempt with which its units were taken
+    boolean reserved;                                // its units: no attempt has reached a server yet
     boolean gone, begun;                             // begun: a streamed answer, its own deadline
 
     Held(Request request, RequestClass of, Customer customer, double arrivedAt) {
--- a/src/main/java/yardusher/MessageText.java
+++ b/src/main/java/yardusher/MessageText.java
@@ -4,12 +4,15 @@
 import java.util.List;
 import yardusher.Api.Settings;
 
-/** A message between gateways as it is spelled: who speaks, in which life, its number, then faults and rows; 256 bytes at most. */
+/** A message between gateways as it is spelled: who speaks, in which life, its number, then faults, rows and loans; 256 bytes at most. */
 final class MessageText {
     static final int SEQUENCES = Digits.BASE * Digits.BASE;
     private static final String MARK = "m";
+    /** No digit: a version that knows nothing of loans reads up to here. */
+    private static final char LOANS = 1;
     private final Settings settings;
     private final StringBuilder body = new StringBuilder(MARK);
+    private final StringBuilder loans = new StringBuilder();
 
     /** {@code greets}: asks a peer that did not know this life for what it knows. */
     MessageText(Settings settings, int life, boolean greets, int sequence) {
@@ -19,29 +22,38 @@
     }
 
     /**
-     * Appends a fault, a customer's own row or its sums as they are to be told to a peer, unless they find no room; anything else is said
+     * Appends a fault, a loan, a customer's own row or its sums as they are to be told to a peer, unless they find no room; anything else is said
      * by the message itself and takes none.
      */
     boolean add(Object item, int peer) {
-        int before = body.length();
+        int before = body.length(), loansBefore = loans.length();
         if (item instanceof Fault fault) { fault.put(body); }
         if (item instanceof Customer own) { RowText.of(RowText.OWN, own, peer).put(body, settings); }
         if (item instanceof Sums sums) { RowText.of(RowText.SUM, sums.of(), peer).put(body, settings); }
-        if (body.length() <= RowText.MOST_BYTES) { return true; }
+        if (item instanceof CeilingMessage loan) { loan.put(loans, settings); }
+        if (length() <= RowText.MOST_BYTES) { return true; }
         body.setLength(before);
+        loans.setLength(loansBefore);
         return false;
     }
 
+    private int length() { return body.length() + (loans.isEmpty() ? 0 : 1 + loans.length()); }
+
     @Override
-    public String toString() { return body.toString(); }
+    public String toString() { return loans.isEmpty() ? body.toString() : body + Character.toString(LOANS) + loans; }
+
+    private static void readLoans(Digits text, Settings settings, List<Object> items) {
+        for (CeilingMessage loan; text.more() && (loan = CeilingMessage.read(text, settings)) != null;) { items.add(loan); }
+    }
 
-    /** A message as read; {@code items} are its faults and rows, as far as they are whole and of this site. */
+    /** A message as read; {@code items} are its faults, rows and loans, as far as they are whole and of this site. */
     record Heard(int life, boolean greets, int sequence, List<Object> items) { }
 
     /** Null where it is no message of ours. */
     static Heard read(String body, Settings settings) {
         if (!body.startsWith(MARK)) { return null; }
-        Digits text = new Digits(body, MARK.length());
+        int loansAt = body.indexOf(LOANS);
+        Digits text = new Digits(loansAt < 0 ? body : body.substring(0, loansAt), MARK.length());
         int mark = (int) text.get(1), sequence = (int) text.get(2);
         if (mark < 0 || sequence < 0) { return null; }
         List<Object> items = new ArrayList<>();
@@ -52,6 +64,7 @@
             if (item == null) { break; }
             items.add(item);
         }
+        if (loansAt >= 0) { readLoans(new Digits(body, loansAt + 1), settings, items); }
         return new Heard(mark % Peers.LIVES, mark >= Peers.LIVES, sequence, items);
     }
 }
--- a/src/main/java/yardusher/Policy.java
+++ b/src/main/java/yardusher/Policy.java
@@ -9,25 +9,31 @@
 
 /** The decisions of one gateway; see {@link Api} for the contracts. */
 public final class Policy {
+    private static final long LOANS = 0x6c6f616e73L; // draws of its own
     private final Consumer<Action> out; private final Clock clock; private final Peers peers;
     final Quotas quotas; final Servers servers;
     private final Gossip gossip; private final Pressure pressure;
-    private final Standings standings; private final Attempts attempts;
+    private final Standings standings; private final Attempts attempts; private final CeilingLoans loans;
 
     /** Starts an instance; {@code nowMs} is the clock at the start. */
-    public Policy(Settings settings, long seed, double nowMs, Consumer<Action> out) {
+    public Policy(Settings settings, long seed, double nowMs, Consumer<Action> out) { this(settings, seed, nowMs, nowMs, out); }
+
+    /** Starts an instance in a process that began at {@code bornMs}, when no other process of this gateway was there any more. */
+    public Policy(Settings settings, long seed, double nowMs, double bornMs, Consumer<Action> out) {
         this.out = out; clock = new Clock(nowMs);
         SplittableRandom random = new SplittableRandom(seed);
         peers = new Peers(random.nextInt(Peers.LIVES), settings);
-        Ceilings ceilings = new Ceilings(clock, peers);
+        Ceilings ceilings = new Ceilings(settings, clock, peers, bornMs);
         quotas = new Quotas(settings, clock, random, peers, ceilings);
         gossip = new Gossip(settings, clock, random, out, peers, quotas);
         servers = new Servers(settings, clock, random, out, gossip);
         pressure = new Pressure(settings, servers);
         standings = new Standings(quotas, ceilings);
-        attempts = new Attempts(settings, clock, random, out, quotas, standings, servers, pressure,
+        loans = new CeilingLoans(settings, clock, new SplittableRandom(seed ^ LOANS), peers, quotas, ceilings, gossip);
+        attempts = new Attempts(settings, clock, random, out, quotas, ceilings, loans, standings, servers, pressure,
                 gossip::changed);
         gossip.greet();
+        loans.recall();
         out.accept(new SetTimer(nowMs + Clock.SWEEP_MS, Clock.SWEEP));
         if (settings.askMembership()) { out.accept(new Subscribe()); }
     }
@@ -40,11 +46,11 @@
         clock.now = nowMs;
         if (event instanceof Request e) { attempts.request(e); }
         if (event instanceof AttemptDone e) { attempts.done(e); }
-        if (event instanceof PeerMessage e) { gossip.receive(e, servers::heard); }
+        if (event instanceof PeerMessage e) { gossip.receive(e, servers::heard, loans::receive); }
         if (event instanceof ServerList e) { servers.list(e); }
         if (event instanceof Wide e) { peers.wideFrom = e.from(); }
         if (event instanceof Asked e) { quotas.customer(e.customer(), e.plan()).asks(e.perS()); }
-        if (event instanceof Twin e) { quotas.earns(e.owns()); gossip.twin(e); }
+        if (event instanceof Twin e) { twin(e); }
         if (event instanceof Ban e) { servers.hosts.ban(e.server(), e.out()); }
         if (event instanceof Room e) { servers.hosts.bound(e.server(), e.most()); }
         if (event instanceof ClientGone e) { attempts.gone(e.id()); }
@@ -54,9 +60,17 @@
         if (event instanceof FirstByte e) { attempts.begun(e.id()); }
     }
 
+    private void twin(Twin event) {
+        boolean changes = event.owns() != peers.owns;
+        quotas.owns(event.owns());
+        gossip.twin(event);
+        if (changes && event.owns()) { loans.recall(); }
+    }
+
     private void sweep() {
         out.accept(new SetTimer(clock.now + Clock.SWEEP_MS, Clock.SWEEP)); // from now: no backlog
         quotas.sweep();
+        loans.remind();
         servers.sweep();
         pressure.sweep();
     }
--- a/src/main/java/yardusher/Quotas.java
+++ b/src/main/java/yardusher/Quotas.java
@@ -17,17 +17,21 @@
     }
 
     Customer customer(long id, int planIndex) {
-        return customers.compute(id,
-                (key, c) -> c == null || c.planIndex != planIndex ? fresh(id, planIndex) : c);
+        Customer c = customers.get(id);
+        if (c != null && c.planIndex == planIndex) { return c; }
+        if (c != null) { ceilings.forget(c); }
+        Customer fresh = fresh(id, planIndex);
+        customers.put(id, fresh);
+        return fresh;
     }
 
     /** One of which nothing is known; not kept. */
     Customer fresh(long id, int planIndex) { return new Customer(id, planIndex, settings, clock, peers); }
 
-    /** Danger: two processes of one gateway earn its part of a ceiling twice; the past is settled. */
-    void earns(boolean owns) {
-        if (owns != peers.owns) { customers.values().forEach(c -> ceilings.holds(c, 0)); }
-    }
+    /** Whether this process, of two of one gateway, holds its shares of ceilings. */
+    void owns(boolean owns) { ceilings.owns(owns, customers.values()); }
+
+    void endFormerLoans() { ceilings.endFormerLoans(customers.values()); }
 
     /** Whether what a wide set is asked in a window before this try fills the limit: its place is drawn. */
     private boolean comesTooLate(Customer c) {
@@ -98,8 +102,8 @@
             Customer c = customers.remove(customers.keySet().iterator().next());
             // Many come only once: gone when the store is full again. An escrow would have to be earned anew.
             boolean escrow = c.plan.ceilingRate() > 0 && clock.now - c.usedAt < 60 * c.windowMs;
-            boolean kept = escrow || c.mine.open > 0 || c.used() > 0 || c.base < c.plan.burst();
-            if (kept) { customers.put(c.id, c); }
+            boolean kept = escrow || ceilings.hasLeasesOut(c) || c.mine.open > 0 || c.used() > 0 || c.base < c.plan.burst();
+            if (kept) { customers.put(c.id, c); } else { ceilings.forget(c); }
         }
     }
 }
--- a/src/main/java/yardusher/RowText.java
+++ b/src/main/java/yardusher/RowText.java
@@ -7,10 +7,12 @@
     static final int OWN = 0, SUM = 1, FAULT = 2, OUT = 3, KINDS = 4; // what a tag tells, besides the plan
     private static final double ASKED_STEP = 0.1;    // asked units go as a logarithm: floods are far above
     static final int MOST_BYTES = 256;               // of one message
+    static final int CUSTOMER_DIGITS = 5;
     private static final int COUNT_BYTES = 230;      // of a row at most, so that it fits a message
     private static final int MOST = 11;              // units of one digit; more take several
 
-    private static int numbered(Settings settings) { return settings.gateways() < Digits.BASE ? 1 : 2; }
+    /** Digits of the number of an ingress. */
+    static int numbered(Settings settings) { return settings.gateways() < Digits.BASE ? 1 : 2; }
 
     private static boolean capped(Settings settings, int plan) {
         return settings.plans().get(plan).openCap() > 0;
@@ -18,7 +20,7 @@
 
     void put(StringBuilder body, Settings settings) {
         Digits.put(body, tag, 1);
-        Digits.put(body, customer, 5);
+        Digits.put(body, customer, CUSTOMER_DIGITS);
         Digits.put(body, first, numbered(settings));
         Digits.put(body, spread, numbered(settings));
         long steps = (long) Math.ceil(Math.log1p(asked) / ASKED_STEP);
@@ -48,7 +50,7 @@
 
     /** The row that begins behind its tag, or null where it is cut short or none of this site's. */
     static RowText read(int tag, int plan, Digits text, Settings settings) {
-        long id = text.get(5);
+        long id = text.get(CUSTOMER_DIGITS);
         int first = (int) text.get(numbered(settings)), spread = (int) text.get(numbered(settings));
         long asked = text.get(1);
         boolean known = plan < settings.plans().size();
--- a/src/main/java/yardusher/Standings.java
+++ b/src/main/java/yardusher/Standings.java
@@ -18,10 +18,10 @@
         }
         if (c.plan.openCap() > 0) { room = Math.min(room, c.plan.openCap() - c.open()); }
         if (c.plan.ceilingRate() > 0) {
-            double share = ceilings.share(c);
-            double left = ceilings.level(c, share) - ceilings.least(c, share);
+            CeilingShare share = ceilings.look(c);
+            double left = share.tokens();
             room = Math.min(room, left);
-            wait = Math.max(wait, (units - left) / (share * c.plan.ceilingRate()) * 1000);
+            wait = Math.max(wait, (units - left) / (Math.max(share.portion(), share.ownPortion()) * c.plan.ceilingRate()) * 1000);
         }
         return new Standing(c.plan.burst(), Math.max(0, room), Math.max(0, wait), reset);
     }
--- a/src/main/java/yardusher/cli/Serve.java
+++ b/src/main/java/yardusher/cli/Serve.java
@@ -98,15 +98,15 @@
 
     /** The clock gives milliseconds of Unix time and never goes back. */
     public Serve(Config config, LimitsConfig limits, Settings own, DoubleSupplier clock) throws IOException {
-        this(config, config.admin(), null, limits, own, clock);
+        this(config, config.admin(), null, limits, own, clock, clock.getAsDouble());
     }
 
     /**
      * With a second address other than the configuration's, null for none, and a folder in which the next version finds
-     * this process and this one finds the one before, null for none.
+     * this process and this one finds the one before, null for none. {@code bornMs}: when this process began.
      */
     public Serve(Config config, InetSocketAddress adminAt, Path notes, LimitsConfig limits, Settings own,
-            DoubleSupplier clock) throws IOException {
+            DoubleSupplier clock, double bornMs) throws IOException {
         this.config = config;
         loop = new EventLoop(clock, this::fault);
         sockets = new Sockets(loop);
@@ -126,7 +126,7 @@
         Exception[] problem = new Exception[1];
         loop.turn(() -> {
             try {
-                Ingress core = new Ingress(settings, config.seed(), loop, pool, handover, counters, parts.orders());
+                Ingress core = new Ingress(settings, config.seed(), bornMs, loop, pool, handover, counters, parts.orders());
                 pool.serve(core);
                 DiscoveredBackends table = new DiscoveredBackends(config.zones(), pool);
                 core.tell(table.take(config.known(), Api.ListKind.CACHED));
@@ -472,6 +472,8 @@
 
     /** The sub-command: serves until SIGTERM, then drains and exits 0. */
     static int run(String file, Path limitsFile, Path settingsFile) throws IOException {
+        DoubleSupplier clock = clock();
+        double bornMs = clock.getAsDouble();
         // First of all: the default of this signal would end the process. One that comes before there is anything to reload waits.
         AtomicReference<Serve> reloads = new AtomicReference<>();
         AtomicBoolean asked = new AtomicBoolean();
@@ -482,7 +484,7 @@
         Config config = Config.read(file);
         String adminAt = System.getenv("RELAY_ADMIN_ADDR"); // goes before the file's: it is this very process's
         Serve serve = new Serve(config, adminAt == null || adminAt.isEmpty() ? config.admin() : address(adminAt), notes(), listens(limitsFile) ? LimitsConfig.read(limitsFile) : null, Settings.read(settingsFile),
-                clock());
+                clock, bornMs);
         Thread end = new Thread(() -> {
             try {
                 serve.drain();
--- a/src/main/java/yardusher/core/Ingress.java
+++ b/src/main/java/yardusher/core/Ingress.java
@@ -32,13 +32,19 @@
 
     public Ingress(Api.Settings settings, long seed, EventLoop loop, Backends backends, Neighbours neighbours,
             Counters counters, OrderLog log) {
+        this(settings, seed, loop.now(), loop, backends, neighbours, counters, log);
+    }
+
+    /** In a process that began at {@code bornMs}, when no other one of this ingress was there any more. */
+    public Ingress(Api.Settings settings, long seed, double bornMs, EventLoop loop, Backends backends, Neighbours neighbours,
+            Counters counters, OrderLog log) {
         this.log = log;
         this.settings = settings;
         this.loop = loop;
         this.neighbours = neighbours;
         this.counters = counters;
         counters.classes(settings.classes().size());
-        module = new Policy(settings, seed, loop.now(), actions::add);
+        module = new Policy(settings, seed, loop.now(), bornMs, actions::add);
         takeIn = new TakeIn(loop, settings.classes(), open, counters, this::gone);
         admit = new Admit(loop, module);
         route = new Route(backends, settings.limits().maxAttempts());
--- /dev/null
+++ b/src/test/java/yardusher/CeilingFlawsTest.java
@@ -0,0 +1,93 @@
+package yardusher;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.URL;
+import java.net.URLClassLoader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+import javax.tools.ToolProvider;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** The adversary notices each trap of lent shares: a line of the module is changed, compiled beside it, and played. */
+class CeilingFlawsTest {
+    private static final Path SOURCES = Path.of("src/main/java/yardusher");
+    private static final Path ADVERSARY = Path.of("src/test/java/yardusher/CeilingRun.java");
+    private static final long DRAWS = 128;
+
+    /** What is left out: a file of the module, a text of it and what stands there instead. */
+    enum Flaw {
+        TOKENS_MOVE_WITHOUT_ROOM("CeilingShare", "lent.add(new Lease(peer, portion, now + LEASE_MS + MARGIN_MS));", ""),
+        LENDER_TAKES_BACK_WITH_THE_LEASE("CeilingShare", "now + LEASE_MS + MARGIN_MS));", "now + LEASE_MS / 2));"),
+        RESTART_EARNS_WHAT_WAS_LENT("CeilingShare", "if (lentUntilMs > sinceMs) {", "if (false) {"),
+        RESTART_BEGINS_FULL("CeilingShare", "updatedAt = sinceMs;", "updatedAt = sinceMs;\n tokens = plan.ceilingSlack() / spread;"),
+        LEASE_COUNTS_FROM_THE_GRANT("CeilingLoans", "grant.tokens(), asked.atMs());", "grant.tokens(), clock.now);"),
+        GRANT_COUNTS_TWICE("CeilingLoans", "c.lenders.asked.remove(lender);", ""),
+        OVERDRAFT("Ceilings", "share(c).tokens() >= units", "share(c).tokens() >= units - share(c).capacity()");
+
+        private final String file;
+        private final String from;
+        private final String to;
+
+        Flaw(String file, String from, String to) {
+            this.file = file;
+            this.from = from;
+            this.to = to;
+        }
+    }
+
+    @TempDir
+    Path folder;
+
+    @ParameterizedTest
+    @EnumSource(Flaw.class)
+    void aSeededFlawIsSeen(Flaw flaw) throws Exception {
+        try (URLClassLoader flawed = new OwnFirst(compile(flaw))) {
+            Object broken = flawed.loadClass("yardusher.CeilingRun").getMethod("countBroken", long.class, long.class).invoke(null, 0L, DRAWS);
+            System.out.println("ceiling: " + flaw + " seen in " + broken + " of " + DRAWS + " draws");
+            assertThat((Integer) broken).isPositive();
+        }
+    }
+
+    private Path compile(Flaw flaw) throws IOException {
+        Path sources = Files.createDirectories(folder.resolve("yardusher"));
+        List<String> words = new ArrayList<>(List.of("-nowarn", "-proc:none", "-d", folder.resolve("classes").toString(), "-cp", System.getProperty("java.class.path")));
+        try (Stream<Path> files = Files.list(SOURCES)) {
+            for (Path file : files.filter(one -> one.toString().endsWith(".java")).toList()) {
+                String text = Files.readString(file);
+                boolean flawed = file.endsWith(flaw.file + ".java");
+                assertThat(!flawed || text.contains(flaw.from)).as("%s has: %s", file, flaw.from).isTrue();
+                Path copy = sources.resolve(file.getFileName());
+                Files.writeString(copy, flawed ? text.replace(flaw.from, flaw.to) : text);
+                words.add(copy.toString());
+            }
+        }
+        words.add(ADVERSARY.toString());
+        ByteArrayOutputStream said = new ByteArrayOutputStream();
+        int status = ToolProvider.getSystemJavaCompiler().run(null, said, said, words.toArray(new String[0]));
+        assertThat(status).as(said.toString(StandardCharsets.UTF_8)).isZero();
+        return folder.resolve("classes");
+    }
+
+    /** Loads what the folder has before what the parent has. */
+    private static final class OwnFirst extends URLClassLoader {
+        OwnFirst(Path classes) throws IOException { super(new URL[] {classes.toUri().toURL()}, CeilingFlawsTest.class.getClassLoader()); }
+
+        @Override
+        protected Class<?> loadClass(String name, boolean resolve) throws ClassNotFoundException {
+            synchronized (getClassLoadingLock(name)) {
+                Class<?> loaded = findLoadedClass(name);
+                if (loaded == null && name.startsWith("yardusher.") && findResource(name.replace('.', '/') + ".class") != null) { loaded = findClass(name); }
+                return loaded != null ? loaded : super.loadClass(name, resolve);
+            }
+        }
+    }
+}
