Ceilings: a request holds its units until it is written

Cause: units were taken when a request was admitted, and the share earned on while it waited for a connection. Where no connection comes up for a while, all that waits and all that was earned since arrive together. Change: the core tells the module of attempts under a ceiling that are not handed over at once (AttemptDelayed, AttemptWritten; more than 16 KiB count as delayed). Their units stay in the bucket until they are written; where no attempt reached a backend they are free, and a retry takes them anew or is refused. What has waited for more than 260 ms is not written any more and counts as a failed dial. CeilingDelayTest fails without the change (0 expected, units earned). Ruled out: a reservation until the answer; backends that hang would keep shares shut. Not reproduced on real processes: a dial that comes up late needs a listener whose queue is full, which the lab's stand-ins don't have.

--- a/src/main/java/yardusher/Attempts.java
+++ b/src/main/java/yardusher/Attempts.java
@@ -54,6 +54,39 @@
         loans.look(c);
     }
 
+    /** An attempt waits for its connection: its units stay in the share of the ceiling until one has been written. */
+    void delayed(long id, int attempt) {
+        Held held = requests.get(id);
+        boolean taken = held == null || held.share == null || held.reserved || attempt != held.spentAt;
+        if (taken) { return; }
+        held.share.reserve(held.request.units(), clock.now); held.reserved = true;
+    }
+
+    void written(long id, int attempt) {
+        Held held = requests.get(id);
+        if (held != null && held.reserved && attempt == held.attempts - 1) { settle(held); }
+    }
+
+    private void settle(Held held) {
+        held.share.settle(held.request.units(), clock.now); held.reserved = false;
+    }
+
+    /** An attempt that never reached a server took no units: they are free again. */
+    private void release(Held held, Outcome outcome) {
+        if (!held.reserved) { return; }
+        if (!outcome.neverRan() || outcome == Outcome.REJECTED) { settle(held); return; }
+        held.share.release(held.request.units(), clock.now); held.reserved = false; held.share = null;
+    }
+
+    /** Takes the units again where the attempt before gave them back. */
+    private boolean takesUnits(Held held) {
+        Customer c = held.customer; double units = held.request.units();
+        if (held.share != null || !Ceilings.hasCeiling(c.plan)) { return true; }
+        if (!ceilings.holds(c, units)) { return false; }
+        held.share = ceilings.spend(c, units); held.spentAt = held.attempts;
+        return true;
+    }
+
     /** Honest advice with a refusal: when the quota has room again, or else the next look at the pressure. */
     private double advice(Customer c, Request q) {
         double most = settings.limits().maxRetryAfterMs(); if (most <= 0) { return 0; }
@@ -121,6 +154,7 @@
         if (held.customer.plan.openCap() > 0) { told.accept(held.customer, true); }
         host.reports(e.load());
         judge(held, host, e);
+        release(held, e.outcome());
         if (e.billed() > 0) { held.customer.count(e.billed() - held.request.units()); }
         if (e.finished() || held.gone) { requests.remove(e.id()); return; }
         held.ran |= !e.outcome().neverRan();
@@ -185,7 +219,7 @@
                 && clock.now + servers.times.classMs[q.classIndex()] / 2 < until
                 && (cheap || retryTokens >= 1)) {
             Host host = servers.choose(held);
-            if (host != null) { retryTokens -= cheap ? 0 : 1; send(held, host); return; }
+            if (host != null && takesUnits(held)) { retryTokens -= cheap ? 0 : 1; send(held, host); return; }
         }
         requests.remove(q.id());
         boolean harmless = !held.ran || held.of.effect() == Effect.IDEMPOTENT
--- a/src/main/java/yardusher/CeilingLoans.java
+++ b/src/main/java/yardusher/CeilingLoans.java
@@ -222,9 +222,9 @@
 
     private void granted(Customer c, int lender, LoanText grant) {
         Asked asked = c.lenders.asked.get(lender);
-        boolean current = asked != null && asked.nonce() == grant.nonce() && clock.now < asked.atMs() + CeilingShare.LEASE_MS;
-        if (!current) { return; }
+        if (asked == null || asked.nonce() != grant.nonce()) { return; }
         c.lenders.asked.remove(lender);
-        ceilings.share(c).borrow(lender, grant.portion(), grant.tokens(), asked.atMs());
+        double askedAt = asked.atMs();
+        if (clock.now < askedAt + CeilingShare.LEASE_MS) { ceilings.share(c).borrow(lender, grant.portion(), grant.tokens(), askedAt); }
     }
 }
--- a/src/main/java/yardusher/Policy.java
+++ b/src/main/java/yardusher/Policy.java
@@ -47,6 +47,8 @@
         if (event instanceof Request e) { attempts.request(e); }
         if (event instanceof AttemptDone e) { attempts.done(e); }
         if (event instanceof PeerMessage e) { gossip.receive(e, servers::heard, loans::receive); }
+        if (event instanceof AttemptDelayed e) { attempts.delayed(e.id(), e.attempt()); }
+        if (event instanceof AttemptWritten e) { attempts.written(e.id(), e.attempt()); }
         if (event instanceof ServerList e) { servers.list(e); }
         if (event instanceof Wide e) { peers.wideFrom = e.from(); }
         if (event instanceof Asked e) { quotas.customer(e.customer(), e.plan()).asks(e.perS()); }
--- a/src/main/java/yardusher/core/Attempt.java
+++ b/src/main/java/yardusher/core/Attempt.java
@@ -4,6 +4,8 @@
 
 /** One sending of a request to a backend. It ends once, by {@link Ingress#ended}. */
 public final class Attempt {
+    private static final int WRITTEN_AT_ONCE = 16 * 1024;
+
     public final Request request;
     public final int number;
     public final long backend;
@@ -20,6 +22,10 @@
     private boolean handed;
     /** Whether it stands in the count of those written whole. */
     boolean forwarded;
+    /** Whether the module was told that it waits to be written. */
+    boolean delayed;
+    /** The bytes that were handed to the backends' side. */
+    int bytes;
 
     Attempt(Request request, int number, long backend, double sentAt, long waitMs) {
         this.request = request;
@@ -40,11 +46,17 @@
      * a repeat would begin outside its window. {@code now} in milliseconds of the loop's clock.
      */
     public boolean hand(double now) {
-        boolean may = request.course.hand(number, now);
+        boolean may = !isLate(now) && request.course.hand(number, now);
         handed |= may;
         return may;
     }
 
+    /** Whether it has waited for longer than the units that it takes of a ceiling are held for it. */
+    public boolean isLate(double now) { return request.hasCeiling && now - sentAt > Api.WRITTEN_WITHIN_MS; }
+
+    /** Whether its bytes are with a socket, and so few that they don't wait there for room. */
+    boolean isWrittenAtOnce() { return handed && bytes <= WRITTEN_AT_ONCE; }
+
     /** The write failed: the system never took its last byte. */
     public void unwritten() {
         request.course.unwritten(number);
--- a/src/main/java/yardusher/core/Dispatch.java
+++ b/src/main/java/yardusher/core/Dispatch.java
@@ -1,5 +1,6 @@
 package yardusher.core;
 
+import java.nio.ByteBuffer;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import yardusher.Api;
@@ -54,7 +55,9 @@
             ended.accept(attempt, Attempt.Result.of(Api.Outcome.NOT_SENT));
             return;
         }
-        backends.begin(attempt, attempt.request.order.cargo().encoded(waitMs));
+        ByteBuffer[] command = attempt.request.order.cargo().encoded(waitMs);
+        for (ByteBuffer part : command) { attempt.bytes += part.remaining(); }
+        backends.begin(attempt, command);
     }
 
     private void expire(Attempt attempt) {
--- a/src/main/java/yardusher/core/Ingress.java
+++ b/src/main/java/yardusher/core/Ingress.java
@@ -71,6 +71,7 @@
         Request[] taken = new Request[1];
         Request t = takeIn.take(order, () -> overdue(taken[0]), GRACE_MS);
         taken[0] = t;
+        t.hasCeiling = settings.plans().get(order.plan()).ceilingRate() > 0;
         OrderLog.Admission admission = log.take(t);
         t.recorded = admission == OrderLog.Admission.RECORDED;
         if (admission == OrderLog.Admission.REFUSED) {
@@ -151,6 +152,7 @@
 
     private void forwarded(Attempt attempt) {
         counters.forwards += attempt.forwarded ? 0 : 1;
+        if (attempt.delayed && !attempt.forwarded) { admit.tell(new Api.AttemptWritten(attempt.request.number, attempt.number)); }
         attempt.forwarded = true;
     }
 
@@ -227,6 +229,7 @@
         if (t == null) { return; }
         if (route.open(t, a.server(), loop.now())) {
             dispatch.send(t, a.server(), a.timeoutMs());
+            tellDelay(t);
             return;
         }
         int number = t.attempts++;
@@ -235,6 +238,14 @@
                 null));
     }
 
+    /** The module counts an attempt as written at once, unless it is told otherwise; only ceilings ask for this. */
+    private void tellDelay(Request t) {
+        Attempt attempt = t.attempt;
+        if (!t.hasCeiling || attempt.isOver() || attempt.isWrittenAtOnce()) { return; }
+        attempt.delayed = true;
+        admit.tell(new Api.AttemptDelayed(t.number, attempt.number));
+    }
+
     private void cancel(Request t, int number) {
         Attempt attempt = t.attempt;
         if (attempt == null || attempt.isOver() || attempt.number != number) { return; }
--- a/src/main/java/yardusher/core/Request.java
+++ b/src/main/java/yardusher/core/Request.java
@@ -9,6 +9,8 @@
     public final Order order;
     public final double arrivedAt;
     public final double deadline;
+    /** Whether its plan has a ceiling. */
+    boolean hasCeiling;
     int attempts;
     Attempt attempt;
     /** Where it stands. */
--- a/src/main/java/yardusher/servers/BackendPool.java
+++ b/src/main/java/yardusher/servers/BackendPool.java
@@ -226,11 +226,13 @@
 
     /** Hands an attempt to a connection; false where nothing of it may be sent any more, and it ends as never sent. */
     private boolean carries(BackendLink link, Attempt attempt, ByteBuffer... cargo) {
-        if (attempt.hand(sockets.loop().now())) {
+        double now = sockets.loop().now();
+        if (attempt.hand(now)) {
             link.carry(attempt, cargo);
             return true;
         }
-        sockets.loop().afterwards(() -> end(attempt, Attempt.Result.of(Api.Outcome.NOT_SENT)));
+        Api.Outcome never = attempt.isLate(now) ? Api.Outcome.CONNECT_FAILED : Api.Outcome.NOT_SENT;
+        sockets.loop().afterwards(() -> end(attempt, Attempt.Result.of(never)));
         return false;
     }
 
