--- a/src/main/java/yardusher/Attempts.java
+++ b/src/main/java/yardusher/Attempts.java
@@ -16,7 +16,7 @@
     private final Ceilings ceilings; private final CeilingLoans loans;
     private final Servers servers; private final Pressure pressure;
     private final BiConsumer<Customer, Boolean> told; // own row changed: by its counts, or by mere asking
-    final Map<Long, Held> requests = new HashMap<>();  // looked up by id only, never walked
+    final Map<Long, PendingRequest> requests = new HashMap<>();  // looked up by id only, never walked
     private double retryTokens = RETRY_MOST;
     private double hanging;                          // part of the attempts that hang by themselves, lately
     private double rerunPays = 1;                    // part of those that come quickly when sent again
@@ -36,11 +36,11 @@
         boolean moved = c.first != q.firstGateway() || c.spread != Math.min(q.spread(), settings.gateways());
         if (moved) { c.reachedBy(q.firstGateway(), q.spread()); }
         c.usedAt = clock.now;
-        Held held = new Held(q, of, c, clock.now);
+        PendingRequest pending = new PendingRequest(q, of, c, clock.now);
         Reason why = q.dueMs() > clock.now ? quotas.beyond(c, q.units()) : Reason.LATE;
         why = why == null && pressure.shed(q) ? Reason.PRESSURE : why;
         c.ask(q.units());
-        Host host = why == null ? servers.choose(held) : null;
+        Host host = why == null ? servers.choose(pending) : null;
         if (host == null) {
             told.accept(c, false);
             out.accept(new Refuse(q.id(), advice(c, q), why == null ? Reason.NO_SERVER : why));
@@ -48,42 +48,42 @@
             return;
         }
         c.count(q.units());
-        held.share = ceilings.spend(c, q.units()); retryTokens = Math.min(RETRY_MOST, retryTokens + RETRY_PART);
-        requests.put(q.id(), held);
-        send(held, host);
+        pending.share = ceilings.spend(c, q.units()); retryTokens = Math.min(RETRY_MOST, retryTokens + RETRY_PART);
+        requests.put(q.id(), pending);
+        send(pending, host);
         loans.look(c);
     }
 
     /** An attempt waits for its connection: its units stay in the share of the ceiling until one has been written. */
     void delayed(long id, int attempt) {
-        Held held = requests.get(id);
-        boolean taken = held == null || held.share == null || held.reserved || attempt != held.spentAt;
+        PendingRequest pending = requests.get(id);
+        boolean taken = pending == null || pending.share == null || pending.reserved || attempt != pending.spentAt;
         if (taken) { return; }
-        held.share.reserve(held.request.units(), clock.now); held.reserved = true;
+        pending.share.reserve(pending.request.units(), clock.now); pending.reserved = true;
     }
 
     void written(long id, int attempt) {
-        Held held = requests.get(id);
-        if (held != null && held.reserved && attempt == held.attempts - 1) { settle(held); }
+        PendingRequest pending = requests.get(id);
+        if (pending != null && pending.reserved && attempt == pending.attempts - 1) { settle(pending); }
     }
 
-    private void settle(Held held) {
-        held.share.settle(held.request.units(), clock.now); held.reserved = false;
+    private void settle(PendingRequest pending) {
+        pending.share.settle(pending.request.units(), clock.now); pending.reserved = false;
     }
 
     /** An attempt that never reached a server took no units: they are free again. */
-    private void release(Held held, Outcome outcome) {
-        if (!held.reserved) { return; }
-        if (!outcome.neverRan() || outcome == Outcome.REJECTED) { settle(held); return; }
-        held.share.release(held.request.units(), clock.now); held.reserved = false; held.share = null;
+    private void release(PendingRequest pending, Outcome outcome) {
+        if (!pending.reserved) { return; }
+        if (!outcome.neverRan() || outcome == Outcome.REJECTED) { settle(pending); return; }
+        pending.share.release(pending.request.units(), clock.now); pending.reserved = false; pending.share = null;
     }
 
     /** Takes the units again where the attempt before gave them back. */
-    private boolean takesUnits(Held held) {
-        Customer c = held.customer; double units = held.request.units();
-        if (held.share != null || !Ceilings.hasCeiling(c.plan)) { return true; }
+    private boolean takesUnits(PendingRequest pending) {
+        Customer c = pending.customer; double units = pending.request.units();
+        if (pending.share != null || !Ceilings.hasCeiling(c.plan)) { return true; }
         if (!ceilings.holds(c, units)) { return false; }
-        held.share = ceilings.spend(c, units); held.spentAt = held.attempts;
+        pending.share = ceilings.spend(c, units); pending.spentAt = pending.attempts;
         return true;
     }
 
@@ -95,21 +95,21 @@
     }
 
     /** A streamed answer began. */
-    void begun(long id) { requests.computeIfPresent(id, (key, held) -> held.begin(clock.now)); }
+    void begun(long id) { requests.computeIfPresent(id, (key, pending) -> pending.begin(clock.now)); }
 
-    private void send(Held held, Host host) {
-        double until = held.request.dueMs();
-        if (held.of.lateValue() == 0 && !held.of.streamed() && settings.limits().mayCancel()) {
-            until = Math.min(until, held.aimAt()); // worth nothing later: free for others
+    private void send(PendingRequest pending, Host host) {
+        double until = pending.request.dueMs();
+        if (pending.of.lateValue() == 0 && !pending.of.streamed() && settings.limits().mayCancel()) {
+            until = Math.min(until, pending.aimAt()); // worth nothing later: free for others
         }
-        held.sent(host, clock.now); servers.outstanding++;
+        pending.sent(host, clock.now); servers.outstanding++;
         if (host.open++ == 0) { host.quietSince = clock.now; }
-        held.customer.mine.open++;
-        told.accept(held.customer, true);
-        out.accept(new Send(held.request.id(), host.id, Math.max(0.001, until - clock.now)));
-        double check = clock.now + held.of.aimMs() / 2;
-        if (held.of.effect() != Effect.AT_MOST_ONCE && check < until) {
-            out.accept(new SetTimer(check, held.request.id() + Clock.REQUESTS));
+        pending.customer.mine.open++;
+        told.accept(pending.customer, true);
+        out.accept(new Send(pending.request.id(), host.id, Math.max(0.001, until - clock.now)));
+        double check = clock.now + pending.of.aimMs() / 2;
+        if (pending.of.effect() != Effect.AT_MOST_ONCE && check < until) {
+            out.accept(new SetTimer(check, pending.request.id() + Clock.REQUESTS));
         }
     }
 
@@ -120,19 +120,19 @@
      * long by itself does so elsewhere too, and goes on at the first: whether starting over pays is learned.
      */
     void check(long id) {
-        Held held = requests.get(id);
-        if (held == null || held.gone || held.begun) { return; }
-        int k = held.request.classIndex();
-        double waited = clock.now - held.sentAt;
-        if (waited < held.of.aimMs() / 2 - 1
-                || held.last.quietSince > held.sentAt && !(hanging > 0.02 && alone(held) && rerunMayPay())
-                || held.last.open < 2 && waited < 3 * servers.times.classMs[k]
-                        && clock.now >= held.last.outUntil[k]
+        PendingRequest pending = requests.get(id);
+        if (pending == null || pending.gone || pending.begun) { return; }
+        int k = pending.request.classIndex();
+        double waited = clock.now - pending.sentAt;
+        if (waited < pending.of.aimMs() / 2 - 1
+                || pending.last.quietSince > pending.sentAt && !(hanging > 0.02 && alone(pending) && rerunMayPay())
+                || pending.last.open < 2 && waited < 3 * servers.times.classMs[k]
+                        && clock.now >= pending.last.outUntil[k]
                 || retryTokens < 1 || servers.times.fleetPart > Pressure.SLOW
-                || !settings.limits().mayCancel() || held.attempts >= settings.limits().maxAttempts()
-                || !servers.elsewhere(held)) { return; }
-        if (alone(held)) { held.lone = held.attempts; held.waited = waited; }
-        out.accept(new Cancel(id, held.attempts - 1));
+                || !settings.limits().mayCancel() || pending.attempts >= settings.limits().maxAttempts()
+                || !servers.elsewhere(pending)) { return; }
+        if (alone(pending)) { pending.lone = pending.attempts; pending.waited = waited; }
+        out.accept(new Cancel(id, pending.attempts - 1));
     }
 
     /** Danger: in overload all is late, and what is sent twice makes it worse. */
@@ -141,51 +141,51 @@
     }
 
     /** Whether an attempt hangs by itself: its server has answered others since, and all are quick. */
-    private boolean alone(Held held) {
-        return held.last.quietSince > held.sentAt && servers.times.fleetPart < Pressure.SLOW
-                && clock.now - held.sentAt > 3 * servers.times.classMs[held.request.classIndex()];
+    private boolean alone(PendingRequest pending) {
+        return pending.last.quietSince > pending.sentAt && servers.times.fleetPart < Pressure.SLOW
+                && clock.now - pending.sentAt > 3 * servers.times.classMs[pending.request.classIndex()];
     }
 
     void done(AttemptDone e) {
-        Held held = requests.get(e.id());
-        if (held == null || e.attempt() != held.attempts - 1) { return; }
-        Host host = held.last;
-        servers.outstanding--; host.open--; held.customer.mine.open--;
-        if (held.customer.plan.openCap() > 0) { told.accept(held.customer, true); }
+        PendingRequest pending = requests.get(e.id());
+        if (pending == null || e.attempt() != pending.attempts - 1) { return; }
+        Host host = pending.last;
+        servers.outstanding--; host.open--; pending.customer.mine.open--;
+        if (pending.customer.plan.openCap() > 0) { told.accept(pending.customer, true); }
         host.reports(e.load());
-        judge(held, host, e);
-        release(held, e.outcome());
-        if (e.billed() > 0) { held.customer.count(e.billed() - held.request.units()); }
-        if (e.finished() || held.gone) { requests.remove(e.id()); return; }
-        held.ran |= !e.outcome().neverRan();
-        retryOrEnd(held, e.outcome());
-    }
-
-    private void judge(Held held, Host host, AttemptDone e) {
-        int k = held.request.classIndex();
-        if (held.lone > 0 && held.attempts > held.lone && !e.outcome().neverRan()) {
-            boolean quick = e.outcome() == Outcome.SERVED && e.tookMs() < held.waited / 2;
-            rerunPays += Servers.FAILING * ((quick ? 1 : 0) - rerunPays); held.lone = 0;
+        judge(pending, host, e);
+        release(pending, e.outcome());
+        if (e.billed() > 0) { pending.customer.count(e.billed() - pending.request.units()); }
+        if (e.finished() || pending.gone) { requests.remove(e.id()); return; }
+        pending.ran |= !e.outcome().neverRan();
+        retryOrEnd(pending, e.outcome());
+    }
+
+    private void judge(PendingRequest pending, Host host, AttemptDone e) {
+        int k = pending.request.classIndex();
+        if (pending.lone > 0 && pending.attempts > pending.lone && !e.outcome().neverRan()) {
+            boolean quick = e.outcome() == Outcome.SERVED && e.tookMs() < pending.waited / 2;
+            rerunPays += Servers.FAILING * ((quick ? 1 : 0) - rerunPays); pending.lone = 0;
         }
         switch (e.outcome()) {
             case SERVED -> {
                 host.quietSince = clock.now; hanging *= 0.99;
                 servers.answered(host, k); servers.cold.took(host, e.tookMs() / servers.times.classMs[k]);
-                servers.times.took(k, e.tookMs(), held.of.aimMs());
-                sample(host, e.tookMs() / servers.times.classMs[k], held);
+                servers.times.took(k, e.tookMs(), pending.of.aimMs());
+                sample(host, e.tookMs() / servers.times.classMs[k], pending);
             }
             case SERVER_ERROR -> { host.quietSince = clock.now; servers.failed(host, k, false); }
             case REJECTED -> host.fullUntil = clock.now + 2 * servers.times.typicalMs;
             case CONNECT_FAILED -> servers.failed(host, k, true);
-            // Danger: servers that cut single connections, all of them held to be down. One that is down
+            // Danger: servers that cut single connections, all of them pending to be down. One that is down
             // refuses the next connection too, at no risk; so a lost one is a failure like any other.
             case CONNECTION_LOST -> servers.failed(host, k, false);
             case TIMED_OUT, CANCELLED -> {
-                if (!held.gone) { servers.times.gaveUp((clock.now - held.sentAt) / held.of.aimMs()); }
-                if (host.quietSince <= held.sentAt) { servers.failed(host, k, false); }
-                host.ghosts += alone(held) ? 0 : 1; servers.cold.took(host, Double.POSITIVE_INFINITY);
-                hanging += alone(held) ? 0.01 * (1 - hanging) : 0;
-                sample(host, Math.max(1, e.tookMs() / servers.times.classMs[k]), held);
+                if (!pending.gone) { servers.times.gaveUp((clock.now - pending.sentAt) / pending.of.aimMs()); }
+                if (host.quietSince <= pending.sentAt) { servers.failed(host, k, false); }
+                host.ghosts += alone(pending) ? 0 : 1; servers.cold.took(host, Double.POSITIVE_INFINITY);
+                hanging += alone(pending) ? 0.01 * (1 - hanging) : 0;
+                sample(host, Math.max(1, e.tookMs() / servers.times.classMs[k]), pending);
             }
             default -> { }
         }
@@ -196,10 +196,10 @@
      * given up counts on for about a deadline, and a server gets fewer at once while its answers take most of
      * the aim. Catches overload, slow servers and full queues alike; harms if the aim is below the work.
      */
-    private void sample(Host host, double ratio, Held held) {
-        double usual = servers.times.classMs[held.request.classIndex()];
-        double took = held.begun ? ratio * usual : clock.now - held.sentAt;
-        double part = took / held.of.aimMs();
+    private void sample(Host host, double ratio, PendingRequest pending) {
+        double usual = servers.times.classMs[pending.request.classIndex()];
+        double took = pending.begun ? ratio * usual : clock.now - pending.sentAt;
+        double part = took / pending.of.aimMs();
         host.took(part);
         boolean late = host.part > 0.4 || servers.times.fleetPart > 0.3 && part > 0.5;
         if (late && clock.now - host.cutAt > servers.times.typicalMs) {
@@ -211,29 +211,29 @@
         host.ratio += 0.1 * (Math.min(ratio, 10) - host.ratio); host.sampledAt = clock.now;
     }
 
-    private void retryOrEnd(Held held, Outcome outcome) {
-        Request q = held.request;
-        double until = held.of.lateValue() == 0 ? Math.min(q.dueMs(), held.aimAt()) : q.dueMs();
+    private void retryOrEnd(PendingRequest pending, Outcome outcome) {
+        Request q = pending.request;
+        double until = pending.of.lateValue() == 0 ? Math.min(q.dueMs(), pending.aimAt()) : q.dueMs();
         boolean cheap = outcome == Outcome.CONNECT_FAILED;
-        if (outcome != Outcome.NOT_SENT && held.attempts < settings.limits().maxAttempts()
+        if (outcome != Outcome.NOT_SENT && pending.attempts < settings.limits().maxAttempts()
                 && clock.now + servers.times.classMs[q.classIndex()] / 2 < until
                 && (cheap || retryTokens >= 1)) {
-            Host host = servers.choose(held);
-            if (host != null && takesUnits(held)) { retryTokens -= cheap ? 0 : 1; send(held, host); return; }
+            Host host = servers.choose(pending);
+            if (host != null && takesUnits(pending)) { retryTokens -= cheap ? 0 : 1; send(pending, host); return; }
         }
         requests.remove(q.id());
-        boolean harmless = !held.ran || held.of.effect() == Effect.IDEMPOTENT
-                || held.of.effect() == Effect.DEDUPLICATED && held.of.group() == Group.ALL;
+        boolean harmless = !pending.ran || pending.of.effect() == Effect.IDEMPOTENT
+                || pending.of.effect() == Effect.DEDUPLICATED && pending.of.group() == Group.ALL;
         boolean refused = harmless && clock.now < q.dueMs();
         out.accept(!refused ? new Fail(q.id())
-                : new Refuse(q.id(), advice(held.customer, q), Reason.ATTEMPTS));
+                : new Refuse(q.id(), advice(pending.customer, q), Reason.ATTEMPTS));
     }
 
     void gone(long id) {
-        Held held = requests.get(id);
-        if (held != null && !held.gone) {
-            held.gone = true;                        // its outcome still follows
-            if (settings.limits().mayCancel()) { out.accept(new Cancel(id, held.attempts - 1)); }
+        PendingRequest pending = requests.get(id);
+        if (pending != null && !pending.gone) {
+            pending.gone = true;                        // its outcome still follows
+            if (settings.limits().mayCancel()) { out.accept(new Cancel(id, pending.attempts - 1)); }
         }
     }
 }
--- a/src/main/java/yardusher/FaultReporter.java
+++ b/src/main/java/yardusher/FaultReporter.java
@@ -1,7 +1,7 @@
 package yardusher;
 
 /** Carries what is held against servers to other gateways. */
-interface Teller {
+interface FaultReporter {
     /** Tells one of them. */
     void accuse(int peer, Fault fault);
 
--- a/src/main/java/yardusher/Gossip.java
+++ b/src/main/java/yardusher/Gossip.java
@@ -12,7 +12,7 @@
  * meeting peers where that is large; while a customer asks more than its quota, these pass on the sums
  * of all they know, each time to a part of the set.
  */
-final class Gossip implements Teller {
+final class Gossip implements FaultReporter {
     private static final double FLUSH_MS = 10;       // changes gather so long, to share a message
     private static final int SWEPT = 8;              // verdicts in a message
     private static final Object HELLO = new Object();
--- a/src/main/java/yardusher/PendingRequest.java
+++ b/src/main/java/yardusher/PendingRequest.java
@@ -3,7 +3,7 @@
 import yardusher.Api.*;
 
 /** A request that was sent on and has no final answer yet. */
-final class Held {
+final class PendingRequest {
     final Request request;
     final RequestClass of;
     final Customer customer;
@@ -20,7 +20,7 @@
     boolean reserved;                                // its units: no attempt has reached a server yet
     boolean gone, begun;                             // begun: a streamed answer, its own deadline
 
-    Held(Request request, RequestClass of, Customer customer, double arrivedAt) {
+    PendingRequest(Request request, RequestClass of, Customer customer, double arrivedAt) {
         this.request = request; this.of = of; this.customer = customer; this.arrivedAt = arrivedAt;
     }
 
@@ -30,7 +30,7 @@
         if (!ran) { ranAt = at; ranZone = host.zone; ranCell = host.cell; }
     }
 
-    Held begin(double at) { begun = true; last.quietSince = at; return this; }
+    PendingRequest begin(double at) { begun = true; last.quietSince = at; return this; }
 
     /** By when its answer is worth all. */
     double aimAt() { return arrivedAt + of.aimMs(); }
--- a/src/main/java/yardusher/Servers.java
+++ b/src/main/java/yardusher/Servers.java
@@ -18,7 +18,7 @@
     static final double FAILING = 0.2;               // weight of one answer in how a server fares
     static final double LATE = 0.35;                 // part of the aim that answers take when they are late
     private final Settings settings; private final Clock clock; private final SplittableRandom random;
-    private final Consumer<Action> out; private final Teller teller;
+    private final Consumer<Action> out; private final FaultReporter faultReporter;
     private final double ghostMs;                    // how long work given up counts as still there
 
     final Hosts hosts; final ColdAllowance cold; final AnswerTimes times;
@@ -26,9 +26,9 @@
     int outstanding;
     private double askAt = Double.POSITIVE_INFINITY; // when to ask for the list again
 
-    Servers(Settings settings, Clock clock, SplittableRandom random, Consumer<Action> out, Teller teller) {
+    Servers(Settings settings, Clock clock, SplittableRandom random, Consumer<Action> out, FaultReporter faultReporter) {
         this.settings = settings; this.clock = clock; this.random = random; this.out = out;
-        this.teller = teller; hosts = new Hosts(settings, clock);
+        this.faultReporter = faultReporter; hosts = new Hosts(settings, clock);
         cold = new ColdAllowance(settings, clock, random);
         times = new AnswerTimes(settings.classes(), clock); outCount = new int[times.classMs.length];
         ghostMs = settings.classes().stream().mapToDouble(RequestClass::deadlineMs).average().orElse(1000);
@@ -61,11 +61,11 @@
      * lets it into a draw by its allowance and its warmth, to hold that part of what others hold here; where
      * nothing else is drawn, without its warmth, and where none is warm by its allowance alone.
      */
-    Host choose(Held held) {
+    Host choose(PendingRequest pending) {
         List<Host> ready = hosts.ready;
         Host best = null, spare = null;
         double bestCost = 0;
-        int k = held.request.classIndex();
+        int k = pending.request.classIndex();
         boolean common = outCount[k] > COMMON * ready.size(); // most of them fail: no server's own fault
         int drawn = 0;
         for (int i = 0; i < ready.size() && drawn < 3 + outstanding; i++) {
@@ -73,8 +73,8 @@
             Host host = ready.set(at, ready.get(i)); ready.set(i, host);
             boolean out = clock.now < host.outUntil[k] && (host.down || !common);
             boolean tried = host.failures[k] > 0 && host.outUntil[k] > 0 && !common && host.open > 0;
-            if (host.banned || out || tried || host.full() || held.boundElsewhere(host)
-                    || !mayRunOn(held, host, held.ran) || held.last == host && ready.size() > 1
+            if (host.banned || out || tried || host.full() || pending.boundElsewhere(host)
+                    || !mayRunOn(pending, host, pending.ran) || pending.last == host && ready.size() > 1
                     || host.warmth() < 1 && !cold.due(host)) { continue; }
             drawn++;
             double warmth = host.warmth(), mean = outstanding / (double) ready.size();
@@ -90,19 +90,19 @@
     }
 
     /** Whether one that holds a request would leave it another, if it may have run there. */
-    boolean elsewhere(Held held) {
+    boolean elsewhere(PendingRequest pending) {
         boolean lone = hosts.ready.size() == 1;
-        return hosts.ready.stream().anyMatch(host -> (host != held.last || lone) && !host.banned
-                && !host.full() && !held.boundElsewhere(host) && mayRunOn(held, host, true));
+        return hosts.ready.stream().anyMatch(host -> (host != pending.last || lone) && !host.banned
+                && !host.full() && !pending.boundElsewhere(host) && mayRunOn(pending, host, true));
     }
 
     /** Whether a request may be sent to this server where it has run elsewhere, or may have. */
-    private boolean mayRunOn(Held held, Host host, boolean ran) {
-        RequestClass of = held.of;
+    private boolean mayRunOn(PendingRequest pending, Host host, boolean ran) {
+        RequestClass of = pending.of;
         if (!ran || of.effect() == Effect.IDEMPOTENT) { return true; }
-        return of.effect() == Effect.DEDUPLICATED && clock.now - held.ranAt < of.windowMs()
-                && (of.group() == Group.ALL || host.zone == held.ranZone)
-                && (of.group() != Group.CELL || host.cell == held.ranCell);
+        return of.effect() == Effect.DEDUPLICATED && clock.now - pending.ranAt < of.windowMs()
+                && (of.group() == Group.ALL || host.zone == pending.ranZone)
+                && (of.group() != Group.CELL || host.cell == pending.ranCell);
     }
 
     void failed(Host host, int k, boolean down) {
@@ -128,7 +128,7 @@
             int apart = Math.max(1, gateways / Customer.NEIGHBOURS);
             int peer = (Peers.drawn(host.id, gateways) + i * apart) % gateways;
             if (peer == settings.self()) { blame(host, k); }
-            teller.accuse(peer, new Fault(false, host.id, k));
+            faultReporter.accuse(peer, new Fault(false, host.id, k));
         }
     }
 
@@ -151,7 +151,7 @@
     private void verdict(Host host, int k) {
         if (host.outUntil[k] > clock.now + EJECT_MOST_MS / 4 || host.failing[k] < 0.2) { return; }
         host.outUntil[k] = clock.now + EJECT_MOST_MS / 2;
-        teller.pass(new Fault(true, host.id, k));
+        faultReporter.pass(new Fault(true, host.id, k));
     }
 
     void answered(Host host, int k) {
--- a/src/test/java/yardusher/PressureTest.java
+++ b/src/test/java/yardusher/PressureTest.java
@@ -13,7 +13,7 @@
 
     private final Settings settings = new Settings(0, 3, 0, 1, List.of(worth(1), worth(1), worth(3)), List.of(new Plan(0, 0, 0, 1, 0, 0, 0)),
             new Limits(4, true, true, 1000), new Rules(0.25, 10_000, 3, 1000, 1000), List.of(), false, 60, 1, 0, 0.01);
-    private final Servers servers = new Servers(settings, new Clock(0), new SplittableRandom(1), action -> { }, new Teller() {
+    private final Servers servers = new Servers(settings, new Clock(0), new SplittableRandom(1), action -> { }, new FaultReporter() {
         @Override
         public void accuse(int peer, Fault fault) { }
 
