--- a/src/test/java/yardusher/CeilingFlawsTest.java
+++ b/src/test/java/yardusher/CeilingFlawsTest.java
@@ -30,7 +30,7 @@
         RESTART_EARNS_WHAT_WAS_LENT("CeilingShare", "if (lentUntilMs > sinceMs) {", "if (false) {"),
         RESTART_BEGINS_FULL("CeilingShare", "updatedAt = sinceMs;", "updatedAt = sinceMs;\n tokens = plan.ceilingSlack() / spread;"),
         LEASE_COUNTS_FROM_THE_GRANT("CeilingLoans", "double askedAt = asked.atMs();", "double askedAt = clock.now;"),
-        WAITING_REQUEST_LEAVES_ROOM("Attempts", "held.share.reserve(held.request.units(), clock.now);", "held.share.reserve(0, clock.now);"),
+        WAITING_REQUEST_LEAVES_ROOM("Attempts", "pending.share.reserve(pending.request.units(), clock.now);", "pending.share.reserve(0, clock.now);"),
         RETRY_TAKES_NO_UNITS("Attempts", "if (!ceilings.holds(c, units)) { return false; }", "if (true) { return true; }"),
         OVERDRAFT("Ceilings", "share(c).tokens() >= units", "share(c).tokens() >= units - share(c).capacity()");
 
