--- a/lab/src/yardusher/lab/Group.java
+++ b/lab/src/yardusher/lab/Group.java
@@ -49,6 +49,7 @@
     private Edit edit = (i, json) -> json;
     private int heapMb = 24;
     private List<String> options = List.of();
+    private IntFunction<Map<String, String>> environment = i -> Map.of();
 
     /** Changes the JSON of an ingress before it is written. */
     public interface Edit {
@@ -109,6 +110,12 @@
         return this;
     }
 
+    /** More environment variables of each process. Read at each start of it. */
+    public Group environment(IntFunction<Map<String, String>> variables) {
+        environment = variables;
+        return this;
+    }
+
     /** A port of a process under a name of its own, for datagrams; the same for all its lives. */
     public synchronized InetSocketAddress port(int ingress, String name) {
         if (!ports.containsKey(name)) {
@@ -193,8 +200,10 @@
         String own = settings.apply(i);
         if (own != null) { Files.writeString(folder.resolve("n" + i + ".toml"), own); }
         command.addAll(List.of("serve", config(i).toString(), "--limits", "none", "--settings", own == null ? "none" : folder.resolve("n" + i + ".toml").toString()));
-        processes[i] = new ProcessBuilder(command).redirectInput(new File("/dev/null")).redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.appendTo(log(i).toFile())).start();
+        ProcessBuilder builder = new ProcessBuilder(command).redirectInput(new File("/dev/null")).redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(log(i).toFile()));
+        builder.environment().putAll(environment.apply(i));
+        processes[i] = builder.start();
         guard.tell("own", processes[i].pid());
         deed("n" + i + " started pid=" + processes[i].pid());
     }
--- /dev/null
+++ b/lab/src/yardusher/lab/faults/FaultChecker.java
@@ -0,0 +1,59 @@
+package yardusher.lab.faults;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import yardusher.lab.Region;
+import yardusher.lab.faults.FaultRequest.End;
+import yardusher.lab.faults.FaultRequest.RequestClass;
+
+/** Holds the rules of the protocol page against what clients and backends recorded; each breach names rule, request and instance. */
+public final class FaultChecker {
+    /** A request that an ingress had not read may cross the end of its connection; it then ends this soon. */
+    private static final double CROSSING_MS = 20;
+    private static final double TOLD_SLACK_MS = 150;
+    private static final double AFTER_END_MS = 100;
+
+    private final Map<String, List<Region.Event>> begunById = new HashMap<>();
+
+    public FaultChecker(List<Region.Event> regionHistory) {
+        for (Region.Event event : regionHistory) {
+            if (event.what().equals("begin")) { begunById.computeIfAbsent(event.word(2), id -> new ArrayList<>()).add(event); }
+        }
+    }
+
+    /** {@code closesAllowed}: ingresses were told to end, so that connections may close between requests. */
+    public List<String> breaches(List<FaultRequest> requests, boolean closesAllowed) {
+        List<String> breaches = new ArrayList<>();
+        for (FaultRequest request : requests) {
+            List<Region.Event> begun = begunById.getOrDefault(request.id(), List.of());
+            switch (request.end()) {
+                case LOST, TRUNCATED -> {
+                    if (!closesAllowed || !isCrossing(request, begun)) { breaches.add("lost: " + request); }
+                }
+                case SILENT -> breaches.add("no final answer: " + request);
+                case CORRUPT -> breaches.add("a value that no backend made: " + request);
+                default -> { }
+            }
+            if (request.requestClass() == RequestClass.BOOK_ONCE && begun.size() > 1) { breaches.add("run " + begun.size() + " times: " + request); }
+            for (Region.Event attempt : begun) { checkAttempt(request, attempt, breaches); }
+        }
+        return breaches;
+    }
+
+    private static boolean isCrossing(FaultRequest request, List<Region.Event> begun) {
+        return request.end() == End.LOST && begun.isEmpty() && request.endedMs() - request.sentMs() < CROSSING_MS;
+    }
+
+    private static void checkAttempt(FaultRequest request, Region.Event attempt, List<String> breaches) {
+        double leftMs = request.sentMs() + request.waitMs() - attempt.atMs();
+        if (Double.parseDouble(attempt.value("d")) > leftMs + TOLD_SLACK_MS) {
+            breaches.add("told " + attempt.value("d") + " ms of " + Math.round(leftMs) + ": " + request);
+        }
+        if (request.end() != End.UNSENT && attempt.atMs() > request.endedMs() + AFTER_END_MS) { breaches.add("sent after its end: " + request); }
+    }
+
+    /** How many requests ended so. */
+    public static long count(List<FaultRequest> requests, End end) { return requests.stream().filter(request -> request.end() == end).count(); }
+}
--- /dev/null
+++ b/lab/src/yardusher/lab/faults/FaultClient.java
@@ -0,0 +1,216 @@
+package yardusher.lab.faults;
+
+import java.io.BufferedInputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import yardusher.lab.Chronicle;
+import yardusher.lab.faults.FaultRequest.End;
+import yardusher.lab.faults.FaultRequest.RequestClass;
+import yardusher.resp.Encoder;
+
+/**
+ * A client that sends one batch of pipelined commands after another on a kept connection for as long as it stays open, and
+ * records how each request ended. Its thread ends with {@link #stop}.
+ */
+final class FaultClient implements Runnable {
+    /** An answer may come so long after its deadline before it counts as none. */
+    private static final int LOST_AFTER_MS = 500;
+    private static final int CONNECT_TIMEOUT_MS = 2000;
+    private static final int BODY_BYTES = 64;
+
+    private final int ingress;
+    private final InetSocketAddress address;
+    private final Random random;
+    private final Consumer<FaultRequest> history;
+    private final Supplier<String> ids;
+    private final List<RequestClass> classes;
+    private final int maxPipelined;
+    private final int waitMs;
+    private final int pauseMs;
+    private final int reconnectsOneIn;
+    private volatile boolean stopped;
+    private Socket socket;
+    private InputStream in;
+
+    FaultClient(int ingress, InetSocketAddress address, long seed, Plan plan, Supplier<String> ids, Consumer<FaultRequest> history) {
+        this.ingress = ingress;
+        this.address = address;
+        this.random = new Random(seed);
+        this.classes = plan.classes();
+        this.maxPipelined = plan.maxPipelined();
+        this.waitMs = plan.waitMs();
+        this.pauseMs = plan.pauseMs();
+        this.reconnectsOneIn = plan.reconnectsOneIn();
+        this.ids = ids;
+        this.history = history;
+    }
+
+    /**
+     * What a client sends: classes, the longest batch, the deadline, the pause between batches, and in how many batches it opens
+     * a new connection once; 0 for never.
+     */
+    record Plan(List<RequestClass> classes, int maxPipelined, int waitMs, int pauseMs, int reconnectsOneIn) { }
+
+    /** Sends no more batches. */
+    void stop() { stopped = true; }
+
+    @Override
+    public void run() {
+        try {
+            while (!stopped) {
+                if (!isConnected() && !connect()) {
+                    Thread.sleep(20);
+                    continue;
+                }
+                sendBatch();
+                if (reconnectsOneIn > 0 && random.nextInt(reconnectsOneIn) == 0) { disconnect(); }
+                Thread.sleep(pauseMs);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            disconnect();
+        }
+    }
+
+    /** Whether the kept connection is still open; it may have been closed between requests. */
+    private boolean isConnected() {
+        if (socket == null) { return false; }
+        try {
+            socket.setSoTimeout(1);
+            in.mark(1);
+            if (in.read() >= 0) { in.reset(); }
+        } catch (SocketTimeoutException e) {
+            return true;
+        } catch (IOException e) { /* ended */ }
+        disconnect();
+        return false;
+    }
+
+    private boolean connect() {
+        socket = new Socket();
+        try {
+            socket.setTcpNoDelay(true);
+            socket.connect(address, CONNECT_TIMEOUT_MS);
+            in = new BufferedInputStream(socket.getInputStream());
+            return true;
+        } catch (IOException e) {
+            disconnect();
+            return false;
+        }
+    }
+
+    private void disconnect() {
+        try {
+            if (socket != null) { socket.close(); }
+        } catch (IOException e) { /* closed either way */ }
+        socket = null;
+    }
+
+    private record Pending(String id, RequestClass requestClass, double sentMs) { }
+
+    private void sendBatch() {
+        List<Pending> batch = new ArrayList<>();
+        Encoder commands = new Encoder(512);
+        double sentMs = Chronicle.now();
+        for (int i = 1 + random.nextInt(maxPipelined); i > 0; i--) {
+            Pending next = new Pending(ids.get(), classes.get(random.nextInt(classes.size())), sentMs);
+            batch.add(next);
+            encode(commands, next);
+        }
+        try {
+            socket.getOutputStream().write(commands.toBytes());
+        } catch (IOException e) {
+            batch.forEach(request -> record(request, End.UNSENT, String.valueOf(e.getMessage())));
+            disconnect();
+            return;
+        }
+        for (int i = 0; i < batch.size(); i++) {
+            if (!readAnswer(batch.get(i))) {
+                for (Pending behind : batch.subList(i + 1, batch.size())) { record(behind, End.LOST, "behind an answer that did not come"); }
+                disconnect();
+                return;
+            }
+        }
+    }
+
+    private void encode(Encoder commands, Pending request) {
+        boolean isGet = request.requestClass() == RequestClass.LOOKUP;
+        String key = request.requestClass() == RequestClass.PLACE_ORDER ? ",k=" + request.id() : "";
+        commands.array(isGet ? 4 : 5).bulk(isGet ? "CALL.GET" : "CALL.POST").bulk(String.format("%016x", 1 + random.nextInt(1 << 30))).bulk(request.id())
+                .bulk("c=" + request.requestClass().wireName() + ",t=groot,d=" + waitMs + key + ",units=1,spread=1,first=" + ingress);
+        if (!isGet) { commands.bulk("b".repeat(BODY_BYTES)); }
+    }
+
+    /** Reads one answer; false if none came, and then nothing behind it can. */
+    private boolean readAnswer(Pending request) {
+        StringBuilder head = new StringBuilder();
+        try {
+            double untilMs = request.sentMs() + waitMs + LOST_AFTER_MS;
+            readLine(head, untilMs);
+            if (head.charAt(0) != '$') {
+                record(request, head.toString().startsWith("-BUSY") ? End.REFUSED : End.FAILED, head.toString());
+                return true;
+            }
+            byte[] value = new byte[Integer.parseInt(head.substring(1))];
+            socket.setSoTimeout(waitMs + LOST_AFTER_MS); // a large value may come for as long as it moves
+            if (in.readNBytes(value, 0, value.length) < value.length || in.read() != '\r' || in.read() != '\n') { throw new EOFException("in the value"); }
+            boolean right = Values.isValueOf(request.id(), value);
+            record(request, right ? End.SERVED : End.CORRUPT, "");
+            return right;
+        } catch (SocketTimeoutException e) {
+            record(request, End.SILENT, head.toString());
+        } catch (IOException | NumberFormatException e) {
+            record(request, head.isEmpty() ? End.LOST : End.TRUNCATED, head + " " + e.getMessage());
+        }
+        return false;
+    }
+
+    private void readLine(StringBuilder line, double untilMs) throws IOException {
+        while (true) {
+            socket.setSoTimeout((int) Math.max(1, untilMs - Chronicle.now()));
+            int next = in.read();
+            if (next < 0) { throw new EOFException("ended"); }
+            if (next == '\n') { return; }
+            if (next != '\r') { line.append((char) next); }
+        }
+    }
+
+    private void record(Pending request, End end, String answer) {
+        history.accept(new FaultRequest(request.id(), ingress, request.requestClass(), request.sentMs(), waitMs, Chronicle.now(), end, answer));
+    }
+
+    /** Values of the backends: a client can tell for each byte whether it is right. */
+    static final class Values {
+        private static final int LARGE_BYTES = 300_000;
+        private static final int SMALL_BYTES = 200;
+        private static final int LARGE_ONE_IN = 4;
+
+        private Values() { }
+
+        /** The value for a request id: every fourth one is large. */
+        static byte[] valueFor(String id) {
+            long number = Long.parseUnsignedLong(id, 16);
+            byte[] value = new byte[Math.floorMod(number, LARGE_ONE_IN) == 0 ? LARGE_BYTES : SMALL_BYTES];
+            for (int i = 0; i < value.length; i++) { value[i] = (byte) ('a' + Math.floorMod(number + i * 7L + i / 251, 26)); }
+            return value;
+        }
+
+        static boolean isValueOf(String id, byte[] value) { return java.util.Arrays.equals(valueFor(id), value); }
+
+        /** A backend's answer. */
+        static byte[] answerFor(String id) {
+            return new Encoder(LARGE_BYTES).array(3).bulk(valueFor(id)).raw("$-1\r\n$-1\r\n".getBytes(StandardCharsets.US_ASCII)).toBytes();
+        }
+    }
+}
