Connections that end with answers owed are logged with their reason and counted

Now each such end has a reason (peer_closed, peer_reset, read_failed, write_failed, replies_unread, input_unread, value_incomplete, fault): a counter ended_REASON each, and for ends that are not the client's one line with reason, error, stage, open commands, the first request's id and bytes written of how many, at most five lines a second. `gone` counts clients that left, the new `cut_off` requests whose connection this process ended. No decision changes yet.

--- a/src/main/java/yardusher/cli/IngressProcess.java
+++ b/src/main/java/yardusher/cli/IngressProcess.java
@@ -136,7 +136,7 @@
                 made[5] = table;
                 made[1] = new DiscoveryWatch(sockets, config.discovery(), table, core, config.seed());
                 RequestAcceptor intake = subsystems.wrapAcceptor(site(core, table, null), core);
-                PlatformFrontend clients = new PlatformFrontend(sockets, config.listen(), core, intake, config.classes(), config.plans(), 1, bodies);
+                PlatformFrontend clients = new PlatformFrontend(sockets, config.listen(), core, intake, config.classes(), config.plans(), 1, bodies, events);
                 made[2] = clients;
                 made[3] = limits == null ? null
                         : new LimitsFrontend(sockets, core, limits, config.classes(), config.plans());
@@ -153,7 +153,7 @@
         front = (PlatformFrontend) made[2];
         limitsFront = (LimitsFrontend) made[3];
         setConnectionLimits(false);
-        counters.extraCounters = () -> " " + bodies.countersLine() + subsystems.countersLine();
+        counters.extraCounters = () -> " " + bodies.countersLine() + " " + front.endingsLine() + subsystems.countersLine();
         table = (DiscoveredBackends) made[5];
         admin = (AdminServer) made[4];
     }
--- a/src/main/java/yardusher/clients/PlatformFrontend.java
+++ b/src/main/java/yardusher/clients/PlatformFrontend.java
@@ -22,7 +22,9 @@
 import yardusher.error.CommandError;
 import yardusher.error.YardusherError;
 import yardusher.net.RespServer;
+import yardusher.log.Events;
 import yardusher.net.BodyBudget;
+import yardusher.net.ConnectionEnd;
 import yardusher.net.Sockets;
 import yardusher.resp.Call;
 import yardusher.resp.Encoder;
@@ -37,6 +39,7 @@
     private final Map<String, Integer> classIndexes = new HashMap<>();
     private final Map<String, Integer> planIndexes = new HashMap<>();
     private final RespServer server;
+    private final ConnectionEndLog endings;
     private boolean readsUnits;                      // names of units are read in lists
     private boolean forwardsUnits;
     private LongFunction<String> describeKey;        // null where idempotency keys are off
@@ -45,8 +48,9 @@
     private final Set<Long> openIds = new HashSet<>();
 
     public PlatformFrontend(Sockets sockets, InetSocketAddress address, Ingress ingress, RequestAcceptor requestAcceptor,
-            List<String> classNames, List<String> planNames, int maxTerminals, BodyBudget bodyBudget) throws IOException {
+            List<String> classNames, List<String> planNames, int maxTerminals, BodyBudget bodyBudget, Events events) throws IOException {
         this.ingress = ingress;
+        endings = new ConnectionEndLog(events, sockets.loop()::now);
         this.requestAcceptor = requestAcceptor;
         for (String name : classNames) { classIndexes.put(name, classIndexes.size()); }
         for (String name : planNames) { planIndexes.put(name, planIndexes.size()); }
@@ -55,6 +59,9 @@
 
     public RespServer server() { return server; }
 
+    /** Ends of connections that owed answers, by reason, as counters. */
+    public String endingsLine() { return endings.countersLine(); }
+
     @Override
     public void handle(byte[][] words, RespServer.Slot slot) {
         if (Call.isCall(words)) {
@@ -75,6 +82,9 @@
         slot.request.terminalLeft();
     }
 
+    @Override
+    public void onConnectionEnded(ConnectionEnd end) { endings.record(end); }
+
     @Override
     public void onInvalidCommand() { ingress.counters().invalidCommands++; }
 
@@ -149,6 +159,9 @@
         @Override
         public Session session() { return slot.session(); }
 
+        @Override
+        public boolean hasLeftByItself() { return slot.isEndedByClient(); }
+
         @Override
         public void served(byte[] value) { answer(new Encoder(value.length + 16).bulk(value).toBytes()); }
 
--- a/src/main/java/yardusher/core/Counters.java
+++ b/src/main/java/yardusher/core/Counters.java
@@ -17,6 +17,8 @@
     /** Attempts that were completely written to a socket. */
     public long forwards;
     public long clientsGone;
+    /** Requests whose connection this process ended before their answer. */
+    public long clientsCutOff;
     public long attempts;
     public long limitQueries;
     public long connectionsOpened;
@@ -74,6 +76,6 @@
                 .append(" large=").append(largeValues).append(" large_open=").append(largeValuesOpen)
                 .append(" large_most=").append(maxLargeValuesOpen)
                 .append(" reloads=").append(reloads).append(" answers_second=").append(duplicateAnswers)
-                .append(" faults=").append(faults).append(extraCounters.get()).toString();
+                .append(" cut_off=").append(clientsCutOff).append(" faults=").append(faults).append(extraCounters.get()).toString();
     }
 }
--- a/src/main/java/yardusher/core/Ingress.java
+++ b/src/main/java/yardusher/core/Ingress.java
@@ -103,7 +103,7 @@
     /** The terminal has left and gets no answer. */
     private void terminalLeft(Request request) {
         if (!request.state.abandon()) { return; }
-        counters.clientsGone++;
+        if (request.incoming.terminal().hasLeftByItself()) { counters.clientsGone++; } else { counters.clientsCutOff++; }
         if (request.recorded) { log.answered(request, RequestLog.Answer.GONE); }
         releaseRequest(request);
     }
--- a/src/main/java/yardusher/core/Terminal.java
+++ b/src/main/java/yardusher/core/Terminal.java
@@ -19,6 +19,9 @@
     /** Failure reply. The request may have run if an attempt was sent and no answer proves that it did not. */
     void failed(String reason, boolean mayHaveRun);
 
+    /** Once the terminal has left: whether it did so itself, and not this process or machine. */
+    default boolean hasLeftByItself() { return true; }
+
     /** The connection on which the request came; null if there is no lasting one. */
     default Session session() { return null; }
 }
--- a/src/main/java/yardusher/net/ClientConnection.java
+++ b/src/main/java/yardusher/net/ClientConnection.java
@@ -311,7 +311,7 @@
      */
     void abort() {
         if (stage == Stage.CLOSED) { return; }
-        onClosed(connection);
+        end(CloseReason.VALUE_INCOMPLETE, "");
         connections.closeAfterFlush(connection, loop.now(), server.closesAfterReplies());
     }
 
@@ -323,10 +323,25 @@
     }
 
     @Override
-    public void onClosed(Connection from) {
+    public void onClosed(Connection from) { end(from.closeReason(), from.closeError()); }
+
+    @Override
+    public void onLastBytesLost(Connection from) { reportEnd(from.closeReason(), from.closeError()); }
+
+    /** Reports the end of a connection that owes replies. */
+    private void reportEnd(CloseReason reason, String error) {
+        boolean owesReplies = !slots.isEmpty() || connection.bytesWritten() < connection.bytesAccepted();
+        if (!owesReplies) { return; }
+        server.commandHandler().onConnectionEnded(new ConnectionEnd(reason, stage.name(), error, connection.bytesWritten(),
+                connection.bytesAccepted(), List.copyOf(slots)));
+    }
+
+    private void end(CloseReason reason, String error) {
+        reportEnd(reason, error);
         deregister();
         for (RespServer.Slot slot : slots) {
             slot.releaseBody();
+            slot.endedByClient = reason.isByPeer();
             if (slot.reply == null) {
                 slot.reply = new byte[0];
                 server.commandHandler().onTerminalLeft(slot);
--- a/src/main/java/yardusher/net/Connection.java
+++ b/src/main/java/yardusher/net/Connection.java
@@ -40,6 +40,9 @@
 
         /** The peer or an I/O error ended the connection; called once, and not after {@link Connection#close}. */
         void onClosed(Connection connection);
+
+        /** A connection that was finishing was closed before its last bytes were written. */
+        default void onLastBytesLost(Connection connection) { }
     }
 
     private static final int MAX_QUEUED_BYTES = (4 << 20) + 256 * 1024; // one large body, and small replies that wait
@@ -72,6 +75,10 @@
     private Deadlines.Entry drainEnd;
     private Runnable onClosed = () -> { };
     private boolean writeFailed;
+    private CloseReason closeReason;                 // null while open, and for a local close
+    private String closeError = "";
+    private long bytesWritten;
+    private long bytesAccepted;                      // bytes passed to write so far
     private final ReadAheadBudget readAheadBudget;   // null for a connection that does not read ahead
     private int countedBytes;                        // this connection's share of that budget
     private final int maxReadAhead;                  // maximum number of bytes read ahead; 0 reads only on request
@@ -150,6 +157,18 @@
     /** Whether the connection ended in a failed write: then the last byte was never written. */
     public boolean writeFailed() { return writeFailed; }
 
+    /** Why the connection ended; null while it is open, and if its owner closed it. */
+    public CloseReason closeReason() { return closeReason; }
+
+    /** The text of the failure that ended the connection; empty for none. */
+    public String closeError() { return closeError; }
+
+    /** The number of bytes that the system has accepted so far. */
+    public long bytesWritten() { return bytesWritten; }
+
+    /** The number of bytes that were passed to {@link #write} so far. */
+    public long bytesAccepted() { return bytesAccepted; }
+
     /** The number of bytes that wait to be written. */
     public int queuedBytes() { return queuedBytes; }
 
@@ -181,7 +200,7 @@
         try {
             channel.read(buffer, this, READ_HANDLER);
         } catch (RuntimeException e) {
-            closeAndNotify();
+            closeAndNotify(CloseReason.FAULT, IoClassifier.describe(e));
         }
     }
 
@@ -192,9 +211,10 @@
         if (stage != Stage.OPEN) { return; }
         queue.add(bytes);
         queuedBytes += bytes.remaining();
+        bytesAccepted += bytes.remaining();
         // A terminal that sends requests and never reads would fill the heap with replies.
         if (queuedBytes > MAX_QUEUED_BYTES) {
-            closeAndNotify();
+            closeAndNotify(CloseReason.REPLIES_UNREAD, "");
         } else if (!writing) {
             writing = true;
             loop.defer(this::flush); // bytes queued in one task are written together
@@ -219,7 +239,7 @@
 
     private void limitDrain() {
         loop.deadlines().cancel(drainEnd);
-        drainEnd = loop.deadlines().schedule(loop.now() + DRAIN_TIMEOUT_MS, this::close);
+        drainEnd = loop.deadlines().schedule(loop.now() + DRAIN_TIMEOUT_MS, () -> closeAndNotify(CloseReason.REPLIES_UNREAD, ""));
     }
 
     /**
@@ -273,12 +293,20 @@
         } catch (IOException e) { /* closed either way */ }
     }
 
-    private void closeAndNotify() {
+    private void closeAndNotify(CloseReason reason, String error) {
+        if (isClosed()) { return; }
         boolean owned = stage == Stage.OPEN;
+        boolean lastBytesLost = stage == Stage.FINISHING && queuedBytes > 0;
+        closeReason = reason;
+        closeError = error;
         close();
         if (owned) { owner.onClosed(this); }
+        if (lastBytesLost) { owner.onLastBytesLost(this); }
     }
 
+    /** Closes a connection that is finishing, so that another one has its descriptor. */
+    void cutOff() { closeAndNotify(CloseReason.REPLIES_UNREAD, ""); }
+
     private void flush() {
         if (isClosed()) { return; }
         if (stage == Stage.COMPLETING_WRITE) {
@@ -301,7 +329,7 @@
             writingSlice = next.remaining() > MAX_MERGED_BYTES;
             channel.write(writingSlice ? next.slice(next.position(), WRITE_SLICE_BYTES) : next, this, WRITE_HANDLER);
         } catch (RuntimeException e) {
-            closeAndNotify();
+            closeAndNotify(CloseReason.FAULT, IoClassifier.describe(e));
         }
     }
 
@@ -314,7 +342,7 @@
         }
         if (stage != Stage.OPEN) { return; }         // reading resumes after the last bytes are written
         if (count < 0) {
-            closeAndNotify();
+            closeAndNotify(CloseReason.PEER_CLOSED, "");
             return;
         }
         readCount++;
@@ -331,7 +359,7 @@
         if (droppingRead || !owner.keepsInput(this)) {
             droppedBytes += count;
             if (droppedBytes > MAX_DRAINED_BYTES) {
-                closeAndNotify();
+                closeAndNotify(CloseReason.INPUT_UNREAD, "");
                 return;
             }
         } else if (usingReceiveBuffer) {
@@ -367,6 +395,7 @@
             return;
         }
         queuedBytes -= count;
+        bytesWritten += count;
         if (writingSlice) { queue.peek().position(queue.peek().position() + count); }
         if (!queue.peek().hasRemaining()) { queue.poll(); }
         if (stage == Stage.FINISHING) { limitDrain(); } // a slow peer gets the full time for each piece of its last reply
@@ -387,7 +416,9 @@
         public void completed(Integer count, Connection connection) { connection.loop.execute(() -> connection.onRead(count)); }
 
         @Override
-        public void failed(Throwable cause, Connection connection) { connection.loop.execute(connection::closeAndNotify); }
+        public void failed(Throwable cause, Connection connection) {
+            connection.loop.execute(() -> connection.closeAndNotify(CloseReason.READ_FAILED, IoClassifier.describe(cause)));
+        }
     };
 
     private static final CompletionHandler<Integer, Connection> WRITE_HANDLER = new CompletionHandler<>() {
@@ -398,7 +429,7 @@
         public void failed(Throwable cause, Connection connection) {
             connection.loop.execute(() -> {
                 connection.writeFailed = true;
-                connection.closeAndNotify();
+                connection.closeAndNotify(CloseReason.WRITE_FAILED, IoClassifier.describe(cause));
             });
         }
     };
--- a/src/main/java/yardusher/net/ConnectionRegistry.java
+++ b/src/main/java/yardusher/net/ConnectionRegistry.java
@@ -120,7 +120,7 @@
     void closeAfterFlush(Connection connection, double nowMs, boolean all) {
         closing.put(connection, nowMs);
         connection.finish(() -> closing.remove(connection));
-        if (closing.size() > (all ? maxConnections : maxClosing)) { closingToCutOff().close(); }
+        if (closing.size() > (all ? maxConnections : maxClosing)) { closingToCutOff().cutOff(); }
     }
 
     /** The closing connection to cut off first: the longest one that is flushed, or the longest of all. */
--- a/src/main/java/yardusher/net/RespServer.java
+++ b/src/main/java/yardusher/net/RespServer.java
@@ -25,6 +25,9 @@
         /** The terminal left before this command was answered. */
         void onTerminalLeft(Slot slot);
 
+        /** A connection ended that still owed replies. Called before {@link #onTerminalLeft} for each open command. */
+        default void onConnectionEnded(ConnectionEnd end) { }
+
         /** A command was malformed, or the framing of a connection was lost. */
         default void onInvalidCommand() { }
     }
@@ -218,6 +221,7 @@
         byte[] streamHead;                           // of a streamed value
         ByteBuffer nextChunk;                        // the next chunk, until its turn to be written
         Runnable onChunkWritten;                     // called when that chunk is written
+        boolean endedByClient = true;                // whether the client ended a connection that owed this reply
         /** The request that is being processed for this command; null for none. */
         public RequestHandle request;
 
@@ -230,6 +234,9 @@
 
         public boolean isAnswered() { return reply != null; }
 
+        /** Once the terminal has left: whether it ended the connection itself. */
+        public boolean isEndedByClient() { return endedByClient; }
+
         /** Whether the terminal is on this machine. */
         public boolean isLocal() { return connection.isLocal(); }
 
