Failing test, listed: answers lost and backends blamed while system calls fail for a moment

The log of the first row names the end: reason=write_failed error=No buffer space available, with the answer due.

--- /dev/null
+++ b/src/test/java/yardusher/lab/faults/MachineFaultsTest.java
@@ -0,0 +1,43 @@
+package yardusher.lab.faults;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Answers lost, requests refused or backends blamed because system calls of this machine failed for a moment (report 52f7b0). */
+@Timeout(value = 60, unit = TimeUnit.SECONDS)
+class MachineFaultsTest {
+    private static final long FAULT_MS = 3000;
+
+    @TempDir
+    Path folder;
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', textBlock = """
+            1  | write:ENOBUFS:client:50:1;write:ENOMEM:client:70:2
+            2  | read:EINTR:client:40:1;read:ENOMEM:client:60:1;read:EIO:client:80:1
+            3  | write:EINTR:client:20:1;read:EAGAIN:client:10:1;write:EAGAIN:client:10:1
+            4  | read:EINTR:backend:60:1;read:ENOMEM:backend:90:1;read:ENOBUFS:backend:90:2
+            5  | write:ENOBUFS:backend:20:2;write:EINTR:backend:30:1;write:ENOMEM:backend:40:1
+            6  | socket:ENFILE:other:3:1;socket:EMFILE:other:5:1;connect:EADDRNOTAVAIL:backend:4:1
+            7  | connect:ENETUNREACH:backend:4:1;connect:ENOBUFS:backend:5:1;connect:EINTR:backend:4:1
+            8  | epoll_wait:EINTR:other:10:1;epoll_ctl:ENOMEM:client:60:1;epoll_ctl:ENOSPC:backend:60:1
+            9  | read:SHORT:any:4:1;write:SHORT:any:4:1
+            10 | setsockopt:ENOMEM:client:3:1;setsockopt:ENOBUFS:backend:3:1;close:EINTR:any:3:1;close:EIO:any:5:1
+            """)
+    void noAnswerIsLostAndNoBackendBlamedWhileCallsFail(long seed, String rules) throws Exception {
+        FaultRun.Result result = FaultRun.play(folder, seed, FaultRule.parse(rules), FAULT_MS, Map.of());
+        assertThat(result.problems()).as("%s%n%s%n%s", result, result.counters(), result.log()).isEmpty();
+        assertThat(result.injected().keySet()).as("a fault that was never injected proves nothing")
+                .containsAll(FaultRule.parse(rules).stream().map(FaultRule::kind).toList());
+        List<String> blamed = List.of("attempts_connect_failed=0 ", "attempts_connection_lost=0 ", "refused_no_server=0 ", " gone=0 ");
+        assertThat(result.counters()).contains(blamed);
+    }
+}
