Backends do not pay for what this machine lacks, and commands tell only the time that is left

What callers saw: with both backends well, failed sockets, connects and writes on this machine refused 662 to 778 of about 1000 requests in 3 s (-BUSY 400): each counted as connect_failed and put a backend out. Cause: Sockets and BackendPool had one kind of failure. Now Connecting tells the peer's failures from this machine's by the exception's type and repeats the latter with a new socket within the dial's time; two outcomes, LOCAL_FAILURE (never ran) and LOCAL_LOSS (may have run), say nothing about a server; an attempt that finds no free descriptor waits for one; timers of a response do not run against a backend while reads fail here. A command that waited over 20 ms for its connection is encoded anew: it told its backend up to the dial's time too much.

--- a/src/main/java/yardusher/Api.java
+++ b/src/main/java/yardusher/Api.java
@@ -31,13 +31,16 @@
     /** The servers that share deduplication state, and so drop a repeat of a deduplicated request. */
     public enum Group { ALL, ZONE, CELL }
 
-    /** How an attempt ended. */
+    /**
+     * How an attempt ended. LOCAL_FAILURE: it could not be sent because this machine was short of something; LOCAL_LOSS: it was
+     * sent, but its answer could not be read here. Neither says anything about the server. Stored by position: new ones go last.
+     */
     public enum Outcome {
-        SERVED, SERVER_ERROR, REJECTED, TIMED_OUT, CONNECT_FAILED, CONNECTION_LOST, CANCELLED, NOT_SENT;
+        SERVED, SERVER_ERROR, REJECTED, TIMED_OUT, CONNECT_FAILED, CONNECTION_LOST, CANCELLED, NOT_SENT, LOCAL_FAILURE, LOCAL_LOSS;
 
         /** Whether this outcome proves that the attempt never ran. */
         public boolean neverRan() {
-            return this == REJECTED || this == CONNECT_FAILED || this == NOT_SENT;
+            return this == REJECTED || this == CONNECT_FAILED || this == NOT_SENT || this == LOCAL_FAILURE;
         }
     }
 
--- a/src/main/java/yardusher/Attempts.java
+++ b/src/main/java/yardusher/Attempts.java
@@ -218,7 +218,7 @@
     private void retryOrEnd(PendingRequest pending, Outcome outcome) {
         Request request = pending.request;
         double untilMs = pending.requestClass.lateValue() == 0 ? Math.min(request.dueMs(), pending.aimAtMs()) : request.dueMs();
-        boolean neverConnected = outcome == Outcome.CONNECT_FAILED;
+        boolean neverConnected = outcome == Outcome.CONNECT_FAILED || outcome == Outcome.LOCAL_FAILURE;
         if (outcome != Outcome.NOT_SENT && pending.attempts < settings.limits().maxAttempts()
                 && clock.now + servers.latencies.classLatencyMs[request.classIndex()] / 2 < untilMs
                 && (neverConnected || retryTokens >= 1)) {
--- a/src/main/java/yardusher/core/Attempt.java
+++ b/src/main/java/yardusher/core/Attempt.java
@@ -1,5 +1,7 @@
 package yardusher.core;
 
+import java.nio.ByteBuffer;
+import java.util.function.BooleanSupplier;
 import yardusher.Api;
 
 /** One sending of a request to a backend. It ends exactly once, through {@link Ingress#attemptEnded}. */
@@ -18,6 +20,8 @@
     double firstByteMs = -1;
     /** Aborts the attempt; set by the backend connection. */
     public Runnable abort = () -> { };
+    /** Whether this machine holds the attempt up at the moment; set by the backend connection. */
+    public BooleanSupplier heldUpLocally = () -> false;
     /** Whether the bytes were handed to a socket. Kept after the attempt ends, for the request log. */
     private boolean handedToSocket;
     /** Whether the attempt is already counted in {@link Counters#forwards}. */
@@ -51,6 +55,12 @@
         return allowed;
     }
 
+    /** The command as it is to be sent now: it tells the backend only the time that is left. */
+    public ByteBuffer[] commandAt(double nowMs) {
+        double leftMs = Math.max(1, sentAtMs + waitMs - nowMs);
+        return request.incoming.command().encoded((long) Math.ceil(leftMs));
+    }
+
     /** Whether the attempt waited longer than its units of a ceiling are reserved for it. */
     public boolean isTooLateToWrite(double nowMs) { return request.hasCeiling && nowMs - sentAtMs > Api.MAX_WRITE_DELAY_MS; }
 
--- a/src/main/java/yardusher/core/DispatchStage.java
+++ b/src/main/java/yardusher/core/DispatchStage.java
@@ -64,9 +64,15 @@
         if (attempt.isOver()) { return; }
         // An attempt that was never handed to a socket cannot have run. If it was still waiting for its record, the backend
         // must not be counted as unreachable.
-        Api.Outcome neverSent = attempt.request.state.isParked(attempt.number) ? Api.Outcome.NOT_SENT : Api.Outcome.CONNECT_FAILED;
-        Api.Outcome outcome = attempt.mayHaveBeenSent() ? Api.Outcome.TIMED_OUT : neverSent;
+        Api.Outcome outcome = expiredOutcome(attempt);
         attempt.abort.run();
         onEnded.accept(attempt, Attempt.Result.of(outcome));
     }
+
+    private static Api.Outcome expiredOutcome(Attempt attempt) {
+        if (attempt.request.state.isParked(attempt.number)) { return Api.Outcome.NOT_SENT; }
+        boolean local = attempt.heldUpLocally.getAsBoolean();
+        if (attempt.mayHaveBeenSent()) { return local ? Api.Outcome.LOCAL_LOSS : Api.Outcome.TIMED_OUT; }
+        return local ? Api.Outcome.LOCAL_FAILURE : Api.Outcome.CONNECT_FAILED;
+    }
 }
--- a/src/main/java/yardusher/net/Sockets.java
+++ b/src/main/java/yardusher/net/Sockets.java
@@ -12,7 +12,6 @@
 import java.nio.channels.CompletionHandler;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
-import yardusher.core.Deadlines;
 import yardusher.core.EventLoop;
 import yardusher.error.ConfigError;
 import yardusher.error.WireError;
@@ -28,6 +27,8 @@
         }
     }
 
+    private static final double MAX_OPEN_MS = 5000;  // for a listener, at the start of the process
+
     private final AsynchronousChannelGroup group;
     private final EventLoop loop;
 
@@ -67,6 +68,10 @@
 
     /** A listening socket. */
     public final class Listener {
+        private static final double MIN_QUIET_CHECK_MS = 5;
+        private static final double MAX_BACKLOG_KEPT_MS = 1000; // of a listener that closes while accepts fail
+        private static final double BACKLOG_MS = 100; // after a failed accept until the backlog is empty again
+
         private final AsynchronousServerSocketChannel channel;
         private final Consumer<AsynchronousSocketChannel> onAccept;
         private final Predicate<Void> hasRoom;
@@ -74,6 +79,9 @@
         private boolean accepting;
         private boolean bound;
         private double lastAcceptedAtMs;             // when the last connection was accepted
+        private final RetryWait acceptRetry = new RetryWait();
+        private double failingSinceMs;               // since when accepts have failed, until one long after a failure
+        private double lastFailedAtMs = Double.NEGATIVE_INFINITY;
 
         private Listener(AsynchronousServerSocketChannel channel, InetSocketAddress address,
                 Consumer<AsynchronousSocketChannel> onAccept, Predicate<Void> hasRoom) {
@@ -113,9 +121,10 @@
                     loop.execute(() -> {
                         accepting = false;
                         lastAcceptedAtMs = loop.now();
+                        acceptRetry.reset();
                         setNoDelay(accepted);
+                        loop.defer(Listener.this::accept); // also if the new connection meets a fault
                         onAccept.accept(accepted);
-                        accept();
                     });
                 }
 
@@ -123,7 +132,10 @@
                 public void failed(Throwable cause, Listener listener) {
                     loop.execute(() -> {
                         accepting = false;
-                        loop.deadlines().schedule(loop.now() + 50, Listener.this::accept);
+                        double nowMs = loop.now();
+                        if (heldUpMs() == 0) { failingSinceMs = nowMs; }
+                        lastFailedAtMs = nowMs;
+                        loop.deadlines().schedule(nowMs + acceptRetry.nextWaitMs(nowMs), Listener.this::accept);
                     });
                 }
             });
@@ -136,11 +148,23 @@
         public void closeWhenQuiet(double quietMs, double deadlineMs) {
             double nowMs = loop.now();
             double closeAtMs = Math.min(deadlineMs, Math.max(nowMs, lastAcceptedAtMs) + quietMs);
-            loop.deadlines().schedule(closeAtMs, () -> {
-                if (lastAcceptedAtMs < nowMs || loop.now() >= deadlineMs) { close(); } else { closeWhenQuiet(quietMs, deadlineMs); }
+            loop.deadlines().schedule(Math.max(closeAtMs, nowMs + MIN_QUIET_CHECK_MS), () -> {
+                boolean quiet = lastAcceptedAtMs < nowMs || loop.now() >= deadlineMs;
+                // While accepts fail, connections wait that the close would reset.
+                boolean backlogKept = heldUpMs() > 0 && loop.now() < deadlineMs + MAX_BACKLOG_KEPT_MS;
+                if (quiet && !backlogKept) { close(); } else { closeWhenQuiet(quietMs, deadlineMs); }
             });
         }
 
+        /**
+         * For how long, at most, a connection that is accepted now may have waited because accepts failed on this machine, in
+         * milliseconds. Those behind it in the backlog have waited as long.
+         */
+        double heldUpMs() {
+            double nowMs = loop.now();
+            return nowMs - lastFailedAtMs > BACKLOG_MS ? 0 : nowMs - failingSinceMs;
+        }
+
         /** Whether no more connections can come. */
         public boolean isClosed() { return !channel.isOpen(); }
 
@@ -165,7 +189,7 @@
      */
     public Listener createListener(InetSocketAddress address, boolean reusePort, Consumer<AsynchronousSocketChannel> onAccept,
             Predicate<Void> hasRoom) throws IOException {
-        AsynchronousServerSocketChannel channel = AsynchronousServerSocketChannel.open(group);
+        AsynchronousServerSocketChannel channel = OpenRetry.open(MAX_OPEN_MS, () -> AsynchronousServerSocketChannel.open(group));
         channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
         if (reusePort && channel.supportedOptions().contains(StandardSocketOptions.SO_REUSEPORT)) {
             channel.setOption(StandardSocketOptions.SO_REUSEPORT, true);
@@ -176,97 +200,29 @@
     /** Connects with a timeout; one of the two callbacks runs, on the event loop. The returned callback cancels the attempt. */
     public Runnable connect(InetSocketAddress to, double timeoutMs, Consumer<AsynchronousSocketChannel> onConnected,
             Runnable onFailed) {
-        boolean[] finished = new boolean[1];
-        AsynchronousSocketChannel channel;
-        try {
-            channel = AsynchronousSocketChannel.open(group);
-        } catch (IOException e) {                    // no descriptor left: treated as no answer
-            loop.defer(() -> {
-                if (!finished[0]) { onFailed.run(); }
-            });
-            return () -> finished[0] = true;
-        }
-        Runnable cancel = () -> {
-            finished[0] = true;
-            closeQuietly(channel);
-        };
-        Deadlines.Entry timeout = loop.deadlines().schedule(loop.now() + timeoutMs, () -> {
-            if (!finished[0]) {
-                cancel.run();
-                onFailed.run();
-            }
-        });
-        channel.connect(to, null, new CompletionHandler<Void, Void>() {
-            @Override
-            public void completed(Void nothing, Void none) {
-                loop.execute(() -> {
-                    loop.deadlines().cancel(timeout);
-                    if (finished[0]) { return; }
-                    finished[0] = true;
-                    setNoDelay(channel);
-                    onConnected.accept(channel);
-                });
-            }
+        return beginConnect(to, timeoutMs, onConnected, failure -> onFailed.run())::cancel;
+    }
 
-            @Override
-            public void failed(Throwable cause, Void none) {
-                loop.execute(() -> {
-                    loop.deadlines().cancel(timeout);
-                    if (finished[0]) { return; }
-                    cancel.run();
-                    onFailed.run();
-                });
-            }
-        });
-        return () -> {
-            loop.deadlines().cancel(timeout);
-            cancel.run();
-        };
+    /** The same, for callers that must know whose failure it was. */
+    public Connecting beginConnect(InetSocketAddress to, double timeoutMs, Consumer<AsynchronousSocketChannel> onConnected,
+            Consumer<ConnectFailure> onFailed) {
+        return new Connecting(group, loop, to, onConnected, onFailed).begin(timeoutMs);
     }
 
     /**
-     * Connects without a timeout of its own; one of the two callbacks runs, on the event loop. For callers that must know how a
-     * connect ended after they have given it up: a channel that is closed while connecting may have been accepted all the same.
+     * Connects without a timeout of its own. For callers that must know how a connect ended after they have abandoned it: a
+     * channel that is closed while connecting may have been accepted all the same.
      */
-    public void dial(InetSocketAddress to, Consumer<AsynchronousSocketChannel> onConnected, Runnable onFailed) {
-        AsynchronousSocketChannel channel;
-        try {
-            channel = AsynchronousSocketChannel.open(group);
-        } catch (IOException e) {
-            loop.defer(onFailed);
-            return;
-        }
-        channel.connect(to, null, new CompletionHandler<Void, Void>() {
-            @Override
-            public void completed(Void nothing, Void none) {
-                loop.execute(() -> {
-                    setNoDelay(channel);
-                    onConnected.accept(channel);
-                });
-            }
-
-            @Override
-            public void failed(Throwable cause, Void none) {
-                loop.execute(() -> {
-                    closeQuietly(channel);
-                    onFailed.run();
-                });
-            }
-        });
+    public Connecting dial(InetSocketAddress to, Consumer<AsynchronousSocketChannel> onConnected, Consumer<ConnectFailure> onFailed) {
+        return beginConnect(to, Double.POSITIVE_INFINITY, onConnected, onFailed);
     }
 
-    private static void setNoDelay(AsynchronousSocketChannel channel) {
+    static void setNoDelay(AsynchronousSocketChannel channel) {
         try {
             channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
         } catch (IOException e) { /* the first read or write reports it */ }
     }
 
-    private static void closeQuietly(AsynchronousSocketChannel channel) {
-        try {
-            channel.close();
-        } catch (IOException e) { /* closed either way */ }
-    }
-
     public void shutdown() {
         try {
             group.shutdownNow();
--- a/src/main/java/yardusher/servers/BackendConnection.java
+++ b/src/main/java/yardusher/servers/BackendConnection.java
@@ -22,6 +22,7 @@
     private static final double PROGRESS_TIMEOUT_MS = 250;
     private static final double STALL_GRACE_MS = 50; // extra time to read what arrived while the process was stalled
     private static final double RESPONSE_TIMEOUT_MS = 1000;
+    private static final double MAX_FAILING_WRITE_MS = 100;
 
     private Connection connection;
     private Attempt attempt;
@@ -55,6 +56,7 @@
         reused = used;
         used = true;
         next.abort = this::close;
+        next.heldUpLocally = connection::isFailingLocally;
         for (ByteBuffer part : cargo) { connection.write(part); }
     }
 
@@ -115,14 +117,19 @@
         responseStartedAtMs = timeout == null ? now : responseStartedAtMs;
         deadlines.cancel(timeout);
         boolean endless = now - responseStartedAtMs > RESPONSE_TIMEOUT_MS;
-        timeout = endless ? deadlines.schedule(now, this::failAttempt)
+        timeout = endless ? deadlines.schedule(now, this::failUnlessHeldUp)
                 : deadlines.schedule(now + PROGRESS_TIMEOUT_MS, this::grantStallGrace);
     }
 
     /** Grants extra time in case this process was stalled: bytes that arrived meanwhile are read before it is over. */
     private void grantStallGrace() {
         Deadlines deadlines = pool.sockets.loop().deadlines();
-        timeout = deadlines.schedule(pool.sockets.loop().now() + STALL_GRACE_MS, this::failAttempt);
+        timeout = deadlines.schedule(pool.sockets.loop().now() + STALL_GRACE_MS, this::failUnlessHeldUp);
+    }
+
+    /** The response made no progress; but while reads fail on this machine, that is not the backend's doing. */
+    private void failUnlessHeldUp() {
+        if (connection.isFailingLocally()) { grantStallGrace(); } else { failAttempt(); }
     }
 
     /** The attempt has its response: the connection becomes idle. */
@@ -160,6 +167,7 @@
     private void checkProgress() {
         if (stream == null) { return; }
         double now = pool.sockets.loop().now();
+        if (connection.isFailingLocally()) { progressAtMs = now; } // not the backend's doing
         if (now < progressAtMs + pool.stallMs) {
             timeout = pool.sockets.loop().deadlines().schedule(progressAtMs + pool.stallMs, this::checkProgress);
             return;
@@ -217,12 +225,23 @@
         attempt = null;
         stream = null;
         if (ended != null) {
-            pool.recordLoss(reused, true);
+            if (from.closeReason().isByPeer()) { pool.recordLoss(reused, true); }
             if (from.writeFailed()) { ended.writeFailed(); }
-            pool.attemptEnded(ended, Attempt.Result.of(from.writeFailed() ? Api.Outcome.CONNECT_FAILED : Api.Outcome.CONNECTION_LOST));
+            pool.attemptEnded(ended, Attempt.Result.of(outcomeOf(from)));
         }
     }
 
+    /** How the attempt on a connection ended that has closed. */
+    private static Api.Outcome outcomeOf(Connection closed) {
+        boolean local = !closed.closeReason().isByPeer();
+        if (closed.writeFailed()) { return local ? Api.Outcome.LOCAL_FAILURE : Api.Outcome.CONNECT_FAILED; }
+        return local ? Api.Outcome.LOCAL_LOSS : Api.Outcome.CONNECTION_LOST;
+    }
+
+    /** A command that cannot be written is given to another connection, before it tells more time than is left. */
+    @Override
+    public double maxFailingWriteMs() { return MAX_FAILING_WRITE_MS; }
+
     /** Fails the attempt, which may have run, and closes the connection: later bytes on it cannot be attributed. */
     private void failAttempt() {
         Attempt ended = attempt;
--- a/src/main/java/yardusher/servers/BackendPool.java
+++ b/src/main/java/yardusher/servers/BackendPool.java
@@ -16,6 +16,8 @@
 import yardusher.core.ResponseStream;
 import yardusher.core.Ingress;
 import yardusher.core.Backends;
+import yardusher.net.ConnectFailure;
+import yardusher.net.Connecting;
 import yardusher.net.Connection;
 import yardusher.net.Sockets;
 
@@ -30,6 +32,8 @@
     private static final double ORPHAN_DIAL_TIMEOUT_MS = 2000; // time limit of a dial that no attempt waits for any more
     private static final int MAX_ORPHAN_DIALS = 2;   // such dials, and idle connections kept from them, per backend
     private static final double SECOND_DIAL_FRACTION = 0.2; // fraction of the dial timeout after which a second dial starts in parallel
+    private static final double ROOM_CHECK_MS = 10;  // interval at which a dial waits for room
+    private static final double MAX_COMMAND_AGE_MS = 20; // an older command tells its backend more time than is left
     private static final double LOSS_WEIGHT = 0.05;  // weight of one attempt in the moving average of lost attempts
     private static final double LOSS_TOLERANCE = 0.05; // tolerated excess of the loss rate of reused connections over that of new ones
     private static final int REUSE_PROBE_INTERVAL = 8; // beyond that, one in this many attempts still tries a reused connection
@@ -72,6 +76,7 @@
         Deadlines.Entry limit;
         Deadlines.Entry secondDial;
         boolean done;
+        boolean waitsForRoom;                        // all connections are in use: it is dialled once there is room
 
         WaitingAttempt(Attempt attempt, ByteBuffer... cargo) {
             this.attempt = attempt;
@@ -83,6 +88,7 @@
     private static final class Dial {
         final WaitingAttempt owner;
         Runnable cancel;
+        Connecting connecting;                       // null while it begins
 
         Dial(WaitingAttempt owner) { this.owner = owner; }
     }
@@ -205,12 +211,11 @@
             if (!trySend(connection, attempt, cargo)) { connection.close(); }
             return;
         }
-        if (connections - closing >= maxConnections && !closeOneIdle()) {
-            // Keeps to the descriptor limit: nothing was sent, so the module may try another backend.
-            sockets.loop().defer(() -> attemptEnded(attempt, Attempt.Result.of(Api.Outcome.CONNECT_FAILED)));
-            return;
-        }
         if (allowance != null) {
+            if (!hasRoom()) {                        // keeps to the descriptor limit; no backend is at fault
+                sockets.loop().defer(() -> attemptEnded(attempt, Attempt.Result.of(Api.Outcome.LOCAL_FAILURE)));
+                return;
+            }
             startWithAllowance(pooled, attempt, cargo);
             return;
         }
@@ -219,7 +224,14 @@
         WaitingAttempt waiting = new WaitingAttempt(attempt, cargo);
         pooled.waiting.addLast(waiting);
         attempt.abort = () -> stopWaiting(pooled, waiting);
-        waiting.limit = deadlines.schedule(now + dialMs, () -> failWaiting(pooled, waiting));
+        attempt.heldUpLocally = () -> isHeldUpLocally(pooled, waiting);
+        waiting.limit = deadlines.schedule(now + dialMs,
+                () -> failWaiting(pooled, waiting, isHeldUpLocally(pooled, waiting) ? ConnectFailure.LOCAL : ConnectFailure.PEER));
+        if (!hasRoom()) {
+            waiting.waitsForRoom = true;
+            dialOnceThereIsRoom(pooled, waiting);
+            return;
+        }
         // A lost handshake often affects one dial only: a second one in parallel succeeds sooner than the first would fail.
         waiting.secondDial = deadlines.schedule(now + dialMs * SECOND_DIAL_FRACTION, () -> {
             if (!waiting.done && connections < maxConnections) { dial(pooled, waiting); }
@@ -227,11 +239,36 @@
         dial(pooled, waiting);
     }
 
+    /** Whether one more connection may be opened; may close an idle one for it. */
+    private boolean hasRoom() { return connections - closing < maxConnections || closeOneIdle(); }
+
+    private void dialOnceThereIsRoom(PooledBackend pooled, WaitingAttempt waiting) {
+        Deadlines deadlines = sockets.loop().deadlines();
+        waiting.secondDial = deadlines.schedule(sockets.loop().now() + ROOM_CHECK_MS, () -> {
+            if (waiting.done) { return; }
+            if (!hasRoom()) {
+                dialOnceThereIsRoom(pooled, waiting);
+                return;
+            }
+            waiting.waitsForRoom = false;
+            dial(pooled, waiting);
+        });
+    }
+
+    /** Whether a lack on this machine, and not the backend, keeps a waiting attempt from its connection. */
+    private static boolean isHeldUpLocally(PooledBackend pooled, WaitingAttempt waiting) {
+        if (waiting.waitsForRoom) { return true; }
+        for (Dial dial : pooled.dials) {
+            if (dial.owner == waiting && dial.connecting != null && !dial.connecting.isHeldUpLocally()) { return false; }
+        }
+        return pooled.dials.stream().anyMatch(dial -> dial.owner == waiting);
+    }
+
     /** Hands an attempt to a connection; false if it may no longer be sent, and then it ends as never sent. */
     private boolean trySend(BackendConnection connection, Attempt attempt, ByteBuffer... cargo) {
         double now = sockets.loop().now();
         if (attempt.handToSocket(now)) {
-            connection.send(attempt, cargo);
+            connection.send(attempt, now - attempt.sentAtMs > MAX_COMMAND_AGE_MS ? attempt.commandAt(now) : cargo);
             return true;
         }
         Api.Outcome outcome = attempt.isTooLateToWrite(now) ? Api.Outcome.CONNECT_FAILED : Api.Outcome.NOT_SENT;
@@ -246,20 +283,20 @@
         pooled.open++;
         counters.connectionsOpened++;
         pooled.dials.addLast(dial);
-        Runnable giveUp = sockets.connect(pooled.address, Math.max(dialMs, ORPHAN_DIAL_TIMEOUT_MS), channel -> {
+        dial.connecting = sockets.beginConnect(pooled.address, Math.max(dialMs, ORPHAN_DIAL_TIMEOUT_MS), channel -> {
             pooled.dials.remove(dial);
             BackendConnection created = new BackendConnection(this, pooled, backend);
             created.open(channel);
             assignNewConnection(created, dial.owner);
-        }, () -> {
+        }, failure -> {
             recordClosed(pooled, backend, false);
             pooled.dials.remove(dial);
-            if (!dial.owner.done) { failWaiting(pooled, dial.owner); }
+            if (!dial.owner.done) { failWaiting(pooled, dial.owner, failure); }
         });
         dial.cancel = () -> {
             recordClosed(pooled, backend, false);
             pooled.dials.remove(dial);
-            giveUp.run();
+            dial.connecting.cancel();
         };
     }
 
@@ -290,10 +327,19 @@
         }
     }
 
-    private void failWaiting(PooledBackend pooled, WaitingAttempt waiting) {
+    private void failWaiting(PooledBackend pooled, WaitingAttempt waiting, ConnectFailure failure) {
         stopWaiting(pooled, waiting);
+        connectFailed(waiting.attempt, failure);
+    }
+
+    /** No connection came up for an attempt. */
+    private void connectFailed(Attempt attempt, ConnectFailure failure) {
+        if (failure == ConnectFailure.LOCAL) {
+            attemptEnded(attempt, Attempt.Result.of(Api.Outcome.LOCAL_FAILURE));
+            return;
+        }
         counters.connectionsFailed++;
-        attemptEnded(waiting.attempt, Attempt.Result.of(Api.Outcome.CONNECT_FAILED));
+        attemptEnded(attempt, Attempt.Result.of(Api.Outcome.CONNECT_FAILED));
     }
 
     /** Gives a connection that may be reused again to an attempt that waits for a dial. */
@@ -325,18 +371,21 @@
         counters.connectionsOpened++;
         pooled.dialling.add(attempt);
         boolean[] dropped = new boolean[1];
+        Connecting[] connecting = new Connecting[1];
         Runnable drop = () -> {
             dropped[0] = true;
             pooled.dialling.remove(attempt);
             recordClosing(pooled, attempt.backend);
+            connecting[0].abandon();
         };
+        attempt.heldUpLocally = () -> !dropped[0] && connecting[0] != null && connecting[0].isHeldUpLocally();
         Deadlines.Entry limit = sockets.loop().deadlines().schedule(sockets.loop().now() + dialMs, () -> {
             if (dropped[0]) { return; }
+            ConnectFailure failure = attempt.heldUpLocally.getAsBoolean() ? ConnectFailure.LOCAL : ConnectFailure.PEER;
             drop.run();
-            counters.connectionsFailed++;
-            attemptEnded(attempt, Attempt.Result.of(Api.Outcome.CONNECT_FAILED));
+            connectFailed(attempt, failure);
         });
-        sockets.dial(pooled.address, channel -> {
+        connecting[0] = sockets.dial(pooled.address, channel -> {
             sockets.loop().deadlines().cancel(limit);
             if (dropped[0]) {
                 BackendConnection.discard(this, channel, () -> recordClosed(pooled, attempt.backend, true));
@@ -346,13 +395,12 @@
             BackendConnection created = new BackendConnection(this, pooled, attempt.backend);
             created.open(channel);
             if (!trySend(created, attempt, cargo)) { returnIdle(created); }
-        }, () -> {
+        }, failure -> {
             sockets.loop().deadlines().cancel(limit);
             recordClosed(pooled, attempt.backend, dropped[0]);
             if (dropped[0]) { return; }
             pooled.dialling.remove(attempt);
-            counters.connectionsFailed++;
-            attemptEnded(attempt, Attempt.Result.of(Api.Outcome.CONNECT_FAILED));
+            connectFailed(attempt, failure);
         });
         attempt.abort = () -> {
             sockets.loop().deadlines().cancel(limit);
