Discovery's watch reads and writes through Connection, so that a failed call does not end it

Cause: DiscoveryWatch had handlers of its own with the same mistake as Connection had: any negative count or failure ended the watch, and the list was asked for anew.

--- a/src/main/java/yardusher/discovery/DiscoveryWatch.java
+++ b/src/main/java/yardusher/discovery/DiscoveryWatch.java
@@ -2,9 +2,6 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.ByteBuffer;
-import java.nio.channels.AsynchronousSocketChannel;
-import java.nio.channels.CompletionHandler;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -15,6 +12,7 @@
 import yardusher.core.Deadlines;
 import yardusher.core.Ingress;
 import yardusher.core.EventLoop;
+import yardusher.net.Connection;
 import yardusher.net.Sockets;
 import yardusher.wire.Codec;
 
@@ -113,13 +111,13 @@
     }
 
     /** One watch connection, from its dial on. */
-    private final class Stream {
+    private final class Stream implements Connection.Owner {
         private final int number;
         private final HttpLineReader lines = new HttpLineReader();
         private final JsonObjectAssembler objects = new JsonObjectAssembler();
-        private final ByteBuffer buffer = ByteBuffer.allocate(8192);
+        private final ReceivedBytes received = new ReceivedBytes();
         private Runnable cancelDial = () -> { };     // cancels the dial in progress
-        private AsynchronousSocketChannel channel;
+        private Connection connection;
         private long revisionAtRequest;              // the revision known when the request was sent
         private long requestedRevision;              // the revision requested from, 0 for the full list
         private final Set<Long> updatedElsewhere = new HashSet<>(); // backends that other watches updated since the dial
@@ -129,7 +127,7 @@
             this.number = number;
             try {
                 cancelDial = sockets.connect(address, WatchScheduler.CANDIDATE_LIFETIME_MS, made -> {
-                    channel = made;
+                    connection = new Connection(made, loop, this, received);
                     sendRequest();
                 }, this::fail);
             } catch (RuntimeException e) {
@@ -144,53 +142,29 @@
             requestedRevision = scheduler.requestsFullList() ? 0 : revisionAtRequest;
             String request = "GET /v1/servers?follow=1&since=" + requestedRevision + " HTTP/1.1\r\nHost: "
                     + address.getHostString() + ":" + address.getPort() + "\r\nAccept: application/json\r\n\r\n";
-            write(ByteBuffer.wrap(request.getBytes(StandardCharsets.US_ASCII)));
+            connection.write(request.getBytes(StandardCharsets.US_ASCII));
+            connection.readMore();
         }
 
-        private void write(ByteBuffer request) {
-            channel.write(request, null, new CompletionHandler<Integer, Void>() {
-                @Override
-                public void completed(Integer count, Void none) {
-                    loop.execute(() -> {
-                        if (closed) { return; }
-                        if (request.hasRemaining()) { write(request); } else { read(); }
-                    });
-                }
-
-                @Override
-                public void failed(Throwable why, Void none) { loop.execute(Stream.this::fail); }
-            });
-        }
-
-        private void read() {
-            buffer.clear();
-            channel.read(buffer, null, new CompletionHandler<Integer, Void>() {
-                @Override
-                public void completed(Integer count, Void none) { loop.execute(() -> onBytes(count)); }
-
-                @Override
-                public void failed(Throwable why, Void none) { loop.execute(Stream.this::end); }
-            });
-        }
-
-        private void onBytes(int count) {
-            if (closed) { return; }
-            if (count < 0) {
-                end();
-                return;
-            }
+        @Override
+        public boolean onReadable(Connection from) {
+            if (closed) { return false; }
             try {
-                lines.feed(buffer.array(), count);
+                lines.feed(received.bytes(), received.takeCount());
             } catch (IOException e) {
                 logMalformed(e);
                 fail();
-                return;
+                return false;
             }
             for (String line; !closed && (line = lines.nextLine()) != null;) { onLine(line); }
-            if (closed) { return; }
-            if (lines.isComplete()) { end(); } else { read(); }
+            if (closed) { return false; }
+            if (lines.isComplete()) { end(); }
+            return !closed;
         }
 
+        @Override
+        public void onClosed(Connection from) { end(); }
+
         /** The response ended or broke off: a complete last object counts even without its line end. */
         private void end() {
             if (closed) { return; }
@@ -268,13 +242,7 @@
 
         void close() {
             closed = true;
-            if (channel == null) {
-                cancelDial.run();
-                return;
-            }
-            try {
-                channel.close();
-            } catch (IOException e) { /* closed either way */ }
+            if (connection == null) { cancelDial.run(); } else { connection.close(); }
         }
     }
 }
