Datagrams: one receiving thread for both ports, and a wait after a failed receive

Cause: PeerSocket and DatagramMesh had the same loop, which repeated a failing receive at once, and an OutOfMemoryError ended the thread for good. Opening the port is repeated for up to 100 ms.

--- a/src/main/java/yardusher/mesh/DatagramMesh.java
+++ b/src/main/java/yardusher/mesh/DatagramMesh.java
@@ -11,15 +11,17 @@
 import net.openhft.hashing.LongHashFunction;
 import yardusher.core.EventLoop;
 import yardusher.error.ViewError;
+import yardusher.net.DatagramReceiver;
+import yardusher.net.OpenRetry;
 import yardusher.net.Sockets;
 
 /**
- * The mesh on a UDP port of its own. NIO.2 has no asynchronous datagrams, so one thread blocks in receive and passes each
- * datagram to the event loop, as {@code peers.PeerSocket} does. A frame has two marker bytes, the kind, a hash of the
+ * The mesh on a UDP port of its own. A frame has two marker bytes, the kind, a hash of the
  * installation's name, a CRC32C checksum of what follows it, and the body. The checksum and the name protect against accidents,
  * not against attackers: the port belongs on a private network of the installation.
  */
 public final class DatagramMesh implements Mesh {
+    private static final double MAX_OPEN_MS = 100;   // the event loop waits meanwhile
     private static final byte MAGIC = 'y';
     private static final byte VERSION = 1;
     private static final int HEADER_BYTES = 2 + 1 + 8 + 4;
@@ -49,7 +51,7 @@
     /** Binds the port; throws a {@link ViewError.Listen} if it is not available. Called on the event loop. */
     public void open() throws IOException {
         if (channel != null) { return; }
-        DatagramChannel opened = DatagramChannel.open();
+        DatagramChannel opened = OpenRetry.open(MAX_OPEN_MS, DatagramChannel::open);
         if (opened.supportedOptions().contains(StandardSocketOptions.SO_REUSEPORT)) {
             opened.setOption(StandardSocketOptions.SO_REUSEPORT, true); // the next version takes over while this one leaves
         }
@@ -61,24 +63,7 @@
         }
         channel = opened;
         address = (InetSocketAddress) opened.getLocalAddress();
-        Thread thread = new Thread(() -> receive(opened), "mesh");
-        thread.setDaemon(true);
-        thread.start();
-    }
-
-    private void receive(DatagramChannel from) {
-        ByteBuffer in = ByteBuffer.allocateDirect(2048);
-        while (from.isOpen()) {
-            try {
-                in.clear();
-                InetSocketAddress sender = (InetSocketAddress) from.receive(in);
-                byte[] datagram = new byte[in.flip().remaining()];
-                in.get(datagram);
-                loop.execute(() -> handleDatagram(sender, datagram));
-            } catch (IOException e) {
-                if (!from.isOpen()) { return; }      // otherwise a failed receive: the next may succeed
-            }
-        }
+        DatagramReceiver.start("mesh", opened, (sender, datagram) -> loop.execute(() -> handleDatagram(sender, datagram)));
     }
 
     /** Validates a datagram and passes its body to the handler of its kind. */
--- a/src/main/java/yardusher/peers/PeerSocket.java
+++ b/src/main/java/yardusher/peers/PeerSocket.java
@@ -13,15 +13,15 @@
 import yardusher.core.PeerSender;
 import yardusher.core.EventLoop;
 import yardusher.error.WireError;
+import yardusher.net.DatagramReceiver;
+import yardusher.net.OpenRetry;
 import yardusher.net.Sockets;
 
-/**
- * Datagrams between ingresses. NIO.2 has no asynchronous datagram channel (PeersStoryTest demonstrates it), so one thread
- * blocks in receive and passes each datagram to the event loop, as a completion handler would.
- */
+/** Datagrams between ingresses; each one received is passed to the event loop, as a completion handler would. */
 public final class PeerSocket implements PeerSender {
     /** Maximum length of a datagram; the platform declares a run with a longer one void. */
     static final int MAX_BYTES = 256;
+    private static final double MAX_OPEN_MS = 100;   // the event loop waits meanwhile
 
     private final InetSocketAddress listen;
     private DatagramChannel channel;                 // null while this process does not hold the port
@@ -46,7 +46,7 @@
     /** Binds the port, which the previous process may still hold for a moment. Called on the event loop. */
     public void open(MessageHandler handler) throws IOException {
         if (channel != null) { return; }
-        DatagramChannel opened = DatagramChannel.open();
+        DatagramChannel opened = OpenRetry.open(MAX_OPEN_MS, DatagramChannel::open);
         if (opened.supportedOptions().contains(StandardSocketOptions.SO_REUSEPORT)) {
             opened.setOption(StandardSocketOptions.SO_REUSEPORT, true);
         }
@@ -57,26 +57,14 @@
             throw new WireError.Listen(Sockets.formatAddress(listen), e.getMessage(), e);
         }
         channel = opened;
-        Thread thread = new Thread(() -> receive(opened, handler), "peers");
-        thread.setDaemon(true);
-        thread.start();
+        DatagramReceiver.start("peers", opened, (sender, datagram) -> receive(sender, datagram, handler));
     }
 
-    private void receive(DatagramChannel from, MessageHandler handler) {
-        ByteBuffer in = ByteBuffer.allocateDirect(2048);
-        while (from.isOpen()) {
-            try {
-                in.clear();
-                Integer number = peerNumbers.get(from.receive(in));
-                if (number == null || in.position() > MAX_BYTES) { continue; } // not from a known peer, or too long
-                byte[] bytes = new byte[in.flip().remaining()];
-                in.get(bytes);
-                String body = new String(bytes, StandardCharsets.UTF_8);
-                loop.execute(() -> handler.onMessage(number, body));
-            } catch (IOException e) {
-                if (!from.isOpen()) { return; }      // otherwise a failed receive: the next may succeed
-            }
-        }
+    private void receive(InetSocketAddress sender, byte[] datagram, MessageHandler handler) {
+        Integer number = peerNumbers.get(sender);
+        if (number == null || datagram.length > MAX_BYTES) { return; } // not from a known peer, or too long
+        String body = new String(datagram, StandardCharsets.UTF_8);
+        loop.execute(() -> handler.onMessage(number, body));
     }
 
     @Override
