Commands that waited because calls failed here tell less time, and a fault in one gets an answer

A RuntimeException or Error in a command handler left its slot without an answer, and the ones behind it; it is answered -ERR internal and reported as a fault (found by reading).

--- a/src/main/java/yardusher/clients/PlatformFrontend.java
+++ b/src/main/java/yardusher/clients/PlatformFrontend.java
@@ -128,7 +128,7 @@
             return;
         }
         slot.request = requestAcceptor.accept(new IncomingRequest(classIndex, plan, call.customer, call.units, call.first, call.spread,
-                call.waitMs, call, new CallTerminal(this, slot, call.id)));
+                Math.max(1, call.waitMs - slot.heldUpMs()), call, new CallTerminal(this, slot, call.id)));
         if (slot.isAnswered()) { slot.request = null; }
     }
 
--- a/src/main/java/yardusher/core/EventLoop.java
+++ b/src/main/java/yardusher/core/EventLoop.java
@@ -72,7 +72,7 @@
      * Reports a fault. An error of the handler itself, for example when no memory is left, must not stop the remaining work or
      * the timer thread.
      */
-    private void reportFault(Throwable e) {
+    public void reportFault(Throwable e) {
         try {
             faultHandler.accept(e);
         } catch (Throwable unsaid) { /* the handler has counted the fault, or cannot */ }
--- a/src/main/java/yardusher/net/ClientConnection.java
+++ b/src/main/java/yardusher/net/ClientConnection.java
@@ -27,6 +27,8 @@
     private static final double REJECTED_DELAY_MS = 5; // delay of the next command, for each malformed one before it
     private static final double BODY_TIMEOUT_MS = 10_000; // until the end of a large body, including the wait for buffer space
 
+    private static final double FIRST_COMMANDS_MS = 20; // commands read this soon may have been sent before the accept
+
     /**
      * READING, then one or more of the others in this order. INPUT_IGNORED: further input is dropped, commands read before are
      * handled. FINISHING: open commands are answered, no others are handled. CLOSED: the terminal has left, or its last bytes
@@ -40,6 +42,8 @@
     private final Connection connection;
     private final boolean local;
     private final ArrayDeque<RespServer.Slot> slots = new ArrayDeque<>(2);
+    private final double acceptedAtMs;
+    private final double acceptHeldUpMs;             // how long the connection may have waited to be accepted
     private Stage stage = Stage.READING;
     private double quietSinceMs;
     private double commandBegunAtMs = Double.POSITIVE_INFINITY; // start of the command that is being read
@@ -60,6 +64,8 @@
         this.connections = connections;
         this.loop = loop;
         quietSinceMs = loop.now();
+        acceptedAtMs = quietSinceMs;
+        acceptHeldUpMs = server.acceptHeldUpMs();
         connection = Connection.createReadingAhead(channel, loop, this, MAX_READ_AHEAD_BYTES, server.readAheadBudget());
         local = isLocal(channel);
         connections.add(this);
@@ -137,11 +143,27 @@
             }
             commandBegunAtMs = Double.POSITIVE_INFINITY;
             connections.markBusy(this);
-            RespServer.Slot slot = new RespServer.Slot(this);
+            RespServer.Slot slot = new RespServer.Slot(this, commandHeldUpMs());
             slots.add(slot);
             slot.releaseBody = releaseBody;
             releaseBody = null;
+            handle(words, slot);
+        }
+    }
+
+    /** How long, at most, the next command may have waited because calls failed on this machine. */
+    private double commandHeldUpMs() {
+        boolean isFirst = loop.now() - acceptedAtMs <= FIRST_COMMANDS_MS;
+        return isFirst ? Math.max(acceptHeldUpMs, connection.readHeldUpMs()) : connection.readHeldUpMs();
+    }
+
+    private void handle(byte[][] words, RespServer.Slot slot) {
+        try {
             server.commandHandler().handle(words, slot);
+        } catch (RuntimeException | Error e) {
+            // A fault in one command must not leave it, and the commands behind it, without an answer.
+            loop.reportFault(e);
+            slot.complete(RespServer.FAULT_REPLY);
         }
     }
 
@@ -228,7 +250,7 @@
         server.commandHandler().onInvalidCommand();
         commandBegunAtMs = Double.POSITIVE_INFINITY;
         connections.markBusy(this);
-        RespServer.Slot slot = new RespServer.Slot(this);
+        RespServer.Slot slot = new RespServer.Slot(this, 0);
         slots.add(slot);
         slot.complete(new Encoder(64).error("ERR Protocol error: " + reason).toBytes());
     }
--- a/src/main/java/yardusher/net/RespServer.java
+++ b/src/main/java/yardusher/net/RespServer.java
@@ -34,6 +34,7 @@
 
     private static final byte[] CRLF = {'\r', '\n'};
     private static final byte[] FAILED_REPLY = new Encoder(16).error("ERR failed").toBytes();
+    static final byte[] FAULT_REPLY = new Encoder(16).error("ERR internal").toBytes();
     private static final int READ_AHEAD_HEAP_DIVISOR = 16; // one such part of the heap for commands not handled yet
     /**
      * Maximum number of bytes that all connections together read ahead: a share of the heap, at least 4 MiB and at most 16 MiB.
@@ -82,6 +83,9 @@
 
     public InetSocketAddress address() throws IOException { return listener.address(); }
 
+    /** For how long, at most, a connection accepted now may have waited because accepts failed on this machine. */
+    double acceptHeldUpMs() { return listener.heldUpMs(); }
+
     public void startAccepting() { listener.accept(); }
 
     /** The number of connections that may still send commands or whose last bytes the system has not accepted. */
@@ -225,7 +229,15 @@
         /** The request that is being processed for this command; null for none. */
         public RequestHandle request;
 
-        Slot(ClientConnection connection) { this.connection = connection; }
+        private final double heldUpMs;
+
+        Slot(ClientConnection connection, double heldUpMs) {
+            this.connection = connection;
+            this.heldUpMs = heldUpMs;
+        }
+
+        /** For how long, at most, this machine may have kept the command from being read, in milliseconds. */
+        public double heldUpMs() { return heldUpMs; }
 
         void releaseBody() {
             if (releaseBody != null) { releaseBody.run(); }
