--- a/lab/shim/faults.c
+++ b/lab/shim/faults.c
@@ -2,7 +2,8 @@
  * Fault injection for the sockets of one process, loaded with LD_PRELOAD.
  *
  * Environment:
- *   FAULT_RULES   CALL:FAULT:SIDE:ONE_IN:BURST, separated by ';'. FAULT is the name of an errno, or SHORT for a transfer of a few
+ *   FAULT_RULES   CALL:FAULT:SIDE:ONE_IN:BURST, separated by ';'. CALL is the name of a system call; read and write stand for recv and
+ *                 send too, epoll_add and epoll_mod for the two operations of epoll_ctl that arm a descriptor. FAULT is the name of an errno, or SHORT for a transfer of a few
  *                 bytes. SIDE is client, backend, discovery, peer, other or any. One call in ONE_IN fails, and the BURST - 1 calls
  *                 of the same rule that follow it.
  *   FAULT_PORTS   client=PORT,discovery=PORT: how sockets are told apart. Other outgoing connections are to backends.
@@ -276,7 +277,7 @@
 
 int epoll_ctl(int descriptor, int operation, int target, struct epoll_event *event) {
     REAL(int, epoll_ctl, int, int, int, struct epoll_event *);
-    int fault = fault_for("epoll_ctl", side_of(target));
+    int fault = operation == EPOLL_CTL_DEL ? 0 : fault_for(operation == EPOLL_CTL_ADD ? "epoll_add" : "epoll_mod", side_of(target));
     if (fault > 0) { errno = fault; return -1; }
     return real(descriptor, operation, target, event);
 }
--- a/lab/src/yardusher/lab/Discovery.java
+++ b/lab/src/yardusher/lab/Discovery.java
@@ -75,6 +75,9 @@
         tell("{\"revision\":" + revision + ",\"complete\":false,\"members\":[" + entry.in("Gone").json() + "]}");
     }
 
+    /** The id of the entry that has been there longest. */
+    public synchronized String firstId() { return entries.keySet().iterator().next(); }
+
     public synchronized Entry entry(String id) { return entries.get(id); }
 
     /** The whole list as it stands. */
--- a/lab/src/yardusher/lab/faults/FaultChecker.java
+++ b/lab/src/yardusher/lab/faults/FaultChecker.java
@@ -23,14 +23,21 @@
         }
     }
 
-    /** {@code closesAllowed}: ingresses were told to end, so that connections may close between requests. */
-    public List<String> breaches(List<FaultRequest> requests, boolean closesAllowed) {
+    /**
+     * {@code closesAllowed}: the ingress was told to end, so that connections may close between requests. {@code valuesMayBreak}:
+     * backends crashed, so that a value that had begun may end early.
+     */
+    public List<String> breaches(List<FaultRequest> requests, boolean closesAllowed, boolean valuesMayBreak) {
         List<String> breaches = new ArrayList<>();
         for (FaultRequest request : requests) {
             List<Region.Event> begun = begunById.getOrDefault(request.id(), List.of());
             switch (request.end()) {
-                case LOST, TRUNCATED -> {
-                    if (!closesAllowed || !isCrossing(request, begun)) { breaches.add("lost: " + request); }
+                case LOST -> {
+                    boolean behindBrokenValue = valuesMayBreak && request.answer().equals(FaultClient.BEHIND_BROKEN_VALUE);
+                    if (!behindBrokenValue && !(closesAllowed && isCrossing(request, begun))) { breaches.add("lost: " + request); }
+                }
+                case TRUNCATED -> {
+                    if (!valuesMayBreak) { breaches.add("lost in its value: " + request); }
                 }
                 case SILENT -> breaches.add("no final answer: " + request);
                 case CORRUPT -> breaches.add("a value that no backend made: " + request);
--- a/lab/src/yardusher/lab/faults/FaultClient.java
+++ b/lab/src/yardusher/lab/faults/FaultClient.java
@@ -25,6 +25,8 @@
 final class FaultClient implements Runnable {
     /** An answer may come so long after its deadline before it counts as none. */
     private static final int LOST_AFTER_MS = 500;
+    /** Why a request is lost whose connection could not go on after a value that broke off. */
+    static final String BEHIND_BROKEN_VALUE = "behind a value that broke off";
     private static final int CONNECT_TIMEOUT_MS = 2000;
     private static final int BODY_BYTES = 64;
 
@@ -39,6 +41,7 @@
     private final int pauseMs;
     private final int reconnectsOneIn;
     private volatile boolean stopped;
+    private End lastEnd;
     private Socket socket;
     private InputStream in;
 
@@ -137,7 +140,8 @@
         }
         for (int i = 0; i < batch.size(); i++) {
             if (!readAnswer(batch.get(i))) {
-                for (Pending behind : batch.subList(i + 1, batch.size())) { record(behind, End.LOST, "behind an answer that did not come"); }
+                End broken = lastEnd;
+                for (Pending behind : batch.subList(i + 1, batch.size())) { record(behind, End.LOST, broken == End.TRUNCATED ? BEHIND_BROKEN_VALUE : "behind " + broken); }
                 disconnect();
                 return;
             }
@@ -187,6 +191,7 @@
     }
 
     private void record(Pending request, End end, String answer) {
+        lastEnd = end;
         history.accept(new FaultRequest(request.id(), ingress, request.requestClass(), request.sentMs(), waitMs, Chronicle.now(), end, answer));
     }
 
--- a/lab/src/yardusher/lab/faults/FaultRun.java
+++ b/lab/src/yardusher/lab/faults/FaultRun.java
@@ -24,6 +24,7 @@
     private static final int WAIT_MS = 2000;
     private static final long AFTER_FAULTS_MS = 500;
     private static final long WARM_UP_MS = 500;
+    private static final long LIST_CHANGE_MS = 50;
     private static final FaultClient.Plan PLAN = new FaultClient.Plan(List.of(RequestClass.values()), 2, WAIT_MS, 20, 30);
 
     private FaultRun() { }
@@ -71,12 +72,15 @@
             try (FaultClients warmUp = new FaultClients(group, 1, seed, PLAN, ids, none -> { })) { Thread.sleep(WARM_UP_MS); }
             shim.enable(true);
             try (FaultClients clients = new FaultClients(group, CLIENTS, seed, PLAN, ids, requests::add)) {
-                Thread.sleep(faultMs);
+                for (double untilMs = Group.now() + faultMs; Group.now() < untilMs;) {
+                    Thread.sleep(LIST_CHANGE_MS);
+                    group.discovery().put(group.discovery().entry(group.discovery().firstId())); // the list changes all the time
+                }
                 shim.enable(false);
                 Thread.sleep(AFTER_FAULTS_MS);
             }
             List<FaultRequest> ended = List.copyOf(requests);
-            return new Result(ended, shim.injected(), new FaultChecker(group.regionHistory()).breaches(ended, false), counters(group),
+            return new Result(ended, shim.injected(), new FaultChecker(group.regionHistory()).breaches(ended, false, false), counters(group),
                     Files.readString(group.log(0)));
         }
     }
--- /dev/null
+++ b/src/test/java/yardusher/lab/faults/FaultCheckerTest.java
@@ -0,0 +1,47 @@
+package yardusher.lab.faults;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import yardusher.lab.Region;
+import yardusher.lab.faults.FaultRequest.End;
+import yardusher.lab.faults.FaultRequest.RequestClass;
+
+/** A checker that lets a breach of a rule pass. */
+class FaultCheckerTest {
+    private static final double SENT_MS = 10_000;
+    private static final int WAIT_MS = 1000;
+
+    private static FaultRequest request(RequestClass requestClass, double tookMs, End end) {
+        return new FaultRequest("00000000000000a1", 2, requestClass, SENT_MS, WAIT_MS, SENT_MS + tookMs, end, "");
+    }
+
+    private static Region.Event begin(double afterMs, int told) {
+        return new Region.Event(SENT_MS + afterMs, "r0", 1, "begin", 1, "CALL.POST 0000000000000001 00000000000000a1 c=book-once,d=" + told);
+    }
+
+    private static List<String> breaches(FaultRequest request, boolean closesAllowed, Region.Event... begun) {
+        return new FaultChecker(List.of(begun)).breaches(List.of(request), closesAllowed, false);
+    }
+
+    @Test
+    void eachRuleThatIsBrokenIsNamedWithRequestAndInstance() {
+        assertThat(breaches(request(RequestClass.LOOKUP, 60, End.SERVED), false, begin(2, WAIT_MS))).isEmpty();
+        assertThat(breaches(request(RequestClass.LOOKUP, 60, End.LOST), false)).singleElement().asString().contains("lost", "n2", "00000000000000a1");
+        assertThat(breaches(request(RequestClass.LOOKUP, 60, End.TRUNCATED), true)).singleElement().asString().startsWith("lost in its value");
+        assertThat(breaches(request(RequestClass.LOOKUP, 1501, End.SILENT), false)).singleElement().asString().startsWith("no final answer");
+        assertThat(breaches(request(RequestClass.LOOKUP, 60, End.CORRUPT), false)).singleElement().asString().startsWith("a value that no backend made");
+        assertThat(breaches(request(RequestClass.BOOK_ONCE, 60, End.SERVED), false, begin(2, 990), begin(30, 960))).singleElement().asString().startsWith("run 2 times");
+        assertThat(breaches(request(RequestClass.LOOKUP, 60, End.SERVED), false, begin(2, 1149))).singleElement().asString().startsWith("told 1149 ms");
+        assertThat(breaches(request(RequestClass.LOOKUP, 60, End.FAILED), false, begin(161, 100))).singleElement().asString().startsWith("sent after its end");
+    }
+
+    @Test
+    void aRequestThatCrossesTheEndOfItsConnectionIsLostOnceItWasForwarded() {
+        assertThat(breaches(request(RequestClass.LOOKUP, 5, End.LOST), true)).isEmpty();
+        assertThat(breaches(request(RequestClass.LOOKUP, 5, End.LOST), true, begin(2, WAIT_MS))).hasSize(1);
+        assertThat(breaches(request(RequestClass.LOOKUP, 25, End.LOST), true)).hasSize(1);
+        assertThat(breaches(request(RequestClass.LOOKUP, 5, End.LOST), false)).hasSize(1);
+    }
+}
--- a/src/test/java/yardusher/lab/faults/MachineFaultsTest.java
+++ b/src/test/java/yardusher/lab/faults/MachineFaultsTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -19,6 +20,13 @@
     @TempDir
     Path folder;
 
+    /** A failed epoll_ctl that re-arms a descriptor: the JDK drops the pending call, whose completion never comes. */
+    @Test
+    void noAnswerIsLostWhileDescriptorsCannotBeArmedAgain() throws Exception {
+        FaultRun.Result result = FaultRun.play(folder, 20, FaultRule.parse("epoll_mod:ENOMEM:client:60:1;write:EAGAIN:client:10:1"), FAULT_MS, Map.of());
+        assertThat(result.problems()).as("%s%n%s", result, result.log()).isEmpty();
+    }
+
     @ParameterizedTest
     @CsvSource(delimiter = '|', textBlock = """
             1  | write:ENOBUFS:client:50:1;write:ENOMEM:client:70:2
@@ -28,16 +36,19 @@
             5  | write:ENOBUFS:backend:20:2;write:EINTR:backend:30:1;write:ENOMEM:backend:40:1
             6  | socket:ENFILE:other:3:1;socket:EMFILE:other:5:1;connect:EADDRNOTAVAIL:backend:4:1
             7  | connect:ENETUNREACH:backend:4:1;connect:ENOBUFS:backend:5:1;connect:EINTR:backend:4:1
-            8  | epoll_wait:EINTR:other:10:1;epoll_ctl:ENOMEM:client:60:1;epoll_ctl:ENOSPC:backend:60:1
+            8  | epoll_wait:EINTR:other:10:1;epoll_add:ENOMEM:client:3:1;epoll_add:ENOSPC:backend:3:1
             9  | read:SHORT:any:4:1;write:SHORT:any:4:1
-            10 | setsockopt:ENOMEM:client:3:1;setsockopt:ENOBUFS:backend:3:1;close:EINTR:any:3:1;close:EIO:any:5:1
+            10 | setsockopt:ENOMEM:client:3:1;setsockopt:ENOBUFS:backend:3:1;close:EINTR:any:2:1;close:EIO:any:2:1
+            11 | accept:ENFILE:client:2:3;accept:EMFILE:client:3:1;accept:EINTR:client:3:1;accept:ECONNABORTED:client:3:1
+            12 | read:EINTR:discovery:10:1;read:ENOMEM:discovery:12:2;read:EIO:discovery:14:1;read:SHORT:discovery:3:1
+            13 | write:EIO:client:60:1;write:EINVAL:client:80:1;write:EPERM:client:90:1;write:ENETDOWN:client:100:1
             """)
     void noAnswerIsLostAndNoBackendBlamedWhileCallsFail(long seed, String rules) throws Exception {
         FaultRun.Result result = FaultRun.play(folder, seed, FaultRule.parse(rules), FAULT_MS, Map.of());
         assertThat(result.problems()).as("%s%n%s%n%s", result, result.counters(), result.log()).isEmpty();
         assertThat(result.injected().keySet()).as("a fault that was never injected proves nothing")
                 .containsAll(FaultRule.parse(rules).stream().map(FaultRule::kind).toList());
-        List<String> blamed = List.of("attempts_connect_failed=0 ", "attempts_connection_lost=0 ", "refused_no_server=0 ", " gone=0 ");
+        List<String> blamed = List.of("attempts_connect_failed=0 ", "attempts_connection_lost=0 ", "refused_no_server=0 ", " gone=0 ", " list_asks=1 ");
         assertThat(result.counters()).contains(blamed);
     }
 }
--- /dev/null
+++ b/src/test/java/yardusher/lab/faults/SoakTest.java
@@ -0,0 +1,27 @@
+package yardusher.lab.faults;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Path;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Failing system calls beside crashes, pauses, silence, series of signals and restarts; the long soak is {@link Soak#main}. */
+@Timeout(value = 120, unit = TimeUnit.SECONDS)
+class SoakTest {
+    private static final long DURATION_MS = 8000;
+
+    @TempDir
+    Path folder;
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void everyRequestHasItsOneAnswer(long seed) throws Exception {
+        StringBuilder note = new StringBuilder();
+        assertThat(Soak.play(folder, seed, DURATION_MS, note, new TreeMap<>())).as("Soak FOLDER %d 1 8: %s", seed, note).isEmpty();
+    }
+}
