Commands that come in pieces after failed calls, or after their time, are held to the time that is left

A command whose time was over when it could be read was sent with d=1; it is refused (-BUSY, reason late) and never forwarded.

--- a/lab/src/yardusher/lab/faults/Soak.java
+++ b/lab/src/yardusher/lab/faults/Soak.java
@@ -76,7 +76,7 @@
         int deadlineMs = DEADLINES_MS[random.nextInt(DEADLINES_MS.length)];
         boolean crowded = random.nextInt(CROWD_ONE_IN) == 0;
         List<FaultRequest> requests = Collections.synchronizedList(new ArrayList<>());
-        try (Group group = new Group(folder, INGRESSES, seed)) {
+        try (Group group = new Group(folder, INGRESSES, seed); StallMeter stalls = new StallMeter()) {
             Soak soak = new Soak(group, random, deadlineMs);
             soak.prepare(seed, crowded);
             group.start();
@@ -89,6 +89,7 @@
                 soak.trouble(durationMs);
             }
             soak.leave();
+            note.append("longest stall ").append(stalls.longestMs()).append(" ms, ");
             return soak.judge(List.copyOf(requests), note, kinds, crowded);
         }
     }
--- a/src/main/java/yardusher/clients/PlatformFrontend.java
+++ b/src/main/java/yardusher/clients/PlatformFrontend.java
@@ -127,8 +127,15 @@
             slot.reject(e.getMessage());
             return;
         }
+        double waitMs = call.waitMs - slot.heldUpMs();
+        if (waitMs <= 0) {                           // calls failed here for so long that its time is over
+            openIds.remove(call.id);
+            ingress.countRefusedLate(classIndex);
+            slot.answer(BUSY_REPLY);
+            return;
+        }
         slot.request = requestAcceptor.accept(new IncomingRequest(classIndex, plan, call.customer, call.units, call.first, call.spread,
-                Math.max(1, call.waitMs - slot.heldUpMs()), call, new CallTerminal(this, slot, call.id)));
+                waitMs, call, new CallTerminal(this, slot, call.id)));
         if (slot.isAnswered()) { slot.request = null; }
     }
 
--- a/src/main/java/yardusher/core/Ingress.java
+++ b/src/main/java/yardusher/core/Ingress.java
@@ -91,6 +91,13 @@
         return request;
     }
 
+    /** Counts a request that was refused before its acceptance, since its time was over when it was read. */
+    public void countRefusedLate(int classIndex) {
+        counters.accepted++;
+        counters.refused[classIndex]++;
+        counters.refusalsByReason[Api.Reason.LATE.ordinal()]++;
+    }
+
     /**
      * Returns the limits and the current use of a customer. Asks the module only: nothing is consumed and no backend is
      * contacted.
--- a/src/main/java/yardusher/net/ClientConnection.java
+++ b/src/main/java/yardusher/net/ClientConnection.java
@@ -27,7 +27,7 @@
     private static final double REJECTED_DELAY_MS = 5; // delay of the next command, for each malformed one before it
     private static final double BODY_TIMEOUT_MS = 10_000; // until the end of a large body, including the wait for buffer space
 
-    private static final double FIRST_COMMANDS_MS = 20; // commands read this soon may have been sent before the accept
+    private static final double FIRST_COMMANDS_MS = 20; // commands read this soon after the first may have been sent before the accept
 
     /**
      * READING, then one or more of the others in this order. INPUT_IGNORED: further input is dropped, commands read before are
@@ -42,7 +42,7 @@
     private final Connection connection;
     private final boolean local;
     private final ArrayDeque<RespServer.Slot> slots = new ArrayDeque<>(2);
-    private final double acceptedAtMs;
+    private double firstReadAtMs = Double.NaN;       // when the first command was read
     private final double acceptHeldUpMs;             // how long the connection may have waited to be accepted
     private Stage stage = Stage.READING;
     private double quietSinceMs;
@@ -64,7 +64,6 @@
         this.connections = connections;
         this.loop = loop;
         quietSinceMs = loop.now();
-        acceptedAtMs = quietSinceMs;
         acceptHeldUpMs = server.acceptHeldUpMs();
         connection = Connection.createReadingAhead(channel, loop, this, MAX_READ_AHEAD_BYTES, server.readAheadBudget());
         local = isLocal(channel);
@@ -153,8 +152,9 @@
 
     /** How long, at most, the next command may have waited because calls failed on this machine. */
     private double commandHeldUpMs() {
-        boolean isFirst = loop.now() - acceptedAtMs <= FIRST_COMMANDS_MS;
-        return isFirst ? Math.max(acceptHeldUpMs, connection.readHeldUpMs()) : connection.readHeldUpMs();
+        if (Double.isNaN(firstReadAtMs)) { firstReadAtMs = loop.now(); }
+        boolean isFirst = loop.now() - firstReadAtMs <= FIRST_COMMANDS_MS;
+        return isFirst ? acceptHeldUpMs + connection.readHeldUpMs() : connection.readHeldUpMs();
     }
 
     private void handle(byte[][] words, RespServer.Slot slot) {
--- a/src/main/java/yardusher/net/Connection.java
+++ b/src/main/java/yardusher/net/Connection.java
@@ -55,6 +55,7 @@
     private static final double DRAIN_TIMEOUT_MS = 3000;
     private static final int MIN_READ_AHEAD_BYTES = 4 * 1024;
     private static final double MAX_FAILING_MS = 10_000; // longer than any request waits; then the connection is given up
+    private static final double HELD_UP_MEMORY_MS = 20; // a command may come in several reads
     /** Target of drained bytes. Nobody reads it, so all connections share it, without a copy. */
     private static final ByteBuffer DRAIN_BUFFER = ByteBuffer.allocateDirect(64 * 1024);
 
@@ -94,7 +95,8 @@
     private ByteBuffer pendingRead;                  // the buffer of the pending read
     private int requestedBytes;                      // the buffer size of the pending read
     private long readCount;
-    private double readHeldUpMs;                     // how long the last read was repeated before it succeeded
+    private double readHeldUpMs;                     // how long recent reads were repeated before they succeeded
+    private double readHeldUpAtMs = Double.NEGATIVE_INFINITY; // when the last of them succeeded
     private final RetryWait readRetry = new RetryWait();
     private final RetryWait writeRetry = new RetryWait();
 
@@ -152,8 +154,14 @@
     /** Whether a read is pending, so that a disconnect of the peer is seen. */
     boolean isReading() { return reading; }
 
-    /** How long the input of the last read may have waited because reads failed on this machine, in milliseconds. */
-    double readHeldUpMs() { return readHeldUpMs; }
+    /** How long the input that was just read may have waited because reads failed on this machine, in milliseconds. */
+    double readHeldUpMs() { return loop.now() - readHeldUpAtMs <= HELD_UP_MEMORY_MS ? readHeldUpMs : 0; }
+
+    private void recordHeldUp() {
+        double nowMs = loop.now();
+        readHeldUpMs = readHeldUpMs() + readRetry.failingForMs(nowMs);
+        readHeldUpAtMs = nowMs;
+    }
 
     /** Whether reads or writes fail on this machine at the moment and are repeated: then the peer's silence proves nothing. */
     public boolean isFailingLocally() { return readRetry.isFailing() || writeRetry.isFailing(); }
@@ -394,7 +402,7 @@
         }
         reading = false;
         pendingRead = null;                          // it may be large
-        readHeldUpMs = readRetry.failingForMs(loop.now());
+        if (readRetry.isFailing()) { recordHeldUp(); }
         readRetry.reset();
         if (stage == Stage.DRAINING) {
             onDrained(count);
