--- a/src/main/java/yardusher/Api.java
+++ b/src/main/java/yardusher/Api.java
@@ -1,6 +1,7 @@
 package yardusher;
 
 import java.util.List;
+import java.util.Locale;
 
 /**
  * Types of the decision module: its settings, the events that it takes and the actions that it returns. The decisions are made by
@@ -42,6 +43,14 @@
         public boolean neverRan() {
             return this == REJECTED || this == CONNECT_FAILED || this == NOT_SENT || this == LOCAL_FAILURE;
         }
+
+        /** Whether the server did not answer the attempt, though it was not given up by choice. */
+        public boolean isUnanswered() {
+            return this == CONNECT_FAILED || this == CONNECTION_LOST || this == LOCAL_FAILURE || this == LOCAL_LOSS;
+        }
+
+        /** The name in logs. */
+        public String label() { return name().toLowerCase(Locale.ROOT); }
     }
 
     /** State of a server in the list. */
@@ -208,7 +217,15 @@
      * Why a request was refused: its deadline has passed, it exceeds the quota or the ceiling, it was shed in overload in favour
      * of requests of more worth, no server may get it now, or its attempts failed and a repeat is harmless.
      */
-    public enum Reason { LATE, QUOTA, CEILING, PRESSURE, NO_SERVER, ATTEMPTS }
+    public enum Reason {
+        LATE, QUOTA, CEILING, PRESSURE, NO_SERVER, ATTEMPTS;
+
+        /** Whether the request was refused for a lack of capacity, and not for its customer's limits or its own time. */
+        public boolean isLackOfCapacity() { return this == PRESSURE || this == NO_SERVER || this == ATTEMPTS; }
+
+        /** The name in logs. */
+        public String label() { return name().toLowerCase(Locale.ROOT); }
+    }
 
     /** Final answer: the request failed and may have run. */
     public record Fail(long id) implements Action { }
--- a/src/main/java/yardusher/cli/IngressConfig.java
+++ b/src/main/java/yardusher/cli/IngressConfig.java
@@ -17,9 +17,12 @@
 import yardusher.wire.Codec;
 import yardusher.wire.SettingsValidator;
 
-/** The configuration of an ingress: the JSON file that RELAY_CONFIG names. {@code admin} may be null. */
+/**
+ * The configuration of an ingress: the JSON file that RELAY_CONFIG names. {@code admin} may be null. {@code settingsSource} is what
+ * {@code settings} were read from.
+ */
 public record IngressConfig(String name, InetSocketAddress listen, InetSocketAddress admin, InetSocketAddress discovery, long seed, int sockets,
-        InetSocketAddress peerListen, List<InetSocketAddress> peers, Codec.JsonObject known, Api.Settings settings,
+        InetSocketAddress peerListen, List<InetSocketAddress> peers, Codec.JsonObject known, Api.Settings settings, Codec.JsonObject settingsSource,
         List<String> classes, List<String> plans, List<String> zones, double idleMs, double dialMs, List<String> unused) {
     private static final long MAX_FILE_BYTES = 4 << 20; // 10,000 backends and as many peers fit
     private static final int MIN_SOCKETS = 32;       // of which the JVM, the listeners and the watch need half
@@ -71,7 +74,7 @@
                 address(json, "discovery"), seed(json.text("seed")),
                 (int) SettingsValidator.requireRange("limits.sockets", machine.number("sockets", 1024), MIN_SOCKETS, 1 << 24),
                 json.has("peer_listen") ? address(json, "peer_listen") : null, peers,
-                known(json.objectOrEmpty("known")), decoded, SettingsValidator.readNames(settings, "classes"), SettingsValidator.readNames(settings, "contracts"),
+                known(json.objectOrEmpty("known")), decoded, settings, SettingsValidator.readNames(settings, "classes"), SettingsValidator.readNames(settings, "contracts"),
                 zones, SettingsValidator.requireRange("settings.limits.conn_idle_ms", limits.number("conn_idle_ms", 30_000), 1, 86_400_000),
                 SettingsValidator.requireRange("settings.limits.dial_timeout_ms", limits.number("dial_timeout_ms", 250), 1, 600_000), listUnused(json, settings));
     }
@@ -109,12 +112,14 @@
         return known;
     }
 
-    /** Whether everything that a reload cannot change is the same in another reading of the file. */
+    /**
+     * Whether everything that a reload cannot change is the same in another reading of the file. Compares the settings as they were
+     * read: the first comparison of two records loads some hundred classes of the JDK.
+     */
     boolean sameExceptReloadable(IngressConfig next) {
         return name.equals(next.name) && listen.equals(next.listen) && java.util.Objects.equals(admin, next.admin) && sockets == next.sockets
                 && java.util.Objects.equals(peerListen, next.peerListen) && peers.equals(next.peers)
-                && settings.equals(next.settings) && classes.equals(next.classes) && plans.equals(next.plans)
-                && zones.equals(next.zones) && idleMs == next.idleMs && dialMs == next.dialMs;
+                && settingsSource.equals(next.settingsSource);
     }
 
     /** Number of backends listed in the configuration. */
--- a/src/main/java/yardusher/cli/IngressProcess.java
+++ b/src/main/java/yardusher/cli/IngressProcess.java
@@ -49,6 +49,8 @@
 /** A complete ingress process: builds and connects all components and runs them from the start to a graceful shutdown. */
 public final class IngressProcess {
     private static final double DRAIN_ACCEPT_MS = 500; // after SIGTERM new connections keep arriving for 0.2 to 0.4 s
+    private static final double HELD_UP_MS = 10;     // a task that is this late shows that the process did not run
+    private static final double CATCH_UP_MS = 3;
     private static final double DRAIN_READ_MS = 100; // then requests already in flight on open connections are still read
     private static final double MIN_DRAIN_MS = 3000; // the platform kills 0.7 s after the longest deadline or this, whichever is later
     private static final double FINAL_ANSWER_MS = 50; // after the last deadline, to deliver its answer
@@ -130,6 +132,7 @@
             try {
                 Ingress core = new Ingress(settings, config.seed(), bornMs, loop, pool, handover, counters, subsystems.wrapRequestLog());
                 pool.setIngress(core);
+                core.setTrace(new RequestEvents(events, loop::now));
                 DiscoveredBackends table = new DiscoveredBackends(config.zones(), pool);
                 core.deliver(table.apply(config.known(), Api.ListKind.CACHED));
                 made[0] = core;
@@ -372,11 +375,11 @@
         } catch (StackOverflowError | OutOfMemoryError e) {
             return "keeps its configuration: " + file + ": too deep or too long";
         }
+        boolean more = !config.sameExceptReloadable(next);
+        config = next;
         String[] done = new String[1];
         loop.execute(() -> {
             watch.moveTo(next.discovery());
-            boolean more = !config.sameExceptReloadable(next);
-            config = next;
             counters.reloads++;
             done[0] = "reloaded: discovery at " + next.discovery() + (more ? "; the rest of the file waits for a restart" : "")
                     + subsystems.reload(own);
@@ -391,8 +394,9 @@
     public void drain() throws InterruptedException {
         double mostMs = DRAIN_ACCEPT_MS + DRAIN_READ_MS + Math.max(longestDeadlineMs, MIN_DRAIN_MS) + FINAL_ANSWER_MS;
         loop.execute(() -> {
-            loop.deadlines().schedule(loop.now() + DRAIN_ACCEPT_MS, () -> {
-                if (handover.hasSuccessor()) { serving = false; } else { closeFronts(); }
+            double closeAtMs = loop.now() + DRAIN_ACCEPT_MS;
+            loop.deadlines().schedule(closeAtMs, () -> {
+                if (handover.hasSuccessor()) { serving = false; } else { closeFrontsDueAt(closeAtMs); }
                 loop.deadlines().schedule(loop.now() + DRAIN_READ_MS, () -> {
                     if (!handover.hasSuccessor()) { closeFronts(); } // connections that arrived at the last moment and sent nothing
                     awaitOpenRequests();
@@ -408,6 +412,16 @@
         drained.await((long) mostMs + STARVED_LOOP_EXTRA_MS, TimeUnit.MILLISECONDS);
     }
 
+    /** Closes the fronts; but if this process was held up until now, what arrived meanwhile is read first. */
+    private void closeFrontsDueAt(double dueMs) {
+        double nowMs = loop.now();
+        if (nowMs - dueMs > HELD_UP_MS) {
+            loop.deadlines().schedule(nowMs + CATCH_UP_MS, this::closeFronts);
+        } else {
+            closeFronts();
+        }
+    }
+
     private void closeFronts() {
         serving = false;
         ending = true;
--- a/src/main/java/yardusher/core/Ingress.java
+++ b/src/main/java/yardusher/core/Ingress.java
@@ -29,6 +29,7 @@
     private final ResponseStage responseStage;
     private final CleanupStage cleanupStage;
     private boolean runningActions;
+    private RequestTrace trace = RequestTrace.NONE;
 
     public Ingress(Api.Settings settings, long seed, EventLoop loop, Backends backends, PeerSender peerSender,
             Counters counters, RequestLog log) {
@@ -54,6 +55,9 @@
         runActions();
     }
 
+    /** Sets what is told of single requests from now on. */
+    public void setTrace(RequestTrace to) { trace = to; }
+
     public Api.Settings settings() { return settings; }
 
     public Counters counters() { return counters; }
@@ -124,6 +128,7 @@
         if (answered && attempt.mayHaveBeenSent() || result.outcome() == Api.Outcome.REJECTED) { countForwarded(attempt); }
         cleanupStage.attemptEnded(attempt, result);
         Request request = attempt.request;
+        if (result.outcome().isUnanswered()) { trace.attemptFailed(attempt, result.outcome()); }
         if (result.outcome() == Api.Outcome.SERVED) { responseStage.served(request, result.value()); }
         // No other attempt may follow a chunk.
         if (request.state.stage() == RequestState.Stage.STREAMING) { responseStage.streamFailed(request); }
@@ -187,6 +192,7 @@
 
     private void deadlinePassed(Request request) {
         if (request.state.isOver()) { return; }
+        trace.failed(request, "deadline passed");
         responseStage.failed(request, "deadline passed");
         releaseRequest(request);
     }
@@ -217,12 +223,14 @@
             Request request = openRequests.get(a.id());
             if (request != null) {
                 counters.refusalsByReason[a.reason().ordinal()]++;
+                if (a.reason().isLackOfCapacity()) { trace.refused(request, a.reason()); }
                 responseStage.reject(request, a.retryAfterMs());
                 cleanupStage.closeRequest(request);
             }
         } else if (action instanceof Api.Fail a) {
             Request request = openRequests.get(a.id());
             if (request != null) {
+                trace.failed(request, "failed");
                 responseStage.failed(request, "failed");
                 cleanupStage.closeRequest(request);
             }
--- a/src/main/java/yardusher/core/Request.java
+++ b/src/main/java/yardusher/core/Request.java
@@ -37,6 +37,9 @@
     @Override
     public IncomingRequest incoming() { return incoming; }
 
+    /** The number of attempts so far. */
+    public int attempts() { return attemptCount; }
+
     @Override
     public boolean mayHaveRun() { return state.mayHaveRun(); }
 
--- a/src/main/java/yardusher/net/ClientConnection.java
+++ b/src/main/java/yardusher/net/ClientConnection.java
@@ -82,8 +82,8 @@
     /** Whether the terminal is on this machine. */
     boolean isLocal() { return local; }
 
-    /** Since when no command is open, or no more of a large body has arrived. */
-    double quietSinceMs() { return quietSinceMs; }
+    /** Since when no command is open, or no more of a large body has arrived; now, while a command may have arrived unread. */
+    double quietSinceMs() { return connection.isReadFailing() ? loop.now() : quietSinceMs; }
 
     /** When the command that is being read began; infinity for none. */
     double commandBegunAtMs() { return commandBegunAtMs; }
@@ -322,6 +322,7 @@
     }
 
     void closeIfIdle() {
+        if (connection.isReadFailing()) { return; }  // a command may have arrived; closed at a later call
         // A command that has begun is read to its end and answered, unless reading has stopped for good.
         boolean readingStopped = server.isClosing() && server.drainSchedule().hasStoppedReading(loop.now());
         if (slots.isEmpty() && (readingStopped || connection.decoder().isEmpty())) { finish(); }
--- a/src/main/java/yardusher/net/Connecting.java
+++ b/src/main/java/yardusher/net/Connecting.java
@@ -26,6 +26,7 @@
     private Deadlines.Entry timeout;
     private Deadlines.Entry nextTry;
     private double triedAtMs;                        // when the current socket began to connect
+    private boolean failedLocally;                   // one try or more
     private boolean abandoned;
     private boolean finished;
 
@@ -48,7 +49,7 @@
     }
 
     /** Whether this machine prevents the connection at the moment, or did so until just now. */
-    public boolean isHeldUpLocally() { return retry.isFailing() && (channel == null || loop.now() - triedAtMs < MIN_TRY_MS); }
+    public boolean isHeldUpLocally() { return failedLocally && (channel == null || loop.now() - triedAtMs < MIN_TRY_MS); }
 
     /** Gives the connection up; no callback follows. A connection that has come up meanwhile is closed. */
     public void cancel() {
@@ -102,6 +103,7 @@
     }
 
     private void onLocalFailure() {
+        failedLocally = true;
         channel = null;
         double nowMs = loop.now();
         double waitMs = retry.nextWaitMs(nowMs);
--- a/src/main/java/yardusher/net/Connection.java
+++ b/src/main/java/yardusher/net/Connection.java
@@ -163,8 +163,11 @@
         readHeldUpAtMs = nowMs;
     }
 
+    /** Whether reads fail on this machine at the moment: then input may have arrived that is not read yet. */
+    boolean isReadFailing() { return readRetry.isFailing(loop.now()); }
+
     /** Whether reads or writes fail on this machine at the moment and are repeated: then the peer's silence proves nothing. */
-    public boolean isFailingLocally() { return readRetry.isFailing() || writeRetry.isFailing(); }
+    public boolean isFailingLocally() { return isReadFailing() || writeRetry.isFailing(loop.now()); }
 
     /** Whether the read-ahead buffer is full. */
     boolean isFull() {
@@ -402,7 +405,7 @@
         }
         reading = false;
         pendingRead = null;                          // it may be large
-        if (readRetry.isFailing()) { recordHeldUp(); }
+        if (isReadFailing()) { recordHeldUp(); }
         readRetry.reset();
         if (stage == Stage.DRAINING) {
             onDrained(count);
--- a/src/main/java/yardusher/net/RetryWait.java
+++ b/src/main/java/yardusher/net/RetryWait.java
@@ -1,25 +1,38 @@
 package yardusher.net;
 
-/** Growing waits between repetitions of a failing call. Times in milliseconds; free of I/O and clock. */
+/**
+ * Waits between repetitions of a failing call: short at first, so that a request with little time left still gets its answer, and
+ * longer the longer it fails, so that the repetitions cost next to nothing. Times in milliseconds; free of I/O and clock.
+ */
 public final class RetryWait {
     private static final double FIRST_WAIT_MS = 1;
-    private static final double MAX_WAIT_MS = 50;
+    private static final double SHORT_WAIT_MS = 10;  // reached by doubling
+    private static final double MAX_WAIT_MS = 100;
+    private static final double FAILING_FRACTION = 0.1; // longer waits are this fraction of the time it has failed
+
+    private static final double RETRY_LATENESS_MS = 20; // a repetition that has not failed by then waits or succeeds
 
     private double waitMs;
     private double failingSinceMs;
+    private double lastFailedAtMs = Double.NEGATIVE_INFINITY;
 
     /** The call failed at that time: returns how long to wait before it is repeated. */
     public double nextWaitMs(double nowMs) {
-        if (waitMs == 0) { failingSinceMs = nowMs; }
-        waitMs = waitMs == 0 ? FIRST_WAIT_MS : Math.min(MAX_WAIT_MS, 2 * waitMs);
+        if (!isFailing(nowMs)) {
+            waitMs = 0;
+            failingSinceMs = nowMs;
+        }
+        lastFailedAtMs = nowMs;
+        double longestMs = Math.max(SHORT_WAIT_MS, Math.min(MAX_WAIT_MS, FAILING_FRACTION * (nowMs - failingSinceMs)));
+        waitMs = waitMs == 0 ? FIRST_WAIT_MS : Math.min(longestMs, 2 * waitMs);
         return waitMs;
     }
 
-    /** Whether the last call failed. */
-    public boolean isFailing() { return waitMs > 0; }
+    /** Whether the call fails at the moment: its last failure has not been repeated yet, or was only just now. */
+    public boolean isFailing(double nowMs) { return waitMs > 0 && nowMs <= lastFailedAtMs + waitMs + RETRY_LATENESS_MS; }
 
-    /** For how long every call has failed; 0 if the last one did not. */
-    public double failingForMs(double nowMs) { return waitMs == 0 ? 0 : nowMs - failingSinceMs; }
+    /** For how long the call has failed, up to its last repetition; 0 if it does not fail at the moment. */
+    public double failingForMs(double nowMs) { return isFailing(nowMs) ? lastFailedAtMs + waitMs - failingSinceMs : 0; }
 
     /** The call succeeded. */
     public void reset() { waitMs = 0; }
--- a/src/main/java/yardusher/net/Sockets.java
+++ b/src/main/java/yardusher/net/Sockets.java
@@ -77,6 +77,7 @@
         private final Predicate<Void> hasRoom;
         private final InetSocketAddress address;
         private boolean accepting;
+        private boolean retryPending;                // a failed accept waits to be repeated
         private boolean bound;
         private double lastAcceptedAtMs;             // when the last connection was accepted
         private final RetryWait acceptRetry = new RetryWait();
@@ -106,7 +107,7 @@
         /** Accepts connections while there is room; called again when there is room again. */
         public void accept() {
             // Connections without room wait in the backlog, so that the process does not run out of descriptors.
-            if (accepting || !bound || !channel.isOpen()) { return; }
+            if (accepting || retryPending || !bound || !channel.isOpen()) { return; }
             boolean mayAccept = false;
             accepting = true;                        // also while room is made, which may call this method again
             try {
@@ -135,7 +136,11 @@
                         double nowMs = loop.now();
                         if (heldUpMs() == 0) { failingSinceMs = nowMs; }
                         lastFailedAtMs = nowMs;
-                        loop.deadlines().schedule(nowMs + acceptRetry.nextWaitMs(nowMs), Listener.this::accept);
+                        retryPending = true;         // others that call accept meanwhile must not begin a retry each
+                        loop.deadlines().schedule(nowMs + acceptRetry.nextWaitMs(nowMs), () -> {
+                            retryPending = false;
+                            accept();
+                        });
                     });
                 }
             });
--- a/src/main/java/yardusher/wire/Codec.java
+++ b/src/main/java/yardusher/wire/Codec.java
@@ -28,6 +28,13 @@
         private String parentKey;
         private int parentIndex = -1;                // index in the parent's array, -1 outside of an array
 
+        /** Whether the other object has equal values under the same keys, in any order. */
+        @Override
+        public boolean equals(Object other) { return other instanceof JsonObject object && values.equals(object.values); }
+
+        @Override
+        public int hashCode() { return values.hashCode(); }
+
         private WireError.Malformed wrongType(String what, String key) {
             return new WireError.Malformed(null, "needs " + what + " in \"" + path() + key + "\"");
         }
--- a/src/test/java/yardusher/RepeatsTest.java
+++ b/src/test/java/yardusher/RepeatsTest.java
@@ -77,7 +77,7 @@
     @EnumSource(Outcome.class)
     void outcomeAndEffectDecideOnARetry(Outcome how) {
         if (how == Outcome.SERVED) { return; }        // the request is finished
-        boolean never = how == Outcome.REJECTED || how == Outcome.CONNECT_FAILED;
+        boolean never = how == Outcome.REJECTED || how == Outcome.CONNECT_FAILED || how == Outcome.LOCAL_FAILURE;
         for (Effect effect : Effect.values()) {
             for (Group group : Group.values()) {
                 actions.clear();
--- a/src/test/java/yardusher/net/IoClassifierTest.java
+++ b/src/test/java/yardusher/net/IoClassifierTest.java
@@ -57,14 +57,32 @@
     @Test
     void waitsGrowAndAreTakenBackBySuccess() {
         RetryWait retry = new RetryWait();
-        assertThat(retry.isFailing()).isFalse();
-        assertThat(retry.nextWaitMs(1000)).isEqualTo(1);
-        assertThat(retry.nextWaitMs(1001)).isEqualTo(2);
-        for (int i = 0; i < 10; i++) { retry.nextWaitMs(1003); }
-        assertThat(retry.nextWaitMs(1100)).isEqualTo(50);
-        assertThat(retry.failingForMs(1100)).isEqualTo(100);
+        double nowMs = 1000;
+        assertThat(retry.isFailing(nowMs)).isFalse();
+        for (double expected : new double[] {1, 2, 4, 8, 10, 10}) {
+            double waitMs = retry.nextWaitMs(nowMs);
+            assertThat(waitMs).isEqualTo(expected);
+            nowMs += waitMs;
+        }
+        assertThat(retry.failingForMs(nowMs)).isEqualTo(35);
+        for (int i = 0; i < 200; i++) { nowMs += retry.nextWaitMs(nowMs); }
+        assertThat(retry.nextWaitMs(nowMs)).isEqualTo(100);
         retry.reset();
-        assertThat(retry.failingForMs(1200)).isZero();
-        assertThat(retry.nextWaitMs(1200)).isEqualTo(1);
+        assertThat(retry.failingForMs(nowMs)).isZero();
+        assertThat(retry.nextWaitMs(nowMs)).isEqualTo(1);
+    }
+
+    /** An old failure taken for one that lasts, where the repeated call has long been waiting for its peer. */
+    @Test
+    void aRepeatedCallThatWaitsDoesNotFail() {
+        RetryWait retry = new RetryWait();
+        retry.nextWaitMs(1000);
+        retry.nextWaitMs(1001);
+        assertThat(retry.isFailing(1003)).isTrue();
+        assertThat(retry.failingForMs(1003)).isEqualTo(3);
+        assertThat(retry.isFailing(1100)).isFalse();
+        assertThat(retry.failingForMs(1100)).isZero();
+        assertThat(retry.nextWaitMs(1100)).as("a new failure").isEqualTo(1);
+        assertThat(retry.failingForMs(1101)).isEqualTo(1);
     }
 }
--- a/src/test/java/yardusher/story/WatchStoryTest.java
+++ b/src/test/java/yardusher/story/WatchStoryTest.java
@@ -472,7 +472,7 @@
 
     private static IngressConfig elsewhere(IngressConfig config) {
         return new IngressConfig(config.name(), config.listen(), config.admin(), InetSocketAddress.createUnresolved("nowhere", 1), config.seed(),
-                config.sockets(), config.peerListen(), config.peers(), config.known(), config.settings(), config.classes(), config.plans(),
+                config.sockets(), config.peerListen(), config.peers(), config.known(), config.settings(), config.settingsSource(), config.classes(), config.plans(),
                 config.zones(), config.idleMs(), config.dialMs(), config.unused());
     }
 
