--- a/src/test/java/yardusher/lab/faults/MachineFaultsTest.java
+++ b/src/test/java/yardusher/lab/faults/MachineFaultsTest.java
@@ -2,6 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
@@ -11,15 +15,66 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import yardusher.lab.Group;
 
 /** Answers lost, requests refused or backends blamed because system calls of this machine failed for a moment (report 52f7b0). */
 @Timeout(value = 60, unit = TimeUnit.SECONDS)
 class MachineFaultsTest {
     private static final long FAULT_MS = 3000;
+    private static final long FAILING_MS = 5000;
+    private static final double MAX_IDLE_CPU = 0.03;
+    private static final double MS_PER_TICK = 10;    // of the clock in /proc
+    private static final byte[] PING = "*1\r\n$4\r\nPING\r\n".getBytes(StandardCharsets.US_ASCII);
 
     @TempDir
     Path folder;
 
+    /** Loops that spin while a call fails: 5 s of failing accepts, reads and receives on an idle ingress. */
+    @Test
+    void anIngressWhoseCallsFailForSecondsIsIdleAndServesAgain() throws Exception {
+        try (Group group = new Group(folder, 1, 30)) {
+            group.region("r0", "hall-a");
+            FaultShim shim = new FaultShim(group, 0, FaultRule.parse("accept:EMFILE:client:1:1;read:ENOMEM:client:1:1;recvfrom:ENOMEM:peer:1:1;"
+                    + "poll:ENOMEM:peer:1:1"), 30);
+            group.environment(i -> shim.environment());
+            group.start();
+            try (Socket kept = new Socket(group.listen(0).getAddress(), group.listen(0).getPort());
+                    Socket waiting = new Socket()) {
+                assertThat(ping(kept)).startsWith("+PONG");
+                Thread.sleep(1000);                  // what a start leaves for later
+                shim.enable(true);
+                kept.getOutputStream().write(PING);
+                waiting.connect(group.listen(0));
+                waiting.getOutputStream().write(PING);
+                double before = cpuMs(group.process(0).pid());
+                Thread.sleep(FAILING_MS);
+                double usedMs = cpuMs(group.process(0).pid()) - before;
+                shim.enable(false);
+                assertThat(usedMs / FAILING_MS).as("share of a core, " + shim.injected()).isLessThan(MAX_IDLE_CPU);
+                assertThat(shim.injected().keySet()).contains("accept EMFILE", "read ENOMEM");
+                assertThat(answer(kept)).startsWith("+PONG");
+                assertThat(answer(waiting)).startsWith("+PONG");
+            }
+        }
+    }
+
+    private static String ping(Socket socket) throws IOException {
+        socket.getOutputStream().write(PING);
+        return answer(socket);
+    }
+
+    private static String answer(Socket socket) throws IOException {
+        socket.setSoTimeout(5000);
+        return new String(socket.getInputStream().readNBytes("+PONG\r\n".length()), StandardCharsets.US_ASCII);
+    }
+
+    /** User and system time of a process, in milliseconds. */
+    private static double cpuMs(long pid) throws IOException {
+        String stat = Files.readString(Path.of("/proc/" + pid + "/stat"));
+        String[] words = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+        return (Long.parseLong(words[11]) + Long.parseLong(words[12])) * MS_PER_TICK;
+    }
+
     /** A failed epoll_ctl that re-arms a descriptor: the JDK drops the pending call, whose completion never comes. */
     @Test
     void noAnswerIsLostWhileDescriptorsCannotBeArmedAgain() throws Exception {
