Connections in the backlog: how long they waited is known from accepts that end at once

The delay that failing accepts cause was counted from the first failure until 100 ms without one: where some accepts fail all the time it would have grown without end, and requests been refused for it. Now it begins with the first failure after the backlog was seen empty, which an accept shows that takes over 20 ms, with 3 s at most for connections behind the first. AcceptDelayTest holds both sides.

--- a/src/main/java/yardusher/net/RespServer.java
+++ b/src/main/java/yardusher/net/RespServer.java
@@ -83,8 +83,8 @@
 
     public InetSocketAddress address() throws IOException { return listener.address(); }
 
-    /** For how long, at most, a connection accepted now may have waited because accepts failed on this machine. */
-    double acceptHeldUpMs() { return listener.heldUpMs(); }
+    /** For how long, at most, the connection that was just accepted waited because accepts failed on this machine. */
+    double acceptHeldUpMs() { return listener.acceptedHeldUpMs(); }
 
     public void startAccepting() { listener.accept(); }
 
--- a/src/main/java/yardusher/net/Sockets.java
+++ b/src/main/java/yardusher/net/Sockets.java
@@ -70,7 +70,6 @@
     public final class Listener {
         private static final double MIN_QUIET_CHECK_MS = 5;
         private static final double MAX_BACKLOG_KEPT_MS = 1000; // of a listener that closes while accepts fail
-        private static final double BACKLOG_MS = 100; // after a failed accept until the backlog is empty again
 
         private final AsynchronousServerSocketChannel channel;
         private final Consumer<AsynchronousSocketChannel> onAccept;
@@ -81,8 +80,8 @@
         private boolean bound;
         private double lastAcceptedAtMs;             // when the last connection was accepted
         private final RetryWait acceptRetry = new RetryWait();
-        private double failingSinceMs;               // since when accepts have failed, until one long after a failure
-        private double lastFailedAtMs = Double.NEGATIVE_INFINITY;
+        private final AcceptDelay delay = new AcceptDelay();
+        private double acceptedHeldUpMs;
 
         private Listener(AsynchronousServerSocketChannel channel, InetSocketAddress address,
                 Consumer<AsynchronousSocketChannel> onAccept, Predicate<Void> hasRoom) {
@@ -116,6 +115,7 @@
                 accepting = mayAccept;               // after a fault in hasRoom the listener must be able to accept again
             }
             if (!mayAccept) { return; }
+            delay.begun(loop.now());
             channel.accept(this, new CompletionHandler<AsynchronousSocketChannel, Listener>() {
                 @Override
                 public void completed(AsynchronousSocketChannel accepted, Listener listener) {
@@ -123,6 +123,7 @@
                         accepting = false;
                         lastAcceptedAtMs = loop.now();
                         acceptRetry.reset();
+                        acceptedHeldUpMs = delay.accepted(lastAcceptedAtMs);
                         setNoDelay(accepted);
                         loop.defer(Listener.this::accept); // also if the new connection meets a fault
                         onAccept.accept(accepted);
@@ -134,10 +135,10 @@
                     loop.execute(() -> {
                         accepting = false;
                         double nowMs = loop.now();
-                        if (heldUpMs() == 0) { failingSinceMs = nowMs; }
-                        lastFailedAtMs = nowMs;
+                        double waitMs = acceptRetry.nextWaitMs(nowMs);
+                        delay.failed(nowMs, waitMs);
                         retryPending = true;         // others that call accept meanwhile must not begin a retry each
-                        loop.deadlines().schedule(nowMs + acceptRetry.nextWaitMs(nowMs), () -> {
+                        loop.deadlines().schedule(nowMs + waitMs, () -> {
                             retryPending = false;
                             accept();
                         });
@@ -156,19 +157,13 @@
             loop.deadlines().schedule(Math.max(closeAtMs, nowMs + MIN_QUIET_CHECK_MS), () -> {
                 boolean quiet = lastAcceptedAtMs < nowMs || loop.now() >= deadlineMs;
                 // While accepts fail, connections wait that the close would reset.
-                boolean backlogKept = heldUpMs() > 0 && loop.now() < deadlineMs + MAX_BACKLOG_KEPT_MS;
+                boolean backlogKept = delay.isRecent(loop.now()) && loop.now() < deadlineMs + MAX_BACKLOG_KEPT_MS;
                 if (quiet && !backlogKept) { close(); } else { closeWhenQuiet(quietMs, deadlineMs); }
             });
         }
 
-        /**
-         * For how long, at most, a connection that is accepted now may have waited because accepts failed on this machine, in
-         * milliseconds. Those behind it in the backlog have waited as long.
-         */
-        double heldUpMs() {
-            double nowMs = loop.now();
-            return nowMs - lastFailedAtMs > BACKLOG_MS ? 0 : nowMs - failingSinceMs;
-        }
+        /** For how long, at most, the connection that was just accepted waited because accepts failed on this machine. */
+        double acceptedHeldUpMs() { return acceptedHeldUpMs; }
 
         /** Whether no more connections can come. */
         public boolean isClosed() { return !channel.isOpen(); }
--- /dev/null
+++ b/src/test/java/yardusher/net/AcceptDelayTest.java
@@ -0,0 +1,47 @@
+package yardusher.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+/** Connections taken for older than they can be because some accepts fail, or for new though they waited. */
+class AcceptDelayTest {
+    private final AcceptDelay delay = new AcceptDelay();
+
+    private void fail(double begunMs, double atMs, double waitMs) {
+        delay.begun(begunMs);
+        delay.failed(atMs, waitMs);
+    }
+
+    private double accept(double begunMs, double atMs) {
+        delay.begun(begunMs);
+        return delay.accepted(atMs);
+    }
+
+    @Test
+    void allConnectionsInTheBacklogHaveWaitedSinceTheFirstFailure() {
+        for (double nowMs = 1000; nowMs < 5000; nowMs += 100) { fail(nowMs, nowMs, 100); }
+        assertThat(accept(5000, 5000)).isEqualTo(4000);
+        fail(5000, 5000, 1);
+        assertThat(accept(5001, 5002)).as("the next one, bounded").isEqualTo(3000);
+        assertThat(accept(5002, 5050)).as("one that came to an empty backlog").isZero();
+        assertThat(delay.isRecent(5050)).isFalse();
+    }
+
+    @Test
+    void failuresBetweenConnectionsThatComeOneByOneDoNotAddUp() {
+        for (double nowMs = 1000; nowMs < 9000; nowMs += 40) {
+            fail(nowMs, nowMs + 30, 1);
+            assertThat(accept(nowMs + 31, nowMs + 31)).isEqualTo(1);
+        }
+    }
+
+    @Test
+    void withoutAFailureNobodyWaits() {
+        assertThat(accept(500, 500)).isZero();
+        assertThat(delay.isRecent(500)).isFalse();
+        fail(600, 900, 10);
+        assertThat(delay.isRecent(920)).isTrue();
+        assertThat(accept(910, 910)).isEqualTo(10);
+    }
+}
