--- a/src/main/java/yardusher/cli/IngressProcess.java
+++ b/src/main/java/yardusher/cli/IngressProcess.java
@@ -50,7 +50,7 @@
 public final class IngressProcess {
     private static final double DRAIN_ACCEPT_MS = 500; // after SIGTERM new connections keep arriving for 0.2 to 0.4 s
     private static final double HELD_UP_MS = 10;     // a task that is this late shows that the process did not run
-    private static final double CATCH_UP_MS = 3;
+    private static final double MAX_CATCH_UP_MS = 50; // to read what arrived meanwhile
     private static final double DRAIN_READ_MS = 100; // then requests already in flight on open connections are still read
     private static final double MIN_DRAIN_MS = 3000; // the platform kills 0.7 s after the longest deadline or this, whichever is later
     private static final double FINAL_ANSWER_MS = 50; // after the last deadline, to deliver its answer
@@ -415,8 +415,9 @@
     /** Closes the fronts; but if this process was held up until now, what arrived meanwhile is read first. */
     private void closeFrontsDueAt(double dueMs) {
         double nowMs = loop.now();
-        if (nowMs - dueMs > HELD_UP_MS) {
-            loop.deadlines().schedule(nowMs + CATCH_UP_MS, this::closeFronts);
+        double lateMs = nowMs - dueMs;
+        if (lateMs > HELD_UP_MS) {
+            loop.deadlines().schedule(nowMs + Math.min(lateMs, MAX_CATCH_UP_MS), this::closeFronts);
         } else {
             closeFronts();
         }
