--- a/review/src/SlowReaders.java
+++ b/review/src/SlowReaders.java
@@ -10,13 +10,13 @@
 
 /** Some clients send many commands at once and read the answers slowly; others ask one thing at a time and read at once. */
 final class SlowReaders {
-    private static final int SLOW_CLIENTS = Integer.getInteger("slow", 20);
+    private static final int SLOW_CLIENTS = 80;
     private static final int COMMANDS = 128;
     private static final double GAP_MS = 500;        // from one slow client to the next
     private static final int VALUE_BYTES = 60 * 1024;
     private static final double READ_PAUSE_MS = 1000; // before each answer that a slow client reads: 60 KiB/s
     private static final int WAIT_MS = 2500;
-    private static final double PLAY_MS = 30_000;
+    private static final double PLAY_MS = 45_000;
     private static final int USUAL_CLIENTS = 8;
     private static final double LATE_MS = 500;       // an answer later than this after its time is lost
 
@@ -40,7 +40,7 @@
         Kit.Discovery discovery = new Kit.Discovery(regions);
         int port = Kit.freePort();
         String admin = "127.0.0.1:" + Kit.freePort();
-        Kit.Ingress ingress = Kit.ingress(root, folder, "n0", Kit.aloneConfig("n0", port, admin, 192, discovery), port, null);
+        Kit.Ingress ingress = Kit.ingress(root, folder, "n0", Kit.aloneConfig("n0", port, admin, 128, discovery), port, null);
         Kit.awaitReady(ingress);
         List<String> broken = Collections.synchronizedList(new ArrayList<>());
         double begin = Kit.now() + 2000;
