--- a/review/src/SlowReaders.java
+++ b/review/src/SlowReaders.java
@@ -10,13 +10,13 @@
 
 /** Some clients send many commands at once and read the answers slowly; others ask one thing at a time and read at once. */
 final class SlowReaders {
-    private static final int SLOW_CLIENTS = 80;
+    private static final int SLOW_CLIENTS = 140;
     private static final int COMMANDS = 128;
-    private static final double GAP_MS = 500;        // from one slow client to the next
+    private static final double GAP_MS = 400;        // from one slow client to the next
     private static final int VALUE_BYTES = 60 * 1024;
     private static final double READ_PAUSE_MS = 1000; // before each answer that a slow client reads: 60 KiB/s
     private static final int WAIT_MS = 2500;
-    private static final double PLAY_MS = 45_000;
+    private static final double PLAY_MS = 60_000;
     private static final int USUAL_CLIENTS = 8;
     private static final double LATE_MS = 500;       // an answer later than this after its time is lost
 
@@ -33,6 +33,7 @@
         Arrays.fill(value, (byte) 'v');
         for (int i = 1; i <= 9; i++) {
             regions.add(new Kit.Region("s-0000000" + i, (from, command) -> {
+                Kit.note("region " + from.region.id + ": ran " + command.id());
                 Kit.sleep(80);
                 from.serve(command.list().get("t").equals("plus") ? value : Kit.ascii("value of " + command.id()));
             }));
@@ -76,7 +77,7 @@
                 all.writeBytes(Kit.lookup(10_000 + id, id, WAIT_MS));
             }
             socket.getOutputStream().write(all.toByteArray());
-            Kit.note("slow client " + number + ": sent " + COMMANDS + " lookups");
+            Kit.note("slow client " + number + ": sent " + COMMANDS + " lookups, the last with id " + Kit.id(NEXT.get() - 1));
             for (int i = 0; i < COMMANDS; i++) {
                 if (Kit.TROUBLE) { Kit.sleep(READ_PAUSE_MS); }
                 Kit.Answer answer = Kit.answer(socket, socket.getInputStream(), Kit.now() + 60_000);
@@ -97,6 +98,7 @@
             long id = NEXT.getAndIncrement();
             SENT.incrementAndGet();
             double sentAt = Kit.now();
+            Kit.note("usual client " + number + ": sent " + Kit.id(id));
             Kit.Answer answer = null;
             String ends = "";
             for (int go = 0; go < 2; go++) {
@@ -116,6 +118,7 @@
                 client = null;
                 if (answer.end().equals("silence")) { break; }
             }
+            Kit.note("usual client " + number + ": for " + Kit.id(id) + " " + answer.text());
             if (answer.isServed()) {
                 SERVED.incrementAndGet();
                 if (!new String(answer.value()).equals("value of " + Kit.id(id))) { broken.add("request " + Kit.id(id) + " was served with another's value"); }
