Ends of resting connections have reasons, counters and a line with the dropped request's id

Now each such end has a reason (evicted, excess_idle, idle, silent, limit_lowered, draining, shutdown, protocol_error), INFO counts them as closed_REASON, and dropped_REASON counts those on which input had arrived unread or came behind the end; a line names the request's id and how long after the shutdown it was read. No behaviour changes.

--- a/src/main/java/yardusher/clients/ConnectionEndLog.java
+++ b/src/main/java/yardusher/clients/ConnectionEndLog.java
@@ -5,18 +5,28 @@
 import yardusher.log.RateLimitedEvents;
 import yardusher.net.CloseReason;
 import yardusher.net.ConnectionEnd;
+import yardusher.net.DroppedInput;
 import yardusher.net.RespServer;
+import yardusher.resp.Call;
+import yardusher.resp.Decoder;
+import yardusher.resp.MalformedRespException;
 
-/** Counts and logs client connections that ended while they owed an answer, by reason. Used on the event loop only. */
+/**
+ * Counts the ends of client connections by reason, and logs those that may have cost a request its answer. Used on the event loop
+ * only.
+ */
 final class ConnectionEndLog {
     private static final int MAX_LINES_PER_SECOND = 5;
     private static final CloseReason[] REASONS = CloseReason.values();
 
     private final RateLimitedEvents events;
     private final long[] counts = new long[REASONS.length];
+    private final long[] finishedCounts = new long[REASONS.length];
+    private final long[] droppedCounts = new long[REASONS.length];
 
     ConnectionEndLog(Events events, DoubleSupplier clock) { this.events = new RateLimitedEvents(events, clock, MAX_LINES_PER_SECOND); }
 
+    /** A connection ended that owed answers. */
     void record(ConnectionEnd end) {
         counts[end.reason().ordinal()]++;
         // Clients leave all the time; an end of ours is what an operator has to know.
@@ -25,6 +35,17 @@
                 "open", end.openRequests().size(), "first_id", firstId(end), "written_bytes", end.bytesWritten(), "of_bytes", end.bytesQueued());
     }
 
+    /** A connection was shut down that owed no answer. */
+    void countFinished(CloseReason reason) { finishedCounts[reason.ordinal()]++; }
+
+    /** Input came, or was there, that nobody handles since its connection was shut down. */
+    void recordDropped(DroppedInput dropped) {
+        droppedCounts[dropped.reason().ordinal()]++;
+        if (!events.admits()) { return; }
+        events.warn("client connection shut down over a command", "reason", dropped.reason().label(), "first_id", firstId(dropped.bytes()),
+                "read_after_ms", Math.round(dropped.afterMs()));
+    }
+
     private static String firstId(ConnectionEnd end) {
         for (RespServer.Slot slot : end.openRequests()) {
             if (slot.request != null) { return String.format("%016x", slot.request.incoming().command().id()); }
@@ -32,12 +53,37 @@
         return "none";
     }
 
-    /** One counter for each reason. */
+    /** The id of the first request in this input, "part" for half a command and "none" for another one. */
+    private static String firstId(byte[] input) {
+        Decoder decoder = new Decoder();
+        decoder.add(input, input.length);
+        try {
+            byte[][] words = decoder.nextCommand();
+            if (words == null) { return "part"; }
+            return Call.isCall(words) ? String.format("%016x", Call.parse(words).id) : "none";
+        } catch (MalformedRespException | RuntimeException e) {
+            return "none";
+        }
+    }
+
+    /**
+     * Three counters: {@code ended_REASON} connections that owed answers, {@code closed_REASON} connections that this process shut
+     * down with no answer owed, and {@code dropped_REASON} those of them on which more input came or was there.
+     */
     String countersLine() {
         StringBuilder line = new StringBuilder();
         for (CloseReason reason : REASONS) {
-            line.append(line.isEmpty() ? "" : " ").append("ended_").append(reason.label()).append('=').append(counts[reason.ordinal()]);
+            if (reason.isByChoice()) {
+                append(line, "closed_", reason, finishedCounts);
+                append(line, "dropped_", reason, droppedCounts);
+            } else {
+                append(line, "ended_", reason, counts);
+            }
         }
         return line.toString();
     }
+
+    private static void append(StringBuilder line, String prefix, CloseReason reason, long[] values) {
+        line.append(line.isEmpty() ? "" : " ").append(prefix).append(reason.label()).append('=').append(values[reason.ordinal()]);
+    }
 }
--- a/src/main/java/yardusher/clients/PlatformFrontend.java
+++ b/src/main/java/yardusher/clients/PlatformFrontend.java
@@ -24,7 +24,9 @@
 import yardusher.net.RespServer;
 import yardusher.log.Events;
 import yardusher.net.BodyBudget;
+import yardusher.net.CloseReason;
 import yardusher.net.ConnectionEnd;
+import yardusher.net.DroppedInput;
 import yardusher.net.ReplyBudget;
 import yardusher.net.Sockets;
 import yardusher.resp.Call;
@@ -108,6 +110,12 @@
     @Override
     public void onConnectionEnded(ConnectionEnd end) { endings.record(end); }
 
+    @Override
+    public void onConnectionFinished(CloseReason reason) { endings.countFinished(reason); }
+
+    @Override
+    public void onInputDropped(DroppedInput dropped) { endings.recordDropped(dropped); }
+
     @Override
     public void onInvalidCommand() { ingress.counters().invalidCommands++; }
 
--- a/src/main/java/yardusher/net/ClientConnection.java
+++ b/src/main/java/yardusher/net/ClientConnection.java
@@ -59,6 +59,8 @@
     private boolean fullCheckScheduled;              // a check of a full read-ahead buffer is scheduled
     private int unflushedAtLastCheck;                // unflushed reply bytes at the last check, and since when
     private double unflushedSinceMs;
+    private CloseReason finishReason;                // null until this side has shut the connection down
+    private double finishedAtMs;
 
     /** The connection may have waited for up to {@code acceptHeldUpMs} to be accepted. */
     ClientConnection(AsynchronousSocketChannel channel, RespServer server, ConnectionRegistry connections, EventLoop loop,
@@ -125,7 +127,7 @@
         } finally {
             handlingCommands = false;
         }
-        if (isDone()) { finish(); }
+        if (isDone()) { finish(reasonWhenDone()); }
         return false;
     }
 
@@ -235,6 +237,11 @@
         };
     }
 
+    private CloseReason reasonWhenDone() {
+        if (stage == Stage.FINISHING) { return CloseReason.PROTOCOL_ERROR; }
+        return server.isClosing() ? CloseReason.SHUTDOWN : CloseReason.DRAINING;
+    }
+
     @Override
     public boolean isHoldingBack(Connection from) { return !mayHandleCommands(); }
 
@@ -363,12 +370,13 @@
         connections.markIdle(this, quietSinceMs);
     }
 
+    /** Closes unless a command is open, or was begun and may still be completed. */
     void closeIfIdle() {
         if (connection.isReadFailing()) { return; }  // a command may have arrived; closed at a later call
         // A command that has begun is read to its end and answered, unless reading has stopped for good. A large body is read
         // to its end even then: it may have arrived as a whole, and waits on this side.
         boolean isGivenUp = hasStoppedReading(loop.now()) && !mayCompleteBody();
-        if (slots.isEmpty() && (isGivenUp || connection.decoder().isEmpty())) { finish(); }
+        if (slots.isEmpty() && (isGivenUp || connection.decoder().isEmpty())) { finish(server.isClosing() ? CloseReason.SHUTDOWN : CloseReason.DRAINING); }
     }
 
     private boolean hasStoppedReading(double nowMs) { return server.isClosing() && server.drainSchedule().hasStoppedReading(nowMs); }
@@ -384,12 +392,23 @@
     }
 
     /** Closes after the last bytes are flushed. A close with unread input would reset the connection and lose them. */
-    void finish() {
+    void finish(CloseReason reason) {
         if (stage == Stage.CLOSED) { return; }
+        finishReason = reason;
+        finishedAtMs = loop.now();
+        server.commandHandler().onConnectionFinished(reason);
+        byte[] unhandled = connection.decoder().bufferedInput(DroppedInput.MAX_BYTES);
+        if (unhandled.length > 0) { onInputDropped(connection, unhandled); }
         deregister();
         connections.closeAfterFlush(connection, loop.now(), server.closesAfterReplies());
     }
 
+    @Override
+    public void onInputDropped(Connection from, byte[] bytes) {
+        if (finishReason == null) { return; }
+        server.commandHandler().onInputDropped(new DroppedInput(finishReason, loop.now() - finishedAtMs, bytes));
+    }
+
     @Override
     public void onClosed(Connection from) { end(from.closeReason(), from.closeError()); }
 
--- a/src/main/java/yardusher/net/Connection.java
+++ b/src/main/java/yardusher/net/Connection.java
@@ -5,6 +5,7 @@
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.channels.CompletionHandler;
 import java.util.ArrayDeque;
+import java.util.Arrays;
 import yardusher.core.Deadlines;
 import yardusher.core.EventLoop;
 import yardusher.resp.Decoder;
@@ -44,6 +45,12 @@
         /** For how many milliseconds failing writes are repeated before the connection is given up. */
         default double maxFailingWriteMs() { return MAX_FAILING_MS; }
 
+        /**
+         * Input was read after the connection was shut down, and is dropped; called for the first such input only, with its first
+         * bytes.
+         */
+        default void onInputDropped(Connection connection, byte[] bytes) { }
+
         /** A connection that was finishing was closed before its last bytes were written. */
         default void onLastBytesLost(Connection connection) { }
     }
@@ -76,6 +83,7 @@
     private Stage stage = Stage.OPEN;
     private boolean drainsWithoutLimit;              // drains for as long as the peer takes
     private long droppedBytes;
+    private boolean dropReported;                    // the owner was told of the first input that is dropped
     private Deadlines.Entry drainEnd;
     private Runnable onClosed = () -> { };
     private boolean writeFailed;
@@ -332,6 +340,14 @@
         if (!reading) { read(DRAIN_BUFFER.duplicate()); }
     }
 
+    /** Only a read that was pending at the shutdown has a buffer of its own, which tells what it got. */
+    private void reportDropped(ByteBuffer buffer, int count) {
+        if (count <= 0 || dropReported || !buffer.hasArray()) { return; }
+        dropReported = true;
+        int from = buffer.arrayOffset() + buffer.position() - count;
+        owner.onInputDropped(this, Arrays.copyOfRange(buffer.array(), from, from + Math.min(count, DroppedInput.MAX_BYTES)));
+    }
+
     private void onDrained(int count) {
         droppedBytes += Math.max(0, count);
         if (IoClassifier.ofCount(count) == IoVerdict.PEER_CLOSED || droppedBytes > MAX_DRAINED_BYTES && !drainsWithoutLimit) {
@@ -420,9 +436,11 @@
             return;
         }
         reading = false;
+        ByteBuffer completed = pendingRead;
         pendingRead = null;                          // it may be large
         readRetry.reset();
         if (stage == Stage.DRAINING) {
+            reportDropped(completed, count);
             onDrained(count);
             return;
         }
--- a/src/main/java/yardusher/net/ConnectionRegistry.java
+++ b/src/main/java/yardusher/net/ConnectionRegistry.java
@@ -42,7 +42,7 @@
         maxConnections = Math.max(1, max - maxClosing);
         maxIdle = Math.max(1, maxConnections / 4);
         for (ClientConnection connection : new ArrayList<>(idle)) {
-            if (connections.size() > maxConnections) { connection.finish(); }
+            if (connections.size() > maxConnections) { connection.finish(CloseReason.LIMIT_LOWERED); }
         }
     }
 
@@ -110,7 +110,7 @@
         // Clients that open a connection for each request and keep the old ones would use up their connections with idle ones
         // and find none left for new requests.
         ClientConnection longest = idle.size() > maxIdle ? firstQuietFor(idle, EXCESS_IDLE_MS, nowMs) : null;
-        if (longest != null) { longest.finish(); }
+        if (longest != null) { longest.finish(CloseReason.EXCESS_IDLE); }
     }
 
     /** Removes a connection. Returns true if this makes room for a new one. */
@@ -154,7 +154,7 @@
         reap(silent, nowMs - SILENT_TIMEOUT_MS, nowMs - SILENT_TIMEOUT_MS);
         // A client that sends requests and reads no replies is not idle, and would keep its connection for ever.
         for (ClientConnection connection : new ArrayList<>(flushing)) {
-            if (connection.hasReadNothing(UNCROWDED_IDLE_TIMEOUT_MS, nowMs)) { connection.finish(); }
+            if (connection.hasReadNothing(UNCROWDED_IDLE_TIMEOUT_MS, nowMs)) { connection.finish(CloseReason.REPLIES_UNREAD); }
         }
         reap(idle, nowMs - (crowded ? IDLE_TIMEOUT_MS : UNCROWDED_IDLE_TIMEOUT_MS), nowMs - SILENT_TIMEOUT_MS);
     }
@@ -168,7 +168,7 @@
                     || hasBegun && candidates == silent && connection.quietSinceMs() < quietBeforeMs) {
                 connection.closeWithError("command not ended");
             } else if (!hasBegun && connection.quietSinceMs() < quietBeforeMs) {
-                connection.finish();
+                connection.finish(candidates == silent ? CloseReason.SILENT : CloseReason.IDLE);
             }
         }
     }
--- a/src/main/java/yardusher/net/RespServer.java
+++ b/src/main/java/yardusher/net/RespServer.java
@@ -34,6 +34,12 @@
         /** A connection ended that still owed replies. Called before {@link #onTerminalLeft} for each open command. */
         default void onConnectionEnded(ConnectionEnd end) { }
 
+        /** This side shut a connection down that owed no reply; its client may still send. */
+        default void onConnectionFinished(CloseReason reason) { }
+
+        /** A connection that this side had shut down got more input, or had some that was not handled. */
+        default void onInputDropped(DroppedInput dropped) { }
+
         /** A command was malformed, or the framing of a connection was lost. */
         default void onInvalidCommand() { }
     }
@@ -121,7 +127,7 @@
             }
             return false;
         }
-        longest.finish();
+        longest.finish(CloseReason.EVICTED);
         return true;
     }
 
@@ -185,7 +191,7 @@
         for (ClientConnection connection : connections.all()) {
             if (!connection.owesNoReply()) { continue; } // closes after its reply
             if (closesAllIdle) {
-                connection.finish();
+                connection.finish(CloseReason.DRAINING);
             } else if (drainSchedule.mayCloseIdle(now, connection.quietSinceMs())) {
                 connection.closeIfIdle();
             }
--- a/src/test/java/yardusher/net/ClientConnectionTest.java
+++ b/src/test/java/yardusher/net/ClientConnectionTest.java
@@ -235,6 +235,8 @@
         private final ClientConnection connection;
         private final List<RespServer.Slot> openSlots = new ArrayList<>();
         private final ByteArrayOutputStream owed = new ByteArrayOutputStream();
+        private final List<CloseReason> finishReasons = new ArrayList<>();
+        private final List<DroppedInput> droppedInput = new ArrayList<>();
         private long heldByOthers;
         private int halvesSent;
         private int handled;
@@ -276,6 +278,12 @@
             abandoned++;
         }
 
+        @Override
+        public void onConnectionFinished(CloseReason reason) { finishReasons.add(reason); }
+
+        @Override
+        public void onInputDropped(DroppedInput dropped) { droppedInput.add(dropped); }
+
         private void answer(int at) {
             RespServer.Slot slot = openSlots.remove(at);
             answered++;
@@ -306,7 +314,7 @@
                     if (longest == null) { return; }
                     assertThat(longest.owesNoReply() && !longest.hasUnflushedBytes())
                             .as("a connection with unflushed replies is not evicted").isTrue();
-                    longest.finish();
+                    longest.finish(CloseReason.EVICTED);
                 });
                 case READ_INTERRUPTED -> channel.disturbRead(true);
                 case READ_SHORTAGE -> channel.disturbRead(false);
@@ -437,6 +445,29 @@
         }
     }
 
+    /** Guards against connections that end, and commands that are dropped with them, without a reason on record. */
+    @Test
+    void aCommandBehindTheEndOfItsConnectionIsToldWithTheReason() throws IOException {
+        try (ScriptedConnection scripted = new ScriptedConnection()) {
+            scripted.apply(Event.EVICTION);
+            scripted.apply(Event.COMMAND);
+            scripted.apply(Event.COMMAND);
+            assertThat(scripted.finishReasons).containsExactly(CloseReason.EVICTED);
+            assertThat(scripted.droppedInput).as("once").hasSize(1);
+            assertThat(scripted.droppedInput.get(0).reason()).isEqualTo(CloseReason.EVICTED);
+            assertThat(scripted.droppedInput.get(0).bytes()).isEqualTo(COMMAND);
+            scripted.assertAllEnded();
+        }
+        try (ScriptedConnection scripted = new ScriptedConnection()) {
+            scripted.apply(Event.COMMAND);
+            scripted.apply(Event.ANSWER);
+            scripted.advance(11_000);
+            assertThat(scripted.finishReasons).containsExactly(CloseReason.IDLE);
+            scripted.assertAllEnded();
+            assertThat(scripted.droppedInput).isEmpty();
+        }
+    }
+
     /**
      * Pipelined commands that arrived before reading stops are answered, however long the earlier ones take; later ones are
      * not.
