--- a/lab/src/yardusher/lab/faults/FaultClient.java
+++ b/lab/src/yardusher/lab/faults/FaultClient.java
@@ -41,6 +41,9 @@
     private final int maxPipelined;
     private final int waitMs;
     private final int pauseMs;
+    private final int morePauseMs;
+    private final boolean keepsOld;
+    private final List<Socket> unused = new ArrayList<>();
     private final int reconnectsOneIn;
     private final IntPredicate mayConnect;
     private volatile boolean stopped;
@@ -58,16 +61,22 @@
         this.maxPipelined = plan.maxPipelined();
         this.waitMs = plan.waitMs();
         this.pauseMs = plan.pauseMs();
+        this.morePauseMs = plan.maxPauseMs() - plan.pauseMs();
+        this.keepsOld = plan.keepsOld();
         this.reconnectsOneIn = plan.reconnectsOneIn();
         this.ids = ids;
         this.history = history;
     }
 
     /**
-     * What a client sends: classes, the longest batch, the deadline, the pause between batches, and in how many batches it opens
-     * a new connection once; 0 for never.
+     * What a client sends: classes, the longest batch, the deadline, the shortest and the longest pause between batches, and in how
+     * many batches it opens a new connection once; 0 for never. {@code keepsOld}: it then leaves the old one open, unused.
      */
-    record Plan(List<RequestClass> classes, int maxPipelined, int waitMs, int pauseMs, int reconnectsOneIn) { }
+    record Plan(List<RequestClass> classes, int maxPipelined, int waitMs, int pauseMs, int maxPauseMs, int reconnectsOneIn, boolean keepsOld) {
+        Plan(List<RequestClass> classes, int maxPipelined, int waitMs, int pauseMs, int reconnectsOneIn) {
+            this(classes, maxPipelined, waitMs, pauseMs, pauseMs, reconnectsOneIn, false);
+        }
+    }
 
     /** Sends no more batches. */
     void stop() { stopped = true; }
@@ -81,14 +90,23 @@
                     continue;
                 }
                 sendBatch();
-                if (reconnectsOneIn > 0 && random.nextInt(reconnectsOneIn) == 0) { disconnect(); }
-                Thread.sleep(pauseMs);
+                if (reconnectsOneIn > 0 && random.nextInt(reconnectsOneIn) == 0) { leaveConnection(); }
+                Thread.sleep(pauseMs + (morePauseMs > 0 ? random.nextInt(morePauseMs + 1) : 0));
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } finally {
             disconnect();
+            for (Socket old : unused) { close(old); }
+        }
+    }
+
+    private void leaveConnection() {
+        if (keepsOld && socket != null) {
+            unused.add(socket);
+            socket = null;
         }
+        disconnect();
     }
 
     /** Whether the kept connection is still open; it may have been closed between requests. */
@@ -120,10 +138,14 @@
     }
 
     private void disconnect() {
+        if (socket != null) { close(socket); }
+        socket = null;
+    }
+
+    private static void close(Socket socket) {
         try {
-            if (socket != null) { socket.close(); }
+            socket.close();
         } catch (IOException e) { /* closed either way */ }
-        socket = null;
     }
 
     private record Pending(String id, RequestClass requestClass, double sentMs) { }
--- a/lab/src/yardusher/lab/faults/FaultRun.java
+++ b/lab/src/yardusher/lab/faults/FaultRun.java
@@ -97,7 +97,7 @@
     }
 
     /** The counters that the ingress answers, or why it does not. */
-    private static String counters(Group group) {
+    static String counters(Group group) {
         try (Terminals.Connection connection = group.terminals().connect(0)) {
             return String.valueOf(connection.ask(WAIT_MS, "INFO") instanceof Value.BulkString line ? line.text() : "none");
         } catch (IOException | MalformedRespException e) {
