Resting connections end only after all input that has arrived is handled

Callers saw: a connection that rested was ended by the ingress with no answer to a request that lay unread (59 to 206 ms after sending). Cause: each place that ends a resting connection (eviction for a newcomer, too many idle ones, idle and silent time-outs, a lowered limit, drain, the end after the last reply in a drain or shutdown, the listener's close) took time that had passed, or its own empty decoder, for proof that the client had sent nothing. A process that was held up has read nothing; when it runs again its timers come before its poll. Class: silence inferred from the clock instead of from the input.

While commands are still read, replies are flushed before the end, since a connection that flushes its last bytes reads nothing. Reading stops in a drain once the input up to that time is handled. The listener closes once a poll has found nobody waiting; it closed over its backlog when the process had been held up.

EndStoryTest and GoneStoryTest moved the clock by 200 ms and sent at once: for the process that is input that may have come before; they now wait until a half command is given up, which shows that reading has stopped, and then ask the same.

--- a/src/main/java/yardusher/net/ClientConnection.java
+++ b/src/main/java/yardusher/net/ClientConnection.java
@@ -110,7 +110,7 @@
     @Override
     public boolean keepsInput(Connection from) {
         // At the end of a process, a terminal whose requests overlap would otherwise send more commands for ever.
-        if (stage == Stage.READING && !slots.isEmpty() && releaseBody == null && server.drainSchedule().hasStoppedReading(loop.now())) {
+        if (stage == Stage.READING && !slots.isEmpty() && releaseBody == null && server.hasStoppedReading(loop.now())) {
             stage = Stage.INPUT_IGNORED;
         }
         return stage == Stage.READING;
@@ -127,7 +127,7 @@
         } finally {
             handlingCommands = false;
         }
-        if (isDone()) { finish(reasonWhenDone()); }
+        if (isDone()) { finishWhenDone(); }
         return false;
     }
 
@@ -237,11 +237,17 @@
         };
     }
 
-    private CloseReason reasonWhenDone() {
-        if (stage == Stage.FINISHING) { return CloseReason.PROTOCOL_ERROR; }
-        return server.isClosing() ? CloseReason.SHUTDOWN : CloseReason.DRAINING;
+    /** Closes a connection that is done; but while commands are still read, the next one may have arrived. */
+    private void finishWhenDone() {
+        if (stage == Stage.READING && !server.hasStoppedReading(loop.now())) {
+            server.closer().close(this, () -> isDone() && isResting(), () -> finish(drainReason()));
+        } else {
+            finish(stage == Stage.FINISHING ? CloseReason.PROTOCOL_ERROR : drainReason());
+        }
     }
 
+    private CloseReason drainReason() { return server.isClosing() ? CloseReason.SHUTDOWN : CloseReason.DRAINING; }
+
     @Override
     public boolean isHoldingBack(Connection from) { return !mayHandleCommands(); }
 
@@ -368,18 +374,46 @@
         quietSinceMs = loop.now();
         if (hasBegunCommand()) { commandBegunAtMs = quietSinceMs; } // until now it may have been held back on this side
         connections.markIdle(this, quietSinceMs);
+        if (isDone()) { finishWhenDone(); }
+    }
+
+    /** Ends this connection for that reason, unless more of a command has arrived by now. */
+    void endUnlessUsed(CloseReason reason) { endUnlessUsed(() -> finish(reason)); }
+
+    /** The same for one that has begun a command and does not end it: with an error as its reply. */
+    void endWithErrorUnlessUsed(String error) { endUnlessUsed(() -> closeWithError(error)); }
+
+    private void endUnlessUsed(Runnable end) {
+        long readCount = connection.readCount();
+        server.closer().close(this, () -> readCount == connection.readCount() && isResting(), end);
     }
 
-    /** Closes unless a command is open, or was begun and may still be completed. */
+    /** Whether no command is open, and none is known to have arrived. Its replies are flushed, since it reads nothing while they end it. */
+    private boolean isResting() {
+        boolean holdsCommands = paused && !connection.decoder().isEmpty();
+        return stage == Stage.READING && owesNoReply() && !holdsCommands && !mayHaveUnhandledInput() && isFlushedOrStopped();
+    }
+
+    private boolean mayHaveUnhandledInput() { return connection.isReadFailing() || connection.hasUnhandledInput(); }
+
+    private boolean isFlushedOrStopped() { return !hasUnflushedBytes() || server.hasStoppedReading(loop.now()); }
+
+    /** Closes unless a command is open, was begun and may still be completed, or has arrived by now. */
     void closeIfIdle() {
-        if (connection.isReadFailing()) { return; }  // a command may have arrived; closed at a later call
+        if (mayCloseIdle()) {
+            server.closer().close(this, this::mayCloseIdle, () -> finish(drainReason()));
+        }
+    }
+
+    private boolean mayCloseIdle() {
+        if (stage == Stage.CLOSED || mayHaveUnhandledInput() || !isFlushedOrStopped()) { return false; } // tried again later
         // A command that has begun is read to its end and answered, unless reading has stopped for good. A large body is read
         // to its end even then: it may have arrived as a whole, and waits on this side.
         boolean isGivenUp = hasStoppedReading(loop.now()) && !mayCompleteBody();
-        if (slots.isEmpty() && (isGivenUp || connection.decoder().isEmpty())) { finish(server.isClosing() ? CloseReason.SHUTDOWN : CloseReason.DRAINING); }
+        return slots.isEmpty() && (isGivenUp || connection.decoder().isEmpty());
     }
 
-    private boolean hasStoppedReading(double nowMs) { return server.isClosing() && server.drainSchedule().hasStoppedReading(nowMs); }
+    private boolean hasStoppedReading(double nowMs) { return server.isClosing() && server.hasStoppedReading(nowMs); }
 
     /**
      * A value cannot be completed: the connection closes after the bytes sent so far, so that the terminal sees that it is
--- a/src/main/java/yardusher/net/Connection.java
+++ b/src/main/java/yardusher/net/Connection.java
@@ -172,6 +172,9 @@
     /** The number of completed reads: if it is unchanged, a full connection has made no progress. */
     long readCount() { return readCount; }
 
+    /** Whether input was read that the owner has not been told of yet. */
+    boolean hasUnhandledInput() { return ownerNotNotified; }
+
     /** Whether a read is pending, so that a disconnect of the peer is seen. */
     boolean isReading() { return reading; }
 
--- a/src/main/java/yardusher/net/ConnectionRegistry.java
+++ b/src/main/java/yardusher/net/ConnectionRegistry.java
@@ -41,8 +41,9 @@
         maxClosing = Math.max(2, max / 5);
         maxConnections = Math.max(1, max - maxClosing);
         maxIdle = Math.max(1, maxConnections / 4);
+        int excess = connections.size() - maxConnections;
         for (ClientConnection connection : new ArrayList<>(idle)) {
-            if (connections.size() > maxConnections) { connection.finish(CloseReason.LIMIT_LOWERED); }
+            if (excess-- > 0) { connection.endUnlessUsed(CloseReason.LIMIT_LOWERED); }
         }
     }
 
@@ -110,7 +111,7 @@
         // Clients that open a connection for each request and keep the old ones would use up their connections with idle ones
         // and find none left for new requests.
         ClientConnection longest = idle.size() > maxIdle ? firstQuietFor(idle, EXCESS_IDLE_MS, nowMs) : null;
-        if (longest != null) { longest.finish(CloseReason.EXCESS_IDLE); }
+        if (longest != null) { longest.endUnlessUsed(CloseReason.EXCESS_IDLE); }
     }
 
     /** Removes a connection. Returns true if this makes room for a new one. */
@@ -166,9 +167,9 @@
             boolean hasBegun = connection.hasBegunCommand();
             if (connection.commandBegunAtMs() < begunBeforeMs
                     || hasBegun && candidates == silent && connection.quietSinceMs() < quietBeforeMs) {
-                connection.closeWithError("command not ended");
+                connection.endWithErrorUnlessUsed("command not ended");
             } else if (!hasBegun && connection.quietSinceMs() < quietBeforeMs) {
-                connection.finish(candidates == silent ? CloseReason.SILENT : CloseReason.IDLE);
+                connection.endUnlessUsed(candidates == silent ? CloseReason.SILENT : CloseReason.IDLE);
             }
         }
     }
--- a/src/main/java/yardusher/net/DrainSchedule.java
+++ b/src/main/java/yardusher/net/DrainSchedule.java
@@ -45,7 +45,10 @@
     /** Whether connections close after their replies. */
     boolean closesAfterReplies(double nowMs) { return nowMs >= closeFromMs; }
 
-    /** Whether a connection that still owes replies reads no more commands. */
+    /** The time from which on a connection that still owes replies reads no more commands. */
+    double readUntilMs() { return closeIdleFromMs; }
+
+    /** Whether that time has come. */
     boolean hasStoppedReading(double nowMs) { return nowMs >= closeIdleFromMs; }
 
     /** Whether a connection without an open command, quiet since that time, may close. */
--- a/src/main/java/yardusher/net/PollBarrier.java
+++ b/src/main/java/yardusher/net/PollBarrier.java
@@ -23,7 +23,7 @@
  * returned, and polls again. So the poll that returns the second byte comes after all is handled that the poll with the first one
  * returned, and that one saw everything that had arrived when the first byte was written. Used on the event loop only.
  */
-public final class PollBarrier {
+public final class PollBarrier implements InputBarrier {
     private static final double MAX_ROUND_MS = 1000; // after this the pair of sockets is given up
 
     /** A round that waits for its bytes. */
@@ -53,13 +53,10 @@
         this.loop = loop;
     }
 
-    /** All input that had arrived before this time was handled, in milliseconds of the event loop's clock. */
+    @Override
     public double handledUpToMs() { return handledUpToMs; }
 
-    /**
-     * Calls back once all input is handled that arrived up to {@code untilMs}, which is not in the future. It also calls back when
-     * that can't be told, with {@link #handledUpToMs} below that time.
-     */
+    @Override
     public void await(double untilMs, Runnable callback) {
         if (round != null && loop.now() - round.begunAtMs > MAX_ROUND_MS) { giveUp(); }
         if (handledUpToMs >= untilMs) {
--- a/src/main/java/yardusher/net/RespServer.java
+++ b/src/main/java/yardusher/net/RespServer.java
@@ -56,6 +56,7 @@
     private static final double ACCEPT_RETRY_MS = 10;
     private static final double MAINTENANCE_INTERVAL_MS = 100;
     private static final double ACCEPT_QUIET_MS = 30;
+    private static final double MAX_STOP_DELAY_MS = 500; // reading stops by then, whatever is known of the input
 
     private final CommandHandler commandHandler;
     private final EventLoop loop;
@@ -65,6 +66,8 @@
     private final BodyBudget bodyBudget;
     private final ReplyBudget replyBudget;
     private final Connection.ReadAheadBudget readAheadBudget = new Connection.ReadAheadBudget(MAX_READ_AHEAD_BYTES);
+    private final InputBarrier inputBarrier;
+    private final RestingConnectionCloser closer;
     private boolean acceptRetryScheduled;
     private boolean closing;
 
@@ -79,6 +82,13 @@
      */
     public RespServer(Sockets sockets, InetSocketAddress address, boolean reusePort, int maxTerminals, BodyBudget bodyBudget,
             ReplyBudget replyBudget, CommandHandler commandHandler) throws IOException {
+        this(sockets, sockets.pollBarrier(), address, reusePort, maxTerminals, bodyBudget, replyBudget, commandHandler);
+    }
+
+    RespServer(Sockets sockets, InputBarrier inputBarrier, InetSocketAddress address, boolean reusePort, int maxTerminals,
+            BodyBudget bodyBudget, ReplyBudget replyBudget, CommandHandler commandHandler) throws IOException {
+        this.inputBarrier = inputBarrier;
+        closer = new RestingConnectionCloser(inputBarrier, sockets.loop(), this::onRoomAvailable);
         this.bodyBudget = bodyBudget;
         this.replyBudget = replyBudget;
         this.commandHandler = commandHandler;
@@ -109,26 +119,24 @@
     public boolean isFinished() { return connections.totalCount() == 0 && listener.isClosed(); }
 
     /**
-     * Whether one more connection is accepted; may evict one. Connections that are kept open unused must not lock out other
-     * clients: the one that has been silent for longest is closed, instead of accepting no new connections.
+     * Whether one more connection is accepted; if not, evicts where possible and accepts again after that. Connections that are
+     * kept open unused must not lock out other clients: those that have been silent for longest are closed, instead of accepting
+     * no new connections.
      */
     private boolean makeRoom() {
         // During a handover this process's half of the descriptors may be full. Connections that wait in its accept queue would
         // be reset, so they are accepted beyond that limit.
         if (connections.hasRoom(drainSchedule.isHandover())) { return true; }
-        ClientConnection longest = connections.evictionCandidate(loop.now());
-        if (longest == null) {
-            if (!acceptRetryScheduled) {
-                acceptRetryScheduled = true;
-                loop.deadlines().schedule(loop.now() + ACCEPT_RETRY_MS, () -> {
-                    acceptRetryScheduled = false;
-                    listener.accept();
-                });
-            }
-            return false;
+        ClientConnection longest = closer.isBusy() ? null : connections.evictionCandidate(loop.now());
+        if (longest != null) { longest.endUnlessUsed(CloseReason.EVICTED); }
+        if (!acceptRetryScheduled) {
+            acceptRetryScheduled = true;
+            loop.deadlines().schedule(loop.now() + ACCEPT_RETRY_MS, () -> {
+                acceptRetryScheduled = false;
+                listener.accept();
+            });
         }
-        longest.finish(CloseReason.EVICTED);
-        return true;
+        return false;
     }
 
     /** Closes connections that have been silent or idle too long, and those that never complete a command. */
@@ -136,8 +144,9 @@
         double now = loop.now();
         loop.deadlines().schedule(now + MAINTENANCE_INTERVAL_MS, this::maintain);
         connections.reap(now);
+        if (drainSchedule.hasStoppedReading(now) && !hasStoppedReading(now)) { awaitInputUntil(drainSchedule.readUntilMs()); }
         closeDraining(now);
-        if (closing && drainSchedule.hasStoppedReading(now)) { closeIdle(); }
+        if (closing && hasStoppedReading(now)) { closeIdle(); }
         listener.accept();                           // no effect once the listener is closed
     }
 
@@ -148,7 +157,10 @@
      * Asks terminals to disconnect, or accepts them again. The listener stays open for those that connect all the same. A
      * connection is closed right after a reply, when its terminal is least likely to have sent the next command.
      */
-    public void setDraining(boolean draining) { drainSchedule.setDraining(draining, loop.now()); }
+    public void setDraining(boolean draining) {
+        drainSchedule.setDraining(draining, loop.now());
+        if (isDraining()) { awaitInputUntil(drainSchedule.readUntilMs()); }
+    }
 
     /**
      * The next version of this program takes new connections. This one accepts what waits in its accept queue, answers the
@@ -158,7 +170,9 @@
     public void startHandover() {
         if (drainSchedule.isHandover()) { return; }
         double now = loop.now();
-        listener.closeWhenQuiet(ACCEPT_QUIET_MS, drainSchedule.startHandover(now));
+        double readUntilMs = drainSchedule.startHandover(now);
+        awaitInputUntil(readUntilMs);
+        listener.closeWhenQuiet(ACCEPT_QUIET_MS, readUntilMs);
         closeDraining(now);
     }
 
@@ -175,8 +189,21 @@
 
     DrainSchedule drainSchedule() { return drainSchedule; }
 
+    RestingConnectionCloser closer() { return closer; }
+
     boolean isClosing() { return closing; }
 
+    /** Whether a connection that still owes replies reads no more commands, and all input that came before was handled. */
+    boolean hasStoppedReading(double nowMs) {
+        double readUntilMs = drainSchedule.readUntilMs();
+        return drainSchedule.hasStoppedReading(nowMs) && (inputBarrier.handledUpToMs() >= readUntilMs || nowMs >= readUntilMs + MAX_STOP_DELAY_MS);
+    }
+
+    /** Has all input handled that arrives until that time. */
+    private void awaitInputUntil(double readUntilMs) {
+        loop.deadlines().schedule(readUntilMs, () -> inputBarrier.await(readUntilMs, () -> { }));
+    }
+
     /** Whether connections close after their replies. */
     boolean closesAfterReplies() { return closing || drainSchedule.closesAfterReplies(loop.now()); }
 
@@ -191,7 +218,7 @@
         for (ClientConnection connection : connections.all()) {
             if (!connection.owesNoReply()) { continue; } // closes after its reply
             if (closesAllIdle) {
-                connection.finish(CloseReason.DRAINING);
+                connection.endUnlessUsed(CloseReason.DRAINING);
             } else if (drainSchedule.mayCloseIdle(now, connection.quietSinceMs())) {
                 connection.closeIfIdle();
             }
@@ -210,7 +237,9 @@
             closing = true;
             // A connection that waits to be accepted, with a request already written, would be reset if the listener closed at
             // once.
-            listener.closeWhenQuiet(ACCEPT_QUIET_MS, drainSchedule.startShutdown(now));
+            double readUntilMs = drainSchedule.startShutdown(now);
+            awaitInputUntil(readUntilMs);
+            listener.closeWhenQuiet(ACCEPT_QUIET_MS, readUntilMs);
             listener.accept();
         }
         closeIdle();
--- a/src/main/java/yardusher/net/Sockets.java
+++ b/src/main/java/yardusher/net/Sockets.java
@@ -91,6 +91,7 @@
     public final class Listener {
         private static final double MIN_QUIET_CHECK_MS = 5;
         private static final double MAX_BACKLOG_KEPT_MS = 1000; // of a listener that closes while accepts fail
+        private static final double MAX_BACKLOG_READ_MS = 100; // of one on which connections come without a pause
 
         private final AsynchronousServerSocketChannel channel;
         private final Consumer<AsynchronousSocketChannel> onAccept;
@@ -179,7 +180,16 @@
                 boolean quiet = lastAcceptedAtMs < nowMs || loop.now() >= deadlineMs;
                 // While accepts fail, connections wait that the close would reset.
                 boolean backlogKept = delay.isRecent(loop.now()) && loop.now() < deadlineMs + MAX_BACKLOG_KEPT_MS;
-                if (quiet && !backlogKept) { close(); } else { closeWhenQuiet(quietMs, deadlineMs); }
+                if (quiet && !backlogKept) { closeUnlessAccepting(quietMs, deadlineMs); } else { closeWhenQuiet(quietMs, deadlineMs); }
+            });
+        }
+
+        /** That nothing was accepted for a while proves nothing if the process did not run: connections that wait are accepted first. */
+        private void closeUnlessAccepting(double quietMs, double deadlineMs) {
+            double askedAtMs = loop.now();
+            pollBarrier.await(askedAtMs, () -> {
+                boolean noneCame = lastAcceptedAtMs < askedAtMs;
+                if (noneCame || loop.now() >= deadlineMs + MAX_BACKLOG_READ_MS) { close(); } else { closeWhenQuiet(quietMs, deadlineMs); }
             });
         }
 
--- a/src/test/java/yardusher/net/ClientConnectionTest.java
+++ b/src/test/java/yardusher/net/ClientConnectionTest.java
@@ -36,7 +36,7 @@
     enum Event { COMMAND, HALF_COMMAND, COMMAND_THEN_CLOSE, COMMAND_THEN_RESET, MALFORMED, ANSWER,
         LAST_ANSWER, CLOSE, RESET, SHUTDOWN, EVICTION, WRITE_FAILURE, FLUSH, TIME_PASSES,
         READ_INTERRUPTED, READ_SHORTAGE, WRITE_INTERRUPTED, WRITE_SHORTAGE,
-        REPLY_MEMORY_SHORT, LARGE_COMMAND }
+        REPLY_MEMORY_SHORT, LARGE_COMMAND, COMMAND_WHILE_STOPPED, BARRIER_HELD_UP }
 
     /** How the channel treats written bytes. */
     enum WriteMode { ACCEPTED, BLOCKED, FAILING }
@@ -49,6 +49,7 @@
     private static final long REPLY_BUDGET_BYTES = 1 << 20;
     private static final byte[] COMMAND = new Encoder(16).array(1).bulk("ASK").toBytes();
     private static final int LARGE_BODY_BYTES = 70_000;
+    private static final double STOP_MS = 10;
     private static final int MAX_LARGE_COMMANDS = 2; // in a sequence of events
     /** Room for one large body and no second one. */
     private static final long BODY_BUDGET_BYTES = 100_000;
@@ -73,13 +74,19 @@
         boolean isReset;
         int shutdowns;
         int closes;
+        Runnable onShutdown = () -> { };
 
         ScriptedChannel() { super(null); }
 
         void receive(byte[] bytes) {
+            receiveUnread(bytes);
+            completeRead();
+        }
+
+        /** Bytes that lie in the system until the process runs and polls again. */
+        void receiveUnread(byte[] bytes) {
             ByteBuffer all = ByteBuffer.allocate(input.remaining() + bytes.length);
             input = all.put(input).put(bytes).flip();
-            completeRead();
         }
 
         void endInput(boolean resets) {
@@ -170,6 +177,7 @@
         @Override
         public AsynchronousSocketChannel shutdownOutput() {
             shutdowns++;
+            onShutdown.run();
             return this;
         }
 
@@ -221,6 +229,40 @@
                 CompletionHandler<Long, ? super A> then) { throw new UnsupportedOperationException(); }
     }
 
+    /** Tells what a poll would: the channel's input is handled before it calls back. */
+    private static final class ScriptedBarrier implements InputBarrier {
+        private final EventLoop loop;
+        private final ScriptedChannel channel;
+        private final List<Runnable> waiting = new ArrayList<>();
+        private double handledUpToMs = Double.NEGATIVE_INFINITY;
+        boolean heldUp;
+
+        ScriptedBarrier(EventLoop loop, ScriptedChannel channel) {
+            this.loop = loop;
+            this.channel = channel;
+        }
+
+        @Override
+        public double handledUpToMs() { return handledUpToMs; }
+
+        @Override
+        public void await(double untilMs, Runnable callback) {
+            waiting.add(callback);
+            if (!heldUp) { poll(); }
+        }
+
+        /** Called within a task of the event loop. */
+        void poll() {
+            List<Runnable> callbacks = List.copyOf(waiting);
+            waiting.clear();
+            channel.completeRead();
+            loop.defer(() -> {
+                handledUpToMs = loop.now();
+                callbacks.forEach(loop::defer);
+            });
+        }
+    }
+
     /** A connection with its server and clock. */
     private static final class ScriptedConnection implements RespServer.CommandHandler, AutoCloseable {
         private double nowMs = 1000;
@@ -232,6 +274,8 @@
         private final ReplyBudget replyBudget = new ReplyBudget(REPLY_BUDGET_BYTES);
         private final ConnectionRegistry connections = new ConnectionRegistry();
         private final ScriptedChannel channel = new ScriptedChannel();
+        private final ScriptedBarrier barrier = new ScriptedBarrier(loop, channel);
+        private int invalidCommands;
         private final ClientConnection connection;
         private final List<RespServer.Slot> openSlots = new ArrayList<>();
         private final ByteArrayOutputStream owed = new ByteArrayOutputStream();
@@ -251,8 +295,9 @@
         /** The connection may have waited that long to be accepted. */
         ScriptedConnection(double acceptHeldUpMs) throws IOException {
             sockets = new Sockets(loop);
-            server = new RespServer(sockets, new InetSocketAddress("127.0.0.1", 0), false, 100, bodyBudget, replyBudget, this);
+            server = new RespServer(sockets, barrier, new InetSocketAddress("127.0.0.1", 0), false, 100, bodyBudget, replyBudget, this);
             connections.setMaxConnections(100);
+            channel.onShutdown = this::checkNothingUnread;
             ClientConnection[] made = new ClientConnection[1];
             loop.execute(() -> {
                 made[0] = new ClientConnection(channel, server, connections, loop, acceptHeldUpMs);
@@ -284,6 +329,15 @@
         @Override
         public void onInputDropped(DroppedInput dropped) { droppedInput.add(dropped); }
 
+        @Override
+        public void onInvalidCommand() { invalidCommands++; }
+
+        /** Guards against connections that are ended over a command that has arrived. */
+        private void checkNothingUnread() {
+            boolean isOwed = invalidCommands == 0 && !channel.hasEnded && !server.hasStoppedReading(nowMs);
+            assertThat(isOwed && channel.input.hasRemaining()).as("ended over input that has arrived").isFalse();
+        }
+
         private void answer(int at) {
             RespServer.Slot slot = openSlots.remove(at);
             answered++;
@@ -314,8 +368,13 @@
                     if (longest == null) { return; }
                     assertThat(longest.owesNoReply() && !longest.hasUnflushedBytes())
                             .as("a connection with unflushed replies is not evicted").isTrue();
-                    longest.finish(CloseReason.EVICTED);
+                    longest.endUnlessUsed(CloseReason.EVICTED);
                 });
+                case COMMAND_WHILE_STOPPED -> {
+                    channel.receiveUnread(COMMAND);
+                    nowMs += STOP_MS;
+                }
+                case BARRIER_HELD_UP -> barrier.heldUp = true;
                 case READ_INTERRUPTED -> channel.disturbRead(true);
                 case READ_SHORTAGE -> channel.disturbRead(false);
                 case WRITE_INTERRUPTED -> channel.disturbWrite(true);
@@ -345,10 +404,11 @@
                 nowMs += 50;
                 loop.execute(() -> {
                     connections.reap(nowMs);
-                    if (server.isClosing() && server.drainSchedule().hasStoppedReading(nowMs)) {
+                    if (server.isClosing() && server.hasStoppedReading(nowMs)) {
                         connections.all().forEach(ClientConnection::closeIfIdle);
                     }
                 });
+                loop.execute(barrier::poll);         // timers may come first
             }
         }
 
--- a/src/test/java/yardusher/story/EndStoryTest.java
+++ b/src/test/java/yardusher/story/EndStoryTest.java
@@ -5,6 +5,7 @@
 import static yardusher.story.StandIn.next;
 
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
@@ -107,8 +108,9 @@
                 return null;
             }
         };
-        try (Client idle = new Client(door); Client busy = new Client(door)) {
+        try (Client idle = new Client(door); Client busy = new Client(door); Client half = new Client(door)) {
             assertThat(idle.ask("PING")).isEqualTo("+PONG");
+            half.raw("*1\r\n$4\r\n".getBytes(StandardCharsets.US_ASCII));
             order(busy, 1);
             assertThat(next(region.seen)).contains("0000000000000001");
             drain.start();
@@ -116,6 +118,7 @@
             assertThat(next(region.seen)).contains("0000000000000002");
             assertThat(idle.ended()).as("accepts no more").isTrue();
             later += 200;
+            assertThat(half.ended()).as("reading has stopped").isTrue();
             order(busy, 3);
             go.add("made for ");
             go.add("made for ");
--- a/src/test/java/yardusher/story/GoneStoryTest.java
+++ b/src/test/java/yardusher/story/GoneStoryTest.java
@@ -110,13 +110,15 @@
         Thread drain = new Thread(() -> {
             try { serve.drain(); } catch (InterruptedException e) { /* ends */ }
         });
-        try (Client client = new Client(door); Client idle = new Client(door)) {
+        try (Client client = new Client(door); Client idle = new Client(door); Client half = new Client(door)) {
             assertThat(idle.ask("PING")).isEqualTo("+PONG");
+            half.raw("*1\r\n$4\r\n".getBytes(StandardCharsets.US_ASCII));
             client.raw(orders(1));
             next(region.seen);
             drain.start();
             assertThat(idle.ended()).as("accepts no more").isTrue();
             later += 200;
+            assertThat(half.ended()).as("reading has stopped").isTrue();
             for (int i = 0; i < 3; i++) {            // each read by itself
                 client.raw(orders(1));
                 serve.countersLine();
