--- a/lab/shim/faults.c
+++ b/lab/shim/faults.c
@@ -296,6 +296,13 @@
     return real(descriptor, level, name, value, length);
 }
 
+int getsockname(int descriptor, struct sockaddr *address, socklen_t *length) {
+    REAL(int, getsockname, int, struct sockaddr *, socklen_t *);
+    int fault = fault_for("getsockname", side_of(descriptor));
+    if (fault > 0) { errno = fault; return -1; }
+    return real(descriptor, address, length);
+}
+
 int shutdown(int descriptor, int how) {
     REAL(int, shutdown, int, int);
     int fault = fault_for("shutdown", side_of(descriptor));
--- a/src/test/java/yardusher/lab/faults/MachineFaultsTest.java
+++ b/src/test/java/yardusher/lab/faults/MachineFaultsTest.java
@@ -82,6 +82,13 @@
         assertThat(result.problems()).as("%s%n%s", result, result.log()).isEmpty();
     }
 
+    /** A connection whose address cannot be read when it is accepted: the JDK closes it, with the request that lies unread on it. */
+    @Test
+    void noAnswerIsLostWhileAddressesOfNewConnectionsCannotBeRead() throws Exception {
+        FaultRun.Result result = FaultRun.play(folder, 40, FaultRule.parse("getsockname:ENOBUFS:client:5:1"), FAULT_MS, Map.of());
+        assertThat(result.problems()).as("%s%n%s", result, result.log()).isEmpty();
+    }
+
     @ParameterizedTest
     @CsvSource(delimiter = '|', textBlock = """
             1  | write:ENOBUFS:client:50:1;write:ENOMEM:client:70:2
