--- a/src/test/java/yardusher/lab/faults/HeldUpIngressTest.java
+++ b/src/test/java/yardusher/lab/faults/HeldUpIngressTest.java
@@ -24,4 +24,12 @@
         HeldUpRun.Result result = HeldUpRun.play(folder, seed, new HeldUpRun.Trouble(sockets, crowd, stopMs, everyMs), DURATION_MS);
         assertThat(result.endedOver()).as("%s%n%s%n%s", result, result.counters(), result.log()).isEmpty();
     }
+
+    /** Guards against usual clients that an idle crowd locks out, and against backends that are told the time of that wait. */
+    @ParameterizedTest
+    @CsvSource({"11, 200, 600, 250, 300", "2, 200, 600, 250, 400"})
+    void usualClientsAreAnsweredInTimeBesideAnIdleCrowd(long seed, int sockets, int crowd, int stopMs, int everyMs) throws Exception {
+        HeldUpRun.Result result = HeldUpRun.play(folder, seed, new HeldUpRun.Trouble(sockets, crowd, stopMs, everyMs), DURATION_MS);
+        assertThat(result.breaches()).as("%s%n%s%n%s", result, result.counters(), result.log()).isEmpty();
+    }
 }
