Name what is dropped behind an error line, a flood or a drain, with the reason and the id

Cause: the decoder was emptied before the end looked at what it held, and reads that drop their input shared one buffer that tells nothing.

Change: Connection.reportDroppedInput tells the owner once, also of the first input that is read to be dropped, which gets a small buffer of its own. CloseReason has FLOOD and INCOMPLETE_COMMAND; replies_unread has closed_ and dropped_, value_incomplete has dropped_. Behind malformed input the first whole request is named wherever it begins; nonsense without one is counted and not logged, so that it uses up no lines.

--- a/src/main/java/yardusher/clients/ConnectionEndLog.java
+++ b/src/main/java/yardusher/clients/ConnectionEndLog.java
@@ -1,5 +1,6 @@
 package yardusher.clients;
 
+import java.util.Arrays;
 import java.util.function.DoubleSupplier;
 import yardusher.log.Events;
 import yardusher.log.RateLimitedEvents;
@@ -17,6 +18,8 @@
  */
 final class ConnectionEndLog {
     private static final int MAX_LINES_PER_SECOND = 5;
+    private static final String PART = "part";
+    private static final String NO_REQUEST = "none";
     private static final CloseReason[] REASONS = CloseReason.values();
 
     private final RateLimitedEvents events;
@@ -41,8 +44,10 @@
     /** Input came, or was there, that nobody handles since its connection was shut down. */
     void recordDropped(DroppedInput dropped) {
         droppedCounts[dropped.reason().ordinal()]++;
-        if (!events.admits()) { return; }
-        events.warn("client connection shut down over a command", "reason", dropped.reason().label(), "first_id", firstId(dropped.bytes()),
+        String firstId = dropped.reason() == CloseReason.PROTOCOL_ERROR ? firstIdBehindMalformed(dropped.bytes()) : firstId(dropped.bytes());
+        // What cannot be read as commands costs nobody an answer, and must not use up the lines.
+        if (dropped.reason() == CloseReason.PROTOCOL_ERROR && firstId.equals(NO_REQUEST) || !events.admits()) { return; }
+        events.warn("client connection shut down over a command", "reason", dropped.reason().label(), "first_id", firstId,
                 "read_after_ms", Math.round(dropped.afterMs()));
     }
 
@@ -50,7 +55,7 @@
         for (RespServer.Slot slot : end.openRequests()) {
             if (slot.request != null) { return String.format("%016x", slot.request.incoming().command().id()); }
         }
-        return "none";
+        return NO_REQUEST;
     }
 
     /** The id of the first request in this input, "part" for half a command and "none" for another one. */
@@ -59,13 +64,24 @@
         decoder.add(input, input.length);
         try {
             byte[][] words = decoder.nextCommand();
-            if (words == null) { return "part"; }
-            return Call.isCall(words) ? String.format("%016x", Call.parse(words).id) : "none";
+            if (words == null) { return PART; }
+            return Call.isCall(words) ? String.format("%016x", Call.parse(words).id) : NO_REQUEST;
         } catch (MalformedRespException | RuntimeException e) {
-            return "none";
+            return NO_REQUEST;
         }
     }
 
+    /** The id of the first whole request in this input, wherever it begins. */
+    private static String firstIdBehindMalformed(byte[] input) {
+        for (int i = 0; i < input.length; i++) {
+            boolean mayBegin = input[i] == '*' && (i == 0 || input[i - 1] == '\n');
+            if (!mayBegin) { continue; }
+            String id = firstId(Arrays.copyOfRange(input, i, input.length));
+            if (!id.equals(NO_REQUEST) && !id.equals(PART)) { return id; }
+        }
+        return NO_REQUEST;
+    }
+
     /**
      * Three counters: {@code ended_REASON} connections that owed answers, {@code closed_REASON} connections that this process shut
      * down with no answer owed, and {@code dropped_REASON} those of them on which more input came or was there.
@@ -73,12 +89,9 @@
     String countersLine() {
         StringBuilder line = new StringBuilder();
         for (CloseReason reason : REASONS) {
-            if (reason.isByChoice()) {
-                append(line, "closed_", reason, finishedCounts);
-                append(line, "dropped_", reason, droppedCounts);
-            } else {
-                append(line, "ended_", reason, counts);
-            }
+            if (reason.isByChoice()) { append(line, "closed_", reason, finishedCounts); }
+            if (reason.mayDropInput()) { append(line, "dropped_", reason, droppedCounts); }
+            if (reason.mayOweReplies()) { append(line, "ended_", reason, counts); }
         }
         return line.toString();
     }
--- a/src/main/java/yardusher/net/ClientConnection.java
+++ b/src/main/java/yardusher/net/ClientConnection.java
@@ -59,8 +59,8 @@
     private boolean fullCheckScheduled;              // a check of a full read-ahead buffer is scheduled
     private int unflushedAtLastCheck;                // unflushed reply bytes at the last check, and since when
     private double unflushedSinceMs;
-    private CloseReason finishReason;                // null until this side has shut the connection down
-    private double finishedAtMs;
+    private CloseReason finishReason;                // why this side drops input and ends the connection; null while it does not
+    private double inputDroppedFromMs;
 
     /** The connection may have waited for up to {@code acceptHeldUpMs} to be accepted. */
     ClientConnection(AsynchronousSocketChannel channel, RespServer server, ConnectionRegistry connections, EventLoop loop,
@@ -112,6 +112,7 @@
         // At the end of a process, a terminal whose requests overlap would otherwise send more commands for ever.
         if (stage == Stage.READING && !slots.isEmpty() && releaseBody == null && server.hasStoppedReading(loop.now())) {
             stage = Stage.INPUT_IGNORED;
+            dropInputFor(drainReason());
         }
         return stage == Stage.READING;
     }
@@ -123,7 +124,7 @@
         try {
             handleCommands();
         } catch (MalformedRespException e) {
-            closeWithError(e.getMessage());
+            closeWithError(CloseReason.PROTOCOL_ERROR, e.getMessage());
         } finally {
             handlingCommands = false;
         }
@@ -242,7 +243,7 @@
         if (stage == Stage.READING && !server.hasStoppedReading(loop.now())) {
             server.closer().close(this, () -> isDone() && isResting(), () -> finish(drainReason()));
         } else {
-            finish(stage == Stage.FINISHING ? CloseReason.PROTOCOL_ERROR : drainReason());
+            finish(finishReason == null ? drainReason() : finishReason);
         }
     }
 
@@ -262,7 +263,7 @@
             // The disconnect of a terminal that sends much at once and leaves would stay unseen behind the unread input.
             if (readCount == connection.readCount() && !connection.isReading() && !slots.isEmpty()
                     && (releaseBody == null || bodyGranted)) {
-                closeWithError("too many commands at once");
+                closeWithError(CloseReason.FLOOD, "too many commands at once");
             }
             connection.readMore();                   // or reports again that the buffer is full
         });
@@ -294,28 +295,43 @@
         server.replyBudget().add(bytes);
     }
 
-    /** The framing is lost: earlier commands are still answered in order, then the connection closes. */
-    void closeWithError(String reason) {
+    /** No more commands are handled: earlier ones are still answered in order, then the connection closes. */
+    private void closeWithError(CloseReason reason, String error) {
         if (stage.compareTo(Stage.FINISHING) >= 0) { return; }
         releaseBody();
-        stage = Stage.FINISHING;
-        connection.decoder().discard();
+        discardInput(reason);
         server.commandHandler().onInvalidCommand();
         commandBegunAtMs = Double.POSITIVE_INFINITY;
         connections.markBusy(this);
         RespServer.Slot slot = new RespServer.Slot(this, 0);
         slots.add(slot);
-        slot.complete(new Encoder(64).error("ERR Protocol error: " + reason).toBytes());
+        slot.complete(new Encoder(64).error("ERR Protocol error: " + error).toBytes());
+    }
+
+    /** The connection is to end once all replies are sent that it owes; input that is not handled yet is dropped. */
+    private void discardInput(CloseReason reason) {
+        stage = Stage.FINISHING;
+        dropInputFor(reason);
+        reportUnhandledInput();
+        connection.decoder().discard();
+    }
+
+    /** From now on input is dropped for that reason. */
+    private void dropInputFor(CloseReason reason) {
+        finishReason = reason;
+        inputDroppedFromMs = loop.now();
+    }
+
+    private void reportUnhandledInput() {
+        byte[] unhandled = connection.decoder().bufferedInput(DroppedInput.MAX_BYTES);
+        if (unhandled.length > 0) { connection.reportDroppedInput(unhandled); }
     }
 
     /** Counts a malformed command and delays the next one. After a number of them the connection closes. */
     void onCommandRejected() {
         server.commandHandler().onInvalidCommand();
         rejectedCount++;
-        if (rejectedCount >= MAX_REJECTED && stage.compareTo(Stage.FINISHING) < 0) {
-            stage = Stage.FINISHING;
-            connection.decoder().discard();
-        }
+        if (rejectedCount >= MAX_REJECTED && stage.compareTo(Stage.FINISHING) < 0) { discardInput(CloseReason.PROTOCOL_ERROR); }
         pause(REJECTED_DELAY_MS * rejectedCount);
     }
 
@@ -381,7 +397,7 @@
     void endUnlessUsed(CloseReason reason) { endUnlessUsed(() -> finish(reason)); }
 
     /** The same for one that has begun a command and does not end it: with an error as its reply. */
-    void endWithErrorUnlessUsed(String error) { endUnlessUsed(() -> closeWithError(error)); }
+    void endWithErrorUnlessUsed(String error) { endUnlessUsed(() -> closeWithError(CloseReason.INCOMPLETE_COMMAND, error)); }
 
     private void endUnlessUsed(Runnable end) {
         long readCount = connection.readCount();
@@ -421,6 +437,8 @@
      */
     void abort() {
         if (stage == Stage.CLOSED) { return; }
+        dropInputFor(CloseReason.VALUE_INCOMPLETE);
+        reportUnhandledInput();
         end(CloseReason.VALUE_INCOMPLETE, "");
         connections.closeAfterFlush(connection, loop.now(), server.closesAfterReplies());
     }
@@ -428,19 +446,16 @@
     /** Closes after the last bytes are flushed. A close with unread input would reset the connection and lose them. */
     void finish(CloseReason reason) {
         if (stage == Stage.CLOSED) { return; }
-        finishReason = reason;
-        finishedAtMs = loop.now();
+        dropInputFor(reason);
         server.commandHandler().onConnectionFinished(reason);
-        byte[] unhandled = connection.decoder().bufferedInput(DroppedInput.MAX_BYTES);
-        if (unhandled.length > 0) { onInputDropped(connection, unhandled); }
+        reportUnhandledInput();
         deregister();
         connections.closeAfterFlush(connection, loop.now(), server.closesAfterReplies());
     }
 
     @Override
     public void onInputDropped(Connection from, byte[] bytes) {
-        if (finishReason == null) { return; }
-        server.commandHandler().onInputDropped(new DroppedInput(finishReason, loop.now() - finishedAtMs, bytes));
+        server.commandHandler().onInputDropped(new DroppedInput(finishReason, loop.now() - inputDroppedFromMs, bytes));
     }
 
     @Override
--- a/src/main/java/yardusher/net/CloseReason.java
+++ b/src/main/java/yardusher/net/CloseReason.java
@@ -12,7 +12,7 @@
     READ_FAILED,
     /** Writes failed on this machine until the retry limit. */
     WRITE_FAILED,
-    /** The peer sends commands and does not read the replies. */
+    /** The peer does not read its replies. */
     REPLIES_UNREAD,
     /** The peer goes on sending what is no longer read. */
     INPUT_UNREAD,
@@ -34,14 +34,24 @@
     DRAINING,
     /** The process shuts down. */
     SHUTDOWN,
-    /** The client's input could not be read as commands. */
-    PROTOCOL_ERROR;
+    /** The client's input could not be read as commands, or too many of its commands were malformed. */
+    PROTOCOL_ERROR,
+    /** The client sent more commands behind an open one than are held for it. */
+    FLOOD,
+    /** The client did not complete a command that it had begun. */
+    INCOMPLETE_COMMAND;
 
     /** Whether the peer ended the connection, or the network between. */
     public boolean isByPeer() { return this == PEER_CLOSED || this == PEER_RESET; }
 
-    /** Whether this process chose to end a connection that owed nothing that it knew of. */
-    public boolean isByChoice() { return compareTo(EVICTED) >= 0; }
+    /** Whether this process may choose to end a connection for this reason that owes no reply to a command that it has handled. */
+    public boolean isByChoice() { return this == REPLIES_UNREAD || compareTo(EVICTED) >= 0; }
+
+    /** Whether this process ends a connection for this reason while its client may still send. */
+    public boolean mayDropInput() { return isByChoice() || this == VALUE_INCOMPLETE; }
+
+    /** Whether a connection may end for this reason that owes replies. */
+    public boolean mayOweReplies() { return compareTo(EVICTED) < 0; }
 
     /** The name in counters and logs. */
     public String label() { return name().toLowerCase(Locale.ROOT); }
--- a/src/main/java/yardusher/net/Connection.java
+++ b/src/main/java/yardusher/net/Connection.java
@@ -46,8 +46,7 @@
         default double maxFailingWriteMs() { return MAX_FAILING_MS; }
 
         /**
-         * Input was read after the connection was shut down, and is dropped; called for the first such input only, with its first
-         * bytes.
+         * Input was read on a connection that reads ahead, and is dropped; called for the first such input only, with its first bytes.
          */
         default void onInputDropped(Connection connection, byte[] bytes) { }
 
@@ -239,7 +238,7 @@
         // A read waits in a small buffer of its own: a wait in the decoder's buffer would keep all of that allocated while no
         // input comes.
         if (usingReceiveBuffer && receiveBuffer == null) { receiveBuffer = new byte[Decoder.MAX_ADD_BYTES]; }
-        ByteBuffer buffer = droppingRead ? DRAIN_BUFFER.duplicate()
+        ByteBuffer buffer = droppingRead ? dropBuffer()
                 : usingReceiveBuffer ? ByteBuffer.wrap(receiveBuffer) : inbound.readBuffer();
         requestedBytes = buffer.remaining();
         read(buffer);
@@ -340,15 +339,26 @@
             close();
             return;
         }
-        if (!reading) { read(DRAIN_BUFFER.duplicate()); }
+        if (!reading) { read(dropBuffer()); }
+    }
+
+    /** The buffer for input that is dropped: one of its own for the first of it, so that the owner can be told what it is. */
+    private ByteBuffer dropBuffer() {
+        boolean reported = dropReported || readAheadBudget == null;
+        return reported ? DRAIN_BUFFER.duplicate() : ByteBuffer.allocate(DroppedInput.MAX_BYTES);
     }
 
-    /** Only a read that was pending at the shutdown has a buffer of its own, which tells what it got. */
     private void reportDropped(ByteBuffer buffer, int count) {
-        if (count <= 0 || dropReported || !buffer.hasArray()) { return; }
-        dropReported = true;
+        if (count <= 0 || readAheadBudget == null || dropReported || !buffer.hasArray()) { return; }
         int from = buffer.arrayOffset() + buffer.position() - count;
-        owner.onInputDropped(this, Arrays.copyOfRange(buffer.array(), from, from + Math.min(count, DroppedInput.MAX_BYTES)));
+        reportDroppedInput(Arrays.copyOfRange(buffer.array(), from, from + Math.min(count, DroppedInput.MAX_BYTES)));
+    }
+
+    /** Tells the owner of input that is dropped, unless it was told of some before. */
+    void reportDroppedInput(byte[] bytes) {
+        if (dropReported) { return; }
+        dropReported = true;
+        owner.onInputDropped(this, bytes);
     }
 
     private void onDrained(int count) {
@@ -356,7 +366,7 @@
         if (IoClassifier.ofCount(count) == IoVerdict.PEER_CLOSED || droppedBytes > MAX_DRAINED_BYTES && !drainsWithoutLimit) {
             close();
         } else {
-            read(DRAIN_BUFFER.duplicate());
+            read(dropBuffer());
         }
     }
 
@@ -447,14 +457,17 @@
             onDrained(count);
             return;
         }
-        if (stage != Stage.OPEN) { return; }         // reading resumes after the last bytes are written
+        if (stage != Stage.OPEN) {                   // reading resumes after the last bytes are written
+            reportDropped(completed, count);
+            return;
+        }
         if (verdict == IoVerdict.PEER_CLOSED) {
             onReadFailed(verdict, "");
             return;
         }
         readCount++;
         if (maxReadAhead > 0) {
-            onReadAhead(count, completedAtMs);
+            onReadAhead(completed, count, completedAtMs);
             return;
         }
         inbound.advance(count);
@@ -466,10 +479,11 @@
         }
     }
 
-    private void onReadAhead(int count, double completedAtMs) {
+    private void onReadAhead(ByteBuffer completed, int count, double completedAtMs) {
         lastReadFilled = count == requestedBytes;
         double arrivedMs = readDelay.completed(completedAtMs, lastReadFilled);
         if (droppingRead || !owner.keepsInput(this)) {
+            reportDropped(completed, count);
             droppedBytes += count;
             if (droppedBytes > MAX_DRAINED_BYTES) {
                 closeAndNotify(CloseReason.INPUT_UNREAD, "");
--- a/src/test/java/yardusher/clients/ConnectionEndLogTest.java
+++ b/src/test/java/yardusher/clients/ConnectionEndLogTest.java
@@ -41,6 +41,18 @@
         assertThat(log.countersLine()).contains("dropped_evicted=1 ", "dropped_idle=2 ", "dropped_shutdown=1 ");
     }
 
+    /** Guards against a request behind malformed input that is dropped unnamed, and against nonsense that uses up the lines. */
+    @Test
+    void aRequestBehindMalformedInputIsNamed() {
+        byte[] lookup = new Encoder(128).array(4).bulk("CALL.GET").bulk("00000000b4d65521").bulk("9b1f03aa5c7e2d41")
+                .bulk("c=lookup,t=basis,d=480,units=1,spread=1,first=0").toBytes();
+        drop(CloseReason.PROTOCOL_ERROR, ("?\r\n*x\r\n" + new String(lookup, StandardCharsets.US_ASCII)).getBytes(StandardCharsets.US_ASCII));
+        drop(CloseReason.PROTOCOL_ERROR, "?\r\n*1\r\n$4\r\nPI".getBytes(StandardCharsets.US_ASCII));
+        assertThat(lines).containsExactly(
+                "n0 client connection shut down over a command reason=protocol_error first_id=9b1f03aa5c7e2d41 read_after_ms=0 left_out=0");
+        assertThat(log.countersLine()).contains("dropped_protocol_error=2 ", "closed_replies_unread=0 ", "dropped_value_incomplete=0 ");
+    }
+
     @Test
     void eachEndThatThisProcessChoosesHasACounterOfItsOwn() {
         log.countFinished(CloseReason.EXCESS_IDLE);
--- a/src/test/java/yardusher/net/ClientConnectionTest.java
+++ b/src/test/java/yardusher/net/ClientConnectionTest.java
@@ -50,6 +50,8 @@
     private static final byte[] COMMAND = new Encoder(16).array(1).bulk("ASK").toBytes();
     private static final int LARGE_BODY_BYTES = 70_000;
     private static final double STOP_MS = 10;
+    private static final int MAX_REJECTED = 16;
+    private static final int FLOOD_BYTES = 160 * 1024;
     private static final int MAX_LARGE_COMMANDS = 2; // in a sequence of events
     /** Room for one large body and no second one. */
     private static final long BODY_BUDGET_BYTES = 100_000;
@@ -528,6 +530,67 @@
         }
     }
 
+    private static ScriptedConnection play(Event... events) throws IOException {
+        ScriptedConnection scripted = new ScriptedConnection();
+        for (Event event : events) { scripted.apply(event); }
+        return scripted;
+    }
+
+    private static void assertEndedOverCommand(ScriptedConnection scripted, CloseReason reason, String input) {
+        while (!scripted.openSlots.isEmpty()) { scripted.apply(Event.ANSWER); }
+        assertThat(scripted.finishReasons).containsExactly(reason);
+        assertThat(scripted.droppedInput).extracting(DroppedInput::reason).as("once").containsExactly(reason);
+        assertThat(new String(scripted.droppedInput.get(0).bytes(), StandardCharsets.US_ASCII)).startsWith(input);
+        scripted.assertAllEnded();
+    }
+
+    /** Guards against commands behind a protocol error, a flood or the last moment of a drain that are dropped and leave no trace. */
+    @Test
+    void aCommandThatIsDroppedBehindAnErrorIsToldWithTheReason() throws IOException {
+        String command = new String(COMMAND, StandardCharsets.US_ASCII);
+        try (ScriptedConnection scripted = play(Event.COMMAND)) {
+            scripted.channel.receive(("?\r\n" + command).getBytes(StandardCharsets.US_ASCII));
+            assertEndedOverCommand(scripted, CloseReason.PROTOCOL_ERROR, "?\r\n" + command);
+        }
+        try (ScriptedConnection scripted = play(Event.COMMAND)) {
+            for (int i = 0; i < MAX_REJECTED; i++) {
+                scripted.apply(Event.COMMAND);
+                scripted.advance(100);               // the next one is handled a little later each time
+                scripted.loop.execute(() -> scripted.openSlots.remove(1).reject("no such command"));
+                scripted.handled--;                  // a rejected command is not among those that are answered
+            }
+            scripted.apply(Event.COMMAND);
+            assertEndedOverCommand(scripted, CloseReason.PROTOCOL_ERROR, command);
+        }
+        try (ScriptedConnection scripted = play(Event.COMMAND)) {
+            scripted.channel.receive(command.repeat(FLOOD_BYTES / command.length()).getBytes(StandardCharsets.US_ASCII));
+            scripted.advance(250);
+            assertEndedOverCommand(scripted, CloseReason.FLOOD, command);
+        }
+        try (ScriptedConnection scripted = play(Event.COMMAND, Event.SHUTDOWN)) {
+            scripted.advance(800);
+            scripted.apply(Event.COMMAND);
+            assertEndedOverCommand(scripted, CloseReason.SHUTDOWN, command);
+        }
+        try (ScriptedConnection scripted = play(Event.HALF_COMMAND)) {
+            scripted.advance(3000);
+            assertEndedOverCommand(scripted, CloseReason.INCOMPLETE_COMMAND, "*1");
+        }
+    }
+
+    /** Guards against clients that read nothing and are let go without a counter that says so. */
+    @Test
+    void aConnectionWhoseRepliesAreNotReadEndsWithTheReason() throws IOException {
+        try (ScriptedConnection scripted = new ScriptedConnection()) {
+            scripted.channel.writeMode = WriteMode.BLOCKED;
+            scripted.apply(Event.COMMAND);
+            scripted.apply(Event.ANSWER);
+            scripted.advance(11_000);
+            assertThat(scripted.finishReasons).containsExactly(CloseReason.REPLIES_UNREAD);
+            scripted.assertAllEnded();
+        }
+    }
+
     /**
      * Pipelined commands that arrived before reading stops are answered, however long the earlier ones take; later ones are
      * not.
