Refuse JSON that is nested deeper than 64 levels before it overflows a small stack

Cause: Codec.readValue recursed down to Jackson's limit of 1,000 levels, some two frames a level, on a thread with a stack of 256 KB.

Change: readValue counts its depth and throws Jackson's own StreamConstraintsException past 64 levels, which all callers already turn into their one line. It is split into one method a kind of value.

Red before: CodecTest (65 levels were accepted).

--- a/src/main/java/yardusher/wire/Codec.java
+++ b/src/main/java/yardusher/wire/Codec.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.exc.StreamConstraintsException;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -14,6 +15,7 @@
 
 /** Translates between the JSON messages of the platform and the types of {@link Api}. Unknown keys are ignored. */
 public final class Codec {
+    private static final int MAX_DEPTH = 64;         // of nested values; each level takes room on a thread's stack
     private static final double MAX_WHOLE_NUMBER = 0x1p63; // whole numbers below this fit into a long
 
     private Codec() { }
@@ -154,37 +156,36 @@
         }
     }
 
-    /** Reads the value at the parser's current token. */
-    public static Object readValue(JsonParser parser) throws IOException {
-        switch (parser.currentToken()) {
-            case START_OBJECT: {
-                JsonObject fields = new JsonObject();
-                while (parser.nextToken() != JsonToken.END_OBJECT) {
-                    String key = parser.currentName();
-                    parser.nextToken();
-                    fields.values.put(key, readValue(parser));
-                }
-                return fields;
-            }
-            case START_ARRAY: {
-                List<Object> items = new ArrayList<>();
-                while (parser.nextToken() != JsonToken.END_ARRAY) {
-                    items.add(readValue(parser));
-                }
-                return items;
-            }
-            case VALUE_STRING:
-                return parser.getText();
-            case VALUE_NUMBER_INT:
-            case VALUE_NUMBER_FLOAT:
-                return parser.getNumberValue();
-            case VALUE_TRUE:
-                return true;
-            case VALUE_FALSE:
-                return false;
-            default:
-                return null;
+    /** Reads the value at the parser's current token. Throws {@link StreamConstraintsException} where it is nested too deep. */
+    public static Object readValue(JsonParser parser) throws IOException { return readValue(parser, 1); }
+
+    private static Object readValue(JsonParser parser, int depth) throws IOException {
+        if (depth > MAX_DEPTH) { throw new StreamConstraintsException("nested deeper than " + MAX_DEPTH + " levels", parser.currentLocation()); }
+        return switch (parser.currentToken()) {
+            case START_OBJECT -> readObject(parser, depth);
+            case START_ARRAY -> readArray(parser, depth);
+            case VALUE_STRING -> parser.getText();
+            case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> parser.getNumberValue();
+            case VALUE_TRUE -> true;
+            case VALUE_FALSE -> false;
+            default -> null;
+        };
+    }
+
+    private static JsonObject readObject(JsonParser parser, int depth) throws IOException {
+        JsonObject fields = new JsonObject();
+        while (parser.nextToken() != JsonToken.END_OBJECT) {
+            String key = parser.currentName();
+            parser.nextToken();
+            fields.values.put(key, readValue(parser, depth + 1));
         }
+        return fields;
+    }
+
+    private static List<Object> readArray(JsonParser parser, int depth) throws IOException {
+        List<Object> items = new ArrayList<>();
+        while (parser.nextToken() != JsonToken.END_ARRAY) { items.add(readValue(parser, depth + 1)); }
+        return items;
     }
 
     public static Api.Settings parseSettings(JsonObject config) {
