Don't end a client with few commands as a flood because others fill the read-ahead

Cause: the flood check asked only whether the connection had made no progress, not whose bytes filled the common limit. Class: one client is ended for what others hold.

Change: a connection counts as a flood at its own bound (128 KiB), or where it holds at least the mean of those that hold any. One that holds less waits, reads no further meanwhile, and goes on as its own commands are answered; its end may be seen that much later. The common limit is unchanged.

Evidence: ClientConnectionTest.aClientWithFewCommandsBesideFloodsIsNotEnded, red before: 65 of 526 answers, then the end.

--- a/src/main/java/yardusher/net/ClientConnection.java
+++ b/src/main/java/yardusher/net/ClientConnection.java
@@ -261,8 +261,8 @@
             fullCheckScheduled = false;
             if (stage == Stage.CLOSED || connection.isClosed()) { return; }
             // The disconnect of a terminal that sends much at once and leaves would stay unseen behind the unread input.
-            if (readCount == connection.readCount() && !connection.isReading() && !slots.isEmpty()
-                    && (releaseBody == null || bodyGranted)) {
+            boolean madeNoProgress = readCount == connection.readCount() && !connection.isReading() && !slots.isEmpty();
+            if (madeNoProgress && connection.isFullByItself() && (releaseBody == null || bodyGranted)) {
                 closeWithError(CloseReason.FLOOD, "too many commands at once");
             }
             connection.readMore();                   // or reports again that the buffer is full
--- a/src/main/java/yardusher/net/Connection.java
+++ b/src/main/java/yardusher/net/Connection.java
@@ -144,15 +144,25 @@
     static final class ReadAheadBudget {
         private final long maxBytes;
         private long heldBytes;
+        private int holders;                         // connections that hold any
 
         ReadAheadBudget(long maxBytes) { this.maxBytes = maxBytes; }
 
         long heldBytes() { return heldBytes; }
+
+        /** The bytes of one connection have changed. */
+        void change(int fromBytes, int toBytes) {
+            heldBytes += toBytes - fromBytes;
+            holders += Math.min(1, toBytes) - Math.min(1, fromBytes);
+        }
+
+        /** Whether so many bytes are at least what a connection that holds any holds in the mean; true for one of them at any time. */
+        boolean isLargeShare(int bytes) { return (long) bytes * holders >= heldBytes; }
     }
 
     private void countHeld(int heldBytes) {
         if (readAheadBudget == null) { return; }
-        readAheadBudget.heldBytes += heldBytes - countedBytes;
+        readAheadBudget.change(countedBytes, heldBytes);
         countedBytes = heldBytes;
     }
 
@@ -202,6 +212,9 @@
                 && readAheadBudget.heldBytes >= readAheadBudget.maxBytes && (ownerNotNotified || owner.isHoldingBack(this));
     }
 
+    /** Whether a full connection holds more than it may alone, or than others do: those that hold little wait for these to give way. */
+    boolean isFullByItself() { return countedBytes >= maxReadAhead || readAheadBudget.isLargeShare(countedBytes); }
+
     /** Whether the connection ended in a failed write: then the last byte was never written. */
     public boolean writeFailed() { return writeFailed; }
 
