--- a/lab/src/yardusher/lab/faults/FaultClient.java
+++ b/lab/src/yardusher/lab/faults/FaultClient.java
@@ -31,6 +31,8 @@
     static final String BEHIND_BROKEN_VALUE = "behind a value that broke off";
     private static final int CONNECT_TIMEOUT_MS = 2000;
     private static final int BODY_BYTES = 64;
+    /** So many that hardly any comes twice. */
+    static final int MANY_CUSTOMERS = 1 << 30;
 
     private final int ingress;
     private final InetSocketAddress address;
@@ -45,6 +47,7 @@
     private final boolean keepsOld;
     private final List<Socket> unused = new ArrayList<>();
     private final int reconnectsOneIn;
+    private final int customers;
     private final IntPredicate mayConnect;
     private volatile boolean stopped;
     private End lastEnd;
@@ -64,6 +67,7 @@
         this.morePauseMs = plan.maxPauseMs() - plan.pauseMs();
         this.keepsOld = plan.keepsOld();
         this.reconnectsOneIn = plan.reconnectsOneIn();
+        this.customers = plan.customers();
         this.ids = ids;
         this.history = history;
     }
@@ -71,11 +75,14 @@
     /**
      * What a client sends: classes, the longest batch, the deadline, the shortest and the longest pause between batches, and in how
      * many batches it opens a new connection once; 0 for never. {@code keepsOld}: it then leaves the old one open, unused.
+     * {@code customers}: how many there are.
      */
-    record Plan(List<RequestClass> classes, int maxPipelined, int waitMs, int pauseMs, int maxPauseMs, int reconnectsOneIn, boolean keepsOld) {
+    record Plan(List<RequestClass> classes, int maxPipelined, int waitMs, int pauseMs, int maxPauseMs, int reconnectsOneIn, boolean keepsOld, int customers) {
         Plan(List<RequestClass> classes, int maxPipelined, int waitMs, int pauseMs, int reconnectsOneIn) {
-            this(classes, maxPipelined, waitMs, pauseMs, pauseMs, reconnectsOneIn, false);
+            this(classes, maxPipelined, waitMs, pauseMs, pauseMs, reconnectsOneIn, false, MANY_CUSTOMERS);
         }
+
+        Plan withCustomers(int customers) { return new Plan(classes, maxPipelined, waitMs, pauseMs, maxPauseMs, reconnectsOneIn, keepsOld, customers); }
     }
 
     /** Sends no more batches. */
@@ -179,7 +186,7 @@
     private void encode(Encoder commands, Pending request) {
         boolean isGet = request.requestClass() == RequestClass.LOOKUP;
         String key = request.requestClass() == RequestClass.PLACE_ORDER ? ",k=" + request.id() : "";
-        commands.array(isGet ? 4 : 5).bulk(isGet ? "CALL.GET" : "CALL.POST").bulk(String.format("%016x", 1 + random.nextInt(1 << 30))).bulk(request.id())
+        commands.array(isGet ? 4 : 5).bulk(isGet ? "CALL.GET" : "CALL.POST").bulk(String.format("%016x", 1 + random.nextInt(MANY_CUSTOMERS) % customers)).bulk(request.id())
                 .bulk("c=" + request.requestClass().wireName() + ",t=groot,d=" + waitMs + key + ",units=1,spread=1,first=" + ingress);
         if (!isGet) { commands.bulk("b".repeat(BODY_BYTES)); }
     }
--- a/lab/src/yardusher/lab/faults/HeldUpRun.java
+++ b/lab/src/yardusher/lab/faults/HeldUpRun.java
@@ -29,7 +29,7 @@
     /** A request that the ingress had not read may cross the end of its connection; it then ends this soon. */
     private static final double CROSSING_MS = 20;
     private static final FaultClient.Plan PLAN = new FaultClient.Plan(List.of(RequestClass.LOOKUP), 1, WAIT_MS, MIN_REST_MS,
-            MAX_REST_MS, RECONNECTS_ONE_IN, true);
+            MAX_REST_MS, RECONNECTS_ONE_IN, true, FaultClient.MANY_CUSTOMERS);
 
     private HeldUpRun() { }
 
