--- a/src/test/java/yardusher/net/ClientConnectionTest.java
+++ b/src/test/java/yardusher/net/ClientConnectionTest.java
@@ -615,6 +615,22 @@
         }
     }
 
+    /** Guards against commands on a busy connection that came before reading stops, and are dropped if the process is held up then. */
+    @Test
+    void aCommandThatCameBeforeReadingStoppedIsAnsweredIfTheProcessWasHeldUpThen() throws IOException {
+        try (ScriptedConnection scripted = play(Event.COMMAND, Event.SHUTDOWN)) {
+            scripted.channel.receiveUnread(COMMAND);
+            scripted.nowMs += 300;
+            scripted.advance(50);                    // timers come before the poll
+            scripted.channel.receive(COMMAND);
+            assertThat(scripted.handled).as("the early one, and not the late one").isEqualTo(2);
+            scripted.apply(Event.ANSWER);
+            scripted.apply(Event.ANSWER);
+            assertThat(scripted.answered).isEqualTo(2);
+            scripted.assertAllEnded();
+        }
+    }
+
     /** Holds all room for large bodies, as another connection's command does; the returned callback gives it back. */
     private static Runnable takeAllBodyRoom(ScriptedConnection scripted) {
         Runnable[] release = new Runnable[1];
