Take the wait for a free place in the accept queue from a command's time

Cause: AcceptDelay knew of accepts that fail, not of accepts that do not begin for want of room. Class: time spent in a queue of this machine that nobody counts.

Change: a wait for room counts like failing accepts, from when there was none. How long a connection waited is bounded from below the queue: /proc/net/tcp and tcp6 tell its length every 50 ms while it is held up, and connections behind that length came later. A poll barrier shows when it is empty. Where neither is known the older bound holds, 3 s at most.

--- a/src/main/java/yardusher/net/AcceptDelay.java
+++ b/src/main/java/yardusher/net/AcceptDelay.java
@@ -1,8 +1,11 @@
 package yardusher.net;
 
+import java.util.ArrayDeque;
+
 /**
- * How long connections may have waited in the backlog because accepts failed on this machine: since the first failure after the
- * backlog was last seen empty, which an accept shows that does not end at once. Times in milliseconds; free of I/O and clock.
+ * How long connections may have waited in the backlog because accepts failed on this machine, or because there was no room for them:
+ * since the first such time after the backlog was last seen empty, which an accept shows that does not end at once. Where the
+ * backlog's length is known now and then, those behind it came later than that. Times in milliseconds; free of I/O and clock.
  */
 final class AcceptDelay {
     private static final double AT_ONCE_MS = 20;
@@ -10,8 +13,17 @@
     private static final double DRAIN_MS = 20;       // in which a backlog is accepted once accepts succeed again
     private static final double NONE = Double.NaN;
 
+    private static final double SAMPLE_INTERVAL_MS = 50;
+    private static final int MAX_SAMPLES = 128;
+
+    /** All connections after that many came after that time. */
+    private record Sample(double atMs, long connections) { }
+
+    private final ArrayDeque<Sample> samples = new ArrayDeque<>();
+    private double sampledAtMs = Double.NEGATIVE_INFINITY;
+    private long connections;                        // accepted so far
     private double begunAtMs;
-    private double failingSinceMs = NONE;
+    private double heldUpSinceMs = NONE;
     private boolean acceptedSince;                   // an accept succeeded since the last failure that met an empty backlog
     private double recentUntilMs = Double.NEGATIVE_INFINITY;
 
@@ -21,18 +33,48 @@
     /** It failed, and is repeated after {@code waitMs}. */
     void failed(double nowMs, double waitMs) {
         boolean backlogWasEmpty = nowMs - begunAtMs > AT_ONCE_MS;
-        if (Double.isNaN(failingSinceMs) || backlogWasEmpty) {
-            failingSinceMs = nowMs;
+        if (!isHeldUp() || backlogWasEmpty) {
+            heldUpSinceMs = nowMs;
             acceptedSince = false;
         }
         recentUntilMs = nowMs + waitMs + DRAIN_MS;
     }
 
+    /** No accept begins for want of room. */
+    void heldBack(double nowMs) {
+        if (isHeldUp()) { return; }
+        heldUpSinceMs = nowMs;
+        acceptedSince = false;
+    }
+
+    /** The backlog was seen empty. */
+    void backlogEmpty() {
+        heldUpSinceMs = NONE;
+        samples.clear();
+    }
+
+    /** Whether to find out how long the backlog is. */
+    boolean wantsSample(double nowMs) { return isHeldUp() && nowMs - sampledAtMs >= SAMPLE_INTERVAL_MS && samples.size() < MAX_SAMPLES; }
+
+    /** After that time at most so many connections waited; no accept had begun. */
+    void sampled(double atMs, int waiting) {
+        sampledAtMs = atMs;
+        samples.add(new Sample(atMs, connections + waiting));
+    }
+
+    /** The length of the backlog could not be found out. */
+    void notSampled(double atMs) { sampledAtMs = atMs; }
+
+    /** Whether connections may be in the backlog that have waited. */
+    boolean isHeldUp() { return !Double.isNaN(heldUpSinceMs); }
+
     /** It succeeded: returns how long, at most, the connection may have waited. */
     double accepted(double nowMs) {
-        if (nowMs - begunAtMs > AT_ONCE_MS) { failingSinceMs = NONE; }
-        if (Double.isNaN(failingSinceMs)) { return 0; }
-        double waitedMs = nowMs - failingSinceMs;
+        if (nowMs - begunAtMs > AT_ONCE_MS) { backlogEmpty(); }
+        connections++;
+        while (!samples.isEmpty() && samples.peek().connections() < connections) { heldUpSinceMs = Math.max(heldUpSinceMs, samples.poll().atMs()); }
+        if (!isHeldUp()) { return 0; }
+        double waitedMs = nowMs - heldUpSinceMs;
         boolean first = !acceptedSince;
         acceptedSince = true;
         return first ? waitedMs : Math.min(MAX_BEHIND_MS, waitedMs);
--- a/src/main/java/yardusher/net/Sockets.java
+++ b/src/main/java/yardusher/net/Sockets.java
@@ -89,6 +89,7 @@
 
     /** A listening socket. */
     public final class Listener {
+        private static final int BACKLOG = 1024;
         private static final double MIN_QUIET_CHECK_MS = 5;
         private static final double MAX_BACKLOG_KEPT_MS = 1000; // of a listener that closes while accepts fail
         private static final double MAX_BACKLOG_READ_MS = 100; // of one on which connections come without a pause
@@ -100,6 +101,8 @@
         private boolean accepting;
         private boolean retryPending;                // a failed accept waits to be repeated
         private boolean bound;
+        private InetSocketAddress boundAddress;
+        private long acceptCount;                    // of accepts that were begun
         private double lastAcceptedAtMs;             // when the last connection was accepted
         private final RetryWait acceptRetry = new RetryWait();
         private final AcceptDelay delay = new AcceptDelay();
@@ -118,10 +121,11 @@
         /** Starts listening. Throws a {@link WireError} if another process holds the address. */
         public void bind() throws IOException {
             try {
-                channel.bind(address, 1024);
+                channel.bind(address, BACKLOG);
             } catch (SocketException e) {
                 throw new WireError.Listen(formatAddress(address), e.getMessage(), e);
             }
+            boundAddress = address();
             bound = true;
         }
 
@@ -136,8 +140,12 @@
             } finally {
                 accepting = mayAccept;               // after a fault in hasRoom the listener must be able to accept again
             }
+            if (!mayAccept) { delay.heldBack(loop.now()); }
+            if (delay.wantsSample(loop.now())) { sampleBacklog(); }
             if (!mayAccept) { return; }
             delay.begun(loop.now());
+            acceptCount++;
+            if (delay.isHeldUp()) { watchBacklog(); }
             channel.accept(this, new CompletionHandler<AsynchronousSocketChannel, Listener>() {
                 @Override
                 public void completed(AsynchronousSocketChannel accepted, Listener listener) {
@@ -169,6 +177,22 @@
             });
         }
 
+        private void sampleBacklog() {
+            double nowMs = loop.now();
+            int waiting = AcceptQueue.length(boundAddress);
+            if (waiting == AcceptQueue.UNKNOWN) { delay.notSampled(nowMs); } else { delay.sampled(nowMs, waiting); }
+        }
+
+        /** An accept that is still pending once all is handled that had come by now shows that the backlog was empty. */
+        private void watchBacklog() {
+            double nowMs = loop.now();
+            long current = acceptCount;
+            pollBarrier.await(nowMs, () -> {
+                boolean isKnown = pollBarrier.handledUpToMs() >= nowMs;
+                if (isKnown && accepting && acceptCount == current) { delay.backlogEmpty(); }
+            });
+        }
+
         /**
          * Closes after no connection has come for {@code quietMs}, or at {@code deadlineMs}: connections in the accept queue
          * are reset when it closes, and those that come while it is open are accepted at once.
--- a/src/test/java/yardusher/net/AcceptDelayTest.java
+++ b/src/test/java/yardusher/net/AcceptDelayTest.java
@@ -44,4 +44,29 @@
         assertThat(delay.isRecent(920)).isTrue();
         assertThat(accept(910, 910)).isEqualTo(10);
     }
+
+    /** Guards against a backend that is told the time in which its request's connection waited for a place. */
+    @Test
+    void theWaitForAPlaceCounts() {
+        delay.heldBack(1000);
+        delay.heldBack(1010);
+        assertThat(accept(1400, 1400)).isEqualTo(400);
+        delay.backlogEmpty();
+        assertThat(accept(1450, 1451)).isZero();
+    }
+
+    /** Guards against connections taken for as old as the crowd before them: those behind the backlog of a moment came after it. */
+    @Test
+    void connectionsBehindAKnownBacklogAreNoOlderThanThatMoment() {
+        delay.heldBack(900);
+        assertThat(delay.wantsSample(1000)).isTrue();
+        delay.sampled(1000, 1);
+        assertThat(delay.wantsSample(1040)).isFalse();
+        delay.sampled(1500, 2);
+        assertThat(accept(1600, 1600)).as("the first, which may have come when there was no room").isEqualTo(700);
+        assertThat(accept(1700, 1700)).as("the second, which is behind the first one").isEqualTo(700);
+        assertThat(accept(1800, 1800)).as("the third, which is behind both").isEqualTo(300);
+        delay.sampled(1850, 0);
+        assertThat(accept(1900, 1900)).as("one behind none").isEqualTo(50);
+    }
 }
