A busy process doesn't take a full accept queue for an empty one

Cause: an accept that took over 20 ms counted as one that had waited for a connection, which a process that is just starting and busy also shows.

Evidence: AcceptDelayTest.theWaitForAPlaceCounts has that case, red before.

--- a/src/main/java/yardusher/net/AcceptDelay.java
+++ b/src/main/java/yardusher/net/AcceptDelay.java
@@ -21,6 +21,7 @@
 
     private final ArrayDeque<Sample> samples = new ArrayDeque<>();
     private double sampledAtMs = Double.NEGATIVE_INFINITY;
+    private boolean wantedRoom;                      // since the backlog was last seen empty: then a busy process accepts late, too
     private long connections;                        // accepted so far
     private double begunAtMs;
     private double heldUpSinceMs = NONE;
@@ -32,7 +33,7 @@
 
     /** It failed, and is repeated after {@code waitMs}. */
     void failed(double nowMs, double waitMs) {
-        boolean backlogWasEmpty = nowMs - begunAtMs > AT_ONCE_MS;
+        boolean backlogWasEmpty = waitedForConnection(nowMs);
         if (!isHeldUp() || backlogWasEmpty) {
             heldUpSinceMs = nowMs;
             acceptedSince = false;
@@ -40,8 +41,9 @@
         recentUntilMs = nowMs + waitMs + DRAIN_MS;
     }
 
-    /** No accept begins for want of room. */
+    /** No accept begins for want of room. From then on only {@link #backlogEmpty} shows that the backlog was empty. */
     void heldBack(double nowMs) {
+        wantedRoom = true;
         if (isHeldUp()) { return; }
         heldUpSinceMs = nowMs;
         acceptedSince = false;
@@ -50,6 +52,7 @@
     /** The backlog was seen empty. */
     void backlogEmpty() {
         heldUpSinceMs = NONE;
+        wantedRoom = false;
         samples.clear();
     }
 
@@ -70,7 +73,7 @@
 
     /** It succeeded: returns how long, at most, the connection may have waited. */
     double accepted(double nowMs) {
-        if (nowMs - begunAtMs > AT_ONCE_MS) { backlogEmpty(); }
+        if (waitedForConnection(nowMs)) { backlogEmpty(); }
         connections++;
         while (!samples.isEmpty() && samples.peek().connections() < connections) { heldUpSinceMs = Math.max(heldUpSinceMs, samples.poll().atMs()); }
         if (!isHeldUp()) { return 0; }
@@ -80,6 +83,8 @@
         return first ? waitedMs : Math.min(MAX_BEHIND_MS, waitedMs);
     }
 
+    private boolean waitedForConnection(double nowMs) { return !wantedRoom && nowMs - begunAtMs > AT_ONCE_MS; }
+
     /** Whether an accept failed so recently that connections may still wait for it. */
     boolean isRecent(double nowMs) { return nowMs <= recentUntilMs; }
 }
--- a/src/main/java/yardusher/net/Sockets.java
+++ b/src/main/java/yardusher/net/Sockets.java
@@ -102,6 +102,7 @@
         private boolean retryPending;                // a failed accept waits to be repeated
         private boolean bound;
         private InetSocketAddress boundAddress;
+        private boolean watching;                    // finds out whether the backlog is empty
         private long acceptCount;                    // of accepts that were begun
         private double lastAcceptedAtMs;             // when the last connection was accepted
         private final RetryWait acceptRetry = new RetryWait();
@@ -132,6 +133,7 @@
         /** Accepts connections while there is room; called again when there is room again. */
         public void accept() {
             // Connections without room wait in the backlog, so that the process does not run out of descriptors.
+            if (accepting && delay.isHeldUp()) { watchBacklog(); }
             if (accepting || retryPending || !bound || !channel.isOpen()) { return; }
             boolean mayAccept = false;
             accepting = true;                        // also while room is made, which may call this method again
@@ -185,11 +187,17 @@
 
         /** An accept that is still pending once all is handled that had come by now shows that the backlog was empty. */
         private void watchBacklog() {
-            double nowMs = loop.now();
+            if (watching) { return; }
+            watching = true;
             long current = acceptCount;
-            pollBarrier.await(nowMs, () -> {
-                boolean isKnown = pollBarrier.handledUpToMs() >= nowMs;
-                if (isKnown && accepting && acceptCount == current) { delay.backlogEmpty(); }
+            // A connection that was there at once is handed over by a task of its own, which the second round comes behind.
+            pollBarrier.await(loop.now(), () -> {
+                double nowMs = loop.now();
+                pollBarrier.await(nowMs, () -> {
+                    watching = false;
+                    boolean isKnown = pollBarrier.handledUpToMs() >= nowMs;
+                    if (isKnown && accepting && acceptCount == current) { delay.backlogEmpty(); }
+                });
             });
         }
 
--- a/src/test/java/yardusher/net/AcceptDelayTest.java
+++ b/src/test/java/yardusher/net/AcceptDelayTest.java
@@ -51,6 +51,7 @@
         delay.heldBack(1000);
         delay.heldBack(1010);
         assertThat(accept(1400, 1400)).isEqualTo(400);
+        assertThat(accept(1400, 1430)).as("the process is busy").isEqualTo(430);
         delay.backlogEmpty();
         assertThat(accept(1450, 1451)).isZero();
     }
