Read only the listening sockets of the table when the accept queue's length is asked

What it cost: 32 KB of /proc/net/tcp6 were read and split every 50 ms beside a crowd, on the event loop. They come first in the table, so reading ends at the first one that does not listen.

--- a/src/main/java/yardusher/net/AcceptQueue.java
+++ b/src/main/java/yardusher/net/AcceptQueue.java
@@ -1,7 +1,7 @@
 package yardusher.net;
 
+import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.Inet4Address;
 import java.net.InetSocketAddress;
 import java.nio.ByteOrder;
@@ -21,7 +21,8 @@
     /** An IPv4 address is in the first one where the socket is of IPv6, as the JDK's are. */
     private static final List<Path> TABLES = List.of(Path.of("/proc/net/tcp6"), Path.of("/proc/net/tcp"));
     private static final String MAPPED_PREFIX = "0000000000000000FFFF0000"; // of an IPv4 address in IPv6, on a little-endian machine
-    private static final int MAX_TABLE_BYTES = 32 * 1024; // some 200 sockets
+    private static final int MAX_LISTENERS = 500;    // that are looked at in a table
+    private static final String[] NO_COLUMNS = {};
     private static final int LOCAL_ADDRESS = 1;      // columns of the table
     private static final int STATE = 3;
     private static final int QUEUES = 4;
@@ -32,37 +33,34 @@
     /** The number of connections that wait, of all sockets that listen at this address; or {@link #UNKNOWN}. */
     static int length(InetSocketAddress address) {
         if (!(address.getAddress() instanceof Inet4Address)) { return UNKNOWN; }
-        StringBuilder tables = new StringBuilder();
-        for (Path table : TABLES) { tables.append(beginning(table)); }
-        try {
-            return length(tables.toString(), address);
-        } catch (RuntimeException e) {               // another form than expected
-            return UNKNOWN;
+        int waiting = UNKNOWN;
+        for (Path path : TABLES) {
+            try (BufferedReader table = Files.newBufferedReader(path, StandardCharsets.US_ASCII)) {
+                waiting = add(waiting, length(table, address));
+            } catch (IOException | RuntimeException e) { /* no such table, or of another form than expected */ }
         }
+        return waiting;
     }
 
-    private static String beginning(Path table) {
-        try (InputStream in = Files.newInputStream(table)) {
-            return new String(in.readNBytes(MAX_TABLE_BYTES), StandardCharsets.US_ASCII) + "\n";
-        } catch (IOException e) {
-            return "";
-        }
-    }
+    private static int add(int waiting, int more) { return more == UNKNOWN ? waiting : Math.max(0, waiting) + more; }
 
-    static int length(String table, InetSocketAddress address) {
+    /** Reads the listening sockets at the beginning of a table. */
+    static int length(BufferedReader table, InetSocketAddress address) throws IOException {
         String wanted = format(address);
         int waiting = UNKNOWN;
-        for (String line : table.split("\n")) {
-            if (!line.contains(wanted)) { continue; }
-            String[] columns = line.trim().split(" +");
-            boolean listens = columns.length > QUEUES && columns[STATE].equals(LISTENING);
-            if (!listens || !columns[LOCAL_ADDRESS].equals(wanted) && !columns[LOCAL_ADDRESS].equals(MAPPED_PREFIX + wanted)) { continue; }
-            String receiveQueue = columns[QUEUES].substring(columns[QUEUES].indexOf(':') + 1);
-            waiting = Math.max(0, waiting) + Integer.parseInt(receiveQueue, 16);
+        table.readLine();                            // names of the columns
+        for (int i = 0; i < MAX_LISTENERS; i++) {
+            String line = table.readLine();
+            String[] columns = line == null ? NO_COLUMNS : line.trim().split(" +");
+            if (columns.length <= QUEUES || !columns[STATE].equals(LISTENING)) { break; }
+            boolean isWanted = columns[LOCAL_ADDRESS].equals(wanted) || columns[LOCAL_ADDRESS].equals(MAPPED_PREFIX + wanted);
+            if (isWanted) { waiting = add(waiting, receiveQueue(columns[QUEUES])); }
         }
         return waiting;
     }
 
+    private static int receiveQueue(String queues) { return Integer.parseInt(queues.substring(queues.indexOf(':') + 1), 16); }
+
     /** As in the table: the address as one number in this machine's order of bytes, and the port. */
     private static String format(InetSocketAddress address) {
         byte[] bytes = address.getAddress().getAddress();
