--- a/src/main/java/yardusher/net/ClientConnection.java
+++ b/src/main/java/yardusher/net/ClientConnection.java
@@ -219,6 +219,7 @@
         if (!isWaitingForRoom() || connection.isClosed() || stage.compareTo(Stage.FINISHING) >= 0) { return; }
         releaseBody();
         byte[][] words = connection.decoder().skipBody();
+        hasAsked = true;
         connections.markBusy(this);
         RespServer.Slot slot = new RespServer.Slot(this, 0);
         slots.add(slot);
