--- a/src/test/java/yardusher/net/ClientConnectionTest.java
+++ b/src/test/java/yardusher/net/ClientConnectionTest.java
@@ -878,6 +878,25 @@
         }
     }
 
+    /** Guards against idle clients that lock others out by a PING: who asks for nothing gives way before who has asked. */
+    @Test
+    void aConnectionThatOnlySentAPingGivesWayFirst() throws IOException {
+        try (ScriptedConnection scripted = play(Event.COMMAND, Event.ANSWER)) {
+            ScriptedChannel idle = new ScriptedChannel();
+            ClientConnection[] idleConnection = new ClientConnection[1];
+            scripted.loop.execute(() -> idleConnection[0] = new ClientConnection(idle, scripted.server, scripted.connections, scripted.loop, 0));
+            idle.receive("*1\r\n$4\r\nPING\r\n".getBytes(StandardCharsets.US_ASCII));
+            scripted.apply(Event.ANSWER);
+            scripted.advance(50);
+            assertThat(scripted.connections.evictionCandidate(scripted.nowMs)).isSameAs(idleConnection[0]);
+            idle.endInput(false);
+            scripted.advance(50);
+            assertThat(scripted.connections.evictionCandidate(scripted.nowMs)).as("the other has asked, and rests for 100 ms").isNull();
+            scripted.advance(200);
+            assertThat(scripted.connections.evictionCandidate(scripted.nowMs)).isSameAs(scripted.connection);
+        }
+    }
+
     private static byte[] repeat(byte[] command, int times) {
         byte[] all = new byte[command.length * times];
         for (int i = 0; i < all.length; i++) { all[i] = command[i % command.length]; }
