Log and count each attempt that this process ends by itself, with reason and answer received

Change: AnswerState holds what has arrived of an attempt's answer and why this process ended it. No decision is changed. Measured: AnswerTimeTest.anAnswerThatIsGivenUpIsLoggedWithItsReason green; before there was neither line nor counter. Cost: one record of two times and two numbers for each incomplete read.

--- /dev/null
+++ b/src/main/java/yardusher/core/AnswerState.java
@@ -0,0 +1,54 @@
+package yardusher.core;
+
+/**
+ * How far the answer to one attempt has come, and why this process ended it if it did. Without I/O and clock; times are in
+ * milliseconds of the event loop's clock.
+ */
+public final class AnswerState {
+    /** NOTHING: no byte has arrived. BEGUN: it is being buffered. PASSED_ON: its value is being streamed to the client. */
+    public enum Stage { NOTHING, BEGUN, PASSED_ON }
+
+    private Stage stage = Stage.NOTHING;
+    private GiveUpReason giveUpReason;
+    private double firstByteAtMs;
+    private double lastByteAtMs;
+    private long receivedBytes;
+    private long announcedBytes;
+
+    public Stage stage() { return stage; }
+
+    /** Whether any byte has arrived. */
+    public boolean hasBegun() { return stage != Stage.NOTHING; }
+
+    /** Why this process ended the attempt; null if it did not. */
+    public GiveUpReason giveUpReason() { return giveUpReason; }
+
+    /** When the first byte arrived. Only if the answer has begun. */
+    public double firstByteAtMs() { return firstByteAtMs; }
+
+    /** When the last byte so far arrived. Only if the answer has begun. */
+    public double lastByteAtMs() { return lastByteAtMs; }
+
+    /** The bytes received so far: of the whole answer while it is buffered, of its value while it is passed on. */
+    public long receivedBytes() { return receivedBytes; }
+
+    /** The length of the value as its head announces it; 0 while it is unknown. */
+    public long announcedBytes() { return announcedBytes; }
+
+    /** So many bytes of the answer have arrived by now, and it is not whole. */
+    void received(long bytes, long announced, double nowMs) {
+        if (stage == Stage.NOTHING) {
+            stage = Stage.BEGUN;
+            firstByteAtMs = nowMs;
+        }
+        lastByteAtMs = nowMs;
+        receivedBytes = bytes;
+        announcedBytes = announced;
+    }
+
+    /** The value is passed on to the client from here on. */
+    void passOn() { stage = Stage.PASSED_ON; }
+
+    /** This process ends the attempt. The first reason stays. */
+    void giveUp(GiveUpReason reason) { giveUpReason = giveUpReason == null ? reason : giveUpReason; }
+}
--- a/src/main/java/yardusher/core/Attempt.java
+++ b/src/main/java/yardusher/core/Attempt.java
@@ -18,6 +18,8 @@
     Deadlines.Entry timeoutEntry;
     /** Time from sending to the first byte of the answer, in milliseconds; negative until a streamed answer begins. */
     double firstByteMs = -1;
+    /** How far its answer has come. */
+    private final AnswerState answer = new AnswerState();
     /** Aborts the attempt; set by the backend connection. */
     public Runnable abort = () -> { };
     /** Whether this machine holds the attempt up at the moment; set by the backend connection. */
@@ -39,6 +41,15 @@
         this.waitMs = waitMs;
     }
 
+    /** How far its answer has come. */
+    public AnswerState answer() { return answer; }
+
+    /** Told by the backend connection: so many bytes of the answer have arrived by now, of a value of the announced length. */
+    public void received(long bytes, long announced, double nowMs) { answer.received(bytes, announced, nowMs); }
+
+    /** Told by whoever ends the attempt for this process, right before it ends. */
+    public void giveUp(GiveUpReason reason) { answer.giveUp(reason); }
+
     public boolean isOver() { return !request.state.isActive(number); }
 
     /** Whether bytes of the attempt may have been sent. */
--- a/src/main/java/yardusher/core/Counters.java
+++ b/src/main/java/yardusher/core/Counters.java
@@ -43,6 +43,9 @@
     public final long[] refusalsByReason = new long[Api.Reason.values().length];
     public final long[] attemptsByOutcome = new long[Api.Outcome.values().length];
 
+    /** Attempts that this process ended by itself, by reason. */
+    public final long[] attemptsGivenUp = new long[GiveUpReason.values().length];
+
     /** Sets the number of request classes and resets the counts by class. */
     public void setClassCount(int count) {
         served = new long[count];
@@ -64,6 +67,9 @@
             text.append(" attempts_").append(outcome.name().toLowerCase(java.util.Locale.ROOT)).append('=')
                     .append(attemptsByOutcome[outcome.ordinal()]);
         }
+        for (GiveUpReason reason : GiveUpReason.values()) {
+            text.append(" given_up_").append(reason.label()).append('=').append(attemptsGivenUp[reason.ordinal()]);
+        }
         for (Api.Reason reason : Api.Reason.values()) {
             text.append(" refused_").append(reason.name().toLowerCase(java.util.Locale.ROOT)).append('=')
                     .append(refusalsByReason[reason.ordinal()]);
--- a/src/main/java/yardusher/core/DispatchStage.java
+++ b/src/main/java/yardusher/core/DispatchStage.java
@@ -65,6 +65,7 @@
         // An attempt that was never handed to a socket cannot have run. If it was still waiting for its record, the backend
         // must not be counted as unreachable.
         Api.Outcome outcome = expiredOutcome(attempt);
+        attempt.giveUp(GiveUpReason.TIME_OVER);
         attempt.abort.run();
         onEnded.accept(attempt, Attempt.Result.of(outcome));
     }
--- a/src/main/java/yardusher/core/Ingress.java
+++ b/src/main/java/yardusher/core/Ingress.java
@@ -128,6 +128,7 @@
         if (answered && attempt.mayHaveBeenSent() || result.outcome() == Api.Outcome.REJECTED) { countForwarded(attempt); }
         cleanupStage.attemptEnded(attempt, result);
         Request request = attempt.request;
+        if (attempt.answer().giveUpReason() != null) { attemptGivenUp(attempt); }
         if (result.outcome().isUnanswered()) { trace.attemptFailed(attempt, result.outcome()); }
         if (result.outcome() == Api.Outcome.SERVED) { responseStage.served(request, result.value()); }
         // No other attempt may follow a chunk.
@@ -153,6 +154,7 @@
         if (stream == null) { return null; }
         request.state.beginStreaming(attempt.number);
         request.stream = stream;
+        attempt.answer().passOn();
         counters.largeValues++;
         counters.maxLargeValuesOpen = Math.max(counters.maxLargeValuesOpen, ++counters.largeValuesOpen);
         attempt.firstByteMs = loop.now() - attempt.sentAtMs;
@@ -168,6 +170,11 @@
         if (!attempt.isOver()) { deliver(new Api.FirstByte(attempt.request.number, attempt.number, attempt.backend)); }
     }
 
+    private void attemptGivenUp(Attempt attempt) {
+        counters.attemptsGivenUp[attempt.answer().giveUpReason().ordinal()]++;
+        trace.attemptGivenUp(attempt);
+    }
+
     /** The attempt's last byte was written to the socket. */
     public void attemptWritten(Attempt attempt) {
         countForwarded(attempt);
@@ -278,7 +285,16 @@
     private void cancel(Request request, int number) {
         Attempt attempt = request.newestAttempt;
         if (attempt == null || attempt.isOver() || attempt.number != number) { return; }
+        attempt.giveUp(cancelReason(request));
         attempt.abort.run();
         loop.defer(() -> attemptEnded(attempt, Attempt.Result.of(Api.Outcome.CANCELLED)));
     }
+
+    private static GiveUpReason cancelReason(Request request) {
+        return switch (request.state.stage()) {
+            case GONE -> GiveUpReason.CLIENT_LEFT;
+            case ANSWERED -> GiveUpReason.TIME_OVER; // answered as failed at the deadline
+            default -> GiveUpReason.HANGING;
+        };
+    }
 }
--- a/src/main/java/yardusher/core/RequestTrace.java
+++ b/src/main/java/yardusher/core/RequestTrace.java
@@ -7,6 +7,9 @@
     /** An attempt ended without an answer of its backend. */
     void attemptFailed(Attempt attempt, Api.Outcome outcome);
 
+    /** This process ended an attempt by itself; the reason and what had arrived by then are in its answer's state. */
+    void attemptGivenUp(Attempt attempt);
+
     /** A request was refused for a lack of capacity. */
     void refused(Request request, Api.Reason reason);
 
@@ -18,6 +21,9 @@
         @Override
         public void attemptFailed(Attempt attempt, Api.Outcome outcome) { }
 
+        @Override
+        public void attemptGivenUp(Attempt attempt) { }
+
         @Override
         public void refused(Request request, Api.Reason reason) { }
 
--- a/src/main/java/yardusher/resp/Decoder.java
+++ b/src/main/java/yardusher/resp/Decoder.java
@@ -243,6 +243,9 @@
     /** The length of the value that begins an incomplete array, after {@link #nextValue} returned null; 0 while it is unknown, and for a large one. */
     public int announcedBytes() { return announcedBytes; }
 
+    /** The length of the value that begins an incomplete array, large or not; 0 while it is unknown. */
+    public long announcedLength() { return largeLength > 0 ? largeLength : announcedBytes; }
+
     /** Makes room for a value of this length at once. Not to be called while a read into {@link #readBuffer} is pending. */
     public void expect(int valueBytes) { ensureRoom(Math.max(0, valueBytes + SMALL_BUFFER_BYTES - (end - start))); }
 
--- a/src/main/java/yardusher/servers/BackendConnection.java
+++ b/src/main/java/yardusher/servers/BackendConnection.java
@@ -7,6 +7,7 @@
 import yardusher.Api;
 import yardusher.core.Attempt;
 import yardusher.core.Deadlines;
+import yardusher.core.GiveUpReason;
 import yardusher.core.ResponseStream;
 import yardusher.net.Connection;
 import yardusher.net.ReplyBudget;
@@ -38,6 +39,7 @@
     private Attempt attempt;
     private Deadlines.Entry timeout;
     private ResponseStream stream;                   // a large value that is streamed to the client
+    private long valueBytes;                         // its length
     private long bytesLeft;                          // bytes of it not yet received
     private boolean chunkPending;                    // a chunk is being written to the terminal
     private double responseStartedAtMs;              // when the first bytes of an incomplete response arrived
@@ -107,9 +109,10 @@
         try {
             value = from.decoder().nextValue();
             if (value == null && attempt != null && !reserveAnnounced(from.decoder())) { value = from.decoder().nextValue(); }
+            if (value == null && attempt != null && !from.decoder().isEmpty()) { recordReceived(from.decoder()); }
             if (value == null && attempt != null && from.decoder().hasLargeValueBegun()) { return beginStream(); }
         } catch (MalformedRespException e) {
-            failAttempt();
+            failAttempt(GiveUpReason.MALFORMED);
             return false;
         }
         if (value == null) {
@@ -120,13 +123,17 @@
         timeout = null;
         Attempt.Result result = attempt == null ? null : parseResult(value);
         if (result == null) {                        // unsolicited, or not a valid response of this protocol
-            failAttempt();
+            failAttempt(GiveUpReason.MALFORMED);
             return false;
         }
         complete(result);
         return true;
     }
 
+    private void recordReceived(Decoder decoder) {
+        attempt.received(decoder.bufferedBytes(), decoder.announcedLength(), pool.sockets.loop().now());
+    }
+
     /** Reserves room for a value that has begun to arrive. Returns false if it is to be streamed since there is none. */
     private boolean reserveAnnounced(Decoder decoder) {
         int announced = decoder.announcedBytes();
@@ -184,7 +191,7 @@
 
     /** The response made no progress; but while reads fail on this machine, that is not the backend's doing. */
     private void failUnlessHeldUp() {
-        if (connection.isFailingLocally()) { grantStallGrace(); } else { failAttempt(); }
+        if (connection.isFailingLocally()) { grantStallGrace(); } else { failAttempt(GiveUpReason.NO_PROGRESS); }
     }
 
     /** The attempt has its response: the connection becomes idle. */
@@ -203,10 +210,11 @@
     private boolean beginStream() {
         Deadlines deadlines = pool.sockets.loop().deadlines();
         deadlines.cancel(timeout);
-        bytesLeft = connection.decoder().beginLargeValue();
+        valueBytes = connection.decoder().beginLargeValue();
+        bytesLeft = valueBytes;
         stream = pool.beginStream(attempt, bytesLeft);
         if (stream == null) {
-            failAttempt();
+            failAttempt(GiveUpReason.NOT_STREAMABLE);
             return false;
         }
         accountedBytes = ReplyBudget.STREAM_BYTES;
@@ -234,6 +242,7 @@
             return;
         }
         Attempt ended = attempt;
+        ended.giveUp(chunkPending ? GiveUpReason.CLIENT_STALLED : GiveUpReason.STREAM_SILENT);
         close();
         pool.attemptEnded(ended, Attempt.Result.of(chunkPending ? Api.Outcome.CANCELLED : Api.Outcome.TIMED_OUT));
     }
@@ -245,6 +254,7 @@
             ByteBuffer part = connection.decoder().nextChunk(bytesLeft);
             if (part == null) { return true; }
             bytesLeft -= part.remaining();
+            attempt.received(valueBytes - bytesLeft, valueBytes, pool.sockets.loop().now());
             chunkPending = true;
             recordProgress();
             stream.write(part, this::onChunkWritten);
@@ -260,7 +270,7 @@
             complete(new Attempt.Result(Api.Outcome.SERVED, null, parseLoad(rest.get(1))));
             return true;
         } catch (MalformedRespException e) {
-            failAttempt();
+            failAttempt(GiveUpReason.MALFORMED);
             return false;
         }
     }
@@ -305,9 +315,10 @@
     public double maxFailingWriteMs() { return MAX_FAILING_WRITE_MS; }
 
     /** Fails the attempt, which may have run, and closes the connection: later bytes on it cannot be attributed. */
-    private void failAttempt() {
+    private void failAttempt(GiveUpReason reason) {
         Attempt ended = attempt;
         pooledBackend.idle.remove(this);
+        if (ended != null) { ended.giveUp(reason); }
         close();
         if (ended != null) { pool.attemptEnded(ended, Attempt.Result.of(Api.Outcome.SERVER_ERROR)); }
     }
--- a/src/test/java/yardusher/lab/faults/AnswerTimeTest.java
+++ b/src/test/java/yardusher/lab/faults/AnswerTimeTest.java
@@ -34,6 +34,17 @@
         assertThat(result.answers()).as(result.log()).allSatisfy(answer -> assertThat(answer.endedMs()).isLessThan(WAIT_MS + LOST_AFTER_MS));
     }
 
+    /** Guards against a log that doesn't tell that, and why, this process gave up an answer that had begun. */
+    @Test
+    void anAnswerThatIsGivenUpIsLoggedWithItsReason() throws Exception {
+        AnswerTimeRun.Result result = play(7, new AnswerTimeRun.Load(1, WAIT_MS, 0, LARGE_VALUE, 0, 0, false, 0));
+        String id = result.answers().get(0).id();
+        assertThat(result.log()).containsPattern(" attempt given up id=" + id
+                + " attempt=0 backend=\\d+ reason=[a-z_]+ answer=begun received_bytes=13 announced_bytes=" + LARGE_VALUE
+                + " after_ms=\\d+ first_byte_ms=\\d+ last_byte_ms=\\d+ left_ms=-?\\d+ ");
+        assertThat(result.counters()).containsPattern(" given_up_[a-z_]+=[1-9]");
+    }
+
     /** Guards against a request that gets no further attempt because its backend wrote the head of an answer. */
     @Test
     void aRequestWhoseBackendIsSilentBehindTheHeadIsTriedAgain() throws Exception {
