--- a/lab/src/yardusher/lab/faults/SlowBackend.java
+++ b/lab/src/yardusher/lab/faults/SlowBackend.java
@@ -27,6 +27,9 @@
     /** Answers one attempt; {@code again}: whether its request was tried before, at any backend. */
     interface Answerer {
         void answer(OutputStream out, String[] words, boolean again) throws IOException, InterruptedException;
+
+        /** May begin the answer to a command with a large body before that body was read; the body's word is null. */
+        default void bodyBegins(OutputStream out, String[] words) throws IOException, InterruptedException { }
     }
 
     /** An attempt that was read whole. */
@@ -82,7 +85,7 @@
                 decoder.add(input, count);
                 nextReadMs = Math.max(Chronicle.now(), nextReadMs) + (readsPerSecond == 0 ? 0 : count * 1000.0 / readsPerSecond);
                 if (nextReadMs - Chronicle.now() > TICK_MS) { Thread.sleep((long) (nextReadMs - Chronicle.now())); }
-                for (byte[][] words; (words = nextCommand(decoder)) != null;) { answer(socket.getOutputStream(), words); }
+                for (byte[][] words; (words = nextCommand(decoder, socket.getOutputStream())) != null;) { answer(socket.getOutputStream(), words); }
             }
         } catch (IOException | MalformedRespException e) { // the attempt was given up
         } catch (InterruptedException e) {
@@ -92,20 +95,28 @@
         }
     }
 
-    private static byte[][] nextCommand(Decoder decoder) throws MalformedRespException {
+    private byte[][] nextCommand(Decoder decoder, OutputStream out) throws IOException, InterruptedException, MalformedRespException {
         byte[][] words = decoder.nextCommand();
         if (words != null || decoder.bodyLength() == 0) { return words; }
-        if (decoder.bodyCommand()[decoder.bodyCommand().length - 1] == null) { decoder.allocateBody(); }
+        if (decoder.bodyCommand()[decoder.bodyCommand().length - 1] == null) {
+            answerer.bodyBegins(out, texts(decoder.bodyCommand()));
+            decoder.allocateBody();
+        }
         return decoder.nextCommand();
     }
 
+    private static String[] texts(byte[][] words) {
+        String[] texts = new String[words.length];
+        for (int i = 0; i < words.length; i++) { texts[i] = words[i] == null ? null : new String(words[i], StandardCharsets.US_ASCII); }
+        return texts;
+    }
+
     private void answer(OutputStream out, byte[][] words) throws IOException, InterruptedException {
         if (words.length < 4) {
             out.write(new Encoder(16).simpleString("PONG").toBytes());
             return;
         }
-        String[] texts = new String[words.length];
-        for (int i = 0; i < words.length; i++) { texts[i] = new String(words[i], StandardCharsets.US_ASCII); }
+        String[] texts = texts(words);
         history.begun.add(new Begun(texts[2], Chronicle.now()));
         answerer.answer(out, texts, !history.ids.add(texts[2]));
     }
--- a/src/test/java/yardusher/lab/faults/AnswerTimeTest.java
+++ b/src/test/java/yardusher/lab/faults/AnswerTimeTest.java
@@ -68,6 +68,22 @@
         assertThat(result.answers()).as(result.log()).allSatisfy(answer -> assertThat(answer.endedMs()).isLessThan(WAIT_MS + LOST_AFTER_MS));
     }
 
+    /** Guards against a client whose connection stays open for seconds behind its time, with half a value and nothing more to come. */
+    @Test
+    void aBackendThatIsSilentWithinAValueDelaysNoEnd() throws Exception {
+        AnswerTimeRun.Result result = play(8, new AnswerTimeRun.Load(REQUESTS, WAIT_MS, 0, LARGE_VALUE, 0, LARGE_VALUE / 2, false, 0));
+        assertThat(result.answers()).as(result.log()).allSatisfy(answer -> assertThat(answer.endedMs()).isBetween(WAIT_MS * 1.0, WAIT_MS + LOST_AFTER_MS));
+    }
+
+    /** Guards against a final answer that comes seconds late since the backend began its answer and goes on reading the request slowly. */
+    @Test
+    void aBackendThatAnswersInPartWhileItReadsSlowlyDelaysNoEnd() throws Exception {
+        AnswerTimeRun.Load load = new AnswerTimeRun.Load(2, 3000, 4_000_000, LARGE_VALUE, 0, 0, false, 64_000);
+        AnswerTimeRun.Result result = AnswerTimeRun.play(folder, 9, load, 1000);
+        assertThat(result.answers()).hasSize(load.requests()).as(result.log())
+                .allSatisfy(answer -> assertThat(answer.endedMs()).isLessThan(load.waitMs() + LOST_AFTER_MS));
+    }
+
     /** Guards against memory for replies that stays reserved once a large value was passed on, until all values count as too many. */
     @Test
     void aLargeValueLeavesNothingReserved() throws Exception {
