End no begun answer at the aim of its class or as hanging, only at its request's time

Cause: Attempts.send gives an attempt the time up to the aim where later answers are worth nothing, and checkForHang cancels it at half of that; DispatchStage.expire and Ingress.cancel asked nobody whether the answer had begun. Ending such an attempt is a decision about load before its first byte, and a cut afterwards. Change: AnswerState.giveUp is the only transition by which this process ends an attempt, and knows the reasons that may end a begun answer. An attempt that outlives its time because its answer has begun ends with its request's time.

--- a/src/main/java/yardusher/core/AnswerState.java
+++ b/src/main/java/yardusher/core/AnswerState.java
@@ -49,6 +49,13 @@
     /** The value is passed on to the client from here on. */
     void passOn() { stage = Stage.PASSED_ON; }
 
-    /** This process ends the attempt. The first reason stays. */
-    void giveUp(GiveUpReason reason) { giveUpReason = giveUpReason == null ? reason : giveUpReason; }
+    /**
+     * This process ends the attempt, if the reason allows it at this stage; the only transition that does. Returns whether the attempt
+     * is given up now.
+     */
+    boolean giveUp(GiveUpReason reason) {
+        boolean allowed = giveUpReason == null && (!hasBegun() || reason.endsBegunAnswer());
+        if (allowed) { giveUpReason = reason; }
+        return allowed;
+    }
 }
--- a/src/main/java/yardusher/core/Attempt.java
+++ b/src/main/java/yardusher/core/Attempt.java
@@ -44,8 +44,8 @@
     /** How far its answer has come. */
     public AnswerState answer() { return answer; }
 
-    /** Told by whoever ends the attempt for this process, right before it ends. */
-    public void giveUp(GiveUpReason reason) { answer.giveUp(reason); }
+    /** To be asked by whoever ends the attempt for this process, right before it ends: whether the reason allows it. */
+    public boolean giveUp(GiveUpReason reason) { return answer.giveUp(reason); }
 
     public boolean isOver() { return !request.state.isActive(number); }
 
--- a/src/main/java/yardusher/core/DispatchStage.java
+++ b/src/main/java/yardusher/core/DispatchStage.java
@@ -5,7 +5,7 @@
 import java.util.function.Consumer;
 import yardusher.Api;
 
-/** Fourth stage: sends the attempt and schedules its timeout. */
+/** Fourth stage: sends the attempt and schedules its timeout, which its request's time replaces once its answer has begun. */
 final class DispatchStage {
     private final EventLoop loop;
     private final Backends backends;
@@ -62,10 +62,15 @@
 
     private void expire(Attempt attempt) {
         if (attempt.isOver()) { return; }
+        double deadlineMs = attempt.request.deadlineMs;
+        boolean requestTimeOver = loop.now() >= deadlineMs;
+        if (!attempt.giveUp(requestTimeOver ? GiveUpReason.REQUEST_TIME : GiveUpReason.NO_ANSWER)) { // its answer has begun
+            attempt.timeoutEntry = loop.deadlines().schedule(deadlineMs, () -> expire(attempt));
+            return;
+        }
         // An attempt that was never handed to a socket cannot have run. If it was still waiting for its record, the backend
         // must not be counted as unreachable.
         Api.Outcome outcome = expiredOutcome(attempt);
-        attempt.giveUp(GiveUpReason.TIME_OVER);
         attempt.abort.run();
         onEnded.accept(attempt, Attempt.Result.of(outcome));
     }
--- a/src/main/java/yardusher/core/GiveUpReason.java
+++ b/src/main/java/yardusher/core/GiveUpReason.java
@@ -2,22 +2,34 @@
 
 import java.util.Locale;
 
-/** Why this process ended an attempt by itself, although its backend had neither answered it whole nor ended the connection. */
+/**
+ * Why this process ended an attempt by itself, although its backend had neither answered it whole nor ended the connection. An
+ * answer that has begun is ended only for some of these: silence proves nothing about it before its request's time is over.
+ */
 public enum GiveUpReason {
-    /** The attempt's time was over. */
-    TIME_OVER,
+    /** No byte of an answer came in the time that the decision module gave the attempt. */
+    NO_ANSWER(false),
+    /** The request's time was over. */
+    REQUEST_TIME(true),
     /** The decision module took the attempt for hung. */
-    HANGING,
+    HANGING(false),
     /** The client has left. */
-    CLIENT_LEFT,
+    CLIENT_LEFT(true),
     /** Nothing moved for too long in a value that was being passed on. */
-    STREAM_SILENT,
+    STREAM_SILENT(true),
     /** The client took too long for a chunk of a value that was being passed on. */
-    CLIENT_STALLED,
+    CLIENT_STALLED(true),
     /** What came is not an answer of the protocol, or none of this attempt. */
-    MALFORMED,
+    MALFORMED(true),
     /** The response sink takes no stream, and the value is too large to be buffered. */
-    NOT_STREAMABLE;
+    NOT_STREAMABLE(true);
+
+    private final boolean endsBegunAnswer;
+
+    GiveUpReason(boolean endsBegunAnswer) { this.endsBegunAnswer = endsBegunAnswer; }
+
+    /** Whether an attempt may be ended for this reason although its answer has begun. */
+    boolean endsBegunAnswer() { return endsBegunAnswer; }
 
     /** The name in logs and counters. */
     public String label() { return name().toLowerCase(Locale.ROOT); }
--- a/src/main/java/yardusher/core/Ingress.java
+++ b/src/main/java/yardusher/core/Ingress.java
@@ -286,7 +286,7 @@
     private void cancel(Request request, int number) {
         Attempt attempt = request.newestAttempt;
         if (attempt == null || attempt.isOver() || attempt.number != number) { return; }
-        attempt.giveUp(cancelReason(request));
+        if (!attempt.giveUp(cancelReason(request))) { return; }
         attempt.abort.run();
         loop.defer(() -> attemptEnded(attempt, Attempt.Result.of(Api.Outcome.CANCELLED)));
     }
@@ -294,7 +294,7 @@
     private static GiveUpReason cancelReason(Request request) {
         return switch (request.state.stage()) {
             case GONE -> GiveUpReason.CLIENT_LEFT;
-            case ANSWERED -> GiveUpReason.TIME_OVER; // answered as failed at the deadline
+            case ANSWERED -> GiveUpReason.REQUEST_TIME; // answered as failed at the deadline
             default -> GiveUpReason.HANGING;
         };
     }
