Take the time to the first byte of an answer for its backend's load, not the pause within it

What callers saw: beside answers that paused for 0.35 to 2.5 s, requests were refused for 'pressure' without an attempt: 3 of 16 and 8 of 36 with nothing else open. Cause: an answer that was buffered counted with the time to its last byte, so a pause passed for latency of the whole fleet (LatencyStats, Pressure, adaptLimit). Only streamed answers counted with their first byte. One that had begun and was not whole in its request's time counted as load and not as its backend's failure. Change: Attempt.latencyMs is the time to the first byte for every answer that came in pieces; the module takes an answer that is not whole in time for the backend's failure and not for load, and one that was given up here for neither. BegunAnswerPolicyTest: the backend of endless answers is put out (red before); the other two rows were green before and hold the other side.

--- a/src/main/java/yardusher/Attempts.java
+++ b/src/main/java/yardusher/Attempts.java
@@ -185,6 +185,7 @@
             // connection too, which costs nothing; so a lost connection counts as an ordinary failure.
             case CONNECTION_LOST -> servers.recordFailure(host, classIndex, false);
             case TIMED_OUT, CANCELLED -> {
+                if (pending.streaming && !pending.clientGone) { recordUnfinished(host, classIndex, event.outcome()); return; }
                 if (!pending.clientGone) { servers.latencies.recordAbandoned((clock.now - pending.sentAtMs) / pending.requestClass.aimMs()); }
                 if (host.lastAnswerAtMs <= pending.sentAtMs) { servers.recordFailure(host, classIndex, false); }
                 host.abandonedAttempts += hangsAlone(pending) ? 0 : 1; servers.cold.recordLatency(host, Double.POSITIVE_INFINITY);
@@ -195,6 +196,14 @@
         }
     }
 
+    /**
+     * An answer had begun and was not whole in its request's time: the server's failure, but not a sign of load. One that was given up
+     * before is neither.
+     */
+    private void recordUnfinished(Host host, int classIndex, Outcome outcome) {
+        if (outcome == Outcome.TIMED_OUT) { servers.recordFailure(host, classIndex, false); }
+    }
+
     /**
      * Adapts a server's concurrency limit to its latency. Guards against servers that work on abandoned requests and so answer
      * everything too late: abandoned attempts count towards the load for about a deadline, and the limit falls while answers take
--- a/src/main/java/yardusher/core/Attempt.java
+++ b/src/main/java/yardusher/core/Attempt.java
@@ -16,8 +16,6 @@
     /** Used by the request log only: whether the intent has been logged. */
     public boolean intentLogged;
     Deadlines.Entry timeoutEntry;
-    /** Time from sending to the first byte of the answer, in milliseconds; negative until a streamed answer begins. */
-    double firstByteMs = -1;
     /** How far its answer has come. */
     private final AnswerState answer = new AnswerState();
     /** Aborts the attempt; set by the backend connection. */
@@ -41,6 +39,9 @@
         this.waitMs = waitMs;
     }
 
+    /** Time from sending to the first byte of the answer: how long its rest takes says nothing about the load of its backend. */
+    double latencyMs(double nowMs) { return (answer.hasBegun() ? answer.firstByteAtMs() : nowMs) - sentAtMs; }
+
     /** How far its answer has come. */
     public AnswerState answer() { return answer; }
 
--- a/src/main/java/yardusher/core/Ingress.java
+++ b/src/main/java/yardusher/core/Ingress.java
@@ -139,7 +139,7 @@
         boolean finished = request.state.isOver();
         if (finished) { cleanupStage.closeRequest(request); }
         decisionStage.deliver(new Api.AttemptDone(request.number, attempt.number, attempt.backend, result.outcome(),
-                attempt.firstByteMs >= 0 ? attempt.firstByteMs : loop.now() - attempt.sentAtMs, finished, 0, result.load()));
+                attempt.latencyMs(loop.now()), finished, 0, result.load()));
         runActions();
     }
 
@@ -157,7 +157,6 @@
         attempt.answer().passOn();
         counters.largeValues++;
         counters.maxLargeValuesOpen = Math.max(counters.maxLargeValuesOpen, ++counters.largeValuesOpen);
-        attempt.firstByteMs = loop.now() - attempt.sentAtMs;
         loop.deadlines().cancel(attempt.timeoutEntry);
         loop.deadlines().cancel(request.deadlineEntry);
         countForwarded(attempt);
--- /dev/null
+++ b/src/test/java/yardusher/BegunAnswerPolicyTest.java
@@ -0,0 +1,66 @@
+package yardusher;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import yardusher.Api.AttemptDone;
+import yardusher.Api.FirstByte;
+import yardusher.Api.Outcome;
+import yardusher.Api.Readiness;
+import yardusher.Api.Send;
+import yardusher.Api.Server;
+import yardusher.PolicyTest.Gateway;
+
+/** What the module makes of answers that began and were slow to become whole, or never did. */
+class BegunAnswerPolicyTest {
+    private static final int SERVERS = 5;
+    private static final int ENDLESS = 13;
+    private static final int REQUESTS = 200;
+    private static final double WAIT_MS = 2000;
+
+    private final Gateway gateway = new Gateway(0, 1, 0,
+            IntStream.range(0, SERVERS).mapToObj(i -> new Server(11 + i, 0, 0, 1, 0, Readiness.READY)).toArray(Server[]::new));
+
+    private Send ask() {
+        gateway.runTo(gateway.now + 50);
+        Send sent = gateway.sent(gateway.ask(0, PolicyTest.FREE_PLAN, 1, 1));
+        assertThat(sent).as("refused at %.0f ms", gateway.now).isNotNull();
+        return sent;
+    }
+
+    private void begin(Send sent) { gateway.on(new FirstByte(sent.id(), 0, sent.server())); }
+
+    private void end(Send sent, Outcome outcome) { gateway.on(new AttemptDone(sent.id(), 0, sent.server(), outcome, 20, true, 0, null)); }
+
+    /** Guards against requests that are refused for pressure because answers pause. */
+    @Test
+    void answersThatBeganAndWereNotWholeInTimeAreNoLoad() {
+        for (int i = 0; i < 20; i++) {
+            Send sent = ask();
+            begin(sent);
+            gateway.runTo(gateway.now + WAIT_MS);
+            end(sent, sent.server() == ENDLESS ? Outcome.TIMED_OUT : Outcome.SERVED);
+        }
+    }
+
+    /** The most servers that were put out at once while one server's begun answers ended like this. */
+    private int putOutWhileAnswersEnd(Outcome outcome) {
+        int putOut = 0;
+        for (int i = 0; i < REQUESTS; i++) {
+            Send sent = ask();
+            begin(sent);
+            end(sent, sent.server() == ENDLESS ? outcome : Outcome.SERVED);
+            putOut = Math.max(putOut, gateway.policy.countAvoided(gateway.now));
+        }
+        return putOut;
+    }
+
+    /** Guards against a server that goes on getting its share although its answers never become whole. */
+    @Test
+    void aServerWhoseAnswersNeverBecomeWholeIsPutOut() { assertThat(putOutWhileAnswersEnd(Outcome.TIMED_OUT)).isEqualTo(1); }
+
+    /** Guards against a sound server that is put out because this process gave its begun answers up before their time. */
+    @Test
+    void aServerIsNotBlamedForBegunAnswersThatAreGivenUpHere() { assertThat(putOutWhileAnswersEnd(Outcome.CANCELLED)).isZero(); }
+}
