End a value that is passed on and silent a quarter of a second behind its request's time

What callers saw: with half a value and nothing more to come, or a backend that began its answer and went on reading a large request slowly, the end came after 8.0 s where 0.82 and 3 s were due. Cause: the first byte that is passed on cancels the request's deadline, and only the longest deadline of any class was left as a limit of silence (BackendConnection.checkProgress). Change: a value ends 250 ms behind its request's time or its last byte, whichever is later, after all input that has arrived is handled (poll barrier). Before that time no silence ends it, and while bytes come it goes on behind it. A client that is slow to read is waited for as before. Ruled out: a backend that reads slowly and answers only then (green before).

--- a/src/main/java/yardusher/core/Attempt.java
+++ b/src/main/java/yardusher/core/Attempt.java
@@ -39,6 +39,9 @@
         this.waitMs = waitMs;
     }
 
+    /** When the time of its request is over. */
+    public double requestDeadlineMs() { return request.deadlineMs; }
+
     /** Time from sending to the first byte of the answer: how long its rest takes says nothing about the load of its backend. */
     double latencyMs(double nowMs) { return (answer.hasBegun() ? answer.firstByteAtMs() : nowMs) - sentAtMs; }
 
--- a/src/main/java/yardusher/servers/BackendConnection.java
+++ b/src/main/java/yardusher/servers/BackendConnection.java
@@ -21,6 +21,8 @@
     final BackendPool.PooledBackend pooledBackend;
     final long backend;
     double idleSinceMs;
+    /** A value that is passed on may be silent so long behind its request's time: half of what a final answer may be late. */
+    private static final double MAX_SILENCE_PAST_TIME_MS = 250;
     private static final int ANSWER_ITEMS = 3;       // the value, the figures on use, the load report
     private static final double MAX_FAILING_WRITE_MS = 100;
     /**
@@ -166,31 +168,49 @@
         accountedBytes = ReplyBudget.STREAM_BYTES;
         pool.replyBudget.add(accountedBytes);
         recordProgress();
-        timeout = pool.sockets.loop().deadlines().schedule(progressAtMs + pool.stallMs, this::checkProgress);
+        scheduleProgressCheck();
         return forward();
     }
 
     private void recordProgress() { progressAtMs = pool.sockets.loop().now(); }
 
     /**
-     * Guards against a value that never ends, and against a terminal that stops reading it: the stream is abandoned if
-     * nothing has moved for longer than the longest deadline of any request, or {@code CLIENT_STALL_MS} in mid-value if that is
-     * longer and the terminal is the one that is waited for.
+     * Guards against a value that stays open beyond its request's time with nothing more to come, and against a terminal that stops
+     * reading it. While bytes come, a value is passed on to its end.
      */
     private void checkProgress() {
         if (stream == null) { return; }
-        double now = pool.sockets.loop().now();
-        if (connection.isFailingLocally()) { progressAtMs = now; } // not the backend's doing
-        double maxStallMs = chunkPending && stream.hasBegun() ? Math.max(CLIENT_STALL_MS, pool.stallMs) : pool.stallMs;
-        if (now < progressAtMs + maxStallMs) {
-            timeout = pool.sockets.loop().deadlines().schedule(Math.min(progressAtMs + maxStallMs, now + pool.stallMs),
-                    this::checkProgress);
+        double nowMs = pool.sockets.loop().now();
+        if (connection.isFailingLocally()) { recordProgress(); } // not the backend's doing
+        if (nowMs < streamEndsAtMs()) {
+            scheduleProgressCheck();
+            return;
+        }
+        pool.sockets.pollBarrier().await(nowMs, this::endStalledStream); // what has arrived may lie unread
+    }
+
+    private void scheduleProgressCheck() {
+        double nextMs = Math.max(attempt.requestDeadlineMs(), pool.sockets.loop().now()) + MAX_SILENCE_PAST_TIME_MS;
+        timeout = pool.sockets.loop().deadlines().schedule(Math.min(streamEndsAtMs(), nextMs), this::checkProgress);
+    }
+
+    /** When the stream ends if nothing moves until then. */
+    private double streamEndsAtMs() {
+        if (chunkPending) { return progressAtMs + (stream.hasBegun() ? Math.max(CLIENT_STALL_MS, pool.stallMs) : pool.stallMs); }
+        return Math.max(progressAtMs, attempt.requestDeadlineMs()) + MAX_SILENCE_PAST_TIME_MS;
+    }
+
+    private void endStalledStream() {
+        if (stream == null) { return; }
+        if (pool.sockets.loop().now() < streamEndsAtMs()) { // something has moved
+            scheduleProgressCheck();
             return;
         }
         Attempt ended = attempt;
-        ended.giveUp(chunkPending ? GiveUpReason.CLIENT_STALLED : GiveUpReason.STREAM_SILENT);
+        ended.giveUp(chunkPending ? GiveUpReason.CLIENT_STALLED : GiveUpReason.SILENT_PAST_TIME);
+        Api.Outcome outcome = chunkPending ? Api.Outcome.CANCELLED : Api.Outcome.TIMED_OUT;
         close();
-        pool.attemptEnded(ended, Attempt.Result.of(chunkPending ? Api.Outcome.CANCELLED : Api.Outcome.TIMED_OUT));
+        pool.attemptEnded(ended, Attempt.Result.of(outcome));
     }
 
     /** Forwards the received bytes to the terminal; nothing more is read until the terminal has accepted them. */
