Look for a first byte that lies unread before an attempt is ended for want of one

What callers see: an answer that began before the aim of its class is given up if this process is held up over the aim: its timers come before its poll. Cause: DispatchStage.expire and the module's Cancel for a hanging attempt took 'no byte was read' for 'no byte has come'. Change: both ends wait for the poll barrier and look again. A client that has left, or a request whose time is over, ends its attempt at once as before. Measured: LateInputTest.anAnswerWhoseFirstByteLiesUnreadAtTheAimIsNotGivenUp (the event loop held from 100 to 400 ms, first byte at 200, aim at 300): red before (refused), green.

--- a/src/main/java/yardusher/core/DispatchStage.java
+++ b/src/main/java/yardusher/core/DispatchStage.java
@@ -63,11 +63,26 @@
     private void expire(Attempt attempt) {
         if (attempt.isOver()) { return; }
         double deadlineMs = attempt.request.deadlineMs;
-        boolean requestTimeOver = loop.now() >= deadlineMs;
-        if (!attempt.giveUp(requestTimeOver ? GiveUpReason.REQUEST_TIME : GiveUpReason.NO_ANSWER)) { // its answer has begun
+        if (loop.now() >= deadlineMs) {
+            endExpired(attempt, GiveUpReason.REQUEST_TIME);
+        } else if (attempt.answer().hasBegun()) {
             attempt.timeoutEntry = loop.deadlines().schedule(deadlineMs, () -> expire(attempt));
-            return;
+        } else {
+            backends.onceInputIsHandled(() -> endUnlessBegun(attempt)); // the first byte may lie unread while this process is held up
         }
+    }
+
+    private void endUnlessBegun(Attempt attempt) {
+        if (attempt.isOver()) { return; }
+        if (attempt.answer().hasBegun()) {
+            expire(attempt);
+        } else {
+            endExpired(attempt, GiveUpReason.NO_ANSWER);
+        }
+    }
+
+    private void endExpired(Attempt attempt, GiveUpReason reason) {
+        attempt.giveUp(reason);
         // An attempt that was never handed to a socket cannot have run. If it was still waiting for its record, the backend
         // must not be counted as unreachable.
         Api.Outcome outcome = expiredOutcome(attempt);
--- a/src/main/java/yardusher/core/Ingress.java
+++ b/src/main/java/yardusher/core/Ingress.java
@@ -17,6 +17,7 @@
     private final Map<Long, Request> openRequests = new HashMap<>();
     private final ArrayDeque<Api.Action> actions = new ArrayDeque<>();
     private final EventLoop loop;
+    private final Backends backends;
     private final Api.Settings settings;
     private final PeerSender peerSender;
     private final Counters counters;
@@ -42,6 +43,7 @@
         this.log = log;
         this.settings = settings;
         this.loop = loop;
+        this.backends = backends;
         this.peerSender = peerSender;
         this.counters = counters;
         counters.setClassCount(settings.classes().size());
@@ -285,7 +287,16 @@
     private void cancel(Request request, int number) {
         Attempt attempt = request.newestAttempt;
         if (attempt == null || attempt.isOver() || attempt.number != number) { return; }
-        if (!attempt.giveUp(cancelReason(request))) { return; }
+        GiveUpReason reason = cancelReason(request);
+        if (reason.endsBegunAnswer()) {
+            abort(attempt, reason);
+        } else {
+            backends.onceInputIsHandled(() -> abort(attempt, reason)); // the first byte may lie unread while this process is held up
+        }
+    }
+
+    private void abort(Attempt attempt, GiveUpReason reason) {
+        if (attempt.isOver() || !attempt.giveUp(reason)) { return; }
         attempt.abort.run();
         loop.defer(() -> attemptEnded(attempt, Attempt.Result.of(Api.Outcome.CANCELLED)));
     }
--- a/src/main/java/yardusher/servers/BackendPool.java
+++ b/src/main/java/yardusher/servers/BackendPool.java
@@ -227,6 +227,9 @@
         startNow(pooled, attempt, cargo);
     }
 
+    @Override
+    public void onceInputIsHandled(Runnable task) { sockets.pollBarrier().await(sockets.loop().now(), task); }
+
     private void startNow(PooledBackend pooled, Attempt attempt, ByteBuffer... cargo) {
         boolean mayReuse = ++startedAttempts % REUSE_PROBE_INTERVAL == 0 || !prefersNewConnections();
         if (mayReuse && startOnReusable(pooled, attempt, cargo)) { return; }
--- a/src/test/java/yardusher/servers/LateInputTest.java
+++ b/src/test/java/yardusher/servers/LateInputTest.java
@@ -37,6 +37,8 @@
     private static final int ROUNDS = 100;
     private static final long HELD_UP_MS = 70;
     private static final long COPY_AFTER_MS = 5;
+    private static final long AIM_MS = 300;
+    private static final long FIRST_BYTE_AFTER_MS = 200;
     private static final int COMMAND_BYTES = 8;      // of this test's commands
 
     private final AtomicReference<Throwable> fault = new AtomicReference<>();
@@ -158,8 +160,30 @@
         assertThat(counters.connectionsReused).isEqualTo(19);
     }
 
-    private void startIngress() {
-        Api.RequestClass of = new Api.RequestClass(1900, 2000, 5, 0.1, Api.Effect.IDEMPOTENT, Api.Group.ALL, 0, false);
+    /** Guards against an answer that is given up at the aim of its class, though its first byte came before it and lies unread. */
+    @Test
+    void anAnswerWhoseFirstByteLiesUnreadAtTheAimIsNotGivenUp() throws Exception {
+        startIngress(new Api.RequestClass(AIM_MS, 2000, 5, 0, Api.Effect.IDEMPOTENT, Api.Group.ALL, 0, false));
+        startBackend(LateInputTest::servePaused);
+        loop.execute(() -> ingress.accept(request(7)));
+        hold(FIRST_BYTE_AFTER_MS / 2);
+        loop.execute(() -> hold(AIM_MS));            // the first byte and the aim come meanwhile
+        assertThat(answers.take()).isEqualTo("value 7");
+        assertThat(counters.attempts).isEqualTo(1);
+    }
+
+    /** Sends the first byte of an answer before the aim, and the rest long after it. */
+    private static void servePaused(Socket socket) throws IOException {
+        String answer = answerTo(socket.getInputStream().readNBytes(COMMAND_BYTES));
+        hold(FIRST_BYTE_AFTER_MS);
+        send(socket, answer.substring(0, 1));
+        hold(3 * AIM_MS);
+        send(socket, answer.substring(1));
+    }
+
+    private void startIngress() { startIngress(new Api.RequestClass(1900, 2000, 5, 0.1, Api.Effect.IDEMPOTENT, Api.Group.ALL, 0, false)); }
+
+    private void startIngress(Api.RequestClass of) {
         Api.Settings settings = new Api.Settings(0, 1, 0, 4, List.of(of), List.of(new Api.Plan(1000, 1000, 0, 1, 0, 0, 0)),
                 new Api.Limits(6, true, false, 2000), new Api.Rules(0.2, 1000, 3, 3000, 10_000), List.of(), false, 100, 2, 0, 0);
         loop.execute(() -> {
@@ -171,38 +195,53 @@
         });
     }
 
-    private void startBackend(boolean answersTwice) {
-        Thread backend = new Thread(() -> acceptAll(answersTwice), "backend");
+    /** A backend's manner on one connection. */
+    private interface Manner {
+        void serve(Socket socket) throws IOException;
+    }
+
+    private void startBackend(boolean answersTwice) { startBackend(socket -> serve(socket, answersTwice)); }
+
+    private void startBackend(Manner manner) {
+        Thread backend = new Thread(() -> acceptAll(manner), "backend");
         backend.setDaemon(true);
         backend.start();
     }
 
-    private void acceptAll(boolean answersTwice) {
+    private void acceptAll(Manner manner) {
         try {
             while (true) {
                 Socket socket = listener.accept();
-                Thread serving = new Thread(() -> serve(socket, answersTwice), "backend connection");
+                Thread serving = new Thread(() -> serveUntilClosed(socket, manner), "backend connection");
                 serving.setDaemon(true);
                 serving.start();
             }
         } catch (IOException e) { /* the test has ended */ }
     }
 
-    /** Answers each command with its own text, and perhaps once more a little later. */
-    private static void serve(Socket socket, boolean answersTwice) {
+    private static void serveUntilClosed(Socket socket, Manner manner) {
         try {
-            byte[] command = new byte[COMMAND_BYTES];
-            while (socket.getInputStream().readNBytes(command, 0, command.length) == command.length) {
-                String value = "value " + Integer.parseInt(new String(command, StandardCharsets.US_ASCII).trim());
-                String answer = "*3\r\n$" + value.length() + "\r\n" + value + "\r\n$-1\r\n$-1\r\n";
-                send(socket, answer);
-                if (!answersTwice) { continue; }
-                hold(COPY_AFTER_MS);
-                send(socket, answer);
-            }
+            manner.serve(socket);
         } catch (IOException | java.io.UncheckedIOException e) { /* the ingress has closed the connection */ }
     }
 
+    /** Answers each command with its own text, and perhaps once more a little later. */
+    private static void serve(Socket socket, boolean answersTwice) throws IOException {
+        byte[] command = new byte[COMMAND_BYTES];
+        while (socket.getInputStream().readNBytes(command, 0, command.length) == command.length) {
+            String answer = answerTo(command);
+            send(socket, answer);
+            if (!answersTwice) { continue; }
+            hold(COPY_AFTER_MS);
+            send(socket, answer);
+        }
+    }
+
+    private static String answerTo(byte[] command) {
+        String value = "value " + Integer.parseInt(new String(command, StandardCharsets.US_ASCII).trim());
+        return "*3\r\n$" + value.length() + "\r\n" + value + "\r\n$-1\r\n$-1\r\n";
+    }
+
     private IncomingRequest request(int id) {
         return new IncomingRequest(0, 0, 7, 1, 0, 1, 2000, new BackendCommand() {
             @Override
