Reserve memory for a value once 512 bytes of its answer have arrived, not with its head

What callers would see: heads with nothing behind them, which are now kept to their request's time instead of 300 ms, hold up to half of the memory for replies; others' values are streamed meanwhile and their connections get two commands at a time. Cause: BackendConnection.reserveAnnounced took the announced length as soon as the head was read. Change: nothing is reserved below 512 bytes, which the first buffer holds anyway. The buffer is still made large enough in one step behind that, so a usual answer takes no more reads.

--- a/src/main/java/yardusher/servers/BackendConnection.java
+++ b/src/main/java/yardusher/servers/BackendConnection.java
@@ -23,6 +23,7 @@
     double idleSinceMs;
     /** A value that is passed on may be silent so long behind its request's time: half of what a final answer may be late. */
     private static final double MAX_SILENCE_PAST_TIME_MS = 250;
+    private static final int MIN_ARRIVED_BYTES = 512; // of an answer, before room is reserved for all of it
     private static final int ANSWER_ITEMS = 3;       // the value, the figures on use, the load report
     private static final double MAX_FAILING_WRITE_MS = 100;
     /**
@@ -124,10 +125,13 @@
         pool.answerReceived(attempt, decoder.bufferedBytes(), decoder.announcedLength());
     }
 
-    /** Reserves room for a value that has begun to arrive. Returns false if it is to be streamed since there is none. */
+    /**
+     * Reserves room for a value once enough of it has arrived, so that a backend that is silent behind its head holds nothing. Returns
+     * false if the value is to be streamed since there is none.
+     */
     private boolean reserveAnnounced(Decoder decoder) {
         int announced = decoder.announcedBytes();
-        if (announced <= ReplyBudget.MAX_UNRESERVED_BYTES || accountedBytes > 0) { return true; }
+        if (announced <= ReplyBudget.MAX_UNRESERVED_BYTES || accountedBytes > 0 || decoder.bufferedBytes() < MIN_ARRIVED_BYTES) { return true; }
         if (pool.replyBudget.tryReserve(announced)) {
             accountedBytes = announced;
             decoder.expect(announced);
--- a/src/test/java/yardusher/lab/faults/AnswerTimeTest.java
+++ b/src/test/java/yardusher/lab/faults/AnswerTimeTest.java
@@ -4,6 +4,8 @@
 
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -12,6 +14,7 @@
 @Timeout(value = 60, unit = TimeUnit.SECONDS)
 class AnswerTimeTest {
     private static final int REQUESTS = 12;
+    private static final int HEADS = 100;
     private static final int WAIT_MS = 820;
     /** A final answer may come so long after its time before the request counts as lost. */
     private static final double LOST_AFTER_MS = 500;
@@ -95,4 +98,14 @@
         assertThat(result.answers()).allMatch(answer -> answer.isWhole(LARGE_VALUE));
         assertThat(result.counters()).contains(" replies_kb=0 ");
     }
+
+    /** Guards against heads with nothing behind them that hold the memory for replies, now that they are kept to their request's time. */
+    @Test
+    void headsWithoutAValueHoldNoMemory() throws Exception {
+        AnswerTimeRun.Result result = play(10, new AnswerTimeRun.Load(HEADS, WAIT_MS, 0, SMALL_VALUE, 0, 0, false, 0));
+        Matcher mostKb = Pattern.compile(" replies_most_kb=(\\d+)").matcher(result.counters());
+        assertThat(mostKb.find()).isTrue();
+        assertThat(Integer.parseInt(mostKb.group(1))).as(result.counters()).isLessThan(HEADS);
+        assertThat(result.answers()).as(result.log()).allSatisfy(answer -> assertThat(answer.endedMs()).isLessThan(WAIT_MS + LOST_AFTER_MS));
+    }
 }
