Draw pauses within answers in the soak, and check that none is cut off before its time

One answer of twelve of each backend comes in two parts, split anywhere, with a pause of up to 0.6 of the deadline.

--- a/lab/src/yardusher/lab/Region.java
+++ b/lab/src/yardusher/lab/Region.java
@@ -12,6 +12,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashSet;
@@ -66,6 +67,7 @@
         private final String what;
         private final byte[] answer;                 // null for none, ever
         private boolean ready;
+        private String restOf;                       // the command whose answer this is the rest of; null for none
 
         private Order(String words, String what, byte[] answer) {
             this.words = words;
@@ -118,6 +120,8 @@
     private volatile Over over = Over.SERVE;
     private volatile double leastMs = 1;
     private volatile double mostMs = 3;
+    private volatile int pauseOneIn;                 // 0 for never
+    private volatile double maxPauseMs;
     private volatile Function<List<String>, byte[]> script;
     private volatile boolean closed;
 
@@ -169,6 +173,13 @@
         return this;
     }
 
+    /** One answer of so many pauses within itself, for up to so long, anywhere; it is then "cut" if its client's end comes before the rest. */
+    public Region pauses(int oneIn, double atMostMs) {
+        pauseOneIn = oneIn;
+        maxPauseMs = atMostMs;
+        return this;
+    }
+
     /** What each command is answered, null for nothing ever. In the region's own thread. Usually its name and the id, served. */
     public Region script(Function<List<String>, byte[]> answers) {
         script = answers;
@@ -283,16 +294,24 @@
             ByteBuffer room = guest.decoder.readBuffer();
             int before = room.position();
             if (guest.channel.read(room) < 0) {
+                noteCut(guest);
                 leave(guest);
                 return;
             }
             guest.decoder.advance(room.position() - before);
             for (byte[][] words; (words = guest.decoder.nextCommand()) != null;) { begin(guest, words); }
         } catch (IOException | MalformedRespException e) {
+            noteCut(guest);
             leave(guest);
         }
     }
 
+    /** The client has ended the connection before an answer that had begun was whole. */
+    private void noteCut(Guest guest) {
+        Order next = guest.orders.peek();
+        if (next != null && next.restOf != null) { note(guest.number, "cut", next.restOf); }
+    }
+
     private void begin(Guest guest, byte[][] words) throws IOException {
         List<String> texts = new ArrayList<>();
         for (byte[] word : words) { texts.add(new String(word, StandardCharsets.UTF_8)); }
@@ -315,10 +334,26 @@
                 default -> says("ERR unknown");
             };
         }
-        Order order = new Order(verb.startsWith("CALL.") ? String.join(" ", texts) : null, what, answer);
+        String command = verb.startsWith("CALL.") ? String.join(" ", texts) : null;
+        if (what.equals("served") && command != null && pauseOneIn > 0 && random.nextInt(pauseOneIn) == 0) {
+            answerInParts(guest, command, answer, takes);
+            return;
+        }
+        answerAfter(guest, new Order(command, what, answer), takes);
+        if (takes <= 0) { end(due.poll()); }
+    }
+
+    private void answerInParts(Guest guest, String command, byte[] answer, double takes) {
+        int first = 1 + random.nextInt(answer.length - 1);
+        Order rest = new Order(null, "served", Arrays.copyOfRange(answer, first, answer.length));
+        rest.restOf = command;
+        answerAfter(guest, new Order(command, "paused", Arrays.copyOf(answer, first)), takes);
+        answerAfter(guest, rest, takes + maxPauseMs * random.nextDouble());
+    }
+
+    private void answerAfter(Guest guest, Order order, double takes) {
         guest.orders.add(order);
         due.add(new Due(Chronicle.now() + takes, ++numbers, guest, order));
-        if (takes <= 0) { end(due.poll()); }
     }
 
     /** The first command of a connection that was just accepted may have come before the accept. */
--- a/lab/src/yardusher/lab/faults/Soak.java
+++ b/lab/src/yardusher/lab/faults/Soak.java
@@ -37,6 +37,8 @@
     private static final int CONNECTS_AFTER_TERM_MS = 400; // new connections come for so long after SIGTERM
     private static final int MIN_BATCH_PAUSE_MS = 15; // a machine short of processor time would show its own delays
     private static final int MAX_MORE_PAUSE_MS = 40;
+    private static final int PAUSE_ONE_IN = 12;      // of a backend's answers
+    private static final double MAX_ANSWER_PAUSE = 0.6; // of the deadline: over the aim, and in time after a usual wait
     private static final int WARM_UP_MS = 400;
     private static final int LIST_CHANGE_MS = 100;
 
@@ -106,7 +108,7 @@
 
     private void prepare(long seed, boolean crowded) throws IOException {
         for (int i = 0; i < BACKENDS; i++) {
-            group.region("r" + i, "hall-" + (char) ('a' + i % 3)).takes(2, Math.min(60, deadlineMs / 4))
+            group.region("r" + i, "hall-" + (char) ('a' + i % 3)).takes(2, Math.min(60, deadlineMs / 4)).pauses(PAUSE_ONE_IN, deadlineMs * MAX_ANSWER_PAUSE)
                     .script(words -> FaultClient.Values.answerFor(words.get(2)));
         }
         group.configuration((i, json) -> FaultRun.withUnsafeClass(json).replaceAll("\"hard_limit_ms\": [0-9.]+", "\"hard_limit_ms\": " + deadlineMs + ".0")
