A property test of answers in pieces: any split, pause and length, with and without memory

Real loopback connections and a scripted clock that stands still while input is handled. 60 answers of 0 bytes to 1 MiB in up to six pieces, whole before their request's time (aim 0.5 s, time 2 s): each is served whole from its first attempt. 30 that never become whole: one final answer, at the request's time or within half a second behind it.

--- /dev/null
+++ b/src/test/java/yardusher/servers/BegunAnswerTest.java
@@ -0,0 +1,205 @@
+package yardusher.servers;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import yardusher.Api;
+import yardusher.core.BackendCommand;
+import yardusher.core.Counters;
+import yardusher.core.EventLoop;
+import yardusher.core.IncomingRequest;
+import yardusher.core.Ingress;
+import yardusher.core.RequestLog;
+import yardusher.core.ResponseStream;
+import yardusher.core.Terminal;
+import yardusher.net.ReplyBudget;
+import yardusher.net.Sockets;
+
+/** Answers in pieces, on loopback connections and a scripted clock that stands still while input is handled. */
+class BegunAnswerTest {
+    private static final double AIM_MS = 500;
+    private static final double WAIT_MS = 2000;
+    private static final double LOST_AFTER_MS = 500;
+    private static final double STEP_MS = 50;
+    private static final double TICK_MS = 0.001;     // so that each look at the input is a new one
+    private static final int MAX_VALUE_BYTES = 1 << 20;
+    private static final int PART_SCALE = 1000;
+
+    /** One request to one backend; the test is the backend. */
+    private static final class Play implements Terminal, AutoCloseable {
+        private final AtomicReference<Throwable> fault = new AtomicReference<>();
+        private volatile double nowMs = 1_000_000;
+        private final double sentMs = nowMs;
+        private final EventLoop loop = new EventLoop(() -> nowMs, fault::set);
+        private final Counters counters = new Counters();
+        private final CountDownLatch answered = new CountDownLatch(1);
+        private final Sockets sockets;
+        private final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        private final Socket backend;
+        private volatile int answers;
+        private volatile double answeredAtMs;
+        private volatile long servedBytes = -1;
+        private long streamedBytes;
+
+        Play(long budgetBytes) throws Exception {
+            sockets = new Sockets(loop);
+            Api.RequestClass of = new Api.RequestClass(AIM_MS, WAIT_MS, 5, 0, Api.Effect.IDEMPOTENT, Api.Group.ALL, 0, false);
+            Api.Settings settings = new Api.Settings(0, 1, 0, 4, List.of(of), List.of(new Api.Plan(1000, 1000, 0, 1, 0, 0, 0)),
+                    new Api.Limits(6, true, false, 2000), new Api.Rules(0.2, 1000, 3, 3000, 10_000), List.of(), false, 100, 2, 0, 0);
+            loop.execute(() -> {
+                BackendPool pool = new BackendPool(sockets, counters, List.of(), 250, 30_000, 8000, 10, new ReplyBudget(budgetBytes));
+                Ingress ingress = new Ingress(settings, 1, loop, pool, (to, body) -> { }, counters, RequestLog.NONE);
+                pool.setIngress(ingress);
+                pool.addOrUpdate(5, (InetSocketAddress) listener.getLocalSocketAddress());
+                pool.addOrUpdate(6, (InetSocketAddress) listener.getLocalSocketAddress());
+                ingress.deliver(new Api.ServerList(Api.ListKind.FULL, List.of(new Api.Server(5, 0, 0, 1, 0, Api.Readiness.READY),
+                        new Api.Server(6, 0, 0, 1, 0, Api.Readiness.READY))));
+                ingress.accept(new IncomingRequest(0, 0, 7, 1, 0, 1, WAIT_MS, new Command(), this));
+            });
+            backend = listener.accept();
+            backend.setTcpNoDelay(true);
+            assertThat(backend.getInputStream().read()).isEqualTo('c');
+        }
+
+        void send(byte[] answer, int from, int to) throws Exception {
+            backend.getOutputStream().write(answer, from, to - from);
+            settle();
+        }
+
+        void pass(double ms) throws Exception {
+            for (double untilMs = nowMs + ms; nowMs < untilMs && answers == 0;) {
+                nowMs = Math.min(untilMs, nowMs + STEP_MS);
+                settle();
+            }
+        }
+
+        /** Runs what is due, and handles all input that has arrived. */
+        private void settle() throws InterruptedException {
+            CountDownLatch handled = new CountDownLatch(1);
+            nowMs += TICK_MS;
+            loop.execute(() -> sockets.pollBarrier().await(nowMs, handled::countDown));
+            assertThat(handled.await(10, TimeUnit.SECONDS)).isTrue();
+        }
+
+        private void answer(long bytes) {
+            answers++;
+            servedBytes = bytes;
+            answeredAtMs = nowMs - sentMs;
+            answered.countDown();
+        }
+
+        @Override
+        public void served(byte[] value) { answer(value.length); }
+
+        @Override
+        public void reject(long retryAfterMs, boolean mayHaveRun) { answer(-1); }
+
+        @Override
+        public void failed(String why, boolean mayHaveRun) { answer(-1); }
+
+        @Override
+        public ResponseStream beginStream(long length) {
+            return new ResponseStream() {
+                @Override
+                public void write(ByteBuffer bytes, Runnable onWritten) {
+                    streamedBytes += bytes.remaining();
+                    loop.defer(onWritten);
+                }
+
+                @Override
+                public void end() { answer(streamedBytes); }
+
+                @Override
+                public void fail() { answer(-1); }
+            };
+        }
+
+        @Override
+        public void close() throws IOException {
+            loop.stop();
+            sockets.shutdown();
+            backend.close();
+            listener.close();
+            assertThat(fault.get()).isNull();
+        }
+    }
+
+    private static final class Command implements BackendCommand {
+        @Override
+        public ByteBuffer[] encoded(long waitMs) { return new ByteBuffer[] {ByteBuffer.wrap(new byte[] {'c'})}; }
+
+        @Override
+        public long id() { return 1; }
+
+        @Override
+        public String key() { return null; }
+
+        @Override
+        public long fingerprint() { return 1; }
+    }
+
+    private static byte[] answerOf(int valueBytes) {
+        byte[] head = ("*3\r\n$" + valueBytes + "\r\n").getBytes(StandardCharsets.US_ASCII);
+        byte[] end = "\r\n$-1\r\n$-1\r\n".getBytes(StandardCharsets.US_ASCII);
+        byte[] answer = Arrays.copyOf(head, head.length + valueBytes + end.length);
+        System.arraycopy(end, 0, answer, head.length + valueBytes, end.length);
+        return answer;
+    }
+
+    /** Sends an answer in pieces up to these parts of it, and lets as much of {@code allMs} pass behind each. */
+    private static int sendInPieces(Play play, byte[] answer, List<Integer> parts, double allMs) throws Exception {
+        int sent = 0;
+        for (int part : parts.stream().sorted().toList()) {
+            int to = Math.max(Math.max(1, sent), Math.min(answer.length - 1, (int) ((long) answer.length * part / PART_SCALE)));
+            play.send(answer, sent, to);
+            play.pass(allMs / parts.size());
+            sent = to;
+        }
+        return sent;
+    }
+
+    /** Guards against a sound answer that is not passed on whole, from its first attempt, although it is whole in its request's time. */
+    @Property(tries = 60)
+    void anAnswerThatIsWholeInItsRequestsTimeIsServedWhateverItsPauses(@ForAll @IntRange(max = MAX_VALUE_BYTES) int valueBytes,
+            @ForAll @Size(min = 1, max = 5) List<@IntRange(max = PART_SCALE) Integer> parts, @ForAll @IntRange(max = 1950) int allMs,
+            @ForAll boolean hasMemory) throws Exception {
+        try (Play play = new Play(hasMemory ? 64 << 20 : 0)) {
+            byte[] answer = answerOf(valueBytes);
+            int sent = sendInPieces(play, answer, parts, allMs);
+            assertThat(play.answers).as("no answer before it is whole").isZero();
+            play.backend.getOutputStream().write(answer, sent, answer.length - sent);
+            assertThat(play.answered.await(10, TimeUnit.SECONDS)).isTrue();
+            assertThat(play.servedBytes).isEqualTo(valueBytes);
+            assertThat(play.counters.attempts).isEqualTo(1);
+        }
+    }
+
+    /** Guards against a final answer that comes late, or twice, since the answer that had begun never becomes whole. */
+    @Property(tries = 30)
+    void anAnswerThatIsNeverWholeDelaysNoFinalAnswer(@ForAll @IntRange(max = MAX_VALUE_BYTES) int valueBytes,
+            @ForAll @Size(min = 1, max = 5) List<@IntRange(max = PART_SCALE) Integer> parts, @ForAll @IntRange(max = 1950) int allMs,
+            @ForAll boolean hasMemory) throws Exception {
+        try (Play play = new Play(hasMemory ? 64 << 20 : 0)) {
+            sendInPieces(play, answerOf(valueBytes), parts, allMs);
+            play.pass(WAIT_MS + LOST_AFTER_MS - allMs);
+            assertThat(play.answers).isEqualTo(1);
+            assertThat(play.servedBytes).isEqualTo(-1);
+            assertThat(play.answeredAtMs).isBetween(WAIT_MS, WAIT_MS + LOST_AFTER_MS);
+        }
+    }
+}
