--- a/src/test/java/yardusher/lab/faults/FaultCheckerTest.java
+++ b/src/test/java/yardusher/lab/faults/FaultCheckerTest.java
@@ -60,8 +60,10 @@
     @Test
     void anAnswerThatHasBegunIsCutOffOnlyOnceItsRequestsTimeIsOver() {
         Region.Event early = new Region.Event(SENT_MS + 320, SENT_MS + 320, "r0", 1, "cut", 1, "CALL.GET 0000000000000001 00000000000000a1 c=lookup,d=1000");
+        Region.Event almost = new Region.Event(SENT_MS + 949, SENT_MS + 949, "r0", 1, "cut", 1, "CALL.GET 0000000000000001 00000000000000a1 c=lookup,d=1000");
         Region.Event inTime = new Region.Event(SENT_MS + 1002, SENT_MS + 1002, "r0", 1, "cut", 1, "CALL.GET 0000000000000001 00000000000000a1 c=lookup,d=1000");
         assertThat(breaches(request(RequestClass.LOOKUP, 640, End.REFUSED), true, early)).singleElement().asString().startsWith("answer cut off after 320 ms");
+        assertThat(breaches(request(RequestClass.LOOKUP, 951, End.FAILED), true, almost)).hasSize(1);
         assertThat(breaches(request(RequestClass.LOOKUP, 1002, End.FAILED), true, inTime)).isEmpty();
         assertThat(breaches(request(RequestClass.LOOKUP, 1252, End.TRUNCATED), true, inTime)).isEmpty();
         assertThat(breaches(request(RequestClass.LOOKUP, 900, End.TRUNCATED), true, inTime)).hasSize(1);
