--- a/src/main/java/yardusher/servers/BackendConnection.java
+++ b/src/main/java/yardusher/servers/BackendConnection.java
@@ -2,7 +2,6 @@
 
 import java.nio.ByteBuffer;
 import java.nio.channels.AsynchronousSocketChannel;
-import java.util.Arrays;
 import java.util.List;
 import yardusher.Api;
 import yardusher.core.Attempt;
@@ -17,14 +16,9 @@
 
 /** One connection to a backend, carrying at most one attempt at a time. */
 final class BackendConnection implements Connection.Owner {
-    private final BackendPool pool;
-    final BackendPool.PooledBackend pooledBackend;
-    final long backend;
-    double idleSinceMs;
     /** A value that is passed on may be silent so long behind its request's time: half of what a final answer may be late. */
     private static final double MAX_SILENCE_PAST_TIME_MS = 250;
     private static final int MIN_ARRIVED_BYTES = 512; // of an answer, before room is reserved for all of it
-    private static final int ANSWER_ITEMS = 3;       // the value, the figures on use, the load report
     private static final double MAX_FAILING_WRITE_MS = 100;
     /**
      * How long a client may take for a chunk of its value. The system reports room in a send buffer of some MiB only once a third
@@ -32,6 +26,10 @@
      */
     private static final double CLIENT_STALL_MS = 60_000;
 
+    private final BackendPool pool;
+    final BackendPool.PooledBackend pooledBackend;
+    final long backend;
+    double idleSinceMs;
     private Connection connection;
     private Attempt attempt;
     private Deadlines.Entry timeout;
@@ -53,7 +51,7 @@
 
     void open(AsynchronousSocketChannel channel) {
         connection = new Connection(channel, pool.sockets.loop(), this);
-        connection.decoder().expectItems(ANSWER_ITEMS);
+        connection.decoder().expectItems(AnswerParser.ANSWER_ITEMS);
         connection.readMore();
     }
 
@@ -112,7 +110,7 @@
             return false;
         }
         if (value == null) { return true; }
-        Attempt.Result result = attempt == null ? null : parseResult(value);
+        Attempt.Result result = attempt == null ? null : pool.answerParser.parse(value);
         if (result == null) {                        // unsolicited, or not a valid response of this protocol
             failAttempt(GiveUpReason.MALFORMED);
             return false;
@@ -233,11 +231,11 @@
         try {
             List<Value> rest = connection.decoder().finishLargeValue();
             if (rest == null) { return true; }
-            if (rest.size() != ANSWER_ITEMS - 1) { throw new MalformedRespException("not an answer"); }
+            if (rest.size() != AnswerParser.ANSWER_ITEMS - 1) { throw new MalformedRespException("not an answer"); }
             stream = null;
             pool.sockets.loop().deadlines().cancel(timeout);
             timeout = null;
-            complete(new Attempt.Result(Api.Outcome.SERVED, null, parseLoad(rest.get(1))));
+            complete(new Attempt.Result(Api.Outcome.SERVED, null, pool.answerParser.parseLoad(rest.get(1))));
             return true;
         } catch (MalformedRespException e) {
             failAttempt(GiveUpReason.MALFORMED);
@@ -292,64 +290,4 @@
         close();
         if (ended != null) { pool.attemptEnded(ended, Attempt.Result.of(Api.Outcome.SERVER_ERROR)); }
     }
-
-    /**
-     * Interprets a response; null if its form is unknown. Guards against serving a value that does not belong to the
-     * request, and against taking a corrupted line for the backend's statement that the attempt never ran.
-     */
-    private Attempt.Result parseResult(Value value) {
-        if (value instanceof Value.ArrayValue many && many.items() != null && many.items().size() == ANSWER_ITEMS
-                && many.items().get(0) instanceof Value.BulkString bulk && bulk.bytes() != null) {
-            return new Attempt.Result(Api.Outcome.SERVED, bulk.bytes(), parseLoad(many.items().get(2)));
-        }
-        if (!(value instanceof Value.ErrorReply failure)) { return null; }
-        String text = failure.text();
-        int last = text.lastIndexOf(' ');
-        boolean reports = last > 0 && text.indexOf('=', last) > 0;
-        double[] load = reports ? parseLoad(text.substring(last + 1)) : null;
-        switch (reports ? text.substring(0, last) : text) {
-            case "BUSY" -> { return new Attempt.Result(Api.Outcome.REJECTED, null, load); }
-            case "ERR failed" -> { return new Attempt.Result(Api.Outcome.SERVER_ERROR, null, load); }
-            default -> {
-                if (text.startsWith("SYNTAX")) { pool.counters.faults++; }
-                return null;
-            }
-        }
-    }
-
-    private double[] parseLoad(Value last) {
-        return last instanceof Value.BulkString bulk && bulk.bytes() != null ? parseLoad(bulk.text()) : null;
-    }
-
-    /**
-     * Parses a load report such as {@code inflight=7,queue=2,util=0.61} into the order of the settings; null if it is
-     * malformed. Guards against a backend that looks idle because a figure is missing or not a number.
-     */
-    private double[] parseLoad(String text) {
-        List<Api.Metric> wanted = pool.report;
-        if (wanted.isEmpty() || text.length() > 512) { return null; }
-        double[] load = new double[wanted.size()];
-        Arrays.fill(load, -1);
-        for (String item : text.split(",", -1)) {
-            int is = item.indexOf('=');
-            Api.Metric metric = is < 0 ? Api.Metric.OTHER : switch (item.substring(0, is)) {
-                case "inflight", "busy_reqs" -> Api.Metric.IN_FLIGHT;
-                case "queue", "pending" -> Api.Metric.QUEUE;
-                case "util", "cpu_share" -> Api.Metric.CPU;
-                case "latency_ms", "svc_ms" -> Api.Metric.SERVICE_MS;
-                case "qps", "served_ps" -> Api.Metric.REQUESTS_PER_S;
-                case "eps", "failed_ps" -> Api.Metric.ERRORS_PER_S;
-                default -> Api.Metric.OTHER;
-            };
-            String figure = item.substring(is + 1);
-            int at = metric == Api.Metric.OTHER ? -1 : wanted.indexOf(metric);
-            if (is < 0 || !figure.matches("[0-9]{1,9}(\\.[0-9]{1,9})?") || at >= 0 && load[at] >= 0) { return null; }
-            if (at >= 0) { load[at] = Double.parseDouble(figure); }
-        }
-        for (int i = 0; i < load.length; i++) {
-            if (load[i] < 0 && wanted.get(i) != Api.Metric.OTHER) { return null; }
-            load[i] = Math.max(0, load[i]);
-        }
-        return load;
-    }
 }
--- a/src/main/java/yardusher/servers/BackendPool.java
+++ b/src/main/java/yardusher/servers/BackendPool.java
@@ -49,7 +49,7 @@
     private final double dialMs;
     private final double maxIdleMs;
     private int maxConnections;
-    final List<Api.Metric> report;
+    final AnswerParser answerParser;
     private final Map<Long, PooledBackend> pooledBackends = new HashMap<>();
     private final Set<Long> banned = new HashSet<>(); // by an operator
     private double reusedLossRate;                   // recent fraction of attempts lost on reused connections
@@ -115,7 +115,7 @@
         this.stallMs = stallMs;
         this.sockets = sockets;
         this.counters = counters;
-        this.report = report;
+        answerParser = new AnswerParser(report, counters);
         this.dialMs = dialMs;
         this.maxIdleMs = idleMs * MAX_IDLE_FRACTION;
         this.maxConnections = maxConnections;
