Don't blame a backend for a large value that the response sink does not take

Cause: BackendConnection reported SERVER_ERROR where the core refused the stream, so that the module counted a failure of the backend. Change: LOCAL_LOSS, which blames nobody; the line 'attempt given up' says not_streamable. Only what is no answer of the protocol is still told as the backend's error. Measured: BegunAnswerTest.aBackendIsNotBlamed... red before, green. Found by reading: the clients' own sinks take streams, so no caller of today meets it.

--- a/src/main/java/yardusher/servers/BackendConnection.java
+++ b/src/main/java/yardusher/servers/BackendConnection.java
@@ -106,13 +106,13 @@
             if (value == null && attempt != null && !from.decoder().isEmpty()) { recordReceived(from.decoder()); }
             if (value == null && attempt != null && from.decoder().hasLargeValueBegun()) { return beginStream(); }
         } catch (MalformedRespException e) {
-            failAttempt(GiveUpReason.MALFORMED);
+            endAttempt(GiveUpReason.MALFORMED, Api.Outcome.SERVER_ERROR);
             return false;
         }
         if (value == null) { return true; }
         Attempt.Result result = attempt == null ? null : pool.answerParser.parse(value);
         if (result == null) {                        // unsolicited, or not a valid response of this protocol
-            failAttempt(GiveUpReason.MALFORMED);
+            endAttempt(GiveUpReason.MALFORMED, Api.Outcome.SERVER_ERROR);
             return false;
         }
         complete(result);
@@ -164,7 +164,7 @@
         bytesLeft = valueBytes;
         stream = pool.beginStream(attempt, bytesLeft);
         if (stream == null) {
-            failAttempt(GiveUpReason.NOT_STREAMABLE);
+            endAttempt(GiveUpReason.NOT_STREAMABLE, Api.Outcome.LOCAL_LOSS);
             return false;
         }
         accountedBytes = ReplyBudget.STREAM_BYTES;
@@ -238,7 +238,7 @@
             complete(new Attempt.Result(Api.Outcome.SERVED, null, pool.answerParser.parseLoad(rest.get(1))));
             return true;
         } catch (MalformedRespException e) {
-            failAttempt(GiveUpReason.MALFORMED);
+            endAttempt(GiveUpReason.MALFORMED, Api.Outcome.SERVER_ERROR);
             return false;
         }
     }
@@ -282,12 +282,12 @@
     @Override
     public double maxFailingWriteMs() { return MAX_FAILING_WRITE_MS; }
 
-    /** Fails the attempt, which may have run, and closes the connection: later bytes on it cannot be attributed. */
-    private void failAttempt(GiveUpReason reason) {
+    /** Ends the attempt, which may have run, and closes the connection: later bytes on it cannot be attributed. */
+    private void endAttempt(GiveUpReason reason, Api.Outcome outcome) {
         Attempt ended = attempt;
         pooledBackend.idle.remove(this);
         if (ended != null) { ended.giveUp(reason); }
         close();
-        if (ended != null) { pool.attemptEnded(ended, Attempt.Result.of(Api.Outcome.SERVER_ERROR)); }
+        if (ended != null) { pool.attemptEnded(ended, Attempt.Result.of(outcome)); }
     }
 }
--- a/src/test/java/yardusher/servers/BegunAnswerTest.java
+++ b/src/test/java/yardusher/servers/BegunAnswerTest.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -54,9 +55,11 @@
         private volatile int answers;
         private volatile double answeredAtMs;
         private volatile long servedBytes = -1;
+        private final boolean takesStreams;
         private long streamedBytes;
 
-        Play(long budgetBytes) throws Exception {
+        Play(long budgetBytes, boolean takesStreams) throws Exception {
+            this.takesStreams = takesStreams;
             sockets = new Sockets(loop);
             Api.RequestClass of = new Api.RequestClass(AIM_MS, WAIT_MS, 5, 0, Api.Effect.IDEMPOTENT, Api.Group.ALL, 0, false);
             Api.Settings settings = new Api.Settings(0, 1, 0, 4, List.of(of), List.of(new Api.Plan(1000, 1000, 0, 1, 0, 0, 0)),
@@ -114,7 +117,7 @@
 
         @Override
         public ResponseStream beginStream(long length) {
-            return new ResponseStream() {
+            return !takesStreams ? null : new ResponseStream() {
                 @Override
                 public void write(ByteBuffer bytes, Runnable onWritten) {
                     streamedBytes += bytes.remaining();
@@ -178,7 +181,7 @@
     void anAnswerThatIsWholeInItsRequestsTimeIsServedWhateverItsPauses(@ForAll @IntRange(max = MAX_VALUE_BYTES) int valueBytes,
             @ForAll @Size(min = 1, max = 5) List<@IntRange(max = PART_SCALE) Integer> parts, @ForAll @IntRange(max = 1950) int allMs,
             @ForAll boolean hasMemory) throws Exception {
-        try (Play play = new Play(hasMemory ? 64 << 20 : 0)) {
+        try (Play play = new Play(hasMemory ? 64 << 20 : 0, true)) {
             byte[] answer = answerOf(valueBytes);
             int sent = sendInPieces(play, answer, parts, allMs);
             assertThat(play.answers).as("no answer before it is whole").isZero();
@@ -194,7 +197,7 @@
     void anAnswerThatIsNeverWholeDelaysNoFinalAnswer(@ForAll @IntRange(max = MAX_VALUE_BYTES) int valueBytes,
             @ForAll @Size(min = 1, max = 5) List<@IntRange(max = PART_SCALE) Integer> parts, @ForAll @IntRange(max = 1950) int allMs,
             @ForAll boolean hasMemory) throws Exception {
-        try (Play play = new Play(hasMemory ? 64 << 20 : 0)) {
+        try (Play play = new Play(hasMemory ? 64 << 20 : 0, true)) {
             sendInPieces(play, answerOf(valueBytes), parts, allMs);
             play.pass(WAIT_MS + LOST_AFTER_MS - allMs);
             assertThat(play.answers).isEqualTo(1);
@@ -202,4 +205,16 @@
             assertThat(play.answeredAtMs).isBetween(WAIT_MS, WAIT_MS + LOST_AFTER_MS);
         }
     }
+
+    /** Guards against a sound backend that is blamed for a large value that its response sink does not take. */
+    @Example
+    void aBackendIsNotBlamedForAValueThatCannotBePassedOn() throws Exception {
+        try (Play play = new Play(0, false)) {
+            byte[] answer = answerOf(MAX_VALUE_BYTES / 8);
+            play.send(answer, 0, answer.length / 2);
+            play.pass(1);
+            assertThat(play.counters.attemptsByOutcome[Api.Outcome.SERVER_ERROR.ordinal()]).isZero();
+            assertThat(play.counters.attemptsByOutcome[Api.Outcome.LOCAL_LOSS.ordinal()]).isEqualTo(1);
+        }
+    }
 }
