--- a/src/test/java/yardusher/lab/faults/SoakTest.java
+++ b/src/test/java/yardusher/lab/faults/SoakTest.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -20,7 +21,13 @@
 
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5})
-    void everyRequestHasItsOneAnswer(long seed) throws Exception {
+    void everyRequestHasItsOneAnswer(long seed) throws Exception { assertNoBreach(seed); }
+
+    /** Guards against connections that wait for a second to be accepted, beside an idle crowd while accepts fail. */
+    @Test
+    void connectionsBesideACrowdAreAcceptedInTimeWhileAcceptsFail() throws Exception { assertNoBreach(929); }
+
+    private void assertNoBreach(long seed) throws Exception {
         StringBuilder note = new StringBuilder();
         assertThat(Soak.play(folder, seed, DURATION_MS, note, new TreeMap<>())).as("Soak FOLDER %d 1 8: %s", seed, note).isEmpty();
     }
