--- a/src/test/java/yardusher/BegunAnswerPolicyTest.java
+++ b/src/test/java/yardusher/BegunAnswerPolicyTest.java
@@ -17,7 +17,10 @@
     private static final int SERVERS = 5;
     private static final int ENDLESS = 13;
     private static final int REQUESTS = 200;
+    private static final int EVEN_SHARE = REQUESTS / SERVERS;
     private static final double WAIT_MS = 2000;
+    /** What the module expects before it has seen an answer, so that no server looks quicker than the others. */
+    private static final double USUAL_MS = PolicyTest.IDEMPOTENT.aimMs() / 5;
 
     private final Gateway gateway = new Gateway(0, 1, 0,
             IntStream.range(0, SERVERS).mapToObj(i -> new Server(11 + i, 0, 0, 1, 0, Readiness.READY)).toArray(Server[]::new));
@@ -31,7 +34,7 @@
 
     private void begin(Send sent) { gateway.on(new FirstByte(sent.id(), 0, sent.server())); }
 
-    private void end(Send sent, Outcome outcome) { gateway.on(new AttemptDone(sent.id(), 0, sent.server(), outcome, 20, true, 0, null)); }
+    private void end(Send sent, Outcome outcome) { gateway.on(new AttemptDone(sent.id(), 0, sent.server(), outcome, USUAL_MS, true, 0, null)); }
 
     /** Guards against requests that are refused for pressure because answers pause. */
     @Test
@@ -44,23 +47,23 @@
         }
     }
 
-    /** The most servers that were put out at once while one server's begun answers ended like this. */
-    private int putOutWhileAnswersEnd(Outcome outcome) {
-        int putOut = 0;
+    /** How often one of the servers was chosen while its begun answers ended like this, and those of the others well. */
+    private int chosenWhileAnswersEnd(Outcome outcome) {
+        int chosen = 0;
         for (int i = 0; i < REQUESTS; i++) {
             Send sent = ask();
             begin(sent);
+            chosen += sent.server() == ENDLESS ? 1 : 0;
             end(sent, sent.server() == ENDLESS ? outcome : Outcome.SERVED);
-            putOut = Math.max(putOut, gateway.policy.countAvoided(gateway.now));
         }
-        return putOut;
+        return chosen;
     }
 
     /** Guards against a server that goes on getting its share although its answers never become whole. */
     @Test
-    void aServerWhoseAnswersNeverBecomeWholeIsPutOut() { assertThat(putOutWhileAnswersEnd(Outcome.TIMED_OUT)).isEqualTo(1); }
+    void aServerWhoseAnswersNeverBecomeWholeGetsLess() { assertThat(chosenWhileAnswersEnd(Outcome.TIMED_OUT)).isLessThan(EVEN_SHARE / 2); }
 
     /** Guards against a sound server that is put out because this process gave its begun answers up before their time. */
     @Test
-    void aServerIsNotBlamedForBegunAnswersThatAreGivenUpHere() { assertThat(putOutWhileAnswersEnd(Outcome.CANCELLED)).isZero(); }
+    void aServerIsNotBlamedForBegunAnswersThatAreGivenUpHere() { assertThat(chosenWhileAnswersEnd(Outcome.CANCELLED)).isGreaterThan(EVEN_SHARE / 2); }
 }
