End a connection to a backend with the first byte that nobody asked for

Cause: BackendConnection.onReadable asked the decoder for a whole value where no attempt was out. A value over 64 KiB is never given whole and a part of one neither, so both stayed on a connection that counted as idle, and the next attempt's first bytes made them its answer. Change: any byte without an attempt closes the connection; counted as connections_unsolicited, as are bytes right behind an answer. LateInputTest's stand-ins moved to SingleBackendHarness, its tests unchanged. Ruled out: the rest of 30 ms (the copy was read within it); dropping the bytes (more of the copy may come behind the next command).

--- a/src/main/java/yardusher/core/Counters.java
+++ b/src/main/java/yardusher/core/Counters.java
@@ -35,6 +35,8 @@
     public long repeatAttempts;
     public long connectionsReused;
     public long connectionsFailed;
+    /** Connections to backends that were closed because bytes came on them while they carried no attempt. */
+    public long connectionsUnsolicited;
     public long reloads;
     public long faults;
     /** Final answers after a request's first one; they are not sent. */
@@ -78,6 +80,7 @@
         }
         return text.append(" connections=").append(connectionsOpened).append(" connections_reused=")
                 .append(connectionsReused).append(" connections_failed=").append(connectionsFailed)
+                .append(" connections_unsolicited=").append(connectionsUnsolicited)
                 .append(" peer_out=").append(peerMessagesSent).append(" peer_in=").append(peerMessagesReceived).append(" list_asks=").append(listWatches)
                 .append(" list_whole=").append(completeLists).append(" list_bad=").append(malformedListLines)
                 .append(" list_changes=").append(listChanges)
--- a/src/main/java/yardusher/servers/BackendConnection.java
+++ b/src/main/java/yardusher/servers/BackendConnection.java
@@ -95,19 +95,20 @@
     @Override
     public boolean onReadable(Connection from) {
         if (stream != null) { return forward(); }
+        if (attempt == null) { return endUnsolicited(); }
         Value value;
         try {
             value = from.decoder().nextValue();
-            if (value == null && attempt != null && !reserveAnnounced(from.decoder())) { value = from.decoder().nextValue(); }
-            if (value == null && attempt != null && !from.decoder().isEmpty()) { recordReceived(from.decoder()); }
-            if (value == null && attempt != null && from.decoder().hasLargeValueBegun()) { return beginStreamOnceCommandIsOut(); }
+            if (value == null && !reserveAnnounced(from.decoder())) { value = from.decoder().nextValue(); }
+            if (value == null && !from.decoder().isEmpty()) { recordReceived(from.decoder()); }
+            if (value == null && from.decoder().hasLargeValueBegun()) { return beginStreamOnceCommandIsOut(); }
         } catch (MalformedRespException e) {
             endAttempt(GiveUpReason.MALFORMED, Api.Outcome.SERVER_ERROR);
             return false;
         }
         if (value == null) { return true; }
-        Attempt.Result result = attempt == null ? null : pool.answerParser.parse(value);
-        if (result == null) {                        // unsolicited, or not a valid response of this protocol
+        Attempt.Result result = pool.answerParser.parse(value);
+        if (result == null) {                        // not a valid response of this protocol
             endAttempt(GiveUpReason.MALFORMED, Api.Outcome.SERVER_ERROR);
             return false;
         }
@@ -115,6 +116,15 @@
         return true;
     }
 
+    /** Closes a connection on which something came between its attempts: the next one would take it for its answer, or for a part of it. */
+    private boolean endUnsolicited() {
+        if (connection.decoder().isEmpty()) { return true; }
+        pooledBackend.idle.remove(this);
+        pool.counters.connectionsUnsolicited++;
+        close();
+        return false;
+    }
+
     private void recordReceived(Decoder decoder) {
         pool.answerReceived(attempt, decoder.bufferedBytes(), decoder.announcedLength());
     }
@@ -150,7 +160,9 @@
         ended.abort = () -> { };
         pool.reuse.record(reused, false);
         // Protects the next attempt: bytes behind the response belong to nobody, and a partly written command would still go out.
-        if (connection.decoder().isEmpty() && connection.queuedBytes() == 0) { pool.returnIdle(this); } else { close(); }
+        boolean isUnsolicited = !connection.decoder().isEmpty();
+        if (isUnsolicited) { pool.counters.connectionsUnsolicited++; }
+        if (isUnsolicited || connection.queuedBytes() > 0) { close(); } else { pool.returnIdle(this); }
         pool.attemptEnded(ended, result);
     }
 
--- a/src/test/java/yardusher/servers/LateInputTest.java
+++ b/src/test/java/yardusher/servers/LateInputTest.java
@@ -3,74 +3,25 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicReference;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import yardusher.Api;
-import yardusher.core.BackendCommand;
-import yardusher.core.Counters;
-import yardusher.core.EventLoop;
-import yardusher.core.IncomingRequest;
-import yardusher.core.Ingress;
-import yardusher.core.RequestLog;
-import yardusher.core.Terminal;
 import yardusher.net.Connection;
-import yardusher.net.Sockets;
 
 /** Input that lies unread while the process is held up. */
 @Timeout(value = 60, unit = TimeUnit.SECONDS)
-class LateInputTest {
+class LateInputTest extends SingleBackendHarness {
     private static final int ROUNDS = 100;
     private static final long HELD_UP_MS = 70;
     private static final long COPY_AFTER_MS = 5;
     private static final long AIM_MS = 300;
     private static final long FIRST_BYTE_AFTER_MS = 200;
-    private static final int COMMAND_BYTES = 8;      // of this test's commands
-
-    private final AtomicReference<Throwable> fault = new AtomicReference<>();
-    private final EventLoop loop = new EventLoop(() -> System.nanoTime() / 1e6, fault::set);
-    private final BlockingQueue<String> answers = new LinkedBlockingQueue<>();
-    private final Counters counters = new Counters();
-    private Ingress ingress;
-    private Sockets sockets;
-    private ServerSocket listener;
-
-    @BeforeEach
-    void open() throws IOException {
-        sockets = new Sockets(loop);
-        loop.startTimer();
-        listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-    }
-
-    @AfterEach
-    void close() throws IOException {
-        loop.stop();
-        sockets.shutdown();
-        listener.close();
-        assertThat(fault.get()).isNull();
-    }
-
-    private static void hold(long ms) {
-        try {
-            Thread.sleep(ms);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
 
     /** A connection of ours to the listener; counts what is read. */
     private final class Reader implements Connection.Owner {
@@ -181,50 +132,8 @@
         send(socket, answer.substring(1));
     }
 
-    private void startIngress() { startIngress(new Api.RequestClass(1900, 2000, 5, 0.1, Api.Effect.IDEMPOTENT, Api.Group.ALL, 0, false)); }
-
-    private void startIngress(Api.RequestClass of) {
-        Api.Settings settings = new Api.Settings(0, 1, 0, 4, List.of(of), List.of(new Api.Plan(1000, 1000, 0, 1, 0, 0, 0)),
-                new Api.Limits(6, true, false, 2000), new Api.Rules(0.2, 1000, 3, 3000, 10_000), List.of(), false, 100, 2, 0, 0);
-        loop.execute(() -> {
-            BackendPool pool = new BackendPool(sockets, counters, List.of(), 250, 30_000, 10);
-            ingress = new Ingress(settings, 1, loop, pool, (to, body) -> { }, counters, RequestLog.NONE);
-            pool.setIngress(ingress);
-            pool.addOrUpdate(5, (InetSocketAddress) listener.getLocalSocketAddress());
-            ingress.deliver(new Api.ServerList(Api.ListKind.FULL, List.of(new Api.Server(5, 0, 0, 1, 0, Api.Readiness.READY))));
-        });
-    }
-
-    /** A backend's manner on one connection. */
-    private interface Manner {
-        void serve(Socket socket) throws IOException;
-    }
-
     private void startBackend(boolean answersTwice) { startBackend(socket -> serve(socket, answersTwice)); }
 
-    private void startBackend(Manner manner) {
-        Thread backend = new Thread(() -> acceptAll(manner), "backend");
-        backend.setDaemon(true);
-        backend.start();
-    }
-
-    private void acceptAll(Manner manner) {
-        try {
-            while (true) {
-                Socket socket = listener.accept();
-                Thread serving = new Thread(() -> serveUntilClosed(socket, manner), "backend connection");
-                serving.setDaemon(true);
-                serving.start();
-            }
-        } catch (IOException e) { /* the test has ended */ }
-    }
-
-    private static void serveUntilClosed(Socket socket, Manner manner) {
-        try {
-            manner.serve(socket);
-        } catch (IOException | java.io.UncheckedIOException e) { /* the ingress has closed the connection */ }
-    }
-
     /** Answers each command with its own text, and perhaps once more a little later. */
     private static void serve(Socket socket, boolean answersTwice) throws IOException {
         byte[] command = new byte[COMMAND_BYTES];
@@ -236,44 +145,4 @@
             send(socket, answer);
         }
     }
-
-    private static String answerTo(byte[] command) {
-        String value = "value " + Integer.parseInt(new String(command, StandardCharsets.US_ASCII).trim());
-        return "*3\r\n$" + value.length() + "\r\n" + value + "\r\n$-1\r\n$-1\r\n";
-    }
-
-    private IncomingRequest request(int id) {
-        return new IncomingRequest(0, 0, 7, 1, 0, 1, 2000, new BackendCommand() {
-            @Override
-            public ByteBuffer[] encoded(long waitMs) {
-                return new ByteBuffer[] {ByteBuffer.wrap(String.format("%" + COMMAND_BYTES + "d", id).getBytes(StandardCharsets.US_ASCII))};
-            }
-
-            @Override
-            public long id() { return id; }
-
-            @Override
-            public String key() { return null; }
-
-            @Override
-            public long fingerprint() { return id; }
-        }, new Terminal() {
-            @Override
-            public void served(byte[] value) { answers.add(new String(value, StandardCharsets.US_ASCII)); }
-
-            @Override
-            public void reject(long retryAfterMs, boolean mayHaveRun) { answers.add("refused"); }
-
-            @Override
-            public void failed(String why, boolean mayHaveRun) { answers.add("failed"); }
-        });
-    }
-
-    private static void send(Socket to, String text) {
-        try {
-            to.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
-        } catch (IOException e) {
-            throw new java.io.UncheckedIOException(e);
-        }
-    }
 }
