Stop taking requests after SIGTERM whenever the next version's yes is read

Cause: IngressProcess.drain asked three times whether a successor serves. With no at SIGTERM and yes at 500 and 600 ms it neither handed over nor closed. Change: DrainPlan, a state machine without I/O, decides; a yes that is read behind SIGTERM begins the hand-over, and what isn't handed over is closed at 500 ms. A late hand-over reads until 600 ms after SIGTERM, not 600 ms from its own beginning. DrainPlanTest plays all orders. Ruled out: closing at 500 ms whatever is known (shares newcomers for longer than needed).

--- a/src/main/java/yardusher/cli/IngressProcess.java
+++ b/src/main/java/yardusher/cli/IngressProcess.java
@@ -91,6 +91,8 @@
     private volatile Exception startFailure;         // why no clients can be accepted
     private final CountDownLatch drained = new CountDownLatch(1);
     private final double longestDeadlineMs;
+    private final DrainPlan drainPlan = new DrainPlan();
+    private double drainBeganAtMs;                   // when the process was told to end
     private IngressConfig config;                    // as last read
     private volatile boolean passesValuesOn;         // at the end of the process, by its last check
     private boolean serving;                         // clients are accepted
@@ -228,6 +230,7 @@
         public void siblingChanged(boolean other, boolean owns) {
             ingress.deliver(new Api.SiblingProcess(other, owns));
             setConnectionLimits(other);
+            performStep(drainPlan.successorChanged(handover.hasSuccessor()));
         }
 
         @Override
@@ -410,20 +413,19 @@
     public void drain() throws InterruptedException {
         double mostMs = DRAIN_ACCEPT_MS + DRAIN_READ_MS + Math.max(longestDeadlineMs, MIN_DRAIN_MS) + FINAL_ANSWER_MS;
         loop.execute(() -> {
-            double closeAtMs = loop.now() + DRAIN_ACCEPT_MS;
+            drainBeganAtMs = loop.now();
+            double closeAtMs = drainBeganAtMs + DRAIN_ACCEPT_MS;
             loop.deadlines().schedule(closeAtMs, () -> {
-                if (handover.hasSuccessor()) { serving = false; } else { closeFrontsDueAt(closeAtMs); }
+                serving = false;
+                if (drainPlan.acceptPeriodOver() == DrainPlan.Step.CLOSE) { closeFrontsDueAt(closeAtMs); }
                 loop.deadlines().schedule(loop.now() + DRAIN_READ_MS, () -> {
-                    if (!handover.hasSuccessor()) { closeFronts(); } // connections that arrived at the last moment and sent nothing
+                    performStep(drainPlan.readPeriodOver()); // connections that arrived at the last moment and sent nothing
                     awaitOpenRequests();
                 });
             });
-            loop.deadlines().schedule(loop.now() + mostMs - FINAL_ANSWER_MS, front.server()::refuseWaitingBodies);
-            loop.deadlines().schedule(loop.now() + mostMs, this::endUnlessValuesArePassedOn);
-            if (handover.hasSuccessor()) {
-                front.server().startHandover();
-                if (limitsFront != null) { limitsFront.server().startHandover(); }
-            }
+            loop.deadlines().schedule(drainBeganAtMs + mostMs - FINAL_ANSWER_MS, front.server()::refuseWaitingBodies);
+            loop.deadlines().schedule(drainBeganAtMs + mostMs, this::endUnlessValuesArePassedOn);
+            performStep(drainPlan.begin());
             subsystems.drain();
         });
         long patienceMs = (long) mostMs + STARVED_LOOP_EXTRA_MS;
@@ -434,6 +436,18 @@
         }
     }
 
+    private void performStep(DrainPlan.Step step) {
+        switch (step) {
+            case HAND_OVER -> {
+                double readUntilMs = drainBeganAtMs + DRAIN_ACCEPT_MS + DRAIN_READ_MS;
+                front.server().startHandover(readUntilMs);
+                if (limitsFront != null) { limitsFront.server().startHandover(readUntilMs); }
+            }
+            case CLOSE -> closeFronts();
+            case NONE -> { }
+        }
+    }
+
     /** A large value has no time of its own: this process stays for it until its end, or the platform's kill. */
     private void endUnlessValuesArePassedOn() {
         boolean passedValuesOn = passesValuesOn;
--- a/src/main/java/yardusher/net/DrainSchedule.java
+++ b/src/main/java/yardusher/net/DrainSchedule.java
@@ -8,8 +8,7 @@
     private static final double DRAIN_DELAY_MS = 500; // a client that gets an error reply to PING still opens connections for 0.3 s
     private static final double DRAIN_CLOSE_ALL_MS = 3500; // no connection is idle 4 s after the call
     private static final double DRAIN_READ_MS = 1800; // no command that is still open 4 s after the call came in the last 2 s
-    private static final double HANDOVER_READ_MS = 600; // a command that comes 0.7 s after SIGTERM must get its reply however late
-    private static final double SHUTDOWN_READ_MS = 100; // the same, since the listener closes half a second after SIGTERM
+    private static final double SHUTDOWN_READ_MS = 100; // a command that comes 0.7 s after SIGTERM must get its reply however late
     private static final double MIN_QUIET_MS = 200; // after being idle this long, a connection likely has no command on its way
 
     private boolean handover;
@@ -28,12 +27,11 @@
         closeIdleFromMs = drainingSinceMs + DRAIN_READ_MS;
     }
 
-    /** Starts a handover, which cannot be undone. Returns the time until which commands are read on old connections. */
-    double startHandover(double nowMs) {
+    /** Starts a handover, which cannot be undone: commands are read on old connections until {@code readUntilMs}. */
+    void startHandover(double nowMs, double readUntilMs) {
         handover = true;
         closeFromMs = nowMs;
-        closeIdleFromMs = closeFromMs + HANDOVER_READ_MS;
-        return closeIdleFromMs;
+        closeIdleFromMs = readUntilMs;
     }
 
     /** The process shuts down: soon no more commands are read while earlier ones are unanswered. Returns that time. */
--- a/src/main/java/yardusher/net/RespServer.java
+++ b/src/main/java/yardusher/net/RespServer.java
@@ -167,12 +167,12 @@
     /**
      * The next version of this program takes new connections. This one accepts what waits in its accept queue, answers the
      * commands it has received and closes its connections. PING is answered as before, since the ingress as a whole keeps
-     * running.
+     * running. From {@code readUntilMs} on it reads no more commands.
      */
-    public void startHandover() {
+    public void startHandover(double readUntilMs) {
         if (drainSchedule.isHandover()) { return; }
         double now = loop.now();
-        double readUntilMs = drainSchedule.startHandover(now);
+        drainSchedule.startHandover(now, readUntilMs);
         awaitInputUntil(readUntilMs);
         listener.closeWhenQuiet(ACCEPT_QUIET_MS, readUntilMs);
         closeDraining(now);
