--- a/src/test/java/yardusher/servers/UnsolicitedInputTest.java
+++ b/src/test/java/yardusher/servers/UnsolicitedInputTest.java
@@ -4,6 +4,8 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -35,22 +37,27 @@
         public boolean isSurplus(long backend) { return false; }
     }
 
+    private final BlockingQueue<Integer> served = new LinkedBlockingQueue<>(); // ids, once all is sent that comes for them
+
     private static String value(int id, int length) {
         String text = "value " + id;
         return text + "x".repeat(Math.max(0, length - text.length()));
     }
 
     /** Answers each command, and a moment later sends as much of a second copy of the answer. */
-    private static void answerWithCopy(Socket socket, int valueLength, int copiedBytes) throws IOException {
+    private void answerWithCopy(Socket socket, int valueLength, int copiedBytes) throws IOException {
         byte[] command = new byte[COMMAND_BYTES];
         while (socket.getInputStream().readNBytes(command, 0, command.length) == command.length) {
             String answer = answer(value(idOf(command), valueLength));
             send(socket, answer.substring(0, FIRST_PIECE_BYTES)); // on its own: few bytes behind those that may lie there
             hold(1);
             send(socket, answer.substring(FIRST_PIECE_BYTES));
-            if (copiedBytes == 0) { continue; }
             hold(LATE_MS);
-            send(socket, answer.substring(0, Math.min(answer.length(), copiedBytes)));
+            try {
+                send(socket, answer.substring(0, Math.min(answer.length(), copiedBytes)));
+            } finally {
+                served.add(idOf(command));           // the connection may end within a long copy
+            }
         }
     }
 
@@ -59,6 +66,7 @@
             int next = id;
             loop.execute(() -> ingress.accept(request(next)));
             assertThat(answers.take()).isEqualTo(value(id, valueLength));
+            assertThat(served.take()).isEqualTo(id);
             hold(RESTED_MS);
         }
     }
@@ -102,6 +110,7 @@
                 send(socket, answer.substring(0, answer.length() / 2));
                 hold(PAUSE_MS);
                 send(socket, answer.substring(answer.length() / 2));
+                served.add(idOf(command));
             }
         });
         askOneAfterAnother(valueLength);
