--- a/src/test/java/yardusher/servers/ConnectionQuotaRestTest.java
+++ b/src/test/java/yardusher/servers/ConnectionQuotaRestTest.java
@@ -6,6 +6,7 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
@@ -49,14 +50,18 @@
         public boolean isSurplus(long backend) { return false; }
     }
 
-    /** Answers each command, and once more a moment later unless the next command is there. */
-    private static void serve(Socket socket, boolean answersTwice) throws IOException {
+    private final Semaphore served = new Semaphore(0); // a permit for each command, once all is sent that comes for it
+
+    /** Answers each command, and perhaps once more a moment later, unless the next command is there. */
+    private void serve(Socket socket, boolean answersTwice) throws IOException {
         byte[] command = new byte[COMMAND_BYTES];
         while (socket.getInputStream().readNBytes(command, 0, command.length) == command.length) {
             send(socket, answerTo(command));
-            if (!answersTwice) { continue; }
-            hold(COPY_AFTER_MS);
-            if (socket.getInputStream().available() == 0) { send(socket, answerTo(command)); }
+            if (answersTwice) {
+                hold(COPY_AFTER_MS);
+                if (socket.getInputStream().available() == 0) { send(socket, answerTo(command)); }
+            }
+            served.release();
         }
     }
 
@@ -83,7 +88,9 @@
         startBackend(socket -> serve(socket, answersTwice));
         for (int round = 0; round < ROUNDS; round++) {
             int first = 1 + round * connections;
+            int servedBefore = round == 0 ? 0 : connections;
             loop.execute(() -> {
+                served.acquireUninterruptibly(servedBefore); // the copies have come and lie unread
                 for (int id = first; id < first + connections; id++) { ingress.accept(request(id)); }
             });
             assertThat(takeAnswers(connections)).as("round %d", round).containsExactlyInAnyOrderElementsOf(values(first, connections));
