--- a/src/test/java/yardusher/story/DrainOrderTest.java
+++ b/src/test/java/yardusher/story/DrainOrderTest.java
@@ -152,7 +152,7 @@
             if (yesAfterMs > 0) {
                 goOn(yesAfterMs);
                 goneMs = yesAfterMs;
-                if (goneMs < READ_PERIOD_MS) { next.sayYes(); }
+                next.sayYes();
             }
             if (isKilledBehindIt) {
                 next.close();
